Settle the types between the parts

Cause: an empty repository; parts that are built side by side need one set of types. Before: nothing.

--- /dev/null
+++ b/pumicedeck/__init__.py
@@ -0,0 +1,1 @@
+"""A rollout service for reinforcement learning."""
--- /dev/null
+++ b/pumicedeck/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated thrift code."""
--- /dev/null
+++ b/pumicedeck/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pumicedeck."""
--- /dev/null
+++ b/pumicedeck/tests/test_clocks.py
@@ -0,0 +1,23 @@
+"""Tests of timers and virtual time."""
+
+from pumicedeck.clocks import VirtualTime
+
+
+def test_timers_run_in_order_of_time_and_a_cancelled_one_does_not_run() -> None:
+    time = VirtualTime()
+    ran: list[tuple[str, float]] = []
+    time.call_later(2.0, lambda: ran.append(("late", time.now())))
+    time.call_later(1.0, lambda: ran.append(("early", time.now())))
+    cancelled = time.call_later(1.5, lambda: ran.append(("cancelled", time.now())))
+    cancelled.cancel()
+    time.run_until(3.0)
+    assert ran == [("early", 1.0), ("late", 2.0)]
+    assert time.now() == 3.0
+
+
+def test_a_timer_set_by_a_timer_runs_in_the_same_pass() -> None:
+    time = VirtualTime()
+    ran: list[float] = []
+    time.call_later(1.0, lambda: time.call_later(1.0, lambda: ran.append(time.now())))
+    time.run_until(2.0)
+    assert ran == [2.0]
