--- /dev/null
+++ b/pumicedeck/caller_requests.py
@@ -0,0 +1,152 @@
+"""Checks what callers send and turns it into typed requests."""
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from pumicedeck.actions import CallerRequest
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, RequestClass
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.tokens import Principal
+
+ENTRIES_PATH = "/v1/entries/"
+CALL = "call"
+DRAWS = "draws"
+REQUEST_ID_HEADER = "X-Request-Id"
+IDEMPOTENT_HEADER = "X-Idempotent"
+STREAM_HEADER = "X-Stream"
+BUDGET_HEADER = "X-Budget-Ms"
+TOKENS_HEADER = "X-Expected-Tokens"
+PREFIX_HEADER = "X-Prefix"
+PRIORITY_HEADER = "X-Priority"
+
+MILLISECONDS = 1000.0
+MAX_EXPECTED_TOKENS = 1_000_000
+MAX_PRIORITY = 9
+MAX_DIGITS = 12
+MAX_BUDGET_MILLISECONDS = 3_600_000
+DEFAULT_TOKENS = {
+    RequestClass.INTERACTIVE: 64,
+    RequestClass.BATCH: 128,
+    RequestClass.ROLLOUT: 512,
+}
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:\-]{1,128}")
+_PREFIX = re.compile(r"[\x21-\x7e]{0,256}")
+_TRUTH = {"true": True, "false": False}
+
+Header = Callable[[str], str]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPath:
+    """A caller's path taken apart: the entry, `call` or `draws`, and the endpoint's path."""
+
+    entry_name: str
+    verb: str
+    endpoint_path: str
+
+
+def _bad(detail: str) -> Err[Failure]:
+    return Err(Failure(ResultCode.BAD_REQUEST, detail))
+
+
+def parse_path(path: str) -> Result[EntryPath, Failure]:
+    """Take a caller's path apart."""
+    if not path.startswith(ENTRIES_PATH):
+        return Err(Failure(ResultCode.NOT_FOUND, path))
+    name, _, rest = path.removeprefix(ENTRIES_PATH).partition("/")
+    verb, _, endpoint_path = rest.partition("/")
+    if not name or verb not in (CALL, DRAWS) or (verb == DRAWS and endpoint_path):
+        return Err(Failure(ResultCode.NOT_FOUND, path))
+    return Ok(EntryPath(name, verb, "/" + endpoint_path))
+
+
+def find_entry(
+    catalogue: Catalogue, name: str, principal: Principal
+) -> Result[CatalogueEntry, Failure]:
+    """Return the entry if the caller's firm owns it.
+
+    An entry of another firm is reported like one that does not exist, so that a firm cannot learn
+    which entries the others have.
+    """
+    if catalogue.revision == 0:
+        return Err(Failure(ResultCode.CATALOGUE_UNAVAILABLE, "", 1.0))
+    entry = catalogue.entry(name)
+    if entry is None or entry.firm != principal.firm:
+        return Err(Failure(ResultCode.UNKNOWN_ENTRY, name))
+    return Ok(entry)
+
+
+def _truth(header: Header, name: str, default: bool) -> Result[bool, Failure]:
+    text = header(name).lower()
+    if not text:
+        return Ok(default)
+    if text not in _TRUTH:
+        return _bad(f"{name}: expected true or false")
+    return Ok(_TRUTH[text])
+
+
+def _number(header: Header, name: str, default: int, highest: int) -> Result[int, Failure]:
+    text = header(name)
+    if not text:
+        return Ok(default)
+    digits = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    if not digits or int(text) > highest:
+        return _bad(f"{name}: expected a whole number up to {highest}")
+    return Ok(int(text))
+
+
+def _text(header: Header, name: str, pattern: re.Pattern[str]) -> Result[str, Failure]:
+    text = header(name)
+    if text and not pattern.fullmatch(text):
+        return _bad(f"{name}: expected {pattern.pattern}")
+    return Ok(text)
+
+
+def parse_call(
+    handle: str,
+    made_id: str,
+    entry: CatalogueEntry,
+    endpoint_path: str,
+    header: Header,
+    body: bytes,
+) -> Result[CallerRequest, Failure]:
+    """Check a call's headers; `made_id` is used when the caller names no request id."""
+    budget_default = round(entry.limits.deadline_seconds * MILLISECONDS)
+    checks: Mapping[str, Result] = {
+        REQUEST_ID_HEADER: _text(header, REQUEST_ID_HEADER, _REQUEST_ID),
+        IDEMPOTENT_HEADER: _truth(header, IDEMPOTENT_HEADER, entry.idempotent),
+        STREAM_HEADER: _truth(header, STREAM_HEADER, False),
+        BUDGET_HEADER: _number(header, BUDGET_HEADER, budget_default, MAX_BUDGET_MILLISECONDS),
+        TOKENS_HEADER: _number(
+            header, TOKENS_HEADER, DEFAULT_TOKENS[entry.request_class], MAX_EXPECTED_TOKENS
+        ),
+        PREFIX_HEADER: _text(header, PREFIX_HEADER, _PREFIX),
+        PRIORITY_HEADER: _number(header, PRIORITY_HEADER, 0, MAX_PRIORITY),
+    }
+    for check in checks.values():
+        if isinstance(check, Err):
+            return check
+    values = {name: check.ok_value for name, check in checks.items()}
+    if values[BUDGET_HEADER] == 0:
+        return _bad(f"{BUDGET_HEADER}: expected a positive number")
+    request_id = values[REQUEST_ID_HEADER]
+    return Ok(
+        CallerRequest(
+            handle=handle,
+            request_id=request_id or made_id,
+            entry=entry,
+            path=endpoint_path,
+            body=body,
+            idempotent=values[IDEMPOTENT_HEADER],
+            streamed=values[STREAM_HEADER],
+            budget=min(values[BUDGET_HEADER] / MILLISECONDS, entry.limits.deadline_seconds),
+            expected_tokens=max(1, values[TOKENS_HEADER]),
+            priority=values[PRIORITY_HEADER],
+            prefix=values[PREFIX_HEADER],
+            repeatable=bool(request_id),
+        )
+    )
--- /dev/null
+++ b/pumicedeck/codecs.py
@@ -0,0 +1,126 @@
+"""Turns messages into framed thrift structures (compact protocol) and back."""
+
+import struct
+from collections.abc import Callable, Iterator
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from types import UnionType
+from typing import Any, get_args, get_origin, get_type_hints
+
+from result import Err, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from pumicedeck import messages
+from pumicedeck.gen.wire import ttypes
+from pumicedeck.handshakes import Hello, Proof
+from pumicedeck.messages import Message
+from pumicedeck.results import Failure, ResultCode
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_CONTAINER_ITEMS = 1024 * 1024
+LENGTH_BYTES = 4
+
+Convert = Callable[[Any], Any]
+Frame = Message | Hello | Proof
+
+_FRAME_TYPES = {cls.__name__: cls for cls in (*get_args(messages.Message), Hello, Proof)}
+_FRAME_NAMES = tuple(_FRAME_TYPES)
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+def _without_none(hint: Any) -> Any:
+    if isinstance(hint, UnionType):
+        return next(arg for arg in get_args(hint) if arg is not type(None))
+    return hint
+
+
+def _converters(hint: Any) -> tuple[Convert, Convert]:
+    hint = _without_none(hint)
+    if get_origin(hint) is tuple:
+        return list, tuple
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return lambda member: member.value, hint
+    if is_dataclass(hint):
+        return _to_struct, lambda wire: _from_struct(hint, wire)
+    return _same, _same
+
+
+@cache
+def _plan(cls: type) -> tuple[tuple[str, Convert, Convert], ...]:
+    hints = get_type_hints(cls)
+    return tuple((each.name, *_converters(hints[each.name])) for each in fields(cls))
+
+
+def _to_struct(value: Any) -> Any:
+    wire = getattr(ttypes, type(value).__name__)()
+    for name, to_wire, _ in _plan(type(value)):
+        held = getattr(value, name)
+        if held is not None:
+            setattr(wire, name, to_wire(held))
+    return wire
+
+
+def _from_struct(cls: type, wire: Any) -> Any:
+    values = {}
+    for name, _, from_wire in _plan(cls):
+        held = getattr(wire, name)
+        if held is not None:
+            values[name] = from_wire(held)
+    return cls(**values)
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the frame's bytes with their length in front."""
+    envelope = ttypes.Envelope(**{type(frame).__name__: _to_struct(frame)})
+    buffer = TMemoryBuffer()
+    envelope.write(TCompactProtocolAccelerated(buffer))
+    payload = buffer.getvalue()
+    return struct.pack("!I", len(payload)) + payload
+
+
+def decode(payload: bytes) -> Result[Frame, Failure]:
+    """Read one frame's payload; BAD_MESSAGE if it is anything else than one known frame."""
+    envelope = ttypes.Envelope()
+    protocol = TCompactProtocolAccelerated(
+        TMemoryBuffer(payload),
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_CONTAINER_ITEMS,
+    )
+    # The generated reader raises many unrelated types on damaged input.
+    try:
+        envelope.read(protocol)
+        named = [name for name in _FRAME_NAMES if getattr(envelope, name) is not None]
+        if len(named) != 1:
+            return Err(Failure(ResultCode.BAD_MESSAGE, "a frame holds exactly one message"))
+        return Ok(_from_struct(_FRAME_TYPES[named[0]], getattr(envelope, named[0])))
+    except Exception as error:
+        return Err(Failure(ResultCode.BAD_MESSAGE, f"{type(error).__name__}: {error}"))
+
+
+class FrameBuffer:
+    """Collects received bytes and splits them into frames."""
+
+    def __init__(self, limit: int = MAX_FRAME_BYTES) -> None:
+        """Refuse frames of more than `limit` bytes."""
+        self._limit = limit
+        self._held = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Result[Frame, Failure]]:
+        """Add bytes and yield each complete frame; after an error the buffer is of no use."""
+        self._held += data
+        while len(self._held) >= LENGTH_BYTES:
+            (length,) = struct.unpack_from("!I", self._held)
+            if length > self._limit:
+                yield Err(Failure(ResultCode.BAD_MESSAGE, f"frame of {length} bytes"))
+                return
+            end = LENGTH_BYTES + length
+            if len(self._held) < end:
+                return
+            payload = bytes(self._held[LENGTH_BYTES:end])
+            del self._held[:end]
+            yield decode(payload)
--- /dev/null
+++ b/pumicedeck/connections.py
@@ -0,0 +1,246 @@
+"""TCP connections that carry sessions, on circuits' loop."""
+
+import errno
+import socket
+from collections.abc import Callable
+
+from circuits import handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from circuits.net.sockets import TCPServer
+from loguru import logger
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.codecs import FrameBuffer, encode
+from pumicedeck.handshakes import Hello
+from pumicedeck.messages import Heartbeat, Message
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.sessions import Closed, Delivered, Opened, Session, SessionSettings, Transmit
+from pumicedeck.world import Address
+
+_log = logger.bind(module="connections")
+
+MAX_UNSENT_BYTES = 64 * 1024 * 1024
+TICK_SECONDS = 0.25
+
+
+class SessionEvents:
+    """What the owner of the sessions wants to hear; every method may be overridden."""
+
+    def opened(self, connection: int, peer: Hello) -> None:
+        """Take note of an authenticated peer on a new connection."""
+
+    def delivered(self, connection: int, peer: Hello, message: Message) -> None:
+        """Take a message."""
+
+    def closed(self, connection: int, peer: Hello | None, failure: Failure) -> None:
+        """Take note that a connection ended; `peer` is None if it never opened."""
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat to send now."""
+        return Heartbeat(0, 0)
+
+
+class _Connection:
+    """A socket with its session and partial input."""
+
+    def __init__(self, number: int, sock: socket.socket, session: Session) -> None:
+        self.number = number
+        self.sock = sock
+        self.session = session
+        self.buffer = FrameBuffer()
+        self.opened = False
+
+
+class Connections(TCPServer):
+    """Listens for sessions, dials others, and runs the session logic on them.
+
+    circuits' own client waits inside the loop while it connects; this one watches the socket for
+    writability instead.
+    """
+
+    channel = "sessions"
+
+    def __init__(
+        self,
+        hello: Callable[[], Hello],
+        secrets: tuple[bytes, ...],
+        events: SessionEvents,
+        timers: TimerQueue,
+        settings: SessionSettings,
+        listen: Address | None = None,
+    ) -> None:
+        """Introduce this process with `hello()`; `listen` is None in a process that only dials."""
+        self._listens = listen is not None
+        super().__init__((listen.host, listen.port) if listen else None, channel=self.channel)
+        self._hello = hello
+        self._secrets = secrets
+        self._events = events
+        self._timers = timers
+        self._settings = settings
+        self._by_sock: dict[socket.socket, _Connection] = {}
+        self._by_number: dict[int, _Connection] = {}
+        self._dialing: set[socket.socket] = set()
+        self._count = 0
+        self._rejected = 0
+        timers.call_later(TICK_SECONDS, self._tick)
+
+    @property
+    def rejected(self) -> int:
+        """Return how many connections ended before a session opened."""
+        return self._rejected
+
+    @property
+    def open_count(self) -> int:
+        """Return how many sessions are open."""
+        return sum(each.session.is_open for each in self._by_number.values())
+
+    def dial(self, address: Address) -> int:
+        """Start a connection and return its number; its end is reported by `closed`."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        status = sock.connect_ex((address.host, address.port))
+        connection = self._adopt(sock, dialed=True)
+        if status not in (0, errno.EINPROGRESS):
+            self._timers.call_later(0.0, lambda: self._dial_failed(sock, status))
+            return connection.number
+        self._dialing.add(sock)
+        self._poller.addWriter(self, sock)
+        return connection.number
+
+    def send(self, number: int, message: Message) -> bool:
+        """Send a message; False if the session is not open."""
+        connection = self._by_number.get(number)
+        if connection is None or not connection.session.is_open:
+            return False
+        self._perform(connection, connection.session.send(self._timers.now(), message))
+        return True
+
+    def hang_up(self, number: int) -> None:
+        """Close one connection at once."""
+        connection = self._by_number.get(number)
+        if connection is not None:
+            self._end(connection, Failure(ResultCode.SESSION_LOST, "closed by this process"))
+
+    @handler("registered", "started", channel="*", override=True)
+    def _on_registered_or_started(self, component, manager=None):
+        """Begin to listen, or only find the poller."""
+        if self._listens:
+            super()._on_registered_or_started(component, manager)
+        elif self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+
+    @handler("connect")
+    def _on_connect(self, sock, host, port):
+        connection = self._adopt(sock, dialed=False)
+        self._perform(connection, connection.session.start(self._timers.now()))
+
+    @handler("read")
+    def _on_data(self, sock, data):
+        connection = self._by_sock.get(sock)
+        if connection is None:
+            return
+        for frame in connection.buffer.feed(data):
+            actions = connection.session.received(self._timers.now(), frame)
+            self._perform(connection, actions)
+            if sock not in self._by_sock:
+                return
+
+    @handler("disconnect")
+    def _on_peer_gone(self, sock):
+        connection = self._by_sock.get(sock)
+        if connection is not None:
+            self._end(connection, Failure(ResultCode.SESSION_LOST, "the connection closed"))
+
+    @handler("_write", priority=2)
+    def _on_dialed(self, event, sock):
+        if sock not in self._dialing:
+            return
+        event.stop()
+        self._dialing.discard(sock)
+        self._poller.removeWriter(sock)
+        status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if status:
+            self._dial_failed(sock, status)
+            return
+        self._on_accept_done(sock, fire_connect_event=False)
+        connection = self._by_sock[sock]
+        self._perform(connection, connection.session.start(self._timers.now()))
+
+    @handler("_disconnect", priority=2)
+    def _on_dial_hang_up(self, event, sock):
+        if sock in self._dialing:
+            event.stop()
+            self._dialing.discard(sock)
+            self._dial_failed(sock, errno.ECONNREFUSED)
+
+    @handler("error")
+    def _on_socket_error(self, *args):
+        _log.debug("socket error", error=str(args[-1]))
+
+    def _adopt(self, sock: socket.socket, dialed: bool) -> _Connection:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._count += 1
+        session = Session(self._hello(), self._secrets, dialed, self._settings, self._timers.now())
+        connection = _Connection(self._count, sock, session)
+        self._by_sock[sock] = connection
+        self._by_number[connection.number] = connection
+        return connection
+
+    def _dial_failed(self, sock: socket.socket, status: int) -> None:
+        connection = self._by_sock.get(sock)
+        if connection is not None:
+            detail = errno.errorcode.get(status, str(status))
+            self._end(connection, Failure(ResultCode.SESSION_LOST, detail))
+
+    def _tick(self) -> None:
+        self._timers.call_later(TICK_SECONDS, self._tick)
+        now = self._timers.now()
+        for connection in list(self._by_number.values()):
+            self._perform(connection, connection.session.on_time(now, self._events.heartbeat))
+
+    def _perform(self, connection: _Connection, actions: list) -> None:
+        for action in actions:
+            match action:
+                case Transmit(frame):
+                    self._transmit(connection, encode(frame))
+                case Opened(peer):
+                    connection.opened = True
+                    self._events.opened(connection.number, peer)
+                case Delivered(message):
+                    self._events.delivered(connection.number, connection.session.peer, message)
+                case Closed(failure):
+                    self._end(connection, failure)
+
+    def _transmit(self, connection: _Connection, data: bytes) -> None:
+        sock = connection.sock
+        waiting = self._buffers.get(sock)
+        if waiting and sum(map(len, waiting)) > MAX_UNSENT_BYTES:
+            self._end(connection, Failure(ResultCode.SESSION_LOST, "the peer does not read"))
+            return
+        if not waiting:
+            data = data[self._send_now(sock, data) :]
+        if data:
+            self.write(sock, data)
+
+    def _send_now(self, sock: socket.socket, data: bytes) -> int:
+        try:
+            return sock.send(data)
+        except OSError:
+            # The poller reports a broken connection; what cannot be sent now is buffered.
+            return 0
+
+    def _end(self, connection: _Connection, failure: Failure) -> None:
+        if self._by_sock.pop(connection.sock, None) is None:
+            return
+        del self._by_number[connection.number]
+        self._dialing.discard(connection.sock)
+        if connection.sock in self._clients:
+            self._close(connection.sock)
+        else:
+            self._poller.discard(connection.sock)
+            connection.sock.close()
+        if not connection.opened:
+            self._rejected += 1
+        peer = connection.session.peer if connection.opened else None
+        self._events.closed(connection.number, peer, failure)
--- /dev/null
+++ b/pumicedeck/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/pumicedeck/peers.py
@@ -0,0 +1,111 @@
+"""Maps the incarnations of peers to their open connections."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from pumicedeck.connections import SessionEvents
+from pumicedeck.handshakes import Hello
+from pumicedeck.messages import Heartbeat, Message
+from pumicedeck.results import Failure
+
+_log = logger.bind(module="peers")
+
+
+class PeerListener(Protocol):
+    """What a daemon does about its peers."""
+
+    def session_up(self, peer: Hello) -> None:
+        """Take note that the peer can be reached."""
+
+    def session_lost(self, peer: Hello) -> None:
+        """Take note that the peer cannot be reached now."""
+
+    def message(self, peer: Hello, message: Message) -> None:
+        """Take a message."""
+
+    def dial_ended(self, connection: int) -> None:
+        """Take note that a connection ended, whether or not it ever opened."""
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat to send now."""
+
+
+class Connector(Protocol):
+    """What `Peers` needs of the connections."""
+
+    def send(self, number: int, message: Message) -> bool:
+        """Send a message on an open connection."""
+
+    def hang_up(self, number: int) -> None:
+        """Close a connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Open:
+    connection: int
+    hello: Hello
+
+
+class Peers(SessionEvents):
+    """Keeps one open connection a peer incarnation; a newer one replaces an older one."""
+
+    def __init__(self, listener: PeerListener) -> None:
+        """Report to `listener`."""
+        self._listener = listener
+        self._connections: Connector | None = None
+        self._open: dict[str, _Open] = {}
+
+    @property
+    def incarnations(self) -> tuple[str, ...]:
+        """Return the peers that can be reached."""
+        return tuple(self._open)
+
+    def bind(self, connections: Connector) -> None:
+        """Use these connections; needed once, before any of them opens."""
+        self._connections = connections
+
+    def send(self, incarnation: str, message: Message) -> bool:
+        """Send a message; False if there is no session to the peer."""
+        held = self._open.get(incarnation)
+        return held is not None and self._connections.send(held.connection, message)
+
+    def send_to_all(self, message: Message) -> None:
+        """Send a message to every reachable peer."""
+        for incarnation in self.incarnations:
+            self.send(incarnation, message)
+
+    def hang_up(self, incarnation: str) -> None:
+        """Close the session to a peer."""
+        held = self._open.get(incarnation)
+        if held is not None:
+            self._connections.hang_up(held.connection)
+
+    def opened(self, connection: int, peer: Hello) -> None:
+        """Replace an older connection of the same incarnation."""
+        older = self._open.pop(peer.incarnation, None)
+        if older is not None:
+            self._listener.session_lost(older.hello)
+            self._connections.hang_up(older.connection)
+        self._open[peer.incarnation] = _Open(connection, peer)
+        _log.info("session opened", peer=peer.incarnation)
+        self._listener.session_up(peer)
+
+    def delivered(self, connection: int, peer: Hello, message: Message) -> None:
+        """Pass a message on."""
+        self._listener.message(peer, message)
+
+    def closed(self, connection: int, peer: Hello | None, failure: Failure) -> None:
+        """Report the loss of a session unless a newer connection has replaced it."""
+        if peer is not None:
+            held = self._open.get(peer.incarnation)
+            if held is not None and held.connection == connection:
+                del self._open[peer.incarnation]
+                _log.info("session lost", peer=peer.incarnation, why=failure.detail)
+                self._listener.session_lost(peer)
+        self._listener.dial_ended(connection)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the listener's heartbeat."""
+        return self._listener.heartbeat()
--- /dev/null
+++ b/pumicedeck/sessions.py
@@ -0,0 +1,184 @@
+"""A session between an entry and an agent: handshake, heartbeats and loss; free of I/O."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+
+from result import Err, Ok, Result
+
+from pumicedeck.codecs import Frame
+from pumicedeck.handshakes import PROTOCOL_VERSION, Hello, Proof, prove, verify
+from pumicedeck.messages import Heartbeat, Message
+from pumicedeck.results import Failure, ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class SessionSettings:
+    """Times in seconds; a session silent for `silence` is given up."""
+
+    heartbeat: float = 1.0
+    silence: float = 3.5
+    handshake: float = 5.0
+
+
+class SessionState(Enum):
+    """Progress of a session."""
+
+    GREETING = auto()
+    PROVING = auto()
+    OPEN = auto()
+    CLOSED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Transmit:
+    """Write a frame to the peer."""
+
+    frame: Frame
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The peer is authenticated."""
+
+    peer: Hello
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """A message arrived from the authenticated peer."""
+
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """The session ended and its connection is to be closed."""
+
+    failure: Failure
+
+
+SessionAction = Transmit | Opened | Delivered | Closed
+
+
+class Session:
+    """One side of one connection; `dialed` is true on the side that opened it."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        secrets: tuple[bytes, ...],
+        dialed: bool,
+        settings: SessionSettings,
+        now: float,
+    ) -> None:
+        """Introduce this process with `hello`; the first secret signs, all of them verify."""
+        self._hello = hello
+        self._secrets = secrets
+        self._dialed = dialed
+        self._settings = settings
+        self._state = SessionState.GREETING
+        self._peer: Hello | None = None
+        self._opened_at = now
+        self._heard = now
+        self._sent = now
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether messages may be sent."""
+        return self._state is SessionState.OPEN
+
+    @property
+    def peer(self) -> Hello | None:
+        """Return how the peer introduced itself."""
+        return self._peer
+
+    def start(self, now: float) -> list[SessionAction]:
+        """Begin the handshake."""
+        if not self._dialed:
+            return []
+        self._sent = now
+        return [Transmit(self._hello)]
+
+    def send(self, now: float, message: Message) -> list[SessionAction]:
+        """Transmit a message if the session is open."""
+        if not self.is_open:
+            return []
+        self._sent = now
+        return [Transmit(message)]
+
+    def received(self, now: float, frame: Result[Frame, Failure]) -> list[SessionAction]:
+        """Take one frame from the peer."""
+        if self._state is SessionState.CLOSED:
+            return []
+        self._heard = now
+        match frame:
+            case Err(failure):
+                return self._close(failure)
+            case Ok(Hello() as hello):
+                return self._greeted(now, hello)
+            case Ok(Proof() as proof):
+                return self._proved(proof)
+            case Ok(message):
+                return self._delivered(message)
+
+    def on_time(self, now: float, beat: Callable[[], Heartbeat]) -> list[SessionAction]:
+        """Send a heartbeat when one is due, and give up a silent peer."""
+        if self._state is SessionState.CLOSED:
+            return []
+        if not self.is_open:
+            return self._check_handshake(now)
+        if now - self._heard >= self._settings.silence:
+            return self._close(Failure(ResultCode.SESSION_LOST, "the peer is silent"))
+        if now - self._sent < self._settings.heartbeat:
+            return []
+        self._sent = now
+        return [Transmit(beat())]
+
+    def _check_handshake(self, now: float) -> list[SessionAction]:
+        if now - self._opened_at < self._settings.handshake:
+            return []
+        return self._close(Failure(ResultCode.PEER_REJECTED, "the handshake timed out"))
+
+    def _close(self, failure: Failure) -> list[SessionAction]:
+        self._state = SessionState.CLOSED
+        return [Closed(failure)]
+
+    def _reject(self, detail: str) -> list[SessionAction]:
+        return self._close(Failure(ResultCode.PEER_REJECTED, detail))
+
+    def _greeted(self, now: float, peer: Hello) -> list[SessionAction]:
+        if self._state is not SessionState.GREETING:
+            return self._reject("a second greeting")
+        if peer.protocol != PROTOCOL_VERSION:
+            return self._reject(f"protocol {peer.protocol}, expected {PROTOCOL_VERSION}")
+        self._peer = peer
+        self._sent = now
+        if self._dialed:
+            return self._answer_challenge(peer)
+        return self._challenge(peer)
+
+    def _challenge(self, peer: Hello) -> list[SessionAction]:
+        self._state = SessionState.PROVING
+        proof = prove(self._secrets[0], self._hello, peer)
+        return [Transmit(replace(self._hello, proof=proof))]
+
+    def _answer_challenge(self, peer: Hello) -> list[SessionAction]:
+        if not verify(self._secrets, peer.proof, peer, self._hello):
+            return self._reject("the peer does not know the secret")
+        self._state = SessionState.OPEN
+        proof = Proof(prove(self._secrets[0], self._hello, peer))
+        return [Transmit(proof), Opened(peer)]
+
+    def _proved(self, proof: Proof) -> list[SessionAction]:
+        if self._state is not SessionState.PROVING or self._peer is None:
+            return self._reject("a proof out of turn")
+        if not verify(self._secrets, proof.proof, self._peer, self._hello):
+            return self._reject("the peer does not know the secret")
+        self._state = SessionState.OPEN
+        return [Opened(self._peer)]
+
+    def _delivered(self, message: Message) -> list[SessionAction]:
+        if not self.is_open:
+            return self._reject("a message before the handshake")
+        return [Delivered(message)]
--- /dev/null
+++ b/pumicedeck/settings.py
@@ -0,0 +1,226 @@
+"""Reads, defaults and checks every setting of every process."""
+
+import re
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import yaml
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from pumicedeck.platforms import adapter_names
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import Address, EndpointKind
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|min|h)")
+_DURATION_UNITS = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
+_SIZE = re.compile(r"(\d+)(B|KiB|MiB|GiB)")
+_SIZE_UNITS = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3}
+_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})")
+MAX_OCTET = 255
+MAX_PORT = 65535
+MIN_SECRET_CHARACTERS = 16
+
+T = TypeVar("T", bound="ProcessSettings")
+
+
+def _duration(value: Any) -> float:
+    if isinstance(value, float):
+        return value
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError("expected a duration with its unit, such as 250ms, 1.5s, 2min or 1h")
+    return float(match[1]) * _DURATION_UNITS[match[2]]
+
+
+def _size(value: Any) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    match = _SIZE.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError("expected a size with its unit, such as 512KiB or 8MiB")
+    return int(match[1]) * _SIZE_UNITS[match[2]]
+
+
+def _address(value: Any) -> Address:
+    if isinstance(value, Address):
+        return value
+    match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    valid = match is not None and int(match[2]) <= MAX_PORT
+    valid = valid and all(int(octet) <= MAX_OCTET for octet in match[1].split("."))
+    if not valid:
+        raise ValueError("expected an IP number and a port, such as 127.0.0.1:8080")
+    return Address(match[1], int(match[2]))
+
+
+def _adapter(interface: str) -> Any:
+    def check(value: Any) -> str:
+        if value not in adapter_names(interface):
+            known = ", ".join(adapter_names(interface))
+            raise ValueError(f"unknown adapter {value!r}, expected one of: {known}")
+        return value
+
+    return Annotated[str, BeforeValidator(check)]
+
+
+Duration = Annotated[float, BeforeValidator(_duration)]
+Size = Annotated[int, BeforeValidator(_size)]
+ListenAddress = Annotated[Address, BeforeValidator(_address)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, arbitrary_types_allowed=True
+    )
+
+
+class AdapterSettings(_Section):
+    """An adapter's name and the address it talks to."""
+
+    adapter: str
+    address: ListenAddress
+    timeout: Duration = 2.0
+
+
+class TableStoreSettings(AdapterSettings):
+    """The table service."""
+
+    adapter: _adapter("table_store") = "http"
+
+
+class ObjectStoreSettings(AdapterSettings):
+    """The object store."""
+
+    adapter: _adapter("object_store") = "http"
+
+
+class WeightStoreSettings(AdapterSettings):
+    """The weight store and the rate that its operators allow, in bytes per second."""
+
+    adapter: _adapter("weight_store") = "http"
+    rate: Size = 1024**3
+
+
+class VmListSettings(AdapterSettings):
+    """The platform's list of VMs."""
+
+    adapter: _adapter("vm_list") = "http"
+
+
+class PlatformSettings(_Section):
+    """Where the platform's services are."""
+
+    table_store: TableStoreSettings
+    object_store: ObjectStoreSettings
+    weight_store: WeightStoreSettings
+    vm_list: VmListSettings
+
+
+class LogSettings(_Section):
+    """What is logged and how; `format` is json or text."""
+
+    level: str = Field("INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
+    format: str = Field("json", pattern="^(json|text)$")
+
+
+class TimeSettings(_Section):
+    """Times that both roles keep; durations."""
+
+    heartbeat: Duration = 1.0
+    session_silence: Duration = 3.5
+    drain_grace: Duration = 60.0
+    balancer_notice: Duration = 5.0
+
+
+class BoundSettings(_Section):
+    """Bounds on what callers and peers may send; sizes and durations."""
+
+    header: Size = 16 * 1024
+    body: Size = 8 * 1024**2
+    request_time: Duration = 30.0
+    kept_answers: Size = 64 * 1024**2
+    kept_answer_time: Duration = 120.0
+
+
+class ProcessSettings(_Section):
+    """What a process of either role must know of itself."""
+
+    vm: str = Field(min_length=1)
+    failure_domain: str = Field(min_length=1)
+    region: str = Field(min_length=1)
+    secrets: tuple[Annotated[str, Field(min_length=MIN_SECRET_CHARACTERS)], ...] = Field(
+        min_length=1, strict=False
+    )
+    platform: PlatformSettings
+    log: LogSettings = LogSettings()
+    times: TimeSettings = TimeSettings()
+    bounds: BoundSettings = BoundSettings()
+    seed: int = 0
+
+
+class EntrySettings(ProcessSettings):
+    """An entry: where callers and operators reach it, and how it routes."""
+
+    callers: ListenAddress
+    operators: ListenAddress
+    router: str = "expected_wait"
+    sessions_per_domain: int = Field(16, ge=1)
+
+
+class EndpointSettings(_Section):
+    """The endpoint beside an agent."""
+
+    name: str = Field(min_length=1)
+    pool: str = Field(min_length=1)
+    kind: Annotated[EndpointKind, Field(strict=False)]
+    slots: int = Field(8, ge=1)
+    address: ListenAddress
+    adapter: str = "http"
+    timeout: Duration = 120.0
+
+
+class AgentSettings(ProcessSettings):
+    """An agent: where entries reach it, and its endpoint."""
+
+    sessions: ListenAddress
+    operators: ListenAddress
+    endpoint: EndpointSettings
+    queue: str = "fair"
+    swap_rank: int = Field(0, ge=0)
+
+
+def _explain(path: Path, error: ValidationError) -> str:
+    lines = []
+    for each in error.errors():
+        key = ".".join(str(part) for part in each["loc"]) or "(top)"
+        found = f", found {each['input']!r}" if each["type"] not in ("missing", "extra") else ""
+        if each["type"] == "extra_forbidden":
+            lines.append(f"{path}: {key}: unknown key")
+        elif each["type"] == "missing":
+            lines.append(f"{path}: {key}: is missing")
+        else:
+            lines.append(f"{path}: {key}: {each['msg'].removeprefix('Value error, ')}{found}")
+    return "\n".join(lines)
+
+
+def parse_settings(cls: type[T], path: Path, text: str) -> Result[T, Failure]:
+    """Check the text of a settings file; `path` only names it in errors."""
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"{path}: not YAML: {error}"))
+    if not isinstance(document, dict):
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"{path}: expected a mapping of settings"))
+    try:
+        return Ok(cls.model_validate(document))
+    except ValidationError as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, _explain(path, error)))
+
+
+def load_settings(cls: type[T], path: Path) -> Result[T, Failure]:
+    """Read and check a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"{path}: {error}"))
+    return parse_settings(cls, path, text)
