Add in-process stand-ins for platform and endpoints

Cause: every decision has to be tested against the faults that the platform and the endpoints may show, in virtual time as well as on the real loop.

The engine batches continuously and keeps a true ledger of what it ran.

Conclusion: the daemons and decisions can be wired to stand-ins now.

--- /dev/null
+++ b/pumicedeck/standin_engines.py
@@ -0,0 +1,462 @@
+"""In-process stand-in for a model engine."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.faults import CallPlan, Fault, FaultSwitches, StandIn
+from pumicedeck.platforms import (
+    CacheEvent,
+    Done,
+    EngineOrder,
+    EngineState,
+    Generation,
+    GenerationEnd,
+    LoadedModel,
+    ModelEngine,
+    OrderKind,
+    TokenChunk,
+    adapter,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.standin_batches import (
+    Batch,
+    Prompt,
+    Sequence,
+    read_kv,
+    read_prompt,
+    write_kv,
+)
+from pumicedeck.standin_caches import PrefixCache
+from pumicedeck.standin_ledgers import (
+    EngineSettings,
+    ExecutedGeneration,
+    ExecutedOrder,
+    LaggedLoad,
+)
+
+WeightSource = Callable[[str, int, Done[None]], None]
+
+_REFUSED = Failure(ResultCode.ENDPOINT_UNREACHABLE, "connection refused", proven_not_run=True)
+_LOST = Failure(ResultCode.ENDPOINT_FAILED, "the connection to the engine broke")
+_ORDER_LOST = Failure(ResultCode.ORDER_UNKNOWN, "the reply to an order was lost")
+_CANCELLED = Failure(ResultCode.CANCELLED, "the generation was stopped")
+_LEAVING = Failure(ResultCode.ENDPOINT_LEAVING, "the engine is leaving", proven_not_run=True)
+_LEDGER_ITEMS = 1_000_000
+_UNKNOWN_VERSION = -1
+
+
+@dataclass(slots=True, eq=False)
+class _Listener:
+    """An open call of `generate`."""
+
+    plan: CallPlan
+    offset: int
+    streamed: bool
+    chunk: Callable[[TokenChunk], None]
+    done: Done[GenerationEnd]
+
+
+@adapter("ModelEngine", "standin")
+class StandinEngine(StandIn, ModelEngine):
+    """An engine that batches continuously and keeps a true ledger of what it executed.
+
+    A chunk whose offset is below what came before replaces the output from there on: that is
+    how a restart by a swap shows in a stream.
+    """
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        faults: FaultSwitches | None = None,
+        settings: EngineSettings | None = None,
+        weights: WeightSource | None = None,
+        name: str = "engine",
+        random: Random | None = None,
+    ) -> None:
+        """Load weights from `weights` or, without it, within a fixed time."""
+        super().__init__(timers, faults)
+        self._settings = settings or EngineSettings()
+        self._weights = weights
+        self._name = name
+        self._random = random or Random(name)
+        self.ledger: deque[ExecutedGeneration] = deque(maxlen=_LEDGER_ITEMS)
+        self.orders: deque[ExecutedOrder] = deque(maxlen=_LEDGER_ITEMS)
+        self.leaving = False
+        self._boot()
+
+    def _boot(self) -> None:
+        settings = self._settings
+        self._versions = {loaded.model: loaded.version for loaded in settings.models}
+        self._role = settings.role
+        self._highest_fencing = 0
+        self._finished_orders: set[str] = set()
+        self._last_order = ""
+        self._batch = Batch(self._timers, settings.batch, self._on_admitted, self._on_stepped)
+        self.cache = PrefixCache(settings.cache, self._random)
+        self._sequences: dict[str, Sequence] = {}
+        self._kept: OrderedDict[str, Sequence] = OrderedDict()
+        self._imported: dict[str, Sequence] = {}
+        self._listeners: dict[str, _Listener] = {}
+        self._load = LaggedLoad(settings.report_lag)
+
+    @property
+    def incarnation(self) -> str:
+        """Return the name of this run of the engine."""
+        return f"{self._name}#{self._crashes}"
+
+    def executions(self, body: bytes) -> int:
+        """Return how many generations of this body ever started."""
+        running = [s for s in self._batch.running if s.generation.body == body]
+        return len(running) + sum(1 for item in self.ledger if item.body == body)
+
+    # Generations
+
+    def generate(
+        self,
+        generation: Generation,
+        chunk: Callable[[TokenChunk], None],
+        done: Done[GenerationEnd],
+    ) -> None:
+        """Start a generation or attach to the one with the same handle."""
+        plan = self.faults.plan("generate")
+        crashes = self._crashes
+
+        def begin() -> None:
+            if plan.fault is Fault.LOSE_REQUEST or crashes != self._crashes:
+                self._reply(plan, done, Err(_LOST))
+                return
+            listener = _Listener(plan, generation.resume_offset, generation.streamed, chunk, done)
+            self._attach(generation, listener)
+
+        if plan.fault is Fault.DOWN:
+            self._timers.call_later(plan.delay, lambda: done(Err(_REFUSED)))
+            return
+        self._timers.call_later(plan.delay, begin)
+
+    def cancel(self, handle: str) -> None:
+        """Stop a generation; its `done` reports CANCELLED."""
+        if self.faults.plan("cancel").fault is None:
+            self._timers.call_later(self.faults.delay, lambda: self._stop(handle, "cancelled"))
+
+    def _attach(self, generation: Generation, listener: _Listener) -> None:
+        sequence = self._find(generation.handle)
+        if sequence is None:
+            outcome = self._admit(generation)
+            if outcome.is_err():
+                self._reply(listener.plan, listener.done, outcome)
+                return
+            sequence = outcome.unwrap()
+        handle = generation.handle
+        replaced = self._listeners.pop(handle, None)
+        if replaced is not None:
+            self._reply(replaced.plan, replaced.done, Err(_LOST))
+        self._listeners[handle] = listener
+        if listener.streamed and len(sequence.output) > listener.offset:
+            self._deliver(sequence)
+        if sequence.finished:
+            self._complete(sequence)
+
+    def _find(self, handle: str) -> Sequence | None:
+        return self._sequences.get(handle) or self._kept.get(handle)
+
+    def _admit(self, generation: Generation) -> Result[Sequence, Failure]:
+        if self.leaving:
+            return Err(_LEAVING)
+        sequence = self._imported.pop(generation.handle, None)
+        if sequence is None:
+            if generation.resume_offset > 0:
+                return Err(Failure(ResultCode.ENDPOINT_FAILED, "unknown handle to resume"))
+            checked = self._check(generation)
+            if checked.is_err():
+                return checked
+            sequence = Sequence(generation, checked.unwrap())
+        sequence.generation = generation
+        self._sequences[generation.handle] = sequence
+        self._batch.submit(sequence)
+        self._record_load()
+        return Ok(sequence)
+
+    def _check(self, generation: Generation) -> Result[Prompt, Failure]:
+        prompt = read_prompt(generation.body)
+        if prompt is None:
+            return Err(Failure(ResultCode.BAD_REQUEST, "body", proven_not_run=True))
+        if generation.model and generation.model not in self._versions:
+            return Err(Failure(ResultCode.NOT_FOUND, generation.model, proven_not_run=True))
+        return Ok(prompt)
+
+    def _version(self, sequence: Sequence) -> int:
+        model = sequence.generation.model or next(iter(self._versions), "")
+        return self._versions.get(model, _UNKNOWN_VERSION)
+
+    def _on_admitted(self, sequence: Sequence) -> float:
+        now = self._timers.now()
+        if sequence.started_at < 0:
+            sequence.started_at = now
+        prompt = sequence.prompt
+        cached = self.cache.use(now, prompt.prefix, prompt.prefix_tokens)
+        tokens = prompt.tokens - (min(prompt.prefix_tokens, prompt.tokens) if cached else 0)
+        return tokens * self._settings.batch.prefill_token_seconds
+
+    def _on_stepped(self, sequence: Sequence, count: int) -> None:
+        sequence.append(count, self._version(sequence))
+        listener = self._listeners.get(sequence.generation.handle)
+        if listener is not None and listener.plan.fault is Fault.CRASH:
+            self.crash()
+            return
+        finished = sequence.tokens >= sequence.prompt.output_tokens
+        if listener is not None and listener.streamed:
+            self._deliver(sequence)
+        if finished:
+            self._finish(sequence)
+        self._record_load()
+
+    def _deliver(self, sequence: Sequence) -> None:
+        listener = self._listeners.get(sequence.generation.handle)
+        if listener is None or self.faults.is_silenced(listener.plan):
+            return
+        chunk = sequence.chunk(listener.offset, self._settings.reports_versions)
+        listener.offset += len(chunk.data)
+        listener.chunk(chunk)
+        if listener.plan.fault is Fault.LOSE_REPLY:
+            self._end_call(sequence.generation.handle, Err(_LOST))
+
+    def _finish(self, sequence: Sequence) -> None:
+        handle = sequence.generation.handle
+        sequence.finished = True
+        self._sequences.pop(handle, None)
+        self._kept[handle] = sequence
+        while len(self._kept) > self._settings.kept_outputs:
+            self._kept.popitem(last=False)
+        self._record(sequence, "finished")
+        self._complete(sequence)
+
+    def _complete(self, sequence: Sequence) -> None:
+        handle = sequence.generation.handle
+        listener = self._listeners.get(handle)
+        if listener is None:
+            return
+        if listener.plan.fault is Fault.LOSE_REPLY:
+            self._end_call(handle, Err(_LOST))
+            return
+        if not listener.streamed:
+            self._deliver(sequence)
+        length = len(sequence.output)
+        end = GenerationEnd(200, "text/plain; charset=utf-8", length, sequence.tokens)
+        self._end_call(handle, Ok(end))
+
+    def _end_call(self, handle: str, outcome: Result[GenerationEnd, Failure]) -> None:
+        listener = self._listeners.pop(handle, None)
+        if listener is not None:
+            self._reply(listener.plan, listener.done, outcome)
+
+    def _stop(self, handle: str, outcome: str) -> Sequence | None:
+        sequence = self._sequences.pop(handle, None)
+        if sequence is None:
+            return None
+        self._batch.remove(sequence)
+        if sequence.started_at >= 0:
+            self._record(sequence, outcome)
+        self._record_load()
+        self._end_call(handle, Err(_CANCELLED))
+        return sequence
+
+    def _record(self, sequence: Sequence, outcome: str) -> None:
+        executed = ExecutedGeneration(
+            handle=sequence.generation.handle,
+            body=sequence.generation.body,
+            incarnation=self.incarnation,
+            started_at=sequence.started_at,
+            ended_at=self._timers.now(),
+            versions=tuple(sequence.versions),
+            outcome=outcome,
+        )
+        self.ledger.append(executed)
+
+    # Orders
+
+    def order(self, order: EngineOrder, done: Done[EngineState]) -> None:
+        """Carry out an order; an order id that was carried out already is not repeated."""
+        plan = self.faults.plan("order")
+        crashes = self._crashes
+
+        def reply(outcome: Result[EngineState, Failure]) -> None:
+            if plan.fault in (Fault.LOSE_REPLY, Fault.LOSE_REQUEST):
+                outcome = Err(_ORDER_LOST)
+            self._reply(plan, done, outcome)
+
+        def begin() -> None:
+            if crashes != self._crashes or plan.fault is Fault.LOSE_REQUEST:
+                reply(Err(_ORDER_LOST))
+            elif order.order_id in self._finished_orders:
+                reply(Ok(self._state()))
+            elif self._is_fenced(order):
+                reply(Err(self._fenced()))
+            else:
+                self._highest_fencing = max(self._highest_fencing, order.fencing)
+                self._carry_out(order, plan, crashes, reply)
+
+        if plan.fault is Fault.DOWN:
+            self._timers.call_later(plan.delay, lambda: done(Err(_REFUSED)))
+            return
+        self._timers.call_later(plan.delay, begin)
+
+    def _is_fenced(self, order: EngineOrder) -> bool:
+        return self._settings.checks_fencing and order.fencing < self._highest_fencing
+
+    def _fenced(self) -> Failure:
+        return Failure(ResultCode.FENCED, f"highest is {self._highest_fencing}")
+
+    def _carry_out(self, order, plan: CallPlan, crashes: int, reply: Done[EngineState]) -> None:
+        if order.kind is OrderKind.CHANGE_ROLE:
+            self._role = order.role
+            self._end_order(order, reply)
+            return
+
+        def on_fetched(outcome: Result[None, Failure]) -> None:
+            if crashes != self._crashes:
+                reply(Err(_ORDER_LOST))
+            elif outcome.is_err():
+                reply(Err(Failure(ResultCode.SWAP_FAILED, "the weights did not arrive")))
+            elif self._is_fenced(order):
+                reply(Err(self._fenced()))
+            else:
+                self._batch.pause()
+                install = self._settings.install_seconds
+                self._timers.call_later(install, lambda: on_installed())
+
+        def on_installed() -> None:
+            if crashes != self._crashes:
+                reply(Err(_ORDER_LOST))
+                return
+            self._batch.resume()
+            if plan.fault is Fault.CRASH:
+                self.crash()
+                reply(Err(_ORDER_LOST))
+            elif plan.fault is Fault.PARTIAL_SWAP:
+                self._versions[order.model] = _UNKNOWN_VERSION
+                self.orders.append(ExecutedOrder(order, self._timers.now(), True))
+                reply(Err(Failure(ResultCode.SWAP_FAILED, "the swap failed partway")))
+            else:
+                self._install(order)
+                self._end_order(order, reply)
+
+        self._fetch(order, on_fetched)
+
+    def _fetch(self, order: EngineOrder, done: Done[None]) -> None:
+        if self._weights is not None:
+            self._weights(order.model, order.version, done)
+            return
+        self._timers.call_later(self._settings.fetch_seconds, lambda: done(Ok(None)))
+
+    def _install(self, order: EngineOrder) -> None:
+        self._versions[order.model] = order.version
+        if order.kind is not OrderKind.SWAP_VERSION:
+            return
+        self.cache.clear(self._timers.now())
+        if order.restart_running:
+            self._restart_running(order.model)
+
+    def _restart_running(self, model: str) -> None:
+        for sequence in self._sequences.values():
+            if sequence.generation.model not in ("", model):
+                continue
+            sequence.restart()
+            listener = self._listeners.get(sequence.generation.handle)
+            if listener is not None:
+                listener.offset = 0
+
+    def _end_order(self, order: EngineOrder, reply: Done[EngineState]) -> None:
+        self._finished_orders.add(order.order_id)
+        self._last_order = order.order_id
+        self.orders.append(ExecutedOrder(order, self._timers.now(), False))
+        reply(Ok(self._state()))
+
+    # State
+
+    def state(self, done: Done[EngineState]) -> None:
+        """Read what the engine reports of itself; its load comes with a lag."""
+        self._serve("state", lambda: Ok(self._state()), done, _REFUSED, _LOST)
+
+    def _state(self) -> EngineState:
+        running, queued = self._load.report(self._timers.now())
+        models = tuple(LoadedModel(model, number) for model, number in self._versions.items())
+        checks = self._settings.checks_fencing
+        return EngineState(
+            models=models,
+            role=self._role,
+            running=running,
+            queued=queued,
+            highest_fencing=self._highest_fencing if checks else 0,
+            last_order=self._last_order,
+            leaving=self.leaving,
+            incarnation=self.incarnation,
+        )
+
+    def _record_load(self) -> None:
+        running = len(self._batch.running)
+        self._load.record(self._timers.now(), running, len(self._sequences) - running)
+
+    def cache_events(self, since: int, done: Done[tuple[CacheEvent, ...]]) -> None:
+        """Read cache events after sequence `since`."""
+
+        def work() -> Result[tuple[CacheEvent, ...], Failure]:
+            return Ok(self.cache.events(self._timers.now(), since))
+
+        self._serve("cache_events", work, done, _REFUSED, _LOST)
+
+    # KV cache
+
+    def export_kv(self, handle: str, done: Done[bytes]) -> None:
+        """Export the KV cache of a running generation and stop it there."""
+        sequence = self._sequences.get(handle)
+        cost = self._kv_seconds(sequence.tokens) if sequence else 0.0
+        self._serve("export_kv", lambda: self._export(handle), done, _REFUSED, _LOST, cost)
+
+    def import_kv(self, handle: str, data: bytes, done: Done[None]) -> None:
+        """Import a KV cache so that `generate` can resume under `handle`."""
+        sequence = read_kv(data)
+        cost = self._kv_seconds(sequence.tokens) if sequence else 0.0
+
+        def work() -> Result[None, Failure]:
+            if sequence is None:
+                return Err(Failure(ResultCode.BAD_REQUEST, "not an exported KV cache"))
+            self._imported[handle] = sequence
+            return Ok(None)
+
+        self._serve("import_kv", work, done, _REFUSED, _LOST, cost)
+
+    def _export(self, handle: str) -> Result[bytes, Failure]:
+        sequence = self._stop(handle, "exported")
+        if sequence is None:
+            return Err(Failure(ResultCode.NOT_FOUND, handle))
+        return Ok(write_kv(sequence))
+
+    def _kv_seconds(self, tokens: int) -> float:
+        settings = self._settings
+        return tokens * settings.kv_bytes_per_token / settings.kv_bytes_per_second
+
+    # Leaving, crash and restart
+
+    def begin_leaving(self) -> None:
+        """Refuse new generations and finish those that run."""
+        self.leaving = True
+
+    def crash(self) -> None:
+        """Lose everything in memory and refuse connections until `restart`."""
+        for sequence in self._batch.clear():
+            if sequence.started_at >= 0:
+                self._record(sequence, "crashed")
+        super().crash()
+        for handle in tuple(self._listeners):
+            self._end_call(handle, Err(_LOST))
+
+    def restart(self) -> None:
+        """Come back under a new incarnation with the weights of the start."""
+        super().restart()
+        self.leaving = False
+        self._boot()
--- /dev/null
+++ b/pumicedeck/standin_ledgers.py
@@ -0,0 +1,71 @@
+"""Settings of the stand-in engine and the records of what it truly did."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from pumicedeck.platforms import EngineOrder, LoadedModel
+from pumicedeck.standin_batches import BatchSettings
+from pumicedeck.standin_caches import CacheSettings
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSettings:
+    """Behaviour of a stand-in engine; times are in seconds."""
+
+    models: tuple[LoadedModel, ...] = (LoadedModel("base", 0),)
+    role: str = "sampler"
+    batch: BatchSettings = field(default_factory=BatchSettings)
+    cache: CacheSettings = field(default_factory=CacheSettings)
+    checks_fencing: bool = True
+    reports_versions: bool = True
+    report_lag: float = 0.0
+    fetch_seconds: float = 0.0
+    install_seconds: float = 0.0
+    kv_bytes_per_token: int = 0
+    kv_bytes_per_second: float = 1e9
+    kept_outputs: int = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutedGeneration:
+    """What the engine truly did for one generation; `outcome` is how it ended."""
+
+    handle: str
+    body: bytes
+    incarnation: str
+    started_at: float
+    ended_at: float
+    versions: tuple[int, ...]
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutedOrder:
+    """An order whose effect took place, whole or in part."""
+
+    order: EngineOrder
+    at: float
+    partial: bool
+
+
+class LaggedLoad:
+    """Reports running and queued counts as they were `lag` seconds ago."""
+
+    def __init__(self, lag: float) -> None:
+        """Begin without load."""
+        self._lag = lag
+        self._changes: deque[tuple[float, int, int]] = deque([(float("-inf"), 0, 0)])
+
+    def record(self, now: float, running: int, queued: int) -> None:
+        """Note the counts as they are now."""
+        self._changes.append((now, running, queued))
+        self._trim(now)
+
+    def report(self, now: float) -> tuple[int, int]:
+        """Return the counts that the engine reports now."""
+        self._trim(now)
+        return self._changes[0][1:]
+
+    def _trim(self, now: float) -> None:
+        while len(self._changes) > 1 and self._changes[1][0] <= now - self._lag:
+            self._changes.popleft()
--- /dev/null
+++ b/pumicedeck/standin_tables.py
@@ -0,0 +1,183 @@
+"""In-process stand-in for the platform's transactional table service."""
+
+from bisect import bisect_left, insort
+from collections import Counter
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.faults import FaultSwitches, StandIn
+from pumicedeck.platforms import (
+    Committed,
+    Condition,
+    Done,
+    Row,
+    StoreKey,
+    TableStore,
+    Transaction,
+    Write,
+    adapter,
+)
+from pumicedeck.results import Failure, ResultCode
+
+_DOWN = Failure(ResultCode.STORE_UNAVAILABLE, "the table service is down")
+_READ_LOST = Failure(ResultCode.STORE_UNAVAILABLE, "the reply to a read was lost")
+_COMMIT_LOST = Failure(ResultCode.STORE_OUTCOME_UNKNOWN, "the reply to a commit was lost")
+
+
+class TableData:
+    """The rows behind one or more stand-in clients of the table service."""
+
+    def __init__(self) -> None:
+        """Begin without rows."""
+        self._rows: dict[str, dict[str, Row]] = {}
+        self._keys: dict[str, list[str]] = {}
+        self._revision = 0
+
+    def read(self, key: StoreKey) -> Row:
+        """Return a row, with revision 0 if it is absent."""
+        row = self._rows.get(key.table, {}).get(key.key)
+        return row or Row(key.table, key.key, b"", 0)
+
+    def scan(self, table: str, prefix: str, limit: int) -> tuple[Row, ...]:
+        """Return rows in key order."""
+        keys = self._keys.get(table, [])
+        rows = self._rows.get(table, {})
+        found = []
+        for key in keys[bisect_left(keys, prefix) :]:
+            if len(found) >= limit or not key.startswith(prefix):
+                break
+            found.append(rows[key])
+        return tuple(found)
+
+    def commit(self, transaction: Transaction) -> Result[Committed, Failure]:
+        """Apply all writes if every condition holds."""
+        for condition in transaction.conditions:
+            if not self._holds(condition):
+                name = f"{condition.table}/{condition.key}"
+                return Err(Failure(ResultCode.STORE_CONFLICT, name))
+        return Ok(Committed(tuple(self._write(write) for write in transaction.writes)))
+
+    def _holds(self, condition: Condition) -> bool:
+        row = self.read(StoreKey(condition.table, condition.key))
+        return row.revision == condition.revision
+
+    def _write(self, write: Write) -> int:
+        self._revision += 1
+        rows = self._rows.setdefault(write.table, {})
+        keys = self._keys.setdefault(write.table, [])
+        if write.value is None:
+            if rows.pop(write.key, None) is not None:
+                del keys[bisect_left(keys, write.key)]
+            return self._revision
+        if write.key not in rows:
+            insort(keys, write.key)
+        rows[write.key] = Row(write.table, write.key, write.value, self._revision)
+        return self._revision
+
+
+class StoreUsage:
+    """Counts operations, in all and by second, so that a budget can be checked."""
+
+    def __init__(self) -> None:
+        """Begin at nothing."""
+        self.reads = 0
+        self.rows_read = 0
+        self.transactions = 0
+        self.rows_written = 0
+        self._reads_by_second: Counter[int] = Counter()
+        self._writes_by_second: Counter[int] = Counter()
+
+    @property
+    def peak_reads(self) -> int:
+        """Return the most read calls in one second."""
+        return max(self._reads_by_second.values(), default=0)
+
+    @property
+    def peak_transactions(self) -> int:
+        """Return the most transactions in one second."""
+        return max(self._writes_by_second.values(), default=0)
+
+    def count_read(self, now: float, rows: int) -> None:
+        """Count one read or scan."""
+        self.reads += 1
+        self.rows_read += rows
+        self._reads_by_second[int(now)] += 1
+
+    def count_commit(self, now: float, rows: int) -> None:
+        """Count one transaction, committed or refused."""
+        self.transactions += 1
+        self.rows_written += rows
+        self._writes_by_second[int(now)] += 1
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """Calls that the service carries in a second; 0 means no limit. `latency` is in seconds."""
+
+    reads_per_second: float = 0.0
+    transactions_per_second: float = 0.0
+    latency: float = 0.0
+
+
+class _Pacer:
+    """Spaces calls evenly so that a rate is never exceeded."""
+
+    def __init__(self, rate: float) -> None:
+        self._gap = 1.0 / rate if rate > 0 else 0.0
+        self._free_at = 0.0
+
+    def wait(self, now: float) -> float:
+        """Take the next place and return how long it is away."""
+        start = max(now, self._free_at)
+        self._free_at = start + self._gap
+        return start - now
+
+
+@adapter("TableStore", "standin")
+class StandinTableStore(StandIn, TableStore):
+    """A table service in memory; several clients may share one `data`."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        faults: FaultSwitches | None = None,
+        data: TableData | None = None,
+        limits: StoreLimits | None = None,
+    ) -> None:
+        """Serve `data` within `limits`."""
+        super().__init__(timers, faults)
+        limits = limits or StoreLimits()
+        self.data = data or TableData()
+        self.usage = StoreUsage()
+        self._latency = limits.latency
+        self._reads = _Pacer(limits.reads_per_second)
+        self._commits = _Pacer(limits.transactions_per_second)
+
+    def read(self, keys: tuple[StoreKey, ...], done: Done[tuple[Row, ...]]) -> None:
+        """Read rows as of one moment."""
+        self._serve_read("read", lambda: tuple(self.data.read(key) for key in keys), done)
+
+    def scan(self, table: str, prefix: str, limit: int, done: Done[tuple[Row, ...]]) -> None:
+        """Read up to `limit` rows whose key starts with `prefix`, in key order."""
+        self._serve_read("scan", lambda: self.data.scan(table, prefix, limit), done)
+
+    def commit(self, transaction: Transaction, done: Done[Committed]) -> None:
+        """Commit a transaction."""
+
+        def work() -> Result[Committed, Failure]:
+            self.usage.count_commit(self._timers.now(), len(transaction.writes))
+            return self.data.commit(transaction)
+
+        cost = self._latency + self._commits.wait(self._timers.now())
+        self._serve("commit", work, done, _DOWN, _COMMIT_LOST, cost)
+
+    def _serve_read(self, operation, read, done) -> None:
+        def work() -> Result[tuple[Row, ...], Failure]:
+            rows = read()
+            self.usage.count_read(self._timers.now(), len(rows))
+            return Ok(rows)
+
+        cost = self._latency + self._reads.wait(self._timers.now())
+        self._serve(operation, work, done, _DOWN, _READ_LOST, cost)
--- /dev/null
+++ b/pumicedeck/standin_vm_lists.py
@@ -0,0 +1,61 @@
+"""In-process stand-in for the platform's lagging list of VMs."""
+
+from collections import deque
+
+from result import Ok
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.faults import FaultSwitches, StandIn
+from pumicedeck.platforms import Done, VmList, adapter
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import Vm
+
+_DOWN = Failure(ResultCode.STORE_UNAVAILABLE, "the VM list is down")
+_LOST = Failure(ResultCode.STORE_UNAVAILABLE, "the reply of the VM list was lost")
+
+
+@adapter("VmList", "standin")
+class StandinVmList(StandIn, VmList):
+    """A list of VMs that shows every change `lag` seconds late."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        faults: FaultSwitches | None = None,
+        vms: tuple[Vm, ...] = (),
+        lag: float = 0.0,
+    ) -> None:
+        """Show `vms` from the start."""
+        super().__init__(timers, faults)
+        self.lag = lag
+        self._vms = {vm.name: vm for vm in vms}
+        self._history: deque[tuple[float, tuple[Vm, ...]]] = deque()
+        self._history.append((float("-inf"), tuple(vms)))
+
+    @property
+    def current(self) -> tuple[Vm, ...]:
+        """Return the list without its lag."""
+        return tuple(self._vms.values())
+
+    def put(self, vm: Vm) -> None:
+        """Add a VM or replace the one of the same name."""
+        self._vms[vm.name] = vm
+        self._record()
+
+    def remove(self, name: str) -> None:
+        """Take a VM off the list."""
+        self._vms.pop(name, None)
+        self._record()
+
+    def list(self, done: Done[tuple[Vm, ...]]) -> None:
+        """Read the list as the platform shows it now."""
+        self._serve("list", lambda: Ok(self._shown()), done, _DOWN, _LOST)
+
+    def _record(self) -> None:
+        self._history.append((self._timers.now(), self.current))
+
+    def _shown(self) -> tuple[Vm, ...]:
+        moment = self._timers.now() - self.lag
+        while len(self._history) > 1 and self._history[1][0] <= moment:
+            self._history.popleft()
+        return self._history[0][1]
