Add the entry-side coordinator of draws of steps in groups

Cause: trainers need each draft of a step exactly once, on any entry VM, none over its staleness bound, with stragglers that must not stall the step and must not bias its lengths.

Change: `draws.DrawCoordinator` submits drafts within a window that aims at short agent queues, delivers whole groups, discards and redraws stale or unattributed drafts, hands work on to a later draw of the same group and keeps what a lost trainer left for a short while. `staleness` checks at the hand-over against the newest version that is known or named; an old confirmation counts as unknown. A draft's sampling seed is derived from its id, so that copies and redraws after a loss are the same sample and the first to finish does not favour short ones.

Conclusion: exactly once holds by naming what is held, without a write in the data path.

--- /dev/null
+++ b/pumicedeck/drafts.py
@@ -0,0 +1,131 @@
+"""Draws, drafts and groups of a trainer's step, and what the draw coordinator asks for."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+
+from pumicedeck.actions import CallerAnswer, CallerRequest
+from pumicedeck.catalogue_entries import CatalogueEntry
+from pumicedeck.messages import DraftId
+from pumicedeck.results import Failure
+
+SEED_BITS = 31
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRequest:
+    """A group of samples of one prompt; `expected_tokens` is per sample, 0 if not known."""
+
+    group: int
+    path: str
+    body: bytes
+    samples: int
+    expected_tokens: int = 0
+    prefix: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DrawRequest:
+    """A draw of groups of one step.
+
+    `held` are the groups of the step that the trainer already holds; `newest_version` is the
+    newest weight version that the trainer knows, -1 if it names none; `budget` is in seconds.
+    """
+
+    handle: str
+    entry: CatalogueEntry
+    trainer: str
+    step: int
+    groups: tuple[GroupRequest, ...]
+    held: tuple[int, ...] = ()
+    newest_version: int = -1
+    budget: float = 960.0
+
+
+@dataclass(frozen=True, slots=True)
+class GroupKey:
+    """The place of a group: entry name, trainer, step and group number."""
+
+    entry_name: str
+    trainer: str
+    step: int
+    group: int
+
+    def draft(self, index: int) -> DraftId:
+        """Return the id of the group's draft number `index`."""
+        return DraftId(self.entry_name, self.trainer, self.step, self.group, index)
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A finished draft with its answer, which names the weight versions."""
+
+    draft_id: DraftId
+    answer: CallerAnswer
+
+    @property
+    def oldest_version(self) -> int:
+        """Return the oldest weight version that may have produced a token."""
+        return min(self.answer.versions)
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitDraft:
+    """Submit a request for one draft to the entry's requests."""
+
+    request: CallerRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CancelDraft:
+    """Cancel the request for a draft; its result is not wanted any more."""
+
+    handle: str
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverGroup:
+    """Write a whole group to the trainer; `newest` is the version it was checked against."""
+
+    handle: str
+    group: int
+    drafts: tuple[Draft, ...]
+    newest: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndDraw:
+    """End a draw; without a failure every wanted group was delivered."""
+
+    handle: str
+    failure: Failure | None = None
+
+
+DrawAction = SubmitDraft | CancelDraft | DeliverGroup | EndDraw
+
+
+def draft_seed(draft_id: DraftId) -> int:
+    """Return the sampling seed of a draft, the same on every entry VM and for every copy."""
+    text = json.dumps(
+        [
+            draft_id.entry_name,
+            draft_id.trainer,
+            draft_id.step,
+            draft_id.group,
+            draft_id.index,
+        ]
+    )
+    digest = hashlib.sha256(text.encode()).digest()
+    return int.from_bytes(digest[:8], "big") >> (64 - SEED_BITS)
+
+
+def seeded_body(body: bytes, draft_id: DraftId) -> bytes | None:
+    """Return a JSON body with the draft's seed; None if the body is not a JSON object."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return None
+    if not isinstance(document, dict):
+        return None
+    document["seed"] = draft_seed(draft_id)
+    return json.dumps(document).encode()
--- /dev/null
+++ b/pumicedeck/draw_groups.py
@@ -0,0 +1,116 @@
+"""Progress of one group of a step: what waits, what is in flight, what is done; free of I/O."""
+
+from dataclasses import dataclass, field
+
+from pumicedeck.catalogue_entries import CatalogueEntry
+from pumicedeck.drafts import Draft, GroupKey, GroupRequest
+from pumicedeck.stragglers import GroupOutlook
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """One request for a draft that is in flight."""
+
+    handle: str
+    key: GroupKey
+    index: int
+    started: float
+    hedge: bool = False
+
+
+@dataclass(slots=True)
+class WaitingSample:
+    """A sample to be submitted, not before `not_before`; `tries` counts failed requests."""
+
+    index: int
+    not_before: float = 0.0
+    tries: int = 0
+
+
+@dataclass(slots=True)
+class GroupProgress:
+    """A group that a draw owns or left behind; `owner` is the draw's handle, empty if none."""
+
+    key: GroupKey
+    request: GroupRequest
+    entry: CatalogueEntry
+    position: int
+    owner: str
+    waiting: list[WaitingSample] = field(default_factory=list)
+    flights: dict[int, list[Flight]] = field(default_factory=dict)
+    done: dict[int, Draft] = field(default_factory=dict)
+    tries: dict[int, int] = field(default_factory=dict)
+    redrawn: bool = False
+    delivered: bool = False
+    released: float = 0.0
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether every sample is done."""
+        return len(self.done) == self.request.samples
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that the finished drafts take."""
+        return sum(len(each.answer.body) for each in self.done.values())
+
+    @property
+    def outlook(self) -> GroupOutlook:
+        """Return what the order of groups depends on."""
+        seen = [each.answer.tokens for each in self.done.values()]
+        mean = sum(seen) / len(seen) if seen else 0.0
+        tokens = max(float(self.request.expected_tokens), mean)
+        started = bool(self.done or self.flights)
+        return GroupOutlook(self.key.step, self.redrawn, tokens, started, self.position)
+
+    def fill(self) -> None:
+        """Let every sample wait that is neither done, in flight nor waiting."""
+        waiting = {each.index for each in self.waiting}
+        for index in range(self.request.samples):
+            if index not in self.done and index not in self.flights and index not in waiting:
+                self.waiting.append(WaitingSample(index, tries=self.tries.get(index, 0)))
+
+    def next_waiting(self, now: float) -> WaitingSample | None:
+        """Return the first sample that may be submitted now."""
+        return next((each for each in self.waiting if each.not_before <= now), None)
+
+    def mature(self, now: float) -> None:
+        """Clear the delay of samples that may be submitted now."""
+        for each in self.waiting:
+            if each.not_before <= now:
+                each.not_before = 0.0
+
+    def take_off(self, flight: Flight) -> None:
+        """Count a request as in flight."""
+        self.waiting = [each for each in self.waiting if each.index != flight.index]
+        self.flights.setdefault(flight.index, []).append(flight)
+
+    def land(self, flight: Flight) -> None:
+        """Count a request as ended."""
+        left = [each for each in self.flights.get(flight.index, []) if each is not flight]
+        if left:
+            self.flights[flight.index] = left
+        else:
+            self.flights.pop(flight.index, None)
+
+    def retry(self, index: int, not_before: float) -> None:
+        """Let a sample wait again unless a copy of it is done, waiting or in flight."""
+        if index in self.done or index in self.flights:
+            return
+        if any(each.index == index for each in self.waiting):
+            return
+        self.waiting.insert(0, WaitingSample(index, not_before, self.tries.get(index, 0)))
+
+    def discard(self, index: int) -> None:
+        """Forget a finished draft and draw it again."""
+        del self.done[index]
+        self.redrawn = True
+        self.retry(index, 0.0)
+
+    def all_flights(self) -> list[Flight]:
+        """Return every request in flight."""
+        return [each for flights in self.flights.values() for each in flights]
+
+    def ordered_drafts(self) -> tuple[Draft, ...]:
+        """Return the finished drafts in the order of their index."""
+        return tuple(self.done[index] for index in sorted(self.done))
--- /dev/null
+++ b/pumicedeck/tests/test_draws.py
@@ -0,0 +1,264 @@
+"""Tests of the draw coordinator: exactly once, whole groups, no stale draft handed over."""
+
+import random
+
+import pytest
+
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.drafts import DeliverGroup, EndDraw, draft_seed
+from pumicedeck.draws import DrawCoordinator, DrawSettings
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.stragglers import StragglerSettings
+from pumicedeck.tests.draw_fixtures import (
+    FakeEntry,
+    answer,
+    cancelled,
+    delivered,
+    draw,
+    ended,
+    groups,
+    submitted,
+)
+from pumicedeck.trainer_steps import ReceivedDraft, TrainerStep, split_groups
+
+
+def test_groups_are_delivered_as_they_complete_and_the_draw_ends_once() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=2)))
+    last = [each for each in requests if each.draft.group == 1]
+    first = [each for each in requests if each.draft.group == 0]
+    actions = []
+    for request in last + first:
+        actions += coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert [each.group for each in delivered(actions)] == [1, 0]
+    assert [each.draft_id.index for each in delivered(actions)[0].drafts] == [0, 1, 2, 3]
+    assert ended(actions) == [EndDraw("d1")]
+    assert coordinator.open_draws == 0
+
+
+def test_what_the_trainer_holds_is_not_drawn_again() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=3, held=(0, 2))))
+    assert {each.draft.group for each in requests} == {1}
+    assert ended(coordinator.start(0.0, draw("d2", count=1, held=(0,)))) == [EndDraw("d2")]
+
+
+def test_the_first_completed_copy_of_a_draft_wins() -> None:
+    settings = DrawSettings(stragglers=StragglerSettings(hedge_observations=2, hedge_share=0.5))
+    coordinator = DrawCoordinator(settings)
+    requests = submitted(coordinator.start(0.0, draw(count=1)))
+    for request in requests[:3]:
+        coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert coordinator.next_wakeup() == 3.0
+    copies = submitted(coordinator.on_time(3.0))
+    assert [each.draft for each in copies] == [requests[3].draft]
+    assert copies[0].body == requests[3].body
+    actions = coordinator.draft_finished(4.0, copies[0].handle, answer((5,), 11))
+    assert delivered(actions)[0].drafts[3].answer.tokens == 11
+    assert cancelled(actions) == [requests[3].handle]
+    assert coordinator.draft_finished(5.0, requests[3].handle, answer((5,))) == []
+    assert coordinator.counts.duplicates == 1
+
+
+def test_a_later_draw_takes_over_and_what_was_done_is_handed_on() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw("early", count=1)))
+    coordinator.draft_finished(1.0, requests[0].handle, answer((5,)))
+    actions = coordinator.start(2.0, draw("late", count=1))
+    assert [(each.handle, each.failure.code) for each in ended(actions)] == [
+        ("early", ResultCode.DRAW_TAKEN_OVER)
+    ]
+    assert submitted(actions) == []
+    for request in requests[1:]:
+        actions = coordinator.draft_finished(3.0, request.handle, answer((5,)))
+    assert [each.handle for each in delivered(actions)] == ["late"]
+
+
+def test_workers_draw_disjoint_groups_side_by_side() -> None:
+    shares = split_groups((0, 1, 2, 3, 4), 2)
+    assert sorted(shares[0] + shares[1]) == [0, 1, 2, 3, 4]
+    coordinator = DrawCoordinator()
+    every = groups(5)
+    for worker, share in enumerate(shares):
+        wanted = tuple(every[number] for number in share)
+        assert not ended(coordinator.start(0.0, draw(f"w{worker}", groups=wanted)))
+    assert coordinator.open_draws == 2
+
+
+@pytest.mark.parametrize(("versions", "again"), [((3,), True), ((3, 5), True), ((4, 5), False)])
+def test_a_draft_over_its_bound_is_discarded_and_drawn_again(versions, again) -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=1)))
+    for request in requests[1:]:
+        coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    actions = coordinator.draft_finished(1.0, requests[0].handle, answer(versions))
+    assert bool(delivered(actions)) is not again
+    assert [each.draft for each in submitted(actions)] == ([requests[0].draft] if again else [])
+    assert coordinator.counts.stale == int(again)
+
+
+def test_news_discards_a_finished_draft_that_waits_for_its_group() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=1)))
+    coordinator.draft_finished(1.0, requests[0].handle, answer((5,)))
+    assert submitted(coordinator.newest_known(2.0, "tuner", 6)) == []
+    again = submitted(coordinator.newest_known(3.0, "tuner", 7))
+    assert [each.draft for each in again] == [requests[0].draft]
+
+
+def test_the_version_that_the_trainer_names_counts_if_it_is_newer() -> None:
+    coordinator = DrawCoordinator()
+    coordinator.newest_known(0.0, "tuner", 5)
+    requests = submitted(coordinator.start(0.0, draw(count=1, newest_version=9)))
+    actions = []
+    for request in requests:
+        actions += coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert not delivered(actions)
+    assert coordinator.counts.stale == 4
+
+
+def test_nothing_is_handed_over_while_the_newest_version_is_unknown() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=1, newest_version=-1)))
+    actions = []
+    for request in requests:
+        actions += coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert actions == []
+    due = coordinator.next_wakeup()
+    assert [each.failure.code for each in ended(coordinator.on_time(due))] == [
+        ResultCode.NEWEST_UNKNOWN
+    ]
+    repeated = coordinator.start(due, draw("d2", count=1, newest_version=5))
+    assert len(delivered(repeated)) == 1
+    assert submitted(repeated) == []
+
+
+def test_an_old_confirmation_is_not_trusted() -> None:
+    coordinator = DrawCoordinator(DrawSettings(newest_trust_seconds=30.0))
+    requests = submitted(coordinator.start(0.0, draw(count=1)))
+    actions = []
+    for request in requests:
+        actions += coordinator.draft_finished(31.0, request.handle, answer((5,)))
+    assert not delivered(actions)
+    assert len(delivered(coordinator.newest_known(32.0, "tuner", 5))) == 1
+
+
+def test_a_draft_without_versions_is_not_delivered() -> None:
+    coordinator = DrawCoordinator()
+    request = submitted(coordinator.start(0.0, draw(count=1)))[0]
+    coordinator.draft_finished(1.0, request.handle, answer(()))
+    assert coordinator.counts.unattributed == 1
+    again = submitted(coordinator.on_time(coordinator.next_wakeup()))
+    assert [each.draft for each in again] == [request.draft]
+
+
+def test_permanent_failures_end_the_draw_and_others_are_tried_again() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=1)))
+    refused = Failure(ResultCode.OVERLOADED, retry_after=3.0)
+    assert coordinator.draft_failed(1.0, requests[0].handle, refused) == []
+    assert coordinator.next_wakeup() == 4.0
+    assert [each.draft for each in submitted(coordinator.on_time(4.0))] == [requests[0].draft]
+    actions = coordinator.draft_failed(5.0, requests[1].handle, Failure(ResultCode.FORBIDDEN))
+    assert ended(actions)[0].failure.code == ResultCode.FORBIDDEN
+
+
+def test_a_draw_ends_at_its_budget_and_forgets_what_nobody_takes_over() -> None:
+    coordinator = DrawCoordinator()
+    requests = submitted(coordinator.start(0.0, draw(count=1, budget=60.0)))
+    assert ended(coordinator.on_time(60.0))[0].failure.code == ResultCode.DRAW_INCOMPLETE
+    gone = cancelled(coordinator.on_time(coordinator.next_wakeup()))
+    assert set(gone) == {each.handle for each in requests}
+    assert coordinator.next_wakeup() is None
+
+
+def test_the_seed_depends_on_the_place_alone() -> None:
+    ids = [
+        each.draft
+        for name in ("a", "b")
+        for each in submitted(DrawCoordinator().start(0.0, draw(name)))
+    ]
+    assert len({draft_seed(each) for each in ids}) == 8
+    assert [draft_seed(each) for each in ids[:8]] == [draft_seed(each) for each in ids[8:]]
+
+
+class _Trainer:
+    """Draws a step through any entry until it is whole; checks every hand-over."""
+
+    def __init__(self, time: VirtualTime, rng: random.Random, entries, newest) -> None:
+        self.time, self.rng, self.entries, self.newest = time, rng, entries, newest
+        self.oldest_lag = 0
+        self.draws = 0
+        self.restart()
+
+    def restart(self) -> None:
+        self.step = TrainerStep("tuner-gen", "trainer-1", 7, {number: 4 for number in range(6)})
+        self.taken: list = []
+
+    def draw(self) -> None:
+        self.draws += 1
+        self.entry = self.rng.choice(self.entries)
+        request = draw(
+            f"d{self.draws}", 6, held=self.step.held, newest_version=self.newest[0], budget=300.0
+        )
+        self.entry.received.clear()
+        self.entry.apply(self.entry.coordinator.start(self.time.now(), request))
+        self.handle = request.handle
+
+    def read(self, lose_reply: bool) -> None:
+        pending, self.entry.received[:] = list(self.entry.received), []
+        for each in pending:
+            if each.handle != self.handle or lose_reply:
+                continue
+            if isinstance(each, DeliverGroup):
+                self._take(each)
+            elif each.failure is not None and not self.step.whole:
+                self.draw()
+
+    def _take(self, group: DeliverGroup) -> None:
+        drafts = tuple(ReceivedDraft(d.draft_id, d.answer.versions, b"") for d in group.drafts)
+        if self.step.accept(group.group, drafts):
+            self.taken += [each.draft_id for each in drafts]
+            lag = group.newest - min(min(each.versions) for each in drafts)
+            self.oldest_lag = max(self.oldest_lag, lag)
+
+
+FAULTS = ("trainer", "entry", "agent", "engine", "store", "reply")
+PAIRS = [(one, two) for one in FAULTS for two in FAULTS if one <= two]
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("pair", PAIRS)
+def test_each_draft_arrives_exactly_once_under_pairs_of_faults(pair, seed) -> None:
+    time, rng, newest = VirtualTime(), random.Random(f"{pair}{seed}"), [5]
+    entries = [FakeEntry(time, rng, newest) for _ in range(3)]
+    trainer = _Trainer(time, rng, entries, newest)
+    trainer.draw()
+    for entry in entries:
+        entry.failure_share = 0.2 if "engine" in pair else 0.0
+        entry.repeat_share = 0.2 if "agent" in pair else 0.0
+    faults = {rng.randrange(1, 60): fault for fault in pair}
+    for second in range(1, 900):
+        time.run_until(float(second))
+        fault = faults.get(second)
+        if second % 100 == 0:
+            newest[0] += 1
+        for entry in entries:
+            entry.store_up = not ("store" in pair and 20 < second < 200)
+            entry.poll()
+        if fault == "entry":
+            trainer.entry.alive = False
+            entries[entries.index(trainer.entry)] = FakeEntry(time, rng, newest)
+        trainer.read(lose_reply=fault == "reply")
+        if fault == "trainer":
+            trainer.restart()
+        if fault in ("entry", "trainer", "reply") or second % 50 == 0:
+            gone = trainer.entry.coordinator.caller_gone(float(second), trainer.handle)
+            trainer.entry.apply(gone)
+            trainer.draw()
+        if trainer.step.whole:
+            break
+    wanted = {(group, index) for group in range(6) for index in range(4)}
+    assert len(trainer.taken) == len(wanted)
+    assert {(each.group, each.index) for each in trainer.taken} == wanted
+    assert trainer.oldest_lag <= 1
