Parse, check and store the catalogue

Cause: the daemons need the catalogue as checked data classes, from operators' documents and from the table service.

--- /dev/null
+++ b/pumicedeck/catalogue_documents.py
@@ -0,0 +1,273 @@
+"""Catalogue documents: the strict JSON and YAML form of entries, pools and the catalogue."""
+
+import json
+from collections.abc import Hashable
+from dataclasses import asdict
+from typing import Annotated, Any
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_checks import Problem, check_catalogue, failure_of
+from pumicedeck.catalogue_entries import (
+    Catalogue,
+    CatalogueEntry,
+    Limits,
+    Pool,
+    RequestClass,
+)
+from pumicedeck.results import Failure
+from pumicedeck.world import EndpointKind
+
+MAX_DOCUMENT_BYTES = 4_194_304
+MAX_SHOWN_INPUT = 60
+ROLLOUT_KEYS = ("staleness_bound", "idle_time_weight", "staleness_weight", "scorer")
+
+Name = Annotated[
+    str,
+    Field(
+        pattern=r"^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$",
+        description="1 to 63 lower-case letters, digits, dots, dashes or underscores",
+    ),
+]
+OptionalName = Annotated[str, Field(pattern=r"^([a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?)?$")]
+FirmName = Annotated[
+    str,
+    Field(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9 &._-]{0,99}$",
+        description="1 to 100 letters, digits, spaces, ampersands, dots, dashes or underscores",
+    ),
+]
+Weight = Annotated[float, Field(ge=0, le=100, description="a weight from 0 to 100")]
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True, allow_inf_nan=False)
+
+
+class LimitsDocument(_Document):
+    """Document form of `Limits`."""
+
+    concurrency: int = Field(256, ge=1, le=1_000_000, description="requests running at once")
+    requests_per_second: float = Field(
+        1000.0, gt=0, le=1_000_000, description="requests per second"
+    )
+    tokens_per_second: float = Field(
+        1_000_000.0, gt=0, le=1_000_000_000, description="tokens per second"
+    )
+    queue_seconds: float = Field(30.0, gt=0, le=3600, description="seconds")
+    deadline_seconds: float = Field(120.0, gt=0, le=86_400, description="seconds")
+
+
+class EntryDocument(_Document):
+    """Document form of `CatalogueEntry` without its name."""
+
+    firm: FirmName
+    request_class: RequestClass
+    pools: tuple[Name, ...] = Field(min_length=1, max_length=64, description="names of pools")
+    limits: LimitsDocument = LimitsDocument()
+    share: float = Field(1.0, ge=0.01, le=100, description="a weight from 0.01 to 100")
+    idempotent: bool = True
+    model: OptionalName = Field("", description="a model of each of the pools")
+    staleness_bound: int = Field(1, ge=0, le=1000, description="weight versions")
+    idle_time_weight: Weight = 1.0
+    staleness_weight: Weight = 1.0
+    scorer: OptionalName = Field("", description="an entry of the same firm")
+
+
+class PoolDocument(_Document):
+    """Document form of `Pool` without its name."""
+
+    kind: EndpointKind
+    checks_fencing: bool = False
+    models: tuple[Name, ...] = Field((), max_length=64, description="names of models")
+
+
+class CatalogueDocument(_Document):
+    """Document form of `Catalogue`; names are the keys."""
+
+    pools: dict[Name, PoolDocument] = Field(default_factory=dict, max_length=1000)
+    entries: dict[Name, EntryDocument] = Field(default_factory=dict, max_length=5000)
+
+
+class _StrictLoader(yaml.SafeLoader):
+    """Loads YAML without aliases, duplicate keys and dates."""
+
+    def compose_node(self, parent: yaml.Node | None, index: int) -> yaml.Node | None:
+        if self.check_event(yaml.AliasEvent):
+            raise yaml.YAMLError("aliases are not allowed")
+        return super().compose_node(parent, index)
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict:
+        pairs = [
+            (self.construct_object(key, deep=True), self.construct_object(value, deep=True))
+            for key, value in node.value
+        ]
+        return _unique_keys(pairs)
+
+
+_StrictLoader.yaml_implicit_resolvers = {
+    first: [(tag, regexp) for tag, regexp in resolvers if not tag.endswith(":timestamp")]
+    for first, resolvers in yaml.SafeLoader.yaml_implicit_resolvers.items()
+}
+
+
+def parse_catalogue(text: str | bytes, revision: int = 0) -> Result[Catalogue, Failure]:
+    """Parse and check a whole catalogue document in JSON or YAML."""
+    parsed = _load(text)
+    if isinstance(parsed, Err):
+        return parsed
+    checked = _validate(CatalogueDocument, parsed.ok_value, "")
+    if isinstance(checked, Err):
+        return checked
+    document = checked.ok_value
+    misplaced = [
+        problem
+        for name, entry in document.entries.items()
+        for problem in _misplaced_keys(f"entries.{name}", entry)
+    ]
+    if misplaced:
+        return Err(failure_of(misplaced))
+    catalogue = Catalogue(
+        revision,
+        tuple(_entry_of(name, each) for name, each in sorted(document.entries.items())),
+        tuple(_pool_of(name, each) for name, each in sorted(document.pools.items())),
+    )
+    problems = check_catalogue(catalogue)
+    return Err(failure_of(problems)) if problems else Ok(catalogue)
+
+
+def parse_entry(name: str, text: str | bytes) -> Result[CatalogueEntry, Failure]:
+    """Parse one entry document."""
+    path = f"entries.{name}"
+    parsed = _load(text).and_then(lambda data: _named(name, data, path))
+    checked = parsed.and_then(lambda data: _validate(EntryDocument, data, path))
+    if isinstance(checked, Err):
+        return checked
+    misplaced = _misplaced_keys(path, checked.ok_value)
+    return Err(failure_of(misplaced)) if misplaced else Ok(_entry_of(name, checked.ok_value))
+
+
+def parse_pool(name: str, text: str | bytes) -> Result[Pool, Failure]:
+    """Parse one pool document."""
+    path = f"pools.{name}"
+    parsed = _load(text).and_then(lambda data: _named(name, data, path))
+    checked = parsed.and_then(lambda data: _validate(PoolDocument, data, path))
+    return checked.map(lambda document: _pool_of(name, document))
+
+
+def entry_document(entry: CatalogueEntry) -> dict[str, Any]:
+    """Return the plain document of an entry, without its name."""
+    document = asdict(entry)
+    del document["name"]
+    document["pools"] = list(entry.pools)
+    if entry.request_class is not RequestClass.ROLLOUT:
+        for key in ROLLOUT_KEYS:
+            del document[key]
+    return json.loads(json.dumps(document))
+
+
+def pool_document(pool: Pool) -> dict[str, Any]:
+    """Return the plain document of a pool, without its name."""
+    document = asdict(pool)
+    del document["name"]
+    return json.loads(json.dumps(document))
+
+
+def catalogue_document(catalogue: Catalogue) -> dict[str, Any]:
+    """Return the plain document of a whole catalogue."""
+    return {
+        "pools": {pool.name: pool_document(pool) for pool in catalogue.pools},
+        "entries": {entry.name: entry_document(entry) for entry in catalogue.entries},
+    }
+
+
+def render_json(document: dict[str, Any]) -> str:
+    """Render a plain document as compact JSON."""
+    return json.dumps(document, separators=(",", ":"), sort_keys=True)
+
+
+def render_yaml(document: dict[str, Any]) -> str:
+    """Render a plain document as YAML for operators."""
+    return yaml.safe_dump(document, sort_keys=False, allow_unicode=True)
+
+
+def _load(text: str | bytes) -> Result[Any, Failure]:
+    if len(text) > MAX_DOCUMENT_BYTES:
+        return _wrong("", f"a document of at most {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        plain = text.decode() if isinstance(text, bytes) else text
+        if plain.lstrip().startswith("{"):
+            return Ok(json.loads(plain, object_pairs_hook=_unique_keys))
+        return Ok(yaml.load(plain, Loader=_StrictLoader))
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        return _wrong("", f"a JSON or YAML document: {' '.join(str(error).split())}")
+
+
+def _unique_keys(pairs: list[tuple[Hashable, Any]]) -> dict:
+    found: dict = {}
+    for key, value in pairs:
+        if not isinstance(key, str):
+            raise yaml.YAMLError(f"key {key!r} is not a string")
+        if key in found:
+            raise yaml.YAMLError(f"duplicate key {key!r}")
+        found[key] = value
+    return found
+
+
+def _named(name: str, data: Any, path: str) -> Result[Any, Failure]:
+    document = {"pools": {name: {"kind": "model"}}}
+    checked = _validate(CatalogueDocument, document, "")
+    return checked.map(lambda _: data) if checked.is_ok() else _wrong(path, "a valid name")
+
+
+def _validate(model: type[_Document], data: Any, path: str) -> Result[Any, Failure]:
+    try:
+        return Ok(model.model_validate_json(json.dumps(data)))
+    except ValidationError as error:
+        return Err(failure_of([_problem_of(path, each) for each in error.errors()]))
+    except (TypeError, ValueError):
+        return _wrong(path, "keys and values of JSON")
+
+
+def _problem_of(path: str, error: Any) -> Problem:
+    keys = [str(key) for key in error["loc"] if key != "[key]"]
+    where = ".".join(([path] if path else []) + keys)
+    unit = next((_UNITS[key] for key in reversed(keys[0 if path else 2 :]) if key in _UNITS), "")
+    if error["type"] == "extra_forbidden":
+        return Problem(where, "a known key")
+    shown = repr(error["input"])[:MAX_SHOWN_INPUT]
+    wanted = error["msg"].removeprefix("Input should be ")
+    return Problem(where, f"{wanted}{f' ({unit})' if unit else ''}, got {shown}")
+
+
+_UNITS = {
+    name: info.description
+    for model in (LimitsDocument, EntryDocument, PoolDocument)
+    for name, info in model.model_fields.items()
+    if info.description
+}
+
+
+def _misplaced_keys(path: str, entry: EntryDocument) -> list[Problem]:
+    if entry.request_class is RequestClass.ROLLOUT:
+        return []
+    return [
+        Problem(f"{path}.{key}", "no such key unless request_class is rollout")
+        for key in ROLLOUT_KEYS
+        if key in entry.model_fields_set
+    ]
+
+
+def _entry_of(name: str, document: EntryDocument) -> CatalogueEntry:
+    values = document.model_dump(exclude={"limits"})
+    return CatalogueEntry(name=name, limits=Limits(**document.limits.model_dump()), **values)
+
+
+def _pool_of(name: str, document: PoolDocument) -> Pool:
+    return Pool(name=name, **document.model_dump())
+
+
+def _wrong(path: str, expected: str) -> Err[Failure]:
+    return Err(failure_of([Problem(path, expected)]))
--- /dev/null
+++ b/pumicedeck/catalogue_rows.py
@@ -0,0 +1,261 @@
+"""Rows of the catalogue in the table service, its change log and its compressed copies."""
+
+import gzip
+import json
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_documents import (
+    MAX_DOCUMENT_BYTES,
+    catalogue_document,
+    entry_document,
+    parse_catalogue,
+    parse_entry,
+    parse_pool,
+    pool_document,
+    render_json,
+)
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool
+from pumicedeck.results import Failure, ResultCode
+
+CATALOGUE_TABLE = "catalogue"
+LOG_TABLE = "catalogue_log"
+HEAD_KEY = "head"
+SNAPSHOT_OBJECT = "catalogue/snapshot"
+REVISION_DIGITS = 12
+COMPRESSION_LEVEL = 6
+
+RowValue = CatalogueEntry | Pool
+
+
+class RowKind(StrEnum):
+    """What a catalogue row holds."""
+
+    ENTRY = "entry"
+    POOL = "pool"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RowName:
+    """Names one row of the catalogue."""
+
+    kind: RowKind
+    name: str
+
+    @property
+    def key(self) -> str:
+        """Return the row's key in the table service."""
+        return f"{self.kind}/{self.name}"
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogueRow:
+    """A row and the catalogue revision that last changed it."""
+
+    name: RowName
+    value: RowValue
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoredCatalogue:
+    """The catalogue as stored; `head_version` is the store's own revision of the head row."""
+
+    revision: int = 0
+    head_version: int = 0
+    rows: tuple[CatalogueRow, ...] = ()
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue that the rows make up."""
+        return catalogue_of(self.revision, (row.value for row in self.rows))
+
+    def row(self, name: RowName) -> CatalogueRow | None:
+        """Return the row called `name`."""
+        return next((row for row in self.rows if row.name == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """One row before and after a change; None where it is absent."""
+
+    name: RowName
+    before: RowValue | None
+    after: RowValue | None
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogueChange:
+    """An accepted change; `time` is the operator's wall time as text and decides nothing."""
+
+    revision: int
+    change_id: str
+    operator: str
+    time: str
+    rows: tuple[RowChange, ...]
+
+
+def name_of(value: RowValue) -> RowName:
+    """Return the name of the row that holds `value`."""
+    kind = RowKind.ENTRY if isinstance(value, CatalogueEntry) else RowKind.POOL
+    return RowName(kind, value.name)
+
+
+def catalogue_of(revision: int, values: Iterable[RowValue]) -> Catalogue:
+    """Return the catalogue made up of `values`, in order of names."""
+    ordered = sorted(values, key=name_of)
+    entries = tuple(each for each in ordered if isinstance(each, CatalogueEntry))
+    pools = tuple(each for each in ordered if isinstance(each, Pool))
+    return Catalogue(revision, entries, pools)
+
+
+def values_of(catalogue: Catalogue) -> dict[RowName, RowValue]:
+    """Return the catalogue's values by row name."""
+    return {name_of(value): value for value in catalogue.entries + catalogue.pools}
+
+
+def apply_changes(
+    catalogue: Catalogue, changes: tuple[CatalogueChange, ...]
+) -> Result[Catalogue, Failure]:
+    """Return the catalogue after `changes`, which must follow its revision without a gap."""
+    values = values_of(catalogue)
+    revision = catalogue.revision
+    for change in changes:
+        if change.revision != revision + 1:
+            return Err(Failure(ResultCode.NOT_FOUND, f"change {revision + 1} is missing"))
+        revision = change.revision
+        for row in change.rows:
+            values.pop(row.name, None)
+            if row.after is not None:
+                values[row.name] = row.after
+    return Ok(catalogue_of(revision, values.values()))
+
+
+def history_key(revision: int) -> str:
+    """Return the key of an accepted change in the log table."""
+    return f"history/{revision:0{REVISION_DIGITS}d}"
+
+
+def change_key(change_id: str) -> str:
+    """Return the key that says what became of a change id."""
+    return f"change/{change_id}"
+
+
+def encode_head(revision: int) -> bytes:
+    """Encode the head row."""
+    return render_json({"revision": revision}).encode()
+
+
+def decode_head(data: bytes) -> Result[int, Failure]:
+    """Decode the head row."""
+    return _decoded(data, lambda document: int(document["revision"]))
+
+
+def encode_row(row: CatalogueRow) -> bytes:
+    """Encode an entry or pool row."""
+    document = {"revision": row.revision, "document": _value_document(row.value)}
+    return render_json(document).encode()
+
+
+def decode_row(key: str, data: bytes) -> Result[CatalogueRow, Failure]:
+    """Decode an entry or pool row."""
+    return _decoded(data, lambda document: _row_of(key, document))
+
+
+def encode_change(change: CatalogueChange) -> bytes:
+    """Encode a row of the history."""
+    rows = [
+        {
+            "key": row.name.key,
+            "before": None if row.before is None else _value_document(row.before),
+            "after": None if row.after is None else _value_document(row.after),
+        }
+        for row in change.rows
+    ]
+    document = {
+        "revision": change.revision,
+        "change_id": change.change_id,
+        "operator": change.operator,
+        "time": change.time,
+        "rows": rows,
+    }
+    return render_json(document).encode()
+
+
+def decode_change(data: bytes) -> Result[CatalogueChange, Failure]:
+    """Decode a row of the history."""
+    return _decoded(data, _change_of)
+
+
+def encode_copy(catalogue: Catalogue) -> bytes:
+    """Encode a whole catalogue, compressed, for peers and snapshots."""
+    document = {"revision": catalogue.revision, "catalogue": catalogue_document(catalogue)}
+    return gzip.compress(render_json(document).encode(), COMPRESSION_LEVEL, mtime=0)
+
+
+def decode_copy(data: bytes) -> Result[Catalogue, Failure]:
+    """Decode a compressed catalogue of bounded size."""
+    try:
+        expander = zlib.decompressobj(wbits=zlib.MAX_WBITS | 16)
+        plain = expander.decompress(data, MAX_DOCUMENT_BYTES)
+        if not expander.eof:
+            return _corrupt("a copy is cut short or too large")
+        document = json.loads(plain)
+        revision = int(document["revision"])
+        text = render_json(document["catalogue"])
+    except (zlib.error, ValueError, KeyError, TypeError) as error:
+        return _corrupt(str(error))
+    return parse_catalogue(text, revision)
+
+
+def _value_document(value: RowValue) -> dict[str, Any]:
+    if isinstance(value, CatalogueEntry):
+        return entry_document(value)
+    return pool_document(value)
+
+
+def _name_of_key(key: str) -> RowName:
+    kind, _, name = key.partition("/")
+    return RowName(RowKind(kind), name)
+
+
+def _value_of(name: RowName, document: Any) -> RowValue:
+    parse = parse_entry if name.kind is RowKind.ENTRY else parse_pool
+    return parse(name.name, render_json(document)).unwrap_or_raise(ValueError)
+
+
+def _row_of(key: str, document: Any) -> CatalogueRow:
+    name = _name_of_key(key)
+    return CatalogueRow(name, _value_of(name, document["document"]), int(document["revision"]))
+
+
+def _change_of(document: Any) -> CatalogueChange:
+    rows = []
+    for row in document["rows"]:
+        name = _name_of_key(row["key"])
+        before = None if row["before"] is None else _value_of(name, row["before"])
+        after = None if row["after"] is None else _value_of(name, row["after"])
+        rows.append(RowChange(name, before, after))
+    return CatalogueChange(
+        int(document["revision"]),
+        str(document["change_id"]),
+        str(document["operator"]),
+        str(document["time"]),
+        tuple(rows),
+    )
+
+
+def _decoded(data: bytes, build: Any) -> Result[Any, Failure]:
+    try:
+        return Ok(build(json.loads(data)))
+    except (ValueError, KeyError, TypeError) as error:
+        return _corrupt(str(error))
+
+
+def _corrupt(detail: str) -> Err[Failure]:
+    return Err(Failure(ResultCode.BAD_CATALOGUE, f"stored catalogue: {detail}"))
