Queue dispatches by weighted fair shares of firms

Cause: the first-in-first-out baseline lets one firm's backlog delay all others, and long rollout generations hold every slot while interactive work waits. Change: FairQueue ("fair") serves firms by their catalogue share in expected tokens, then classes with a bound against starvation, then entries; true tokens correct the account. Length and bytes are bounded per firm; a dispatch is refused early if its firm's expected wait exceeds the queue budget. Slots can be reserved for interactive work, or express slots handed over to an engine that honours priorities. A new catalogue applies to what is queued. Conclusion: ready for the agent: `slots` handed to it must be `FairQueue.capacity`.

--- /dev/null
+++ b/pumicedeck/fair_queues.py
@@ -0,0 +1,274 @@
+"""Weighted fair queueing in expected tokens by firm, then class, then entry; free of I/O."""
+
+import heapq
+import math
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_entries import Catalogue, RequestClass
+from pumicedeck.fair_shares import CLASS_ORDER, FirmNode, Waiting
+from pumicedeck.messages import AttemptId, Dispatch
+from pumicedeck.queues import DispatchQueue, queue
+from pumicedeck.results import Failure, ResultCode
+
+FIRM_QUEUE_LENGTH = 1024
+FIRM_QUEUE_BYTES = 8 * 1024 * 1024
+DEFAULT_SLOTS = 8
+INITIAL_SLOT_RATE = 50.0
+RATE_MEMORY_TOKENS = 20_000.0
+LEAST_RETRY_SECONDS = 0.25
+LONGEST_RETRY_SECONDS = 30.0
+_INTERACTIVE_ONLY = (RequestClass.INTERACTIVE,)
+
+
+@dataclass(slots=True)
+class _Running:
+    dispatch: Dispatch
+    started: float
+    express: bool
+
+
+class _RateEstimate:
+    """Tokens a second of one running dispatch, over a fading memory of ended ones."""
+
+    def __init__(self, initial: float) -> None:
+        self._tokens = initial
+        self._seconds = 1.0
+
+    @property
+    def rate(self) -> float:
+        return self._tokens / self._seconds
+
+    def add(self, tokens: int, seconds: float) -> None:
+        keep = max(0.0, 1.0 - tokens / RATE_MEMORY_TOKENS)
+        self._tokens = self._tokens * keep + tokens
+        self._seconds = self._seconds * keep + max(seconds, 1e-6)
+
+
+@queue("fair")
+class FairQueue(DispatchQueue):
+    """Serves each firm its share in tokens, and inside a firm interactive work first.
+
+    `slots` is how many dispatches the endpoint runs at once. `reserved` of them are kept for
+    interactive work. `express` more are handed over for interactive work of firms within their
+    share, to an engine that honours priorities and pauses the lowest one.
+    """
+
+    def __init__(self, slots: int = DEFAULT_SLOTS, reserved: int = 0, express: int = 0) -> None:
+        """Queue for an endpoint with `slots` slots."""
+        self._slots = slots
+        self._reserved = min(reserved, slots - 1)
+        self._express = express
+        self._firms: dict[str, FirmNode] = {}
+        self._shares: dict[str, float] = {}
+        self._entry_shares: dict[str, float] = {}
+        self._waiting: dict[AttemptId, Waiting] = {}
+        self._due: list[tuple[float, int, AttemptId]] = []
+        self._running: dict[AttemptId, _Running] = {}
+        self._bulk_running = 0
+        self._clock = 0.0
+        self._order = 0
+        self._tokens = 0
+        self._estimate = _RateEstimate(INITIAL_SLOT_RATE)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Return the sum of expected tokens that wait."""
+        return self._tokens
+
+    @property
+    def interactive_tokens(self) -> int:
+        """Return the expected tokens of interactive work that waits or runs."""
+        nodes = (each.classes.get(RequestClass.INTERACTIVE) for each in self._firms.values())
+        queued = sum(each.tokens for each in nodes if each)
+        running = (each.dispatch for each in self._running.values())
+        return queued + sum(
+            each.expected_tokens
+            for each in running
+            if each.request_class is RequestClass.INTERACTIVE
+        )
+
+    @property
+    def service_rate(self) -> float:
+        """Return the tokens a second that the endpoint serves when all slots are busy."""
+        return self._estimate.rate * max(self._slots, len(self._running))
+
+    @property
+    def capacity(self) -> int:
+        """Return how many dispatches may be handed over at once."""
+        return self._slots + self._express
+
+    def expected_wait(self, firm: str, request_class: RequestClass) -> float:
+        """Return the seconds that a new dispatch of a firm and class would wait."""
+        node = self._firms.get(firm)
+        ahead = self._tokens_ahead(node, request_class)
+        if ahead == 0 and len(self._running) < self._slots:
+            return 0.0
+        shares = sum(each.share for each in self._firms.values() if each.count)
+        own = self._shares.get(firm, 1.0)
+        if node is None or not node.count:
+            shares += own
+        return ahead / (self.service_rate * own / shares)
+
+    def push(self, now: float, dispatch: Dispatch) -> Result[None, Failure]:
+        """Queue a dispatch, or refuse it if its firm's queue is full or too slow for its budget."""
+        firm = self._firm(dispatch.firm)
+        if firm.count >= FIRM_QUEUE_LENGTH:
+            return self._refusal(dispatch, "the firm's queue is full")
+        if firm.count and firm.body_bytes + len(dispatch.body) > FIRM_QUEUE_BYTES:
+            return self._refusal(dispatch, "the firm's queue holds too many bytes")
+        wait = self.expected_wait(dispatch.firm, dispatch.request_class)
+        if wait > dispatch.queue_budget:
+            return self._refusal(dispatch, "the expected wait exceeds the queue budget")
+        self._add(now, firm, dispatch)
+        return Ok(None)
+
+    def pop(self, now: float) -> Dispatch | None:
+        """Take the dispatch to run next; None if no slot is open to what waits."""
+        free = self._slots - len(self._running)
+        if free > 0:
+            classes = CLASS_ORDER if self._bulk_open() else _INTERACTIVE_ONLY
+            return self._pop_from(now, list(self._firms.values()), classes, False)
+        if -free >= self._express:
+            return None
+        within = [each for each in self._firms.values() if self._may_use_express(each)]
+        return self._pop_from(now, within, _INTERACTIVE_ONLY, True)
+
+    def remove(self, now: float, attempt: AttemptId) -> Dispatch | None:
+        """Take one dispatch out."""
+        item = self._waiting.pop(attempt, None)
+        if item is None:
+            return None
+        self._firms[item.dispatch.firm].drop(item.dispatch)
+        self._tokens -= item.cost
+        return item.dispatch
+
+    def expire(self, now: float) -> list[Dispatch]:
+        """Take out every dispatch whose queue time has run out."""
+        late = []
+        while self._due and self._due[0][0] <= now:
+            _, order, attempt = heapq.heappop(self._due)
+            item = self._waiting.get(attempt)
+            if item is not None and item.order == order:
+                late.append(attempt)
+        return [found for attempt in late if (found := self.remove(now, attempt))]
+
+    def finished(self, now: float, dispatch: Dispatch, tokens: int) -> None:
+        """Free the slot and correct the firm's account by the true tokens."""
+        run = self._running.pop(dispatch.attempt, None)
+        if run is None:
+            return
+        firm = self._firm(dispatch.firm)
+        firm.running -= 1
+        firm.express -= run.express
+        self._bulk_running -= dispatch.request_class is not RequestClass.INTERACTIVE
+        firm.correct(run.dispatch, tokens)
+        if tokens:
+            self._estimate.add(tokens, now - run.started)
+
+    def configure(self, now: float, catalogue: Catalogue) -> list[Dispatch]:
+        """Apply new shares and limits to what is queued; return what they now refuse."""
+        self._shares = {}
+        self._entry_shares = {}
+        for entry in catalogue.entries:
+            share = max(entry.share, 1e-6)
+            self._entry_shares[entry.name] = share
+            self._shares[entry.firm] = max(share, self._shares.get(entry.firm, 0.0))
+        for firm in self._firms.values():
+            self._reshare(firm)
+        return self._refuse_unlimited(now, catalogue)
+
+    def __len__(self) -> int:
+        """Return how many dispatches wait."""
+        return len(self._waiting)
+
+    def _firm(self, name: str) -> FirmNode:
+        if name not in self._firms:
+            self._firms[name] = FirmNode(name, self._shares.get(name, 1.0), self._clock)
+        return self._firms[name]
+
+    def _add(self, now: float, firm: FirmNode, dispatch: Dispatch) -> None:
+        if not firm.count:
+            firm.served = max(firm.served, self._clock)
+        self._order += 1
+        item = Waiting(dispatch, now, now + dispatch.queue_budget, self._order)
+        share = self._entry_shares.get(dispatch.entry_name, 1.0)
+        firm.add(item, firm.entry(dispatch.request_class, dispatch.entry_name, share))
+        self._waiting[dispatch.attempt] = item
+        self._tokens += item.cost
+        heapq.heappush(self._due, (item.due, item.order, dispatch.attempt))
+
+    def _bulk_open(self) -> bool:
+        return self._bulk_running < self._slots - self._reserved
+
+    def _may_use_express(self, firm: FirmNode) -> bool:
+        return firm.running < self._slot_share(firm)
+
+    def _slot_share(self, firm: FirmNode) -> int:
+        shares = sum(each.share for each in self._firms.values() if each.count or each.running)
+        return max(1, math.ceil(self._slots * firm.share / max(shares, firm.share)))
+
+    def _pop_from(
+        self, now: float, firms: list[FirmNode], classes: tuple[RequestClass, ...], express: bool
+    ) -> Dispatch | None:
+        busy = [each for each in firms if each.waiting_in(classes)]
+        if not busy:
+            return None
+        firm = min(busy, key=lambda each: each.served)
+        item = firm.next_item(classes)
+        self._clock = max(self._clock, firm.served)
+        firm.charge(item)
+        self.remove(now, item.dispatch.attempt)
+        return self._start(now, firm, item.dispatch, express)
+
+    def _start(self, now: float, firm: FirmNode, dispatch: Dispatch, express: bool) -> Dispatch:
+        within = firm.running < self._slot_share(firm)
+        firm.running += 1
+        firm.express += express
+        self._bulk_running += dispatch.request_class is not RequestClass.INTERACTIVE
+        self._running[dispatch.attempt] = _Running(dispatch, now, express)
+        return replace(dispatch, priority=engine_priority(dispatch.request_class, within))
+
+    def _tokens_ahead(self, firm: FirmNode | None, request_class: RequestClass) -> int:
+        if firm is None:
+            return 0
+        higher = CLASS_ORDER[: CLASS_ORDER.index(request_class) + 1]
+        return sum(firm.classes[each].tokens for each in higher if each in firm.classes)
+
+    def _refusal(self, dispatch: Dispatch, detail: str) -> Result[None, Failure]:
+        wait = self.expected_wait(dispatch.firm, dispatch.request_class) - dispatch.queue_budget
+        after = min(max(wait, LEAST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
+        return Err(Failure(ResultCode.OVERLOADED, detail, after))
+
+    def _reshare(self, firm: FirmNode) -> None:
+        firm.share = self._shares.get(firm.name, 1.0)
+        for node in firm.classes.values():
+            for entry in node.entries.values():
+                entry.share = self._entry_shares.get(entry.name, 1.0)
+
+    def _refuse_unlimited(self, now: float, catalogue: Catalogue) -> list[Dispatch]:
+        entries = {each.name: each for each in catalogue.entries}
+        kept: dict[str, int] = {}
+        refused = []
+        for attempt, item in list(self._waiting.items()):
+            entry = entries.get(item.dispatch.entry_name)
+            count = kept.get(item.dispatch.entry_name, 0)
+            if entry is None or count >= entry.limits.concurrency:
+                refused.append(attempt)
+                continue
+            kept[entry.name] = count + 1
+            self._shorten(item, entry.limits.queue_seconds)
+        return [found for attempt in refused if (found := self.remove(now, attempt))]
+
+    def _shorten(self, item: Waiting, queue_seconds: float) -> None:
+        due = item.arrived + queue_seconds
+        if due < item.due:
+            item.due = due
+            heapq.heappush(self._due, (due, item.order, item.dispatch.attempt))
+
+
+def engine_priority(request_class: RequestClass, within_share: bool) -> int:
+    """Return the priority for the engine: work of a firm within its share goes first."""
+    rank = len(CLASS_ORDER) - 1 - CLASS_ORDER.index(request_class)
+    return rank + (len(CLASS_ORDER) if within_share else 0)
