--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -16,7 +16,8 @@
 FIRM_QUEUE_BYTES = 8 * 1024 * 1024
 DEFAULT_SLOTS = 8
 INITIAL_SLOT_RATE = 50.0
-RATE_MEMORY_TOKENS = 20_000.0
+RATE_MEMORY_SECONDS = 15.0
+OVERDUE_FACTOR = 2.0
 LEAST_RETRY_SECONDS = 0.25
 LONGEST_RETRY_SECONDS = 30.0
 _INTERACTIVE_ONLY = (RequestClass.INTERACTIVE,)
@@ -35,13 +36,15 @@
     def __init__(self, initial: float) -> None:
         self._tokens = initial
         self._seconds = 1.0
+        self._updated = 0.0
 
     @property
     def rate(self) -> float:
         return self._tokens / self._seconds
 
-    def add(self, tokens: int, seconds: float) -> None:
-        keep = max(0.0, 1.0 - tokens / RATE_MEMORY_TOKENS)
+    def add(self, now: float, tokens: int, seconds: float) -> None:
+        keep = math.exp((self._updated - now) / RATE_MEMORY_SECONDS)
+        self._updated = now
         self._tokens = self._tokens * keep + tokens
         self._seconds = self._seconds * keep + max(seconds, 1e-6)
 
@@ -94,6 +97,17 @@
         """Return the tokens a second that the endpoint serves when all slots are busy."""
         return self._estimate.rate * max(self._slots, len(self._running))
 
+    def current_rate(self, now: float) -> float:
+        """Return the service rate, lowered if most running dispatches are overdue."""
+        bounds = sorted(
+            each.dispatch.expected_tokens / max(now - each.started, 1e-6)
+            for each in self._running.values()
+        )
+        median = bounds[len(bounds) // 2] if bounds else math.inf
+        if median * OVERDUE_FACTOR > self._estimate.rate:
+            return self.service_rate
+        return median * max(self._slots, len(self._running))
+
     @property
     def capacity(self) -> int:
         """Return how many dispatches may be handed over at once."""
@@ -165,7 +179,7 @@
         self._bulk_running -= dispatch.request_class is not RequestClass.INTERACTIVE
         firm.correct(run.dispatch, tokens)
         if tokens:
-            self._estimate.add(tokens, now - run.started)
+            self._estimate.add(now, tokens, now - run.started)
 
     def configure(self, now: float, catalogue: Catalogue) -> list[Dispatch]:
         """Apply new shares and limits to what is queued; return what they now refuse."""
--- a/pumicedeck/messages.py
+++ b/pumicedeck/messages.py
@@ -165,7 +165,8 @@
 class LoadReport:
     """Load of one endpoint as its agent sees it; `queued_tokens` and `running_tokens` expected.
 
-    `service_rate` is in tokens per second; `newest_version` per model is in `versions`.
+    `service_rate` is in tokens per second with all slots busy. `interactive_tokens` are those of
+    interactive work among the queued and running ones.
     """
 
     queued: int = 0
@@ -176,6 +177,7 @@
     service_rate: float = 0.0
     version: int = -1
     accepting: bool = True
+    interactive_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/pumicedeck/network_costs.py
@@ -0,0 +1,68 @@
+"""Delay and paid volume between a process and its agents; free of I/O."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from pumicedeck.routers import RouteQuery
+from pumicedeck.world import FailureDomain, Link
+
+DOMAIN_DELAY_SECONDS = 0.0015
+REGION_DELAY_SECONDS = 0.030
+REGION_RATE_BYTES = 25_000_000.0
+PAID_SECONDS_PER_BYTE = 1e-6
+BYTES_PER_TOKEN = 6
+REQUEST_BYTES = 2_000
+
+
+def payload_bytes(query: RouteQuery) -> int:
+    """Return the bytes of a request and its answer, estimated where they are not known."""
+    return query.payload_bytes or REQUEST_BYTES + BYTES_PER_TOKEN * query.expected_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class NetworkCost:
+    """Seconds of delay both ways and what the paid bytes are worth, in seconds."""
+
+    delay: float
+    paid: float = 0.0
+
+
+class NetworkCosts:
+    """Costs of reaching failure domains from one of them."""
+
+    def __init__(self, home: FailureDomain, links: tuple[Link, ...] = ()) -> None:
+        """Use `links` from the home region; a region without a link gets a paid default one."""
+        self._home = home
+        self._links = {each.target: each for each in links if each.source == home.region}
+        self._paid: defaultdict[str, int] = defaultdict(int)
+
+    @property
+    def paid_bytes(self) -> dict[str, int]:
+        """Return the paid bytes by firm."""
+        return dict(self._paid)
+
+    def local(self, domain: FailureDomain) -> bool:
+        """Tell whether the domain is in the home region."""
+        return domain.region == self._home.region
+
+    def cost(self, domain: FailureDomain, query: RouteQuery) -> NetworkCost:
+        """Return the cost of one request and its answer."""
+        if domain == self._home:
+            return NetworkCost(0.0)
+        if self.local(domain):
+            return NetworkCost(2 * DOMAIN_DELAY_SECONDS)
+        link = self._link(domain)
+        size = payload_bytes(query)
+        paid = size * PAID_SECONDS_PER_BYTE if link.paid else 0.0
+        return NetworkCost(2 * link.delay + size / link.rate, paid)
+
+    def count(self, domain: FailureDomain, query: RouteQuery) -> None:
+        """Count the paid bytes of a dispatch to its firm."""
+        if not self.local(domain) and self._link(domain).paid:
+            self._paid[query.entry.firm] += payload_bytes(query)
+
+    def _link(self, domain: FailureDomain) -> Link:
+        found = self._links.get(domain.region)
+        return found or Link(
+            self._home.region, domain.region, REGION_DELAY_SECONDS, REGION_RATE_BYTES, True
+        )
--- a/pumicedeck/routers.py
+++ b/pumicedeck/routers.py
@@ -36,12 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteQuery:
-    """What a router knows of the request it places; `excluded` are agents already tried."""
+    """What a router knows of the request it places; `excluded` are agents already tried.
+
+    `payload_bytes` counts request and expected answer; 0 lets the router estimate it.
+    """
 
     entry: CatalogueEntry
     expected_tokens: int
     prefix: str = ""
     excluded: tuple[str, ...] = ()
+    payload_bytes: int = 0
 
 
 class Router(ABC):
