Carry interactive tokens in load reports on the wire

Cause: routing added the field to the data class; the codec test showed that the thrift structure lacked it. Change: field 9 and regenerated code. Conclusion: the test that compares fields guards the pair.

--- a/pumicedeck/gen/wire/ttypes.py
+++ b/pumicedeck/gen/wire/ttypes.py
@@ -1414,6 +1414,7 @@
      - service_rate
      - version
      - accepting
+     - interactive_tokens
 
     """
 
@@ -1426,10 +1427,11 @@
         'service_rate',
         'version',
         'accepting',
+        'interactive_tokens',
     )
 
 
-    def __init__(self, queued=None, running=None, slots=None, queued_tokens=None, running_tokens=None, service_rate=None, version=None, accepting=None,):
+    def __init__(self, queued=None, running=None, slots=None, queued_tokens=None, running_tokens=None, service_rate=None, version=None, accepting=None, interactive_tokens=None,):
         self.queued = queued
         self.running = running
         self.slots = slots
@@ -1438,6 +1440,7 @@
         self.service_rate = service_rate
         self.version = version
         self.accepting = accepting
+        self.interactive_tokens = interactive_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1488,6 +1491,11 @@
                     self.accepting = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.interactive_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1530,6 +1538,10 @@
             oprot.writeFieldBegin('accepting', TType.BOOL, 8)
             oprot.writeBool(self.accepting)
             oprot.writeFieldEnd()
+        if self.interactive_tokens is not None:
+            oprot.writeFieldBegin('interactive_tokens', TType.I64, 9)
+            oprot.writeI64(self.interactive_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2616,6 +2628,7 @@
     (6, TType.DOUBLE, 'service_rate', None, None, ),  # 6
     (7, TType.I64, 'version', None, None, ),  # 7
     (8, TType.BOOL, 'accepting', None, None, ),  # 8
+    (9, TType.I64, 'interactive_tokens', None, None, ),  # 9
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -85,26 +85,26 @@
 class TableStoreSettings(AdapterSettings):
     """The table service."""
 
-    adapter: _adapter("table_store") = "http"
+    adapter: _adapter("TableStore") = "http"
 
 
 class ObjectStoreSettings(AdapterSettings):
     """The object store."""
 
-    adapter: _adapter("object_store") = "http"
+    adapter: _adapter("ObjectStore") = "http"
 
 
 class WeightStoreSettings(AdapterSettings):
     """The weight store and the rate that its operators allow, in bytes per second."""
 
-    adapter: _adapter("weight_store") = "http"
+    adapter: _adapter("WeightStore") = "http"
     rate: Size = 1024**3
 
 
 class VmListSettings(AdapterSettings):
     """The platform's list of VMs."""
 
-    adapter: _adapter("vm_list") = "http"
+    adapter: _adapter("VmList") = "http"
 
 
 class PlatformSettings(_Section):
--- a/pumicedeck/wire.thrift
+++ b/pumicedeck/wire.thrift
@@ -75,6 +75,7 @@
   6: double service_rate
   7: i64 version
   8: bool accepting
+  9: i64 interactive_tokens
 }
 
 struct Heartbeat {
