Add a non-blocking HTTP client for the circuits loop

Cause: the library's own TCP client spins the loop while it connects and its web client has no streaming, so agents cannot use them towards endpoints.

Change: connections with h11 as the parser on the application's poller, a pool per address with one request in flight on each connection, bounds on header, body, connect time and silence, and retries only where nothing was written or the request is idempotent. A refused connection is reported as proof that the request did not run.

Conclusion: HTTP adapters can be built on it.

--- /dev/null
+++ b/pumicedeck/http_clients.py
@@ -0,0 +1,311 @@
+"""A non-blocking HTTP/1.1 client with a pool of connections per address."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_connections import (
+    BrokenReason,
+    ConnectionEvents,
+    ConnectionState,
+    HttpConnection,
+)
+from pumicedeck.http_messages import (
+    HttpClientSettings,
+    HttpClientStats,
+    HttpRequest,
+    HttpResponse,
+)
+from pumicedeck.platforms import Done
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import Address
+
+_CHANNEL_NUMBERS = itertools.count(1)
+
+
+@dataclass(slots=True, eq=False)
+class HttpExchange:
+    """One request and where its response goes; `cancel` ends it without a report."""
+
+    request: HttpRequest
+    done: Done[HttpResponse]
+    chunk: Callable[[bytes], None] | None
+    silence: float
+    release: Callable[["HttpExchange"], None]
+    connection: HttpConnection | None = None
+    written: bool = False
+    responding: bool = False
+    retried: bool = False
+    ended: bool = False
+
+    def cancel(self) -> None:
+        """End the exchange and close the connection that carries it."""
+        if not self.ended:
+            self.ended = True
+            self.release(self)
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Connections and waiting exchanges of one address."""
+
+    idle: list[HttpConnection] = field(default_factory=list)
+    connections: set[HttpConnection] = field(default_factory=set)
+    waiting: deque[HttpExchange] = field(default_factory=deque)
+
+
+class HttpClient(BaseComponent):
+    """Sends requests; an answer is reported once, on the loop's thread.
+
+    A failure is proven "not run" (ENDPOINT_UNREACHABLE) only if no byte of the request was ever
+    written; else it is ENDPOINT_FAILED.
+    """
+
+    def __init__(self, timers: TimerQueue, settings: HttpClientSettings | None = None) -> None:
+        """Take time from `timers`."""
+        super().__init__(channel=f"http_client_{next(_CHANNEL_NUMBERS)}")
+        self._timers = timers
+        self._settings = settings or HttpClientSettings()
+        self._poller: BasePoller | None = None
+        self._pools: dict[Address, _Pool] = {}
+        self._by_socket: dict[object, HttpConnection] = {}
+        self._exchanges: dict[HttpConnection, HttpExchange] = {}
+        self._events = ConnectionEvents(self._on_ready, self._on_responded, self._on_broken)
+        self._stats = HttpClientStats()
+        self._closed = False
+
+    @property
+    def stats(self) -> HttpClientStats:
+        """Return counts since the start."""
+        return self._stats
+
+    @property
+    def timers(self) -> TimerQueue:
+        """Return the queue that the client takes time from."""
+        return self._timers
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many sockets there are."""
+        return len(self._by_socket)
+
+    def send(
+        self,
+        request: HttpRequest,
+        done: Done[HttpResponse],
+        chunk: Callable[[bytes], None] | None = None,
+        silence_seconds: float | None = None,
+    ) -> HttpExchange:
+        """Send a request; with `chunk` the body of a successful response is streamed there."""
+        silence = self._settings.silence_seconds if silence_seconds is None else silence_seconds
+        exchange = HttpExchange(request, done, chunk, silence, self._release)
+        if chunk is not None:
+            exchange.chunk = lambda data: self._on_chunk(exchange, chunk, data)
+        if self._closed:
+            self._timers.call_later(0.0, lambda: self._fail(exchange, "the client is closed"))
+            return exchange
+        pool = self._pools.setdefault(request.address, _Pool())
+        pool.waiting.append(exchange)
+        self._serve_waiting(request.address)
+        return exchange
+
+    def close(self) -> None:
+        """Close every connection and fail every open exchange."""
+        self._closed = True
+        for pool in tuple(self._pools.values()):
+            waiting = tuple(pool.waiting)
+            pool.waiting.clear()
+            for connection in tuple(pool.connections):
+                exchange = self._exchanges.get(connection)
+                self._forget(connection)
+                if exchange is not None:
+                    self._fail(exchange, "the client was closed")
+            for exchange in waiting:
+                self._fail(exchange, "the client was closed")
+
+    @handler("_read")
+    def _on_read(self, sock) -> None:
+        connection = self._by_socket.get(sock)
+        if connection is not None:
+            connection.on_readable()
+
+    @handler("_write")
+    def _on_write(self, sock) -> None:
+        connection = self._by_socket.get(sock)
+        if connection is not None:
+            connection.on_writable()
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock) -> None:
+        connection = self._by_socket.get(sock)
+        if connection is not None:
+            connection.on_hangup()
+
+    def _serve_waiting(self, address: Address) -> None:
+        pool = self._pools[address]
+        while pool.waiting:
+            connection = self._take_idle(pool)
+            if connection is None:
+                break
+            self._assign(connection, pool.waiting.popleft())
+        connecting = self._connecting(pool)
+        spare = self._settings.connections_per_address - len(pool.connections)
+        for _ in range(min(spare, len(pool.waiting) - connecting)):
+            self._open(address)
+
+    def _take_idle(self, pool: _Pool) -> HttpConnection | None:
+        while pool.idle:
+            connection = pool.idle.pop()
+            if connection.state is ConnectionState.IDLE and not connection.is_stale():
+                return connection
+            self._stats.stale += 1
+            self._forget(connection)
+        return None
+
+    def _open(self, address: Address) -> None:
+        poller = self._find_poller()
+        connection = HttpConnection(
+            address, self, poller, self._timers, self._settings, self._events
+        )
+        self._pools[address].connections.add(connection)
+        try:
+            connection.open()
+        except OSError as error:
+            detail = str(error)
+            self._timers.call_later(
+                0.0, lambda: self._on_broken(connection, BrokenReason.REFUSED, detail)
+            )
+            return
+        self._stats.opened += 1
+        self._by_socket[connection.socket] = connection
+
+    def _find_poller(self) -> BasePoller:
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller)
+        if self._poller is None:
+            raise RuntimeError("register a poller before the HTTP client")
+        return self._poller
+
+    def _assign(self, connection: HttpConnection, exchange: HttpExchange) -> None:
+        if connection.uses > 0:
+            self._stats.reused += 1
+        self._exchanges[connection] = exchange
+        exchange.connection = connection
+        try:
+            connection.send(exchange.request, exchange.chunk, exchange.silence)
+        except h11.LocalProtocolError as error:
+            self._forget(connection)
+            failure = Failure(ResultCode.BAD_REQUEST, str(error), proven_not_run=True)
+            self._timers.call_later(0.0, lambda: self._end(exchange, Err(failure)))
+
+    def _on_ready(self, connection: HttpConnection) -> None:
+        pool = self._pools[connection.address]
+        pool.idle.append(connection)
+        self._serve_waiting(connection.address)
+
+    def _on_responded(self, connection: HttpConnection, response: HttpResponse) -> None:
+        exchange = self._exchanges.pop(connection, None)
+        if connection.state is ConnectionState.IDLE:
+            self._pools[connection.address].idle.append(connection)
+        else:
+            self._forget(connection)
+        self._serve_waiting(connection.address)
+        if exchange is not None:
+            exchange.connection = None
+            self._end(exchange, Ok(response))
+
+    def _on_broken(self, connection: HttpConnection, reason: BrokenReason, detail: str) -> None:
+        exchange = self._exchanges.get(connection)
+        self._forget(connection)
+        self._count_broken(reason, exchange)
+        if reason is BrokenReason.SILENT:
+            self._drop_idle(connection.address)
+        text = f"{reason.value}: {detail}"
+        if exchange is not None:
+            exchange.written = exchange.written or connection.written > 0
+            self._retry_or_fail(exchange, connection, text)
+        elif reason is BrokenReason.REFUSED:
+            self._fail_waiting(connection.address, text)
+        self._serve_waiting(connection.address)
+
+    def _count_broken(self, reason: BrokenReason, exchange: HttpExchange | None) -> None:
+        if reason is BrokenReason.REFUSED:
+            self._stats.refused += 1
+        elif reason is BrokenReason.SILENT:
+            self._stats.silenced += 1
+        elif exchange is not None:
+            self._stats.broken += 1
+
+    def _retry_or_fail(
+        self, exchange: HttpExchange, connection: HttpConnection, detail: str
+    ) -> None:
+        exchange.connection = None
+        safe = exchange.request.idempotent or not exchange.written
+        if connection.uses > 1 and safe and not exchange.responding and not exchange.retried:
+            exchange.retried = True
+            self._stats.retried += 1
+            self._drop_idle(connection.address)
+            self._pools[connection.address].waiting.appendleft(exchange)
+            return
+        self._fail(exchange, detail)
+
+    def _fail_waiting(self, address: Address, detail: str) -> None:
+        """Fail the first waiting exchange unless another connection is being set up for it."""
+        pool = self._pools[address]
+        if len(pool.waiting) > self._connecting(pool):
+            self._fail(pool.waiting.popleft(), detail)
+
+    def _connecting(self, pool: _Pool) -> int:
+        return sum(1 for c in pool.connections if c.state is ConnectionState.CONNECTING)
+
+    def _drop_idle(self, address: Address) -> None:
+        """Close unused connections that may have gone silent along with another."""
+        pool = self._pools[address]
+        for connection in tuple(pool.idle):
+            self._forget(connection)
+
+    def _on_chunk(
+        self, exchange: HttpExchange, chunk: Callable[[bytes], None], data: bytes
+    ) -> None:
+        exchange.responding = True
+        if not exchange.ended:
+            chunk(data)
+
+    def _release(self, exchange: HttpExchange) -> None:
+        pool = self._pools.get(exchange.request.address)
+        if exchange.connection is not None:
+            self._forget(exchange.connection)
+        elif pool is not None and exchange in pool.waiting:
+            pool.waiting.remove(exchange)
+        if pool is not None:
+            self._serve_waiting(exchange.request.address)
+
+    def _forget(self, connection: HttpConnection) -> None:
+        pool = self._pools[connection.address]
+        self._exchanges.pop(connection, None)
+        self._by_socket.pop(connection.socket, None)
+        pool.connections.discard(connection)
+        if connection in pool.idle:
+            pool.idle.remove(connection)
+        connection.close()
+
+    def _fail(self, exchange: HttpExchange, detail: str) -> None:
+        connection = exchange.connection
+        if exchange.written or (connection is not None and connection.written > 0):
+            self._end(exchange, Err(Failure(ResultCode.ENDPOINT_FAILED, detail)))
+            return
+        code = ResultCode.ENDPOINT_UNREACHABLE
+        self._end(exchange, Err(Failure(code, detail, proven_not_run=True)))
+
+    def _end(self, exchange: HttpExchange, outcome: Result[HttpResponse, Failure]) -> None:
+        if not exchange.ended:
+            exchange.ended = True
+            exchange.done(outcome)
--- /dev/null
+++ b/pumicedeck/http_connections.py
@@ -0,0 +1,338 @@
+"""One client connection: a non-blocking socket with an HTTP/1.1 parser."""
+
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from errno import EINPROGRESS
+
+import h11
+from circuits.core.pollers import BasePoller
+
+from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
+from pumicedeck.world import Address
+
+_READ_BYTES = 65536
+_SUCCESS = range(200, 300)
+_BODILESS = (204, 304)
+
+
+class ConnectionState(StrEnum):
+    """What a connection does."""
+
+    CONNECTING = "connecting"
+    IDLE = "idle"
+    BUSY = "busy"
+    CLOSED = "closed"
+
+
+class BrokenReason(StrEnum):
+    """Why a connection ended."""
+
+    REFUSED = "the connection was not set up"
+    SILENT = "the connection went silent"
+    CLOSED = "the other side closed the connection"
+    BAD_FRAMING = "the response was not valid HTTP"
+    TOO_LARGE = "the response exceeds its bound"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionEvents:
+    """Where a connection reports to; each ends with the connection in a settled state."""
+
+    ready: Callable[["HttpConnection"], None]
+    responded: Callable[["HttpConnection", HttpResponse], None]
+    broken: Callable[["HttpConnection", BrokenReason, str], None]
+
+
+class HttpConnection:
+    """Carries one request at a time to one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        source: object,
+        poller: BasePoller,
+        timers: TimerQueue,
+        settings: HttpClientSettings,
+        events: ConnectionEvents,
+    ) -> None:
+        """Register with `poller` so that the events of the socket go to `source`."""
+        self._address = address
+        self._source = source
+        self._poller = poller
+        self._timers = timers
+        self._settings = settings
+        self._events = events
+        self._state = ConnectionState.CONNECTING
+        self._socket: socket.socket | None = None
+        self._parser = self._new_parser()
+        self._unsent = memoryview(b"")
+        self._written = 0
+        self._uses = 0
+        self._deadline = 0.0
+        self._timer: Timer | None = None
+        self._response: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._chunk: Callable[[bytes], None] | None = None
+        self._silence = settings.silence_seconds
+
+    @property
+    def address(self) -> Address:
+        """Return the address of the other side."""
+        return self._address
+
+    @property
+    def socket(self) -> socket.socket | None:
+        """Return the socket while it is open."""
+        return self._socket
+
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the connection does."""
+        return self._state
+
+    @property
+    def written(self) -> int:
+        """Return how many bytes of the present request were written."""
+        return self._written
+
+    @property
+    def uses(self) -> int:
+        """Return how many requests it carried, the present one included."""
+        return self._uses
+
+    def open(self) -> None:
+        """Begin to connect."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        error = self._socket.connect_ex((self._address.host, self._address.port))
+        self._expect_within(self._settings.connect_seconds)
+        if error in (0, EINPROGRESS):
+            self._poller.addWriter(self._source, self._socket)
+            return
+        self._timers.call_later(0.0, lambda: self._refuse(error))
+
+    def is_stale(self) -> bool:
+        """Tell whether the other side closed an idle connection or sent what nobody asked for."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def send(
+        self, request: HttpRequest, chunk: Callable[[bytes], None] | None, silence: float
+    ) -> None:
+        """Write a request; the body of a successful response goes to `chunk` if there is one."""
+        self._state = ConnectionState.BUSY
+        self._uses += 1
+        self._written = 0
+        self._chunk = chunk
+        self._silence = silence
+        self._response = None
+        self._body = []
+        self._body_bytes = 0
+        self._unsent = memoryview(self._encode(request))
+        self._expect_within(silence)
+        self._write()
+
+    def close(self) -> None:
+        """Close the socket; nothing is reported any more."""
+        if self._state is ConnectionState.CLOSED:
+            return
+        self._state = ConnectionState.CLOSED
+        if self._timer is not None:
+            self._timer.cancel()
+        self._chunk = None
+        if self._socket is not None:
+            self._poller.discard(self._socket)
+            self._socket.close()
+
+    def on_writable(self) -> None:
+        """Finish connecting or write what is left."""
+        if self._state is ConnectionState.CONNECTING:
+            self._finish_connecting()
+        elif self._state is ConnectionState.BUSY:
+            self._write()
+
+    def on_readable(self) -> None:
+        """Read and parse."""
+        if self._state not in (ConnectionState.BUSY, ConnectionState.IDLE):
+            return
+        try:
+            data = self._socket.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._break(BrokenReason.CLOSED, os.strerror(error.errno or 0))
+            return
+        if self._state is ConnectionState.IDLE:
+            self._break(BrokenReason.CLOSED, "while idle")
+            return
+        self._expect_within(self._silence)
+        self._parse(data)
+
+    def on_hangup(self) -> None:
+        """React to a socket that the poller dropped."""
+        if self._state is ConnectionState.CONNECTING:
+            self._finish_connecting()
+        elif self._state is not ConnectionState.CLOSED:
+            self._break(BrokenReason.CLOSED, "hang-up")
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=self._settings.header_bytes)
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = [
+            ("host", f"{self._address.host}:{self._address.port}"),
+            ("content-length", str(len(request.body))),
+            *request.headers,
+        ]
+        parser = self._parser
+        head = h11.Request(method=request.method, target=request.path, headers=headers)
+        parts = [parser.send(head)]
+        if request.body:
+            parts.append(parser.send(h11.Data(data=request.body)))
+        parts.append(parser.send(h11.EndOfMessage()))
+        return b"".join(parts)
+
+    def _finish_connecting(self) -> None:
+        error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._refuse(error)
+            return
+        self._poller.removeWriter(self._socket)
+        self._poller.addReader(self._source, self._socket)
+        self._become_idle()
+        self._events.ready(self)
+
+    def _become_idle(self) -> None:
+        self._state = ConnectionState.IDLE
+        self._expect_within(self._settings.pooled_seconds)
+
+    def _refuse(self, error: int) -> None:
+        if self._state is not ConnectionState.CLOSED:
+            self._break(BrokenReason.REFUSED, os.strerror(error))
+
+    def _write(self) -> None:
+        while self._unsent:
+            try:
+                count = self._socket.send(self._unsent)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self._drop_later(os.strerror(error.errno or 0))
+                return
+            self._written += count
+            self._unsent = self._unsent[count:]
+            self._expect_within(self._silence)
+        writing = self._poller.isWriting(self._socket)
+        if self._unsent and not writing:
+            self._poller.addWriter(self._source, self._socket)
+        elif not self._unsent and writing:
+            self._poller.removeWriter(self._socket)
+
+    def _drop_later(self, detail: str) -> None:
+        # A response may have been sent before the other side stopped reading.
+        self._unsent = memoryview(b"")
+        if self._written == 0:
+            self._timers.call_later(0.0, lambda: self._break(BrokenReason.CLOSED, detail))
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._parser.receive_data(data)
+            while self._state is ConnectionState.BUSY:
+                event = self._parser.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    return
+                if not self._accept(event):
+                    return
+        except h11.RemoteProtocolError as error:
+            reason = BrokenReason.BAD_FRAMING if data else BrokenReason.CLOSED
+            self._break(reason, str(error))
+
+    def _accept(self, event: object) -> bool:
+        """Take in a parser event and tell whether more may follow."""
+        if isinstance(event, h11.Response):
+            return self._accept_head(event)
+        if isinstance(event, h11.Data):
+            return self._accept_data(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage):
+            self._finish_response()
+            return False
+        if isinstance(event, h11.ConnectionClosed):
+            self._break(BrokenReason.CLOSED, "before the response was whole")
+            return False
+        return True
+
+    def _accept_head(self, head: h11.Response) -> bool:
+        names = {name for name, _ in head.headers}
+        framed = {b"content-length", b"transfer-encoding"} & names
+        if not framed and head.status_code not in _BODILESS:
+            # An end by closing could not be told from a broken connection.
+            self._break(BrokenReason.BAD_FRAMING, "the response states no length")
+            return False
+        self._response = head
+        return True
+
+    def _accept_data(self, data: bytes) -> bool:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._settings.body_bytes:
+            self._break(BrokenReason.TOO_LARGE, f"over {self._settings.body_bytes} bytes")
+            return False
+        if self._chunk is not None and self._response.status_code in _SUCCESS:
+            self._chunk(data)
+        else:
+            self._body.append(data)
+        return True
+
+    def _finish_response(self) -> None:
+        head = self._response
+        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
+        response = HttpResponse(head.status_code, headers, b"".join(self._body))
+        self._chunk = None
+        self._body = []
+        if self._can_reuse():
+            self._parser.start_next_cycle()
+            self._become_idle()
+        else:
+            self.close()
+        self._events.responded(self, response)
+
+    def _can_reuse(self) -> bool:
+        parser = self._parser
+        done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        return done and not self._unsent and not parser.trailing_data[0]
+
+    def _break(self, reason: BrokenReason, detail: str) -> None:
+        if self._state is ConnectionState.CLOSED:
+            return
+        self.close()
+        self._events.broken(self, reason, detail)
+
+    def _expect_within(self, seconds: float) -> None:
+        self._deadline = self._timers.now() + seconds
+        if self._timer is None or self._timer.due > self._deadline:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self._timers.call_at(self._deadline, self._on_deadline)
+
+    def _on_deadline(self) -> None:
+        self._timer = None
+        if self._state is ConnectionState.CLOSED:
+            return
+        if self._timers.now() < self._deadline:
+            self._timer = self._timers.call_at(self._deadline, self._on_deadline)
+        elif self._state is ConnectionState.CONNECTING:
+            self._break(BrokenReason.REFUSED, "timed out")
+        elif self._state is ConnectionState.IDLE:
+            self._break(BrokenReason.CLOSED, "idle for long")
+        else:
+            self._break(BrokenReason.SILENT, f"no byte for {self._silence} s")
--- /dev/null
+++ b/pumicedeck/tests/loop_harnesses.py
@@ -0,0 +1,114 @@
+"""A circuits loop that a test ticks under virtual time."""
+
+from circuits import BaseComponent, handler
+from circuits.core.events import started
+from circuits.core.pollers import EPoll
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.loops import LoopTimers
+from pumicedeck.world import Address
+
+_POLL_SECONDS = 0.001
+_IDLE_TURNS = 3
+
+
+class CountingPoller(EPoll):
+    """Counts the events of sockets so that the loop knows when it is idle."""
+
+    count = 0
+
+    def _process(self, fileno, event):
+        self.count += 1
+        super()._process(fileno, event)
+
+
+class Loop(BaseComponent):
+    """Ticks sockets; virtual time jumps to the next timer once the sockets are idle."""
+
+    channel = "loop"
+
+    def __init__(self):
+        super().__init__()
+        self.poller = CountingPoller().register(self)
+        self.timers = VirtualTime()
+        LoopTimers(self.timers).register(self)
+        self._running = True
+        self.fire(started(self))
+        self.settle()
+
+    def settle(self, turns=200):
+        """Tick until the sockets are idle."""
+        idle = 0
+        for _ in range(turns):
+            idle = 0 if self._turn() else idle + 1
+            if idle >= _IDLE_TURNS:
+                return
+        raise AssertionError("the loop did not become idle")
+
+    def until(self, holds, turns=5000):
+        """Tick and let virtual time pass until `holds()`."""
+        idle = 0
+        for _ in range(turns):
+            if holds():
+                return
+            idle = 0 if self._turn() else idle + 1
+            due = self.timers.next_due()
+            if idle >= _IDLE_TURNS and due is not None:
+                self.timers.run_until(due)
+                idle = 0
+        raise AssertionError("the condition was not met within the bounded number of turns")
+
+    def advance(self, seconds):
+        """Let virtual time pass, with the sockets served at each timer."""
+        end = self.timers.now() + seconds
+        self.settle()
+        while (due := self.timers.next_due()) is not None and due <= end:
+            self.timers.run_until(due)
+            self.settle()
+        self.timers.run_until(end)
+        self.settle()
+
+    def _turn(self):
+        before = self.poller.count
+        self.tick(_POLL_SECONDS)
+        return self.poller.count > before or len(self) > 0
+
+    def shut(self):
+        """Stop the application and close its sockets."""
+        self._running = False
+        self.fire(close(), "*")
+        for _ in range(3):
+            self.tick(0)
+
+
+class RawServer(BaseComponent):
+    """Records raw bytes and lets a test answer by hand."""
+
+    def __init__(self, name):
+        super().__init__(channel=name)
+        self.server = TCPServer(("127.0.0.1", 0), channel=name).register(self)
+        self.received = {}
+        self.address = Address("127.0.0.1", self.server.port)
+        self.reply = None
+
+    @property
+    def socks(self):
+        return list(self.received)
+
+    @handler("connect")
+    def _on_connect(self, sock, *peer):
+        self.received[sock] = b""
+
+    @handler("read")
+    def _on_read(self, sock, data):
+        self.received[sock] += data
+        if self.reply is not None:
+            self.fire(write(sock, self.reply))
+
+    def send(self, sock, data):
+        self.fire(write(sock, data))
+
+    def hang_up(self, sock):
+        self.fire(close(sock))
--- /dev/null
+++ b/pumicedeck/tests/test_http_clients.py
@@ -0,0 +1,230 @@
+"""Contract of the HTTP client against a server that misbehaves on purpose."""
+
+import socket
+
+import pytest
+
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpClientSettings, HttpRequest
+from pumicedeck.results import Execution, ResultCode
+from pumicedeck.tests.loop_harnesses import Loop, RawServer
+from pumicedeck.world import Address
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+SETTINGS = HttpClientSettings(
+    connect_seconds=1.0,
+    silence_seconds=3.0,
+    pooled_seconds=60.0,
+    header_bytes=1024,
+    body_bytes=4096,
+    connections_per_address=2,
+)
+
+
+class Bench:
+    """A loop, a client and a raw server."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.client = HttpClient(self.loop.timers, SETTINGS).register(self.loop)
+        self.server = RawServer("raw").register(self.loop)
+        self.loop.settle()
+
+    def send(self, path="/a", chunk=None, idempotent=False, address=None, body=b"x"):
+        outcomes = []
+        address = address or self.server.address
+        request = HttpRequest("POST", address, path, (), body, idempotent)
+        exchange = self.client.send(request, outcomes.append, chunk)
+        return outcomes, exchange
+
+    def answer(self, **kwargs):
+        outcomes, _ = self.send(**kwargs)
+        self.loop.until(lambda: outcomes)
+        return outcomes[0]
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    made.client.close()
+    made.loop.shut()
+
+
+def test_connection_is_kept_and_reused(bench):
+    bench.server.reply = OK
+    first, second = bench.answer(), bench.answer()
+    assert first.unwrap().body == second.unwrap().body == b"hi"
+    assert (bench.client.stats.opened, bench.client.stats.reused) == (1, 1)
+
+
+def test_one_request_in_flight_per_connection_and_bounded_connections(bench):
+    calls = [bench.send(path=f"/{i}")[0] for i in range(5)]
+    bench.loop.settle()
+    assert len(bench.server.socks) == SETTINGS.connections_per_address
+    assert all(data.count(b"POST") == 1 for data in bench.server.received.values())
+    for _ in range(3):
+        for sock in bench.server.socks:
+            bench.server.send(sock, OK)
+        bench.loop.settle()
+    assert [len(call) for call in calls] == [1] * 5
+
+
+def test_chunks_are_streamed_before_the_response_is_whole(bench):
+    chunks = []
+    outcomes, _ = bench.send(chunk=chunks.append)
+    bench.loop.settle()
+    sock = bench.server.socks[0]
+    bench.server.send(sock, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+    bench.loop.settle()
+    assert chunks == [b"abc"] and outcomes == []
+    bench.server.send(sock, b"0\r\n\r\n")
+    bench.loop.settle()
+    assert outcomes[0].unwrap().body == b""
+
+
+def refused_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address(*sock.getsockname())
+
+
+def test_refused_connection_is_a_proof(bench):
+    address = refused_address()
+    failures = [bench.answer(address=address).unwrap_err() for _ in range(3)]
+    assert {failure.code for failure in failures} == {ResultCode.ENDPOINT_UNREACHABLE}
+    assert all(failure.proven_not_run for failure in failures)
+    assert bench.client.open_connections == 0
+
+
+def test_connecting_to_a_full_backlog_times_out_as_a_proof(bench):
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = Address(*listener.getsockname())
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex((address.host, address.port))
+        failure = bench.answer(address=address).unwrap_err()
+        for filler in fillers:
+            filler.close()
+    assert failure.code is ResultCode.ENDPOINT_UNREACHABLE
+    assert failure.proven_not_run
+
+
+BROKEN = {
+    "closed before an answer": b"",
+    "half a header": b"HTTP/1.1 200 OK\r\nContent-",
+    "half a body": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+    "half a chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi",
+    "no length": b"HTTP/1.1 200 OK\r\n\r\nhi",
+    "garbage": b"\x16\x03\x01\x00\x00",
+    "huge header": b"HTTP/1.1 200 OK\r\nX: " + b"x" * 4096,
+    "huge body": b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000,
+}
+
+
+@pytest.mark.parametrize("answer", BROKEN.values(), ids=BROKEN.keys())
+def test_broken_answer_is_never_a_clean_end(bench, answer):
+    outcomes, _ = bench.send()
+    bench.loop.settle()
+    sock = bench.server.socks[0]
+    if answer:
+        bench.server.send(sock, answer)
+    bench.server.hang_up(sock)
+    bench.loop.until(lambda: outcomes)
+    failure = outcomes[0].unwrap_err()
+    assert failure.code is ResultCode.ENDPOINT_FAILED
+    assert failure.execution is Execution.MAY_HAVE_RUN
+    assert bench.client.open_connections == 0
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_pooled_connection_that_went_silent_does_not_hold_a_request(bench, idempotent):
+    bench.server.reply = OK
+    bench.answer()
+    bench.server.reply = None
+    outcomes, _ = bench.send(path="/second", idempotent=idempotent)
+    bench.loop.settle()
+    silent = bench.server.socks[0]
+    assert b"/second" in bench.server.received[silent]
+    bench.server.reply = OK
+    bench.loop.until(lambda: outcomes)
+    assert bench.client.stats.silenced == 1
+    assert outcomes[0].is_ok() == idempotent
+    assert bench.client.stats.retried == (1 if idempotent else 0)
+    if not idempotent:
+        assert outcomes[0].unwrap_err().code is ResultCode.ENDPOINT_FAILED
+        assert len(bench.server.socks) == 1
+    assert bench.answer().is_ok()
+
+
+def test_pooled_connection_closed_by_the_server_is_replaced_before_use(bench):
+    bench.server.reply = OK
+    bench.answer()
+    bench.server.hang_up(bench.server.socks[0])
+    bench.loop.settle()
+    assert bench.answer().is_ok()
+    assert bench.client.stats.opened == 2
+
+
+def test_stale_pooled_connection_is_seen_before_the_poller_tells(bench):
+    bench.server.reply = OK
+    bench.answer()
+    bench.server.socks[0].shutdown(socket.SHUT_RDWR)
+    assert bench.answer().is_ok()
+    assert bench.client.stats.stale == 1
+
+
+def test_cancel_reports_nothing_and_frees_the_place(bench):
+    calls = [bench.send(path=f"/{i}") for i in range(3)]
+    bench.loop.settle()
+    calls[2][1].cancel()
+    calls[0][1].cancel()
+    bench.server.reply = OK
+    bench.loop.settle()
+    assert bench.answer().is_ok()
+    assert calls[0][0] == calls[2][0] == []
+
+
+def test_late_bytes_of_one_request_never_reach_the_next(bench):
+    bench.server.reply = OK + b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+    assert bench.answer().unwrap().body == b"hi"
+    bench.server.reply = OK
+    assert bench.answer().unwrap().body == b"hi"
+    assert bench.client.stats.opened == 2
+
+
+def test_unused_connection_is_closed_after_its_time(bench):
+    bench.server.reply = OK
+    bench.answer()
+    bench.loop.advance(SETTINGS.pooled_seconds + 1)
+    assert bench.client.open_connections == 0
+
+
+def test_header_injection_is_refused_before_a_byte_is_written(bench):
+    failure = bench.answer(path="/a\r\nX: y").unwrap_err()
+    assert failure.code is ResultCode.BAD_REQUEST
+    assert set(bench.server.received.values()) <= {b""}
+
+
+def test_body_larger_than_the_socket_buffer_arrives_whole(bench):
+    body = bytes(range(256)) * 20_000
+    outcomes, _ = bench.send(body=body)
+    bench.loop.settle(turns=5000)
+    sock = bench.server.socks[0]
+    bench.server.send(sock, OK)
+    bench.loop.until(lambda: outcomes)
+    assert bench.server.received[sock].endswith(body)
+    assert outcomes[0].is_ok()
+
+
+def test_close_ends_every_open_exchange(bench):
+    sent, waiting = bench.send()[0], [bench.send()[0] for _ in range(2)]
+    bench.loop.settle()
+    bench.client.close()
+    late = bench.answer()
+    assert sent[0].unwrap_err().code is ResultCode.ENDPOINT_FAILED
+    assert waiting[-1][0].unwrap_err().proven_not_run
+    assert late.unwrap_err().proven_not_run
