--- /dev/null
+++ b/pumicedeck/attempts.py
@@ -0,0 +1,120 @@
+"""What the agent keeps of an attempt between its dispatch and the end of its answer."""
+
+import hashlib
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from typing import Any
+
+from result import Err, Result
+
+from pumicedeck.messages import Answer, Chunk, Dispatch, Message, Started
+from pumicedeck.results import Execution, Failure, ResultCode
+
+CHUNK_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionEnd:
+    """A whole answer of the endpoint; its bytes came as chunks before."""
+
+    status: int
+    content_type: str
+    tokens: int = 0
+    versions: tuple[int, ...] = ()
+    bracketed: bool = False
+
+
+class AttemptPhase(IntEnum):
+    """Where an attempt stands at the agent."""
+
+    QUEUED = 1
+    RUNNING = 2
+    FINISHED = 3
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A dispatch that was taken in; times are monotonic seconds of the agent.
+
+    `attached` says that the entry receives what the attempt produces as it comes.
+    """
+
+    dispatch: Dispatch
+    arrived: float
+    phase: AttemptPhase = AttemptPhase.QUEUED
+    attached: bool = True
+    cancelled: bool = False
+    started: float = 0.0
+    output: bytearray = field(default_factory=bytearray)
+    digest: Any = field(default_factory=hashlib.sha256)
+    answer: Answer | None = None
+
+    @property
+    def queue_wait(self) -> float:
+        """Return the seconds between arrival and hand-over to the endpoint."""
+        return self.started - self.arrived
+
+    def append(self, data: bytes) -> Chunk:
+        """Add bytes of the endpoint and return the message that carries them."""
+        offset = len(self.output)
+        self.output += data
+        self.digest.update(data)
+        return Chunk(self.dispatch.attempt, offset, data)
+
+    def messages_from(self, offset: int) -> list[Message]:
+        """Return all that an entry is told which holds `offset` bytes of the answer."""
+        if self.phase is AttemptPhase.QUEUED:
+            return []
+        attempt = self.dispatch.attempt
+        messages: list[Message] = [Started(attempt, self.queue_wait)]
+        if self.dispatch.streamed:
+            for start in range(offset, len(self.output), CHUNK_BYTES):
+                part = bytes(self.output[start : start + CHUNK_BYTES])
+                messages.append(Chunk(attempt, start, part))
+        if self.answer:
+            messages.append(self.answer)
+        return messages
+
+    def end(self, now: float, outcome: Result[ExecutionEnd, Failure]) -> Answer:
+        """Finish the attempt and return its answer."""
+        self.phase = AttemptPhase.FINISHED
+        self.answer = self._build_answer(now, outcome)
+        return self.answer
+
+    def is_proven_not_run(self, failure: Failure) -> bool:
+        """Return whether a failure of the endpoint proves that it did nothing."""
+        if self.output:
+            return False
+        return failure.proven_not_run or failure.code is ResultCode.ENDPOINT_UNREACHABLE
+
+    def _build_answer(self, now: float, outcome: Result[ExecutionEnd, Failure]) -> Answer:
+        answer = Answer(
+            attempt=self.dispatch.attempt,
+            code=int(ResultCode.OK),
+            status=0,
+            content_type="",
+            body=b"",
+            length=len(self.output),
+            digest=self.digest.hexdigest(),
+            queue_wait=self.queue_wait,
+            service_time=now - self.started,
+        )
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            return replace(answer, code=int(_end_code(failure)), detail=failure.detail)
+        end = outcome.ok_value
+        return replace(
+            answer,
+            status=end.status,
+            content_type=end.content_type,
+            body=b"" if self.dispatch.streamed else bytes(self.output),
+            tokens=end.tokens,
+            versions=end.versions,
+            bracketed=end.bracketed,
+        )
+
+
+def _end_code(failure: Failure) -> ResultCode:
+    if failure.code.info.execution is Execution.MAY_HAVE_RUN:
+        return failure.code
+    return ResultCode.ENDPOINT_FAILED
--- /dev/null
+++ b/pumicedeck/kept_answers.py
@@ -0,0 +1,59 @@
+"""Which finished answers an agent keeps until they are acknowledged, bounded in bytes and time."""
+
+from collections import OrderedDict
+
+from pumicedeck.messages import AttemptId
+
+
+class KeptAnswers:
+    """Orders finished answers by age and names those that must be dropped."""
+
+    def __init__(self, max_bytes: int, max_seconds: float) -> None:
+        """Keep at most `max_bytes` in all and no answer longer than `max_seconds`."""
+        self._max_bytes = max_bytes
+        self._max_seconds = max_seconds
+        self._held: OrderedDict[AttemptId, tuple[float, int]] = OrderedDict()
+        self._bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of all kept answers."""
+        return self._bytes
+
+    def __len__(self) -> int:
+        """Return how many answers are kept."""
+        return len(self._held)
+
+    def add(self, now: float, attempt: AttemptId, size: int) -> list[AttemptId]:
+        """Keep an answer and return those that must go for it, oldest first."""
+        self._held[attempt] = (now + self._max_seconds, size)
+        self._bytes += size
+        dropped = []
+        while self._bytes > self._max_bytes and len(self._held) > 1:
+            oldest = next(iter(self._held))
+            self.remove(oldest)
+            dropped.append(oldest)
+        return dropped
+
+    def remove(self, attempt: AttemptId) -> None:
+        """Forget an answer, if it is kept."""
+        held = self._held.pop(attempt, None)
+        if held:
+            self._bytes -= held[1]
+
+    def expire(self, now: float) -> list[AttemptId]:
+        """Forget and return the answers that were kept long enough."""
+        late = []
+        for attempt, (due, _) in self._held.items():
+            if due > now:
+                break
+            late.append(attempt)
+        for attempt in late:
+            self.remove(attempt)
+        return late
+
+    def next_due(self) -> float | None:
+        """Return when the oldest answer expires."""
+        for due, _ in self._held.values():
+            return due
+        return None
