Edit the catalogue with revisions, change ids and history

Cause: operators race each other and replies of the store get lost, and still "accepted" and "refused" must be true.

A commit is conditioned on the head row and on the absence of its change id's record; an uncertain commit counts as dead only once the head moved without the record; resolving an unknown change id writes a refusal that fences a late commit off.

--- /dev/null
+++ b/pumicedeck/catalogue_diffs.py
@@ -0,0 +1,75 @@
+"""Differences between catalogues, as typed changes and as lines for operators."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from pumicedeck.catalogue_documents import entry_document, pool_document
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry
+from pumicedeck.catalogue_rows import (
+    CatalogueChange,
+    RowChange,
+    RowKind,
+    RowName,
+    RowValue,
+    values_of,
+)
+
+_SECTIONS = {RowKind.ENTRY: "entries", RowKind.POOL: "pools"}
+
+
+def diff_catalogues(before: Catalogue, after: Catalogue) -> tuple[RowChange, ...]:
+    """Return the rows that differ, in order of names."""
+    old = values_of(before)
+    new = values_of(after)
+    names = sorted(old.keys() | new.keys())
+    return tuple(
+        RowChange(name, old.get(name), new.get(name))
+        for name in names
+        if old.get(name) != new.get(name)
+    )
+
+
+def row_path(name: RowName) -> str:
+    """Return the path of a row in a catalogue document."""
+    return f"{_SECTIONS[name.kind]}.{name.name}"
+
+
+def render_rows(rows: tuple[RowChange, ...]) -> str:
+    """Render changed rows, one changed key a line."""
+    return "\n".join(line for row in rows for line in _row_lines(row))
+
+
+def render_change(change: CatalogueChange) -> str:
+    """Render an accepted change with its revision, operator and time."""
+    head = f"revision {change.revision} by {change.operator} at {change.time}"
+    return f"{head} ({change.change_id})\n{render_rows(change.rows)}"
+
+
+def _row_lines(row: RowChange) -> Iterator[str]:
+    path = row_path(row.name)
+    if row.before is None and row.after is not None:
+        yield f"+ {path}: {_shown(row.after)}"
+    elif row.after is None and row.before is not None:
+        yield f"- {path}: {_shown(row.before)}"
+    elif row.before is not None and row.after is not None:
+        yield from _key_lines(path, _document(row.before), _document(row.after))
+
+
+def _key_lines(path: str, before: Any, after: Any) -> Iterator[str]:
+    if before == after:
+        return
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        yield f"~ {path}: {before} -> {after}"
+        return
+    for key in sorted(before.keys() | after.keys()):
+        yield from _key_lines(f"{path}.{key}", before.get(key), after.get(key))
+
+
+def _document(value: RowValue) -> dict[str, Any]:
+    if isinstance(value, CatalogueEntry):
+        return entry_document(value)
+    return pool_document(value)
+
+
+def _shown(value: RowValue) -> str:
+    return ", ".join(f"{key}={each}" for key, each in _document(value).items())
--- /dev/null
+++ b/pumicedeck/tests/test_edits.py
@@ -0,0 +1,171 @@
+"""Tests of planned edits, of the editor's answers and of racing editors."""
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+
+from pumicedeck import catalogue_upkeep, edits
+from pumicedeck.catalogue_documents import parse_catalogue
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool, RequestClass
+from pumicedeck.catalogue_rows import SNAPSHOT_OBJECT, RowKind, RowName, decode_copy
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.edit_experiments import run_edit_races
+from pumicedeck.edits import Edit, EditAccepted, edit_between, make_edit, new_change_id
+from pumicedeck.experiment_stores import (
+    ExperimentObjectStore,
+    ExperimentTableStore,
+    StoreFaults,
+    StoreService,
+)
+from pumicedeck.results import ResultCode
+from pumicedeck.tests.test_catalogue_documents import GOOD
+from pumicedeck.world import EndpointKind
+
+TOOLS = Pool("tools", EndpointKind.SERVICE)
+CHECK = CatalogueEntry("check", "quintela", RequestClass.BATCH, ("tools",))
+
+
+class Desk:
+    """An operator's editor over a store in virtual time."""
+
+    def __init__(self) -> None:
+        self.time = VirtualTime()
+        self.service = StoreService(self.time, Random(1), StoreFaults())
+        table = ExperimentTableStore(self.service)
+        objects = ExperimentObjectStore(self.service)
+        self.editor = CatalogueEditor(table, objects, self.time, Random(2))
+        self.tokens = 0
+
+    def call(self, method: Any, *arguments: Any) -> Any:
+        results: list[Any] = []
+        method(*arguments, results.append)
+        self.time.run_until(self.time.now() + 120.0)
+        assert len(results) == 1
+        return results[0]
+
+    def edit(self, *puts: Any, deletes: tuple[RowName, ...] = ()) -> Edit:
+        self.tokens += 1
+        stored = self.call(self.editor.read).unwrap()
+        change_id = new_change_id(stored.revision, f"{self.tokens:08d}")
+        return make_edit(stored, change_id, "ana", "noon", puts, deletes)
+
+    def submit(self, *puts: Any) -> EditAccepted:
+        return self.call(self.editor.submit, self.edit(*puts)).unwrap()
+
+
+def test_an_accepted_edit_is_in_rows_history_and_snapshot() -> None:
+    desk = Desk()
+    assert desk.submit(TOOLS, CHECK).revision == 1
+    stored = desk.call(desk.editor.read).unwrap()
+    assert stored.catalogue == Catalogue(1, (CHECK,), (TOOLS,))
+    change = desk.call(desk.editor.history, 10).unwrap().changes[0]
+    assert (change.operator, len(change.rows)) == ("ana", 2)
+    assert decode_copy(desk.service.objects[SNAPSHOT_OBJECT]).unwrap() == stored.catalogue
+    assert not desk.editor.busy
+
+
+def test_of_two_edits_of_one_row_the_second_is_refused_with_the_change_shown() -> None:
+    desk = Desk()
+    desk.submit(TOOLS, CHECK)
+    late = desk.edit(replace(CHECK, share=3.0))
+    desk.submit(replace(CHECK, share=2.0))
+    for method in (desk.editor.submit, desk.editor.dry_run):
+        failure = desk.call(method, late).unwrap_err()
+        assert failure.code is ResultCode.EDIT_CONFLICT
+        assert "entries.check.share: 1.0 -> 2.0" in failure.detail
+
+
+def test_edits_of_different_rows_both_succeed_but_the_whole_is_checked_again() -> None:
+    desk = Desk()
+    desk.submit(TOOLS)
+    added = desk.edit(CHECK)
+    removed = desk.edit(deletes=(RowName(RowKind.POOL, "tools"),))
+    other = desk.edit(Pool("more", EndpointKind.SERVICE))
+    assert desk.call(desk.editor.submit, added).unwrap().revision == 2
+    assert desk.call(desk.editor.submit, other).unwrap().revision == 3
+    failure = desk.call(desk.editor.submit, removed).unwrap_err()
+    assert failure.code is ResultCode.BAD_CATALOGUE
+    assert "entries.check.pools" in failure.detail
+
+
+def test_a_dry_run_writes_nothing_and_shows_the_diff() -> None:
+    desk = Desk()
+    stored = desk.call(desk.editor.read).unwrap()
+    wanted = parse_catalogue(GOOD).unwrap()
+    edit = edit_between(stored, wanted, new_change_id(0, "a" * 8), "ana", "noon")
+    plan = desk.call(desk.editor.dry_run, edit).unwrap()
+    assert len(plan.change.rows) == 4
+    assert not desk.service.rows
+
+
+def test_the_same_change_id_is_accepted_once() -> None:
+    desk = Desk()
+    edit = desk.edit(TOOLS)
+    first = desk.call(desk.editor.submit, edit).unwrap()
+    assert desk.call(desk.editor.submit, edit).unwrap() == first
+    assert desk.call(desk.editor.resolve, edit.change_id).unwrap() == first
+    assert desk.call(desk.editor.read).unwrap().revision == 1
+
+
+def test_a_store_that_is_down_refuses_and_a_silent_one_leaves_the_outcome_unknown() -> None:
+    desk = Desk()
+    edit = desk.edit(TOOLS)
+    desk.service.down = True
+    assert desk.call(desk.editor.submit, edit).unwrap_err().code is ResultCode.STORE_UNAVAILABLE
+    desk.service.down = False
+    submitted: list[Any] = []
+    desk.editor.submit(edit, submitted.append)
+    while not desk.service.writes:
+        desk.time.run_until(desk.time.now() + 0.001)
+    desk.service.faults = StoreFaults(unanswered=1.0)
+    desk.time.run_until(desk.time.now() + 120.0)
+    assert submitted[0].unwrap_err().code is ResultCode.EDIT_UNKNOWN
+    desk.service.faults = StoreFaults()
+    assert desk.call(desk.editor.resolve, edit.change_id).unwrap().revision == 1
+
+
+def test_a_resolved_refusal_fences_off_a_late_commit() -> None:
+    desk = Desk()
+    edit = desk.edit(TOOLS)
+    assert desk.call(desk.editor.resolve, edit.change_id).is_err()
+    assert desk.call(desk.editor.submit, edit).unwrap_err().code is ResultCode.EDIT_CONFLICT
+    assert desk.call(desk.editor.read).unwrap().revision == 0
+
+
+def test_the_log_stays_bounded_and_an_old_change_id_is_not_guessed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(edits, "KEPT_CHANGES", 5)
+    monkeypatch.setattr(catalogue_upkeep, "KEPT_CHANGES", 5)
+    desk = Desk()
+    first = desk.edit(TOOLS)
+    desk.call(desk.editor.submit, first).unwrap()
+    for number in range(20):
+        desk.submit(Pool(f"p{number}", EndpointKind.SERVICE))
+    kept = [key for _, key in desk.service.rows if key.startswith("history/")]
+    records = [key for _, key in desk.service.rows if key.startswith("change/")]
+    assert len(kept) == 5
+    assert len(records) <= 7
+    for method, argument in ((desk.editor.submit, first), (desk.editor.resolve, first.change_id)):
+        assert desk.call(method, argument).unwrap_err().code is ResultCode.EDIT_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"change_id": "x"}, {"operator": ""}, {"rows": ()}, {"operator": "a" * 101}],
+)
+def test_a_malformed_edit_is_refused(change: dict[str, Any]) -> None:
+    desk = Desk()
+    edit = replace(desk.edit(TOOLS), **change)
+    assert desk.call(desk.editor.submit, edit).unwrap_err().code is ResultCode.BAD_REQUEST
+
+
+def test_racing_editors_with_lost_replies_are_told_the_truth() -> None:
+    report = run_edit_races(schedules=40, seed=7)
+    assert report.faults == ()
+    assert report.accepted > 0
+    assert report.conflicts > 0
+    assert report.asked_again > 0
