--- /dev/null
+++ b/pumicedeck/limit_shares.py
@@ -0,0 +1,79 @@
+"""Splits the limits of catalogue entries over entry VMs by reported demand; free of I/O.
+
+A VM's part is computed from published demands only, its own included, so that VMs that read the
+same rows compute parts whose sum is the limit.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pumicedeck.catalogue_entries import Limits
+
+DEMAND_LIFETIME_SECONDS = 6.0
+DEMAND_HEADROOM = 1.25
+HOT_FRACTION = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What one VM is asked for under one catalogue entry: in flight, and per second."""
+
+    entry_name: str
+    vm: str
+    concurrency: float
+    requests_per_second: float
+    tokens_per_second: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitPart:
+    """The part of a catalogue entry's limits that one VM may use."""
+
+    concurrency: float
+    requests_per_second: float
+    tokens_per_second: float
+
+
+def equal_part(limits: Limits, members: int) -> LimitPart:
+    """Return the part that is safe without any report."""
+    count = max(1, members)
+    return LimitPart(
+        limits.concurrency / count,
+        limits.requests_per_second / count,
+        limits.tokens_per_second / count,
+    )
+
+
+def fair_parts(limit: float, demands: Mapping[str, float]) -> dict[str, float]:
+    """Divide a limit: small demands are met, the rest is shared equally among the larger ones."""
+    parts: dict[str, float] = {}
+    left = limit
+    waiting = sorted(demands, key=lambda each: (demands[each], each))
+    while waiting:
+        vm = waiting.pop(0)
+        parts[vm] = min(demands[vm] * DEMAND_HEADROOM, left / (len(waiting) + 1))
+        left -= parts[vm]
+    spare = max(0.0, left) / max(1, len(parts))
+    return {vm: part + spare for vm, part in parts.items()}
+
+
+def part_by_demand(limits: Limits, vm: str, demands: Mapping[str, Demand]) -> LimitPart:
+    """Return the part of `vm` when the demands of all members are known."""
+
+    def divided(limit: float, name: str) -> float:
+        return fair_parts(limit, {each: getattr(demands[each], name) for each in demands})[vm]
+
+    return LimitPart(
+        divided(limits.concurrency, "concurrency"),
+        divided(limits.requests_per_second, "requests_per_second"),
+        divided(limits.tokens_per_second, "tokens_per_second"),
+    )
+
+
+def is_hot(demand: Demand, part: LimitPart) -> bool:
+    """Tell whether a demand comes near its equal part, so that the split is worth exchanging."""
+    return (
+        demand.concurrency > HOT_FRACTION * part.concurrency
+        or demand.requests_per_second > HOT_FRACTION * part.requests_per_second
+        or demand.tokens_per_second > HOT_FRACTION * part.tokens_per_second
+    )
