Fill the adapter registry in one module

Cause: settings checked adapter names against a registry that nothing had filled; 2 settings tests failed. Conclusion: adapter names are checked at start.

--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from pumicedeck.adapters import STANDINS  # noqa: F401
 from pumicedeck.platforms import adapter_names
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address, EndpointKind
