--- /dev/null
+++ b/pumicedeck/entry_daemons.py
@@ -0,0 +1,276 @@
+"""The entry: carries events between callers, the request state machine and the agents."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+from result import Err
+
+from pumicedeck.actions import (
+    Action,
+    CallerAnswer,
+    CallerRequest,
+    DeliverAnswer,
+    DeliverChunk,
+    DeliverFailure,
+    Drained,
+    RecordOutcome,
+    SendMessage,
+    WriteClaim,
+)
+from pumicedeck.agent_dialers import AgentDialer
+from pumicedeck.catalogue_entries import Catalogue
+from pumicedeck.catalogue_feeds import CatalogueFeed
+from pumicedeck.claim_outcomes import ClaimOutcome
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.handshakes import Hello
+from pumicedeck.histograms import Histograms, Measure, Series
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.messages import (
+    CatalogueCopy,
+    CatalogueRequest,
+    Heartbeat,
+    Message,
+)
+from pumicedeck.peers import Peers
+from pumicedeck.results import Failure
+from pumicedeck.routers import Candidate
+from pumicedeck.wakeups import Wakeup
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain
+
+_log = logger.bind(module="entry")
+
+
+class AnswerSink(Protocol):
+    """Where the outcome of a submitted request goes."""
+
+    def chunk(self, data: bytes) -> None:
+        """Take the next bytes of a streamed answer."""
+
+    def answer(self, answer: CallerAnswer) -> None:
+        """Take the whole answer."""
+
+    def failure(self, failure: Failure) -> None:
+        """Take the failure."""
+
+
+class ClaimWriter(Protocol):
+    """Writes the claims of non-idempotent requests and their outcomes."""
+
+    def claim(self, claim: WriteClaim, done: Callable[[ClaimOutcome], None]) -> None:
+        """Insert a claim row."""
+
+    def record(self, outcome: RecordOutcome) -> None:
+        """Write the outcome into a claim row."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the composition root gives to an entry."""
+
+    incarnation: str
+    timers: TimerQueue
+    requests: EntryRequests
+    limiter: EntryLimiter
+    histograms: Histograms
+    claims: ClaimWriter
+    drained: Callable[[], None]
+
+
+@dataclass(slots=True)
+class _Submitted:
+    request: CallerRequest
+    sink: AnswerSink
+    at: float
+    seen_first: bool = False
+
+
+class EntryDaemon:
+    """One entry process: requests come in, answers go out, sessions lead to agents."""
+
+    def __init__(self, parts: EntryParts) -> None:
+        """Take the parts; `bind` completes the wiring before `start`."""
+        self._parts = parts
+        self._requests = parts.requests
+        self._timers = parts.timers
+        self._peers = Peers(self)
+        self._submitted: dict[str, _Submitted] = {}
+        self._beats = 0
+        self._feed: CatalogueFeed | None = None
+        self._dialer: AgentDialer | None = None
+        self._is_draining = False
+        self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
+
+    @property
+    def peers(self) -> Peers:
+        """Return the sessions to agents."""
+        return self._peers
+
+    @property
+    def requests(self) -> EntryRequests:
+        """Return the request state machine."""
+        return self._requests
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue in force."""
+        return self._feed.catalogue
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return not self._is_draining and self.catalogue.revision > 0
+
+    def bind(self, feed: CatalogueFeed, dialer: AgentDialer) -> None:
+        """Complete the wiring."""
+        self._feed = feed
+        self._dialer = dialer
+
+    def start(self) -> None:
+        """Begin to follow the catalogue."""
+        self._feed.start()
+        _log.info("entry started", incarnation=self._parts.incarnation)
+
+    def close(self) -> None:
+        """Stop everything that `start` began."""
+        self._wakeup.close()
+        self._feed.close()
+        self._dialer.close()
+
+    def drain(self) -> None:
+        """Fail the readiness check, serve for the balancer's notice time, then stop."""
+        if self._is_draining:
+            return
+        _log.info("drain started")
+        self._is_draining = True
+        self._perform(self._requests.begin_drain(self._timers.now()))
+
+    def installed(self, catalogue: Catalogue) -> None:
+        """Put a newly installed catalogue in force."""
+        _log.info("catalogue installed", revision=catalogue.revision)
+        self._parts.limiter.configure(self._timers.now(), catalogue)
+
+    def submit(self, request: CallerRequest, sink: AnswerSink) -> None:
+        """Admit a checked request under its entry's limits."""
+        now = self._timers.now()
+        admitted = self._parts.limiter.admit(now, request.entry, request.expected_tokens)
+        if isinstance(admitted, Err):
+            sink.failure(admitted.err_value)
+            return
+        self._submitted[request.handle] = _Submitted(request, sink, now)
+        self._perform(self._requests.submit(now, request))
+
+    def caller_gone(self, handle: str) -> None:
+        """Give up a request that nobody waits for."""
+        self._perform(self._requests.caller_gone(self._timers.now(), handle))
+
+    # What the sessions report
+
+    def session_up(self, peer: Hello) -> None:
+        """Take an agent into the choice."""
+        self._dialer.opened(peer.incarnation.partition("/")[0])
+        endpoint = Endpoint(peer.endpoint, peer.pool, EndpointKind(peer.kind), peer.slots)
+        candidate = Candidate(
+            peer.incarnation, endpoint, FailureDomain(peer.failure_domain, peer.region)
+        )
+        now = self._timers.now()
+        self._perform(self._requests.session_up(now, peer.incarnation, candidate))
+        self._feed.session_up(peer.incarnation)
+
+    def session_lost(self, peer: Hello) -> None:
+        """Take an agent out of the choice."""
+        self._perform(self._requests.session_lost(self._timers.now(), peer.incarnation))
+        self._feed.session_lost(peer.incarnation)
+
+    def message(self, peer: Hello, message: Message) -> None:
+        """Pass a message to whom it concerns."""
+        if isinstance(message, Heartbeat | CatalogueRequest | CatalogueCopy):
+            self._feed.message(peer.incarnation, message)
+        if isinstance(message, CatalogueRequest | CatalogueCopy):
+            return
+        now = self._timers.now()
+        self._perform(self._requests.message(now, peer.incarnation, message))
+
+    def dial_ended(self, connection: int) -> None:
+        """Dial again if the agent is still wanted."""
+        self._dialer.ended(connection)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the next heartbeat with the lowest sequence that is not settled."""
+        self._beats += 1
+        revision = self._feed.catalogue.revision
+        return Heartbeat(self._beats, revision, floor=self._requests.floor)
+
+    def _on_time(self, now: float) -> None:
+        self._perform(self._requests.on_time(now))
+
+    def _claim_answered(self, handle: str, outcome: ClaimOutcome) -> None:
+        now = self._timers.now()
+        self._perform(self._requests.claim_answered(now, handle, outcome))
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendMessage(peer, message):
+                    self._peers.send(peer, message)
+                case DeliverChunk(handle, data):
+                    self._deliver_chunk(handle, data)
+                case DeliverAnswer(handle, answer):
+                    self._deliver_answer(handle, answer)
+                case DeliverFailure(handle, failure):
+                    self._deliver_failure(handle, failure)
+                case WriteClaim(handle):
+                    self._claim(handle, action)
+                case RecordOutcome():
+                    self._parts.claims.record(action)
+                case Drained():
+                    _log.info("drained")
+                    self._parts.drained()
+        self._wakeup.refresh()
+
+    def _claim(self, handle: str, claim: WriteClaim) -> None:
+        self._parts.claims.claim(claim, lambda outcome: self._claim_answered(handle, outcome))
+
+    def _deliver_chunk(self, handle: str, data: bytes) -> None:
+        held = self._submitted.get(handle)
+        if held is None:
+            return
+        if not held.seen_first:
+            held.seen_first = True
+            self._record(held, Measure.FIRST_TOKEN, self._timers.now() - held.at)
+        held.sink.chunk(data)
+
+    def _deliver_answer(self, handle: str, answer: CallerAnswer) -> None:
+        held = self._finish(handle, answer.tokens)
+        if held is None:
+            return
+        self._record(held, Measure.QUEUE_WAIT, answer.queue_wait)
+        self._record(held, Measure.WHOLE_ANSWER, self._timers.now() - held.at)
+        held.sink.answer(answer)
+
+    def _deliver_failure(self, handle: str, failure: Failure) -> None:
+        held = self._finish(handle, 0)
+        if held is None:
+            return
+        _log.info(
+            "request failed",
+            request_id=held.request.request_id,
+            entry=held.request.entry.name,
+            code=int(failure.code),
+            execution=str(failure.execution),
+        )
+        held.sink.failure(failure)
+
+    def _finish(self, handle: str, tokens: int) -> _Submitted | None:
+        held = self._submitted.pop(handle, None)
+        if held is not None:
+            now = self._timers.now()
+            expected = held.request.expected_tokens
+            self._parts.limiter.finished(now, held.request.entry, expected, tokens)
+        return held
+
+    def _record(self, held: _Submitted, measure: Measure, value: float) -> None:
+        entry = held.request.entry
+        self._parts.histograms.record(Series(entry.firm, entry.request_class, measure), value)
--- a/pumicedeck/executions.py
+++ b/pumicedeck/executions.py
@@ -1,11 +1,14 @@
 """Runs dispatches at the endpoint beside an agent."""
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from result import Err, Ok, Result
 
-from pumicedeck.agent_requests import ExecutionEnd
+from pumicedeck.attempts import ExecutionEnd
+from pumicedeck.attributions import Attribution, Attributions
+from pumicedeck.clocks import TimerQueue
 from pumicedeck.messages import AttemptId, Dispatch
 from pumicedeck.platforms import (
     Generation,
@@ -16,7 +19,7 @@
     ServiceReply,
     TokenChunk,
 )
-from pumicedeck.results import Failure
+from pumicedeck.results import Execution, Failure, ResultCode
 
 
 class ExecutionListener(Protocol):
@@ -31,17 +34,7 @@
         """Take the end of an execution."""
 
 
-class VersionWitness(Protocol):
-    """Attributes a generation to weight versions from reports and the record of swaps."""
-
-    def started(self, handle: str, model: str) -> None:
-        """Take note that a generation starts."""
-
-    def reported(self, handle: str, chunk: TokenChunk) -> None:
-        """Take the versions that the engine reports with a chunk."""
-
-    def ended(self, handle: str) -> tuple[tuple[int, ...], bool]:
-        """Return the versions, and whether they only bracket the true ones."""
+MAX_RESUMES = 3
 
 
 class Executions(ABC):
@@ -89,55 +82,142 @@
                 self._listener.execution_finished(attempt, Err(failure))
 
 
+@dataclass(slots=True)
+class _Generation:
+    """A generation under way; `output` is what the engine produced so far."""
+
+    dispatch: Dispatch
+    output: bytearray = field(default_factory=bytearray)
+    resumes: int = 0
+
+
 class EngineExecutions(Executions):
-    """Generates with a model engine."""
+    """Generates with a model engine and attributes drafts to weight versions.
+
+    An engine may restart a running generation when its weights change, which shows as a chunk at
+    an offset below what came before. Output is therefore held back until the end unless the
+    request is streamed; a streamed one that is restarted fails.
+    """
 
     def __init__(
         self,
         incarnation: str,
         listener: ExecutionListener,
         engine: ModelEngine,
-        witness: VersionWitness,
+        attributions: Attributions,
+        timers: TimerQueue,
     ) -> None:
-        """Generate with `engine` and attribute what it produces by `witness`."""
+        """Generate with `engine`; `attributions` names the versions of drafts."""
         super().__init__(incarnation, listener)
         self._engine = engine
-        self._witness = witness
+        self._attributions = attributions
+        self._timers = timers
+        self._running: dict[AttemptId, _Generation] = {}
 
     def start(self, dispatch: Dispatch) -> None:
-        """Start the generation."""
+        """Start the generation, unless a draft could not be attributed."""
+        attempt = dispatch.attempt
+        if dispatch.draft is not None:
+            admitted = self._attributions.admit(self._timers.now(), dispatch.model)
+            if isinstance(admitted, Err):
+                self._listener.execution_finished(attempt, admitted)
+                return
+            self._attributions.started(self._timers.now(), attempt, dispatch.model)
+        self._running[attempt] = _Generation(dispatch)
+        self._generate(dispatch, 0)
+
+    def cancel(self, attempt: AttemptId) -> None:
+        """Stop the generation."""
+        self._engine.cancel(self._handle(attempt))
+
+    def _generate(self, dispatch: Dispatch, resume_offset: int) -> None:
         attempt = dispatch.attempt
-        handle = self._handle(attempt)
         generation = Generation(
-            handle=handle,
+            handle=self._handle(attempt),
             model=dispatch.model,
             path=dispatch.path,
             body=dispatch.body,
             priority=dispatch.priority,
             streamed=dispatch.streamed,
+            resume_offset=resume_offset,
         )
-        self._witness.started(handle, dispatch.model)
         self._engine.generate(
             generation,
-            lambda chunk: self._produced(attempt, handle, chunk),
-            lambda outcome: self._ended(attempt, handle, outcome),
+            lambda chunk: self._produced(attempt, chunk),
+            lambda outcome: self._ended(attempt, outcome),
         )
 
-    def cancel(self, attempt: AttemptId) -> None:
-        """Stop the generation."""
-        self._engine.cancel(self._handle(attempt))
-
-    def _produced(self, attempt: AttemptId, handle: str, chunk: TokenChunk) -> None:
-        self._witness.reported(handle, chunk)
-        self._listener.execution_chunk(attempt, chunk.data, chunk.tokens)
-
-    def _ended(
-        self, attempt: AttemptId, handle: str, outcome: Result[GenerationEnd, Failure]
-    ) -> None:
-        versions, bracketed = self._witness.ended(handle)
+    def _produced(self, attempt: AttemptId, chunk: TokenChunk) -> None:
+        running = self._running.get(attempt)
+        if running is None:
+            return
+        if chunk.offset > len(running.output):
+            self._fail(attempt, "the engine left out a part of its output")
+            return
+        repeated = len(running.output) - chunk.offset
+        if (
+            running.dispatch.streamed
+            and bytes(running.output[chunk.offset :]) != chunk.data[:repeated]
+        ):
+            self._fail(attempt, "the engine restarted a streamed generation")
+            return
+        del running.output[chunk.offset :]
+        running.output += chunk.data
+        if running.dispatch.draft is not None:
+            self._attributions.chunk(attempt, chunk)
+        if running.dispatch.streamed:
+            self._listener.execution_chunk(attempt, chunk.data[repeated:], chunk.tokens)
+
+    def _ended(self, attempt: AttemptId, outcome: Result[GenerationEnd, Failure]) -> None:
+        running = self._running.get(attempt)
+        if running is None:
+            return
         match outcome:
             case Ok(end):
-                whole = ExecutionEnd(end.status, end.content_type, end.tokens, versions, bracketed)
-                self._listener.execution_finished(attempt, Ok(whole))
+                self._finish(attempt, running, end)
             case Err(failure):
-                self._listener.execution_finished(attempt, Err(failure))
+                self._resume_or_fail(attempt, running, failure)
+
+    def _finish(self, attempt: AttemptId, running: _Generation, end: GenerationEnd) -> None:
+        if end.length != len(running.output):
+            self._fail(attempt, f"{len(running.output)} of {end.length} bytes arrived")
+            return
+        attribution = Attribution(())
+        if running.dispatch.draft is not None:
+            named = self._attributions.finished(self._timers.now(), attempt, end.tokens)
+            if isinstance(named, Err):
+                self._fail(attempt, named.err_value.detail)
+                return
+            attribution = named.ok_value
+        del self._running[attempt]
+        if not running.dispatch.streamed:
+            self._listener.execution_chunk(attempt, bytes(running.output), end.tokens)
+        whole = ExecutionEnd(
+            end.status,
+            end.content_type,
+            end.tokens,
+            attribution.versions,
+            attribution.bracketed,
+        )
+        self._listener.execution_finished(attempt, Ok(whole))
+
+    def _resume_or_fail(self, attempt: AttemptId, running: _Generation, failure: Failure) -> None:
+        # Without an offset the engine could not tell a resumed call from a new one.
+        resumable = failure.code is ResultCode.ENDPOINT_FAILED and len(running.output) > 0
+        if resumable and running.resumes < MAX_RESUMES:
+            running.resumes += 1
+            self._generate(running.dispatch, len(running.output))
+            return
+        del self._running[attempt]
+        self._attributions.dropped(attempt)
+        started = len(running.output) > 0 or running.resumes > 0
+        if started and failure.execution is Execution.NOT_RUN:
+            failure = Failure(ResultCode.ENDPOINT_FAILED, failure.detail)
+        self._listener.execution_finished(attempt, Err(failure))
+
+    def _fail(self, attempt: AttemptId, detail: str) -> None:
+        del self._running[attempt]
+        self._attributions.dropped(attempt)
+        self._engine.cancel(self._handle(attempt))
+        failure = Failure(ResultCode.ENDPOINT_FAILED, detail)
+        self._listener.execution_finished(attempt, Err(failure))
