Split the entry's state machine by job and let an answer begin again

Change: RequestAttempts settles attempts, EntryRequests turns events into calls; execution_chunk takes the offset of a chunk: an unstreamed answer is rewound, a streamed one ends as failed.

Conclusion: adapters of engines should pass the chunk's offset.

--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -132,12 +132,21 @@
         return actions + self._advance(now)
 
     def execution_chunk(
-        self, now: float, attempt: AttemptId, data: bytes, tokens: int = 0
+        self, now: float, attempt: AttemptId, data: bytes, tokens: int = 0, offset: int = -1
     ) -> list[Action]:
-        """Take in bytes that the endpoint produced."""
+        """Take in bytes that the endpoint produced.
+
+        An `offset` below what came before says that the endpoint began again from there.
+        """
         held = self._attempts.get(attempt)
         if held is None or held.phase is not AttemptPhase.RUNNING or held.cancelled:
             return []
+        if 0 <= offset < len(held.output):
+            if held.dispatch.streamed:
+                return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the stream restarted")
+            held.rewind(offset)
+        if offset > len(held.output):
+            return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the answer has a gap")
         if len(held.output) + len(data) > self._settings.max_answer_bytes:
             return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the answer is too large")
         chunk = held.append(data)
--- a/pumicedeck/attempts.py
+++ b/pumicedeck/attempts.py
@@ -61,6 +61,11 @@
         self.digest.update(data)
         return Chunk(self.dispatch.attempt, offset, data)
 
+    def rewind(self, offset: int) -> None:
+        """Drop the bytes from `offset` on."""
+        del self.output[offset:]
+        self.digest = hashlib.sha256(self.output)
+
     def messages_from(self, offset: int) -> list[Message]:
         """Return all that an entry is told which holds `offset` bytes of the answer."""
         if self.phase is AttemptPhase.QUEUED:
--- /dev/null
+++ b/pumicedeck/request_attempts.py
@@ -0,0 +1,345 @@
+"""The attempts of a request: where they are sent, what agents say of them, how they are settled.
+
+"Not run" is answered only if every attempt is proven not to have run: nothing was sent, the agent
+refused, or the agent answered a revoke.
+"""
+
+import hashlib
+from collections import deque
+from dataclasses import replace
+
+from result import Err
+
+from pumicedeck.actions import (
+    Action,
+    CallerAnswer,
+    CallerRequest,
+    DeliverAnswer,
+    DeliverChunk,
+    DeliverFailure,
+    RecordOutcome,
+    SendMessage,
+)
+from pumicedeck.messages import (
+    Acknowledge,
+    Answer,
+    AttemptId,
+    Cancel,
+    Chunk,
+    Message,
+    Reattach,
+    Refused,
+    Revoke,
+    Revoked,
+    RevokeOutcome,
+    Started,
+)
+from pumicedeck.pending_requests import PendingRequest, PendingRequests, RequestPhase
+from pumicedeck.request_counters import EntryRequestCounters
+from pumicedeck.request_settings import EntryRequestSettings
+from pumicedeck.results import Execution, Failure, ResultCode
+from pumicedeck.retry_budgets import RetryBudget
+from pumicedeck.routers import Router
+
+_PROOFS = (RevokeOutcome.NEVER_SEEN, RevokeOutcome.DEQUEUED, RevokeOutcome.ALREADY_REFUSED)
+_FINAL_REFUSALS = (ResultCode.RATE_LIMITED, ResultCode.BAD_REQUEST, ResultCode.TOO_LARGE)
+_RETRIED_ANSWERS = (
+    ResultCode.ENDPOINT_FAILED,
+    ResultCode.OUTCOME_UNKNOWN,
+    ResultCode.ANSWER_EXPIRED,
+)
+
+AttemptMessage = Refused | Started | Chunk | Answer | Revoked
+
+
+class RequestAttempts:
+    """Routes pending requests and settles their attempts."""
+
+    def __init__(
+        self,
+        pending: PendingRequests,
+        router: Router,
+        settings: EntryRequestSettings,
+        counters: EntryRequestCounters,
+    ) -> None:
+        """Work on the requests in `pending`."""
+        self._pending = pending
+        self._router = router
+        self._settings = settings
+        self._counters = counters
+        self._retries = RetryBudget(settings.retry_ratio, settings.retry_burst)
+        self._orphans: deque[tuple[str, AttemptId]] = deque(maxlen=settings.max_orphans)
+
+    def earn_retry(self) -> None:
+        """Count a request for the retry budget."""
+        self._retries.earn()
+
+    def route(self, now: float, pending: PendingRequest) -> list[Action]:
+        """Send the request to an agent, or let it wait for one if it was sent before."""
+        query = replace(pending.query, excluded=pending.excluded)
+        choice = self._router.choose(now, query)
+        if isinstance(choice, Err) and pending.attempts == 0:
+            return self.fail(now, pending, choice.err_value)
+        if isinstance(choice, Err):
+            pending.excluded = ()
+            return self._wait(now, pending, pending.last_failure or choice.err_value)
+        if pending.attempts > 0 and not self._retries.spend():
+            self._counters.retries_denied += 1
+            return self._wait(now, pending, pending.last_failure or _overloaded())
+        return self._send(now, pending, choice.ok_value)
+
+    def receive(self, now: float, agent: str, message: AttemptMessage) -> list[Action]:
+        """Handle what an agent says of an attempt; late news is counted and dropped."""
+        pending = self._pending.find_attempt(message.attempt, agent)
+        if pending is None:
+            return self._late(agent, message)
+        match message:
+            case Refused():
+                return self._refused(now, pending, message)
+            case Started():
+                return self._started(pending)
+            case Chunk():
+                return self._chunk(pending, message)
+            case Answer():
+                return self._answer(now, pending, message)
+            case Revoked():
+                return self._revoked(now, pending, message.outcome)
+
+    def fail(self, now: float, pending: PendingRequest, failure: Failure) -> list[Action]:
+        """End the request with a failure that is true of all its attempts."""
+        self._pending.remove(pending)
+        self._counters.failed += 1
+        final = pending.final_failure(failure)
+        actions: list[Action] = []
+        if not pending.abandoned:
+            actions.append(DeliverFailure(pending.request.handle, final))
+        if pending.claimed:
+            actions.append(_record(pending.request, _recorded_code(final), None))
+        return actions
+
+    def detach(self, now: float, pending: PendingRequest) -> None:
+        """Wait a bounded time for a new session to the same agent incarnation."""
+        if pending.phase is RequestPhase.DETACHED:
+            return
+        wait = self._settings.reattach_seconds
+        if pending.is_repeatable:
+            wait = self._settings.reattach_idempotent_seconds
+        self._pending.enter(pending, RequestPhase.DETACHED, now + wait)
+
+    def resume(self, now: float, pending: PendingRequest) -> list[Action]:
+        """Ask for the state of an attempt over a new session."""
+        self._counters.reattached += 1
+        if pending.abandoned and not pending.started:
+            return self.revoke(pending)
+        due = pending.deadline
+        if not pending.started:
+            due = max(now, pending.revoke_due(self._settings.revoke_seconds))
+        self._pending.enter(pending, RequestPhase.SENT, due)
+        return [_reattach(pending)]
+
+    def revoke(self, pending: PendingRequest) -> list[Action]:
+        """Ask the agent never to run the current attempt."""
+        assert pending.attempt is not None
+        self._pending.enter(pending, RequestPhase.REVOKING, pending.deadline)
+        return [SendMessage(pending.agent, Revoke(pending.attempt, pending.agent))]
+
+    def give_up(self, now: float, pending: PendingRequest) -> list[Action]:
+        """Stop waiting for the current attempt, whatever becomes of it."""
+        attempt = pending.attempt
+        assert attempt is not None
+        self._end_attempt(now, pending, ResultCode.CANCELLED)
+        pending.may_have_run = True
+        if pending.phase is RequestPhase.DETACHED:
+            self._orphans.append((pending.agent, attempt))
+            return []
+        return [SendMessage(pending.agent, Cancel(attempt))]
+
+    def outcome_unknown(self, now: float, pending: PendingRequest, detail: str) -> list[Action]:
+        """Settle an attempt that may have run; only an idempotent request is tried again."""
+        self._counters.outcomes_unknown += 1
+        if pending.attempt:
+            self._orphans.append((pending.agent, pending.attempt))
+        self._end_attempt(now, pending, ResultCode.OUTCOME_UNKNOWN)
+        pending.may_have_run = True
+        failure = Failure(ResultCode.OUTCOME_UNKNOWN, detail)
+        if pending.is_repeatable:
+            return self._retry(now, pending, failure)
+        return self.fail(now, pending, failure)
+
+    def cancel_orphans(self, agent: str) -> list[Action]:
+        """Cancel what was given up while there was no session to the agent."""
+        return [SendMessage(agent, Cancel(attempt)) for attempt in self.drop_orphans(agent)]
+
+    def drop_orphans(self, agent: str) -> list[AttemptId]:
+        """Forget and return the attempts that were given up without a session."""
+        orphans = [each for each in self._orphans if each[0] == agent]
+        for orphan in orphans:
+            self._orphans.remove(orphan)
+        return [attempt for _, attempt in orphans]
+
+    def _send(self, now: float, pending: PendingRequest, agent: str) -> list[Action]:
+        self._counters.attempts += 1
+        self._counters.retries += pending.attempts > 0
+        self._pending.begin_attempt(pending, agent)
+        self._router.dispatched(now, agent, pending.query)
+        due = pending.revoke_due(self._settings.revoke_seconds)
+        self._pending.enter(pending, RequestPhase.SENT, due)
+        return [SendMessage(agent, pending.dispatch(now, self._pending.floor))]
+
+    def _wait(self, now: float, pending: PendingRequest, failure: Failure) -> list[Action]:
+        pending.last_failure = failure
+        if now >= pending.last_route_due:
+            return self.fail(now, pending, failure)
+        retry_at = now + self._settings.retry_wait_seconds
+        due = min(retry_at, pending.last_route_due)
+        self._pending.enter(pending, RequestPhase.WAITING, due)
+        return []
+
+    def _retry(self, now: float, pending: PendingRequest, failure: Failure) -> list[Action]:
+        pending.last_failure = failure
+        pending.excluded += (pending.agent,)
+        if pending.abandoned or pending.attempts >= self._settings.max_attempts:
+            return self.fail(now, pending, failure)
+        if now >= pending.last_route_due:
+            return self.fail(now, pending, failure)
+        return self.route(now, pending)
+
+    def _end_attempt(self, now: float, pending: PendingRequest, code: ResultCode) -> None:
+        self._pending.end_attempt(pending)
+        self._router.finished(now, pending.agent, pending.query, code)
+
+    def _late(self, agent: str, message: Message) -> list[Action]:
+        self._counters.late_dropped += 1
+        match message:
+            case Answer(attempt):
+                return [SendMessage(agent, Acknowledge(attempt))]
+            case Started(attempt):
+                return [SendMessage(agent, Cancel(attempt))]
+            case _:
+                return []
+
+    def _refused(self, now: float, pending: PendingRequest, refused: Refused) -> list[Action]:
+        self._counters.refused += 1
+        code = _result_code(refused.code)
+        self._end_attempt(now, pending, code)
+        failure = Failure(code, refused.detail, refused.retry_after or None, True)
+        if failure.code in _FINAL_REFUSALS:
+            return self.fail(now, pending, failure)
+        return self._retry(now, pending, failure)
+
+    def _started(self, pending: PendingRequest) -> list[Action]:
+        pending.started = True
+        if pending.phase is RequestPhase.SENT:
+            self._pending.enter(pending, RequestPhase.SENT, pending.deadline)
+        return []
+
+    def _chunk(self, pending: PendingRequest, chunk: Chunk) -> list[Action]:
+        if not pending.request.streamed or pending.phase is RequestPhase.DETACHED:
+            return []
+        if chunk.offset > pending.delivered:
+            return self._fill_gap(pending)
+        fresh = pending.append(chunk.offset, chunk.data)
+        if not fresh or pending.abandoned:
+            return []
+        return [DeliverChunk(pending.request.handle, fresh)]
+
+    def _fill_gap(self, pending: PendingRequest) -> list[Action]:
+        if pending.gap_at == pending.delivered:
+            return []
+        pending.gap_at = pending.delivered
+        return [_reattach(pending)]
+
+    def _answer(self, now: float, pending: PendingRequest, answer: Answer) -> list[Action]:
+        assert pending.attempt is not None
+        code = _result_code(answer.code)
+        if code is not ResultCode.OK:
+            return self._failed(now, pending, code, answer.detail)
+        if pending.request.streamed and answer.length > pending.delivered:
+            return self._fill_gap(pending)
+        if not pending.is_whole(answer):
+            return self._not_whole(now, pending)
+        acknowledge = SendMessage(pending.agent, Acknowledge(pending.attempt))
+        self._end_attempt(now, pending, code)
+        return [acknowledge] + self._succeed(pending, answer)
+
+    def _succeed(self, pending: PendingRequest, answer: Answer) -> list[Action]:
+        whole = pending.caller_answer(answer)
+        self._pending.remove(pending)
+        self._counters.answered += 1
+        actions: list[Action] = []
+        if not pending.abandoned:
+            actions.append(DeliverAnswer(pending.request.handle, whole))
+        if pending.claimed:
+            actions.append(_record(pending.request, ResultCode.OK, whole))
+        return actions
+
+    def _not_whole(self, now: float, pending: PendingRequest) -> list[Action]:
+        self._counters.not_whole += 1
+        if not pending.asked_again and not pending.request.streamed:
+            pending.asked_again = True
+            return [_reattach(pending)]
+        return self._failed(now, pending, ResultCode.OUTCOME_UNKNOWN, "length or digest differ")
+
+    def _failed(
+        self, now: float, pending: PendingRequest, code: ResultCode, detail: str
+    ) -> list[Action]:
+        assert pending.attempt is not None
+        acknowledge = SendMessage(pending.agent, Acknowledge(pending.attempt))
+        self._end_attempt(now, pending, code)
+        pending.may_have_run = True
+        failure = Failure(code, detail)
+        if pending.is_repeatable and code in _RETRIED_ANSWERS:
+            return [acknowledge] + self._retry(now, pending, failure)
+        return [acknowledge] + self.fail(now, pending, failure)
+
+    def _revoked(self, now: float, pending: PendingRequest, outcome: RevokeOutcome) -> list[Action]:
+        if outcome in _PROOFS:
+            self._counters.revoked += 1
+            self._end_attempt(now, pending, ResultCode.REVOKED)
+            return self._proven(now, pending)
+        if outcome is RevokeOutcome.UNKNOWN:
+            return self.outcome_unknown(now, pending, "the agent forgot the attempt")
+        if pending.phase is RequestPhase.DETACHED:
+            return []
+        pending.started = True
+        self._pending.enter(pending, RequestPhase.SENT, pending.deadline)
+        return [_reattach(pending)] if outcome is RevokeOutcome.FINISHED else []
+
+    def _proven(self, now: float, pending: PendingRequest) -> list[Action]:
+        if pending.abandoned:
+            return self.fail(now, pending, Failure(ResultCode.CANCELLED, "caller left"))
+        if now >= pending.revoke_due(self._settings.revoke_seconds):
+            failure = Failure(ResultCode.DEADLINE_EXCEEDED, "revoked", None, True)
+            return self.fail(now, pending, failure)
+        return self._retry(now, pending, Failure(ResultCode.REVOKED, "not seen by the agent"))
+
+
+def _reattach(pending: PendingRequest) -> SendMessage:
+    assert pending.attempt is not None
+    return SendMessage(pending.agent, Reattach(pending.attempt, pending.agent, pending.delivered))
+
+
+def _record(request: CallerRequest, code: ResultCode, answer: CallerAnswer | None) -> Action:
+    return RecordOutcome(request.entry.firm, request.request_id, int(code), answer)
+
+
+def claim_digest(request: CallerRequest) -> str:
+    """Return the digest that tells one body under a request id from another."""
+    return hashlib.sha256(request.path.encode() + b"\0" + request.body).hexdigest()
+
+
+def _overloaded() -> Failure:
+    return Failure(ResultCode.OVERLOADED, "the retry budget is used up", 1.0)
+
+
+def _recorded_code(failure: Failure) -> ResultCode:
+    if failure.proven_not_run and failure.code.info.execution is not Execution.NOT_RUN:
+        return ResultCode.REVOKED
+    return failure.code
+
+
+def _result_code(number: int) -> ResultCode:
+    try:
+        return ResultCode(number)
+    except ValueError:
+        return ResultCode.INTERNAL_ERROR
--- a/pumicedeck/tests/test_agent_requests.py
+++ b/pumicedeck/tests/test_agent_requests.py
@@ -154,6 +154,20 @@
     assert code(5.1, 2) == ResultCode.ANSWER_EXPIRED
 
 
+@pytest.mark.parametrize(
+    ("streamed", "offset", "body"), [(False, 1, b"aXY"), (True, 1, b""), (False, 9, b"")]
+)
+def test_an_answer_that_begins_again_is_never_mixed(streamed: bool, offset: int, body) -> None:
+    requests = agent()
+    attempt = AttemptId(ENTRY, 1)
+    requests.message(0.0, ENTRY, dispatch(1, streamed=streamed))
+    requests.execution_chunk(0.1, attempt, b"abc", 1, 0)
+    actions = requests.execution_chunk(0.2, attempt, b"XY", 1, offset)
+    actions += requests.execution_finished(0.3, attempt, Ok(END))
+    code = ResultCode.OK if body else ResultCode.ENDPOINT_FAILED
+    assert [(each.code, each.body) for each in sent(actions, Answer)] == [(code, body)]
+
+
 def test_a_floor_settles_what_is_below_it() -> None:
     requests = agent()
     requests.message(0.0, ENTRY, dispatch(2))
