--- a/pumicedeck/attributions.py
+++ b/pumicedeck/attributions.py
@@ -5,7 +5,6 @@
 
 from result import Err, Ok, Result
 
-from pumicedeck.messages import AttemptId
 from pumicedeck.platforms import TokenChunk
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.version_records import VersionRecord
@@ -33,7 +32,7 @@
     def __init__(self) -> None:
         """Start without a model: no draft is admitted until the engine reported."""
         self._records: dict[str, VersionRecord] = {}
-        self._running: dict[AttemptId, _Running] = {}
+        self._running: dict[str, _Running] = {}
         self._mismatches = 0
 
     @property
@@ -60,25 +59,27 @@
             return Ok(None)
         return Err(Failure(ResultCode.VERSION_UNKNOWN, model, 1.0, proven_not_run=True))
 
-    def started(
-        self, now: float, attempt: AttemptId, model: str, carried: Iterable[int] = ()
-    ) -> None:
+    def started(self, now: float, handle: str, model: str, carried: Iterable[int] = ()) -> None:
         """Follow a draft; `carried` are the versions of tokens that were moved here with it."""
-        self._running[attempt] = _Running(model, now, frozenset(carried))
+        self._running[handle] = _Running(model, now, frozenset(carried))
 
-    def chunk(self, attempt: AttemptId, chunk: TokenChunk) -> None:
-        """Take in the report that comes with tokens; a resumed chunk replaces the same one."""
-        running = self._running.get(attempt)
-        if running is not None:
-            running.reports[chunk.offset] = chunk
+    def chunk(self, handle: str, chunk: TokenChunk) -> None:
+        """Take in the report that comes with tokens; it replaces what came from its offset on."""
+        running = self._running.get(handle)
+        if running is None:
+            return
+        kept = {offset: each for offset, each in running.reports.items() if offset < chunk.offset}
+        running.reports = {**kept, chunk.offset: chunk}
 
-    def dropped(self, attempt: AttemptId) -> None:
+    def dropped(self, handle: str) -> None:
         """Stop following a draft that failed or was cancelled."""
-        self._running.pop(attempt, None)
+        self._running.pop(handle, None)
 
-    def finished(self, now: float, attempt: AttemptId, tokens: int) -> Result[Attribution, Failure]:
-        """Name the versions of a whole draft; a failure if nobody can say."""
-        running = self._running.pop(attempt, None)
+    def finished(
+        self, now: float, handle: str, tokens: int | None = None
+    ) -> Result[Attribution, Failure]:
+        """Name the versions of a whole draft of `tokens`; a failure if nobody can say."""
+        running = self._running.pop(handle, None)
         if running is None:
             return Err(_unattributed("not followed"))
         record = self.record(now, running.model)
@@ -89,12 +90,12 @@
         return self._compare(running, possible, tokens)
 
     def _compare(
-        self, running: _Running, possible: frozenset[int], tokens: int
+        self, running: _Running, possible: frozenset[int], tokens: int | None
     ) -> Result[Attribution, Failure]:
         reported = _reported_versions(running)
         if any(version < 0 for version in reported):
             return Err(_unattributed("the engine reported a token without a version"))
-        complete = _reported_tokens(running) >= tokens and bool(reported)
+        complete = bool(reported) and _is_complete(running, tokens)
         if complete and reported <= possible:
             return Ok(Attribution(tuple(sorted(reported | running.carried))))
         if not reported <= possible:
@@ -111,8 +112,15 @@
     return frozenset(version for chunk in running.reports.values() for version in chunk.versions)
 
 
-def _reported_tokens(running: _Running) -> int:
-    return sum(min(chunk.tokens, len(chunk.versions)) for chunk in running.reports.values())
+def _is_complete(running: _Running, tokens: int | None) -> bool:
+    end = 0
+    count = 0
+    for chunk in running.reports.values():
+        if chunk.offset > end or len(chunk.versions) < chunk.tokens:
+            return False
+        end = chunk.offset + len(chunk.data)
+        count += chunk.tokens
+    return tokens is None or count >= tokens
 
 
 def _unattributed(detail: str) -> Failure:
--- a/pumicedeck/tests/test_attributions.py
+++ b/pumicedeck/tests/test_attributions.py
@@ -5,11 +5,10 @@
 import pytest
 
 from pumicedeck.attributions import Attributions
-from pumicedeck.messages import AttemptId
 from pumicedeck.platforms import TokenChunk
 from pumicedeck.results import Execution, ResultCode
 
-DRAFT = AttemptId("entry/1", 1)
+DRAFT = "agent/1:1"
 
 
 def _attributions(version: int = 3) -> Attributions:
@@ -19,7 +18,7 @@
 
 
 def _chunk(offset: int, versions: tuple[int, ...], tokens: int | None = None) -> TokenChunk:
-    return TokenChunk(offset, b"x", len(versions) if tokens is None else tokens, versions)
+    return TokenChunk(offset, b"x" * 2, len(versions) if tokens is None else tokens, versions)
 
 
 def test_a_draft_that_spans_a_swap_names_every_version() -> None:
@@ -27,7 +26,7 @@
     found.started(1.0, DRAFT, "m")
     found.chunk(DRAFT, _chunk(0, (3, 3)))
     found.record(2.0, "m").swap_began(2.0, 4)
-    found.chunk(DRAFT, _chunk(1, (3, 4)))
+    found.chunk(DRAFT, _chunk(2, (3, 4)))
     found.record(3.0, "m").swap_ended(3.0, 4)
     got = found.finished(4.0, DRAFT, 4).unwrap()
     assert (got.versions, got.bracketed) == ((3, 4), False)
@@ -101,13 +100,38 @@
     assert found.finished(2.0, DRAFT, 1).unwrap().versions == (4, 5)
 
 
+def test_a_restarted_stream_replaces_what_came_before_and_a_gap_is_bracketed() -> None:
+    found = _attributions()
+    found.started(1.0, DRAFT, "m")
+    found.chunk(DRAFT, _chunk(0, (3, 3)))
+    found.record(2.0, "m").swap_began(2.0, 4)
+    found.record(2.0, "m").swap_ended(2.0, 4)
+    found.chunk(DRAFT, _chunk(0, (4, 4)))
+    assert found.finished(3.0, DRAFT, 2).unwrap().versions == (4,)
+    found.started(3.0, DRAFT, "m")
+    found.record(4.0, "m").swap_began(4.0, 5)
+    found.chunk(DRAFT, _chunk(4, (5, 5)))
+    got = found.finished(5.0, DRAFT).unwrap()
+    assert (got.versions, got.bracketed) == ((4, 5), True)
+
+
+def test_an_engine_that_was_out_of_reach_gets_no_draft_work_until_it_reports() -> None:
+    found = _attributions()
+    found.started(1.0, DRAFT, "m")
+    found.record(2.0, "m").contact_lost(2.0)
+    assert found.admit(2.5, "m").is_err()
+    found.record(3.0, "m").reported(3.0, 1)
+    assert found.admit(3.0, "m").is_ok()
+    assert found.finished(4.0, DRAFT, 2).unwrap().versions == (1, 3)
+
+
 class _Engine:
     """Produces tokens one by one with the version in force and swaps with seeded faults."""
 
     def __init__(self, rng: random.Random, can_say: bool) -> None:
         self.rng, self.can_say, self.version = rng, can_say, 3
         self.found = _attributions(3)
-        self.truth: dict[AttemptId, list[int]] = {}
+        self.truth: dict[str, list[int]] = {}
         self.swap_to: int | None = None
 
     def swap(self, now: float) -> None:
@@ -126,11 +150,11 @@
         else:
             record.reply_lost(now)
 
-    def token(self, attempt: AttemptId) -> None:
+    def token(self, attempt: str) -> None:
         produced = self.truth[attempt]
         produced.append(self.version)
         said = (self.version,) if self.can_say else ()
-        self.found.chunk(attempt, _chunk(len(produced), said, tokens=1))
+        self.found.chunk(attempt, _chunk(2 * len(produced) - 2, said, tokens=1))
 
 
 @pytest.mark.parametrize("can_say", [True, False])
@@ -149,7 +173,7 @@
                 engine.version = 3 + tick
             engine.found.record(now, "m").reported(now, engine.version)
         elif chance < 0.3 and engine.found.admit(now, "m").is_ok():
-            attempt = AttemptId("entry/1", tick)
+            attempt = f"agent/1:{tick}"
             engine.truth[attempt] = []
             engine.found.started(now, attempt, "m")
         for attempt in list(engine.truth):
--- a/pumicedeck/version_records.py
+++ b/pumicedeck/version_records.py
@@ -77,12 +77,18 @@
             return
         if version < 0:
             self.swap_failed(now)
+        elif span.versions and version not in span.versions:
+            self._widen_unseen(now, version)
         elif span.certainty is not Certainty.KNOWN:
             self._append(_known(now, version))
-        elif version not in span.versions:
-            self._widen_unseen(now, version)
         self._confirmed = now
 
+    def contact_lost(self, now: float) -> None:
+        """Record that the engine could not be reached, so that it may have been restarted."""
+        span = self._spans[-1]
+        if span.certainty is Certainty.KNOWN:
+            self._append(VersionSpan(now, Certainty.UNSETTLED, span.versions))
+
     def possible(self, start: float, end: float) -> frozenset[int] | None:
         """Return the versions that may have been in force; None if nobody can say."""
         versions: frozenset[int] = frozenset()
@@ -111,9 +117,9 @@
             self._spans[position] = VersionSpan(span.began, Certainty.UNKNOWN, frozenset())
 
     def _widen_unseen(self, now: float, version: int) -> None:
-        # Somebody else swapped the engine at some moment since the last confirmation.
-        older = min(self._spans[-1].versions)
-        between = frozenset(range(older, version + 1)) | {older, version}
+        # The engine was swapped or restarted at some moment since the last confirmation.
+        known = self._spans[-1].versions
+        between = frozenset(range(min(known), version + 1)) | known | {version}
         self._append(VersionSpan(self._confirmed, Certainty.SWAPPING, between))
         self._append(_known(now, version))
 
