--- a/pumicedeck/orders.py
+++ b/pumicedeck/orders.py
@@ -72,6 +72,7 @@
 class _Sent:
     wanted: _Wanted
     at: float
+    engine: str
     lost: bool = False
 
 
@@ -97,6 +98,7 @@
         self._reading = _Reading()
         self._not_before = 0.0
         self._trusted_fencing = -1
+        self._engine = ""
 
     @property
     def idle(self) -> bool:
@@ -146,6 +148,7 @@
             self._reading.due = now + self._settings.retry
             return []
         state = outcome.unwrap()
+        self._engine = state.incarnation
         if self._sent is not None:
             return self._resolve(now, self._sent, state)
         if self._lease.holds(now) and self._reading.sent_at >= self._not_before:
@@ -191,7 +194,7 @@
         base = head.order.order_id.split("#")[0]
         order_id = f"{base}#{self._lease.fencing}.{head.tries}"
         head.order = replace(head.order, order_id=order_id, fencing=self._lease.fencing)
-        self._sent = _Sent(head, now)
+        self._sent = _Sent(head, now, self._engine)
         return SendOrder(head.order)
 
     def _read(self, now: float) -> ReadState:
@@ -204,7 +207,8 @@
         order = sent.wanted.order
         if state.last_order == order.order_id and _shows(order, state):
             return self._settled(now, Ok(state))
-        if self._reading.sent_at < sent.at + self._settings.longest_flight:
+        restarted = state.incarnation != sent.engine
+        if not restarted and self._reading.sent_at < sent.at + self._settings.longest_flight:
             self._reading.due = max(now, sent.at + self._settings.longest_flight)
             return []
         if _shows(order, state):
--- a/pumicedeck/swaps.py
+++ b/pumicedeck/swaps.py
@@ -173,13 +173,13 @@
         if plan is not None and version >= plan.weights.version:
             del self._plans[model]
 
-    def failed(self, now: float, weights: WeightVersion, place: SwapPlace) -> None:
+    def failed(self, now: float, model: str, version: int, place: SwapPlace) -> None:
         """Plan a failed swap again in the tail."""
-        plan = self._plans.get(weights.model)
-        if plan is None or plan.weights != weights:
+        plan = self._plans.get(model)
+        if plan is None or plan.weights.version != version:
             return
         plan.tries += 1
-        delay = self._slots.retry(weights, place, self._endpoint, plan.tries)
+        delay = self._slots.retry(plan.weights, place, self._endpoint, plan.tries)
         plan.due = max(now, plan.heard + delay)
         plan.ordered = False
 
