Add the callers' API and the draws of trainers

Cause: callers and trainers reach the entry by HTTP. Change: paths, headers and draw documents are checked and turned into typed requests; answers carry length and digest.

--- a/pumicedeck/agent_daemons.py
+++ b/pumicedeck/agent_daemons.py
@@ -10,7 +10,7 @@
 from pumicedeck.agent_requests import AgentRequests
 from pumicedeck.attempts import ExecutionEnd
 from pumicedeck.catalogue_entries import Catalogue
-from pumicedeck.catalogue_feeds import CatalogueFeed
+from pumicedeck.catalogue_followers import CatalogueFollower
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.endpoint_watches import EndpointWatch
 from pumicedeck.executions import Executions
@@ -53,7 +53,7 @@
         self._peers = Peers(self)
         self._beats = 0
         self._executions: Executions | None = None
-        self._feed: CatalogueFeed | None = None
+        self._follower: CatalogueFollower | None = None
         self._watch: EndpointWatch | None = None
         self._weights: WeightFeed | None = None
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
@@ -76,19 +76,19 @@
     def bind(
         self,
         executions: Executions,
-        feed: CatalogueFeed,
+        follower: CatalogueFollower,
         watch: EndpointWatch,
         weights: WeightFeed | None,
     ) -> None:
         """Complete the wiring; `weights` is None beside a plain service."""
         self._executions = executions
-        self._feed = feed
+        self._follower = follower
         self._watch = watch
         self._weights = weights
 
     def start(self) -> None:
         """Begin to follow the catalogue, the weights and the endpoint."""
-        self._feed.start()
+        self._follower.start()
         self._watch.start()
         if self._weights is not None:
             self._weights.start()
@@ -98,7 +98,7 @@
         """Stop everything that `start` began."""
         self._wakeup.close()
         self._watch.close()
-        self._feed.close()
+        self._follower.close()
         if self._weights is not None:
             self._weights.close()
 
@@ -126,20 +126,21 @@
     def session_up(self, peer: Hello) -> None:
         """Start serving an entry."""
         self._perform(self._requests.session_up(self._timers.now(), peer.incarnation))
-        self._feed.session_up(peer.incarnation)
+        self._follower.peer_up(peer.incarnation)
         self._peers.send(peer.incarnation, self.heartbeat())
 
     def session_lost(self, peer: Hello) -> None:
         """Keep what an entry asked for until it comes back."""
         self._perform(self._requests.session_lost(self._timers.now(), peer.incarnation))
-        self._feed.session_lost(peer.incarnation)
+        self._follower.peer_lost(peer.incarnation)
 
     def message(self, peer: Hello, message: Message) -> None:
         """Pass a message to whom it concerns."""
-        if isinstance(message, Heartbeat | CatalogueRequest | CatalogueCopy):
-            self._feed.message(peer.incarnation, message)
         if isinstance(message, CatalogueRequest | CatalogueCopy):
+            self._follower.message(peer.incarnation, message)
             return
+        if isinstance(message, Heartbeat):
+            self._follower.peer_revision(peer.incarnation, message.revision)
         now = self._timers.now()
         self._perform(self._requests.message(now, peer.incarnation, message))
 
@@ -149,7 +150,7 @@
     def heartbeat(self) -> Heartbeat:
         """Return the next heartbeat with the load."""
         self._beats += 1
-        return Heartbeat(self._beats, self._feed.catalogue.revision, load=self.load())
+        return Heartbeat(self._beats, self._follower.revision, load=self.load())
 
     # What the endpoint reports
 
--- /dev/null
+++ b/pumicedeck/caller_api.py
@@ -0,0 +1,131 @@
+"""HTTP for callers and trainers: authenticates, checks, submits and answers."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from pumicedeck.actions import CallerAnswer
+from pumicedeck.caller_requests import DRAWS, EntryPath, find_entry, parse_call, parse_path
+from pumicedeck.catalogue_entries import CatalogueEntry, RequestClass
+from pumicedeck.draw_documents import parse_draw, payload_document
+from pumicedeck.draw_sessions import DrawSessions
+from pumicedeck.entry_daemons import EntryDaemon
+from pumicedeck.http_servers import HttpExchange
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.tokens import Principal, TokenChecker
+
+LENGTH_HEADER = "X-Answer-Length"
+DIGEST_HEADER = "X-Answer-Digest"
+VERSIONS_HEADER = "X-Weight-Versions"
+ID_HEADER = "X-Request-Id"
+
+
+class CallSink:
+    """Writes the outcome of a call to the caller who asked for it."""
+
+    def __init__(self, exchange: HttpExchange, request_id: str) -> None:
+        """Answer `exchange`."""
+        self._exchange = exchange
+        self._request_id = request_id
+        self._offset = 0
+
+    def chunk(self, data: bytes) -> None:
+        """Write one line of a streamed answer."""
+        self._exchange.begin_stream()
+        self._exchange.write_line({"offset": self._offset, **payload_document(data)})
+        self._offset += len(data)
+
+    def answer(self, answer: CallerAnswer) -> None:
+        """Write the whole answer, or the last line of a streamed one."""
+        if self._exchange.is_streaming:
+            self._exchange.write_line({"end": _end_document(answer)})
+            self._exchange.end_stream()
+            return
+        headers = {
+            ID_HEADER: self._request_id,
+            LENGTH_HEADER: str(answer.length),
+            DIGEST_HEADER: answer.digest,
+        }
+        if answer.versions:
+            headers[VERSIONS_HEADER] = ",".join(str(each) for each in answer.versions)
+        self._exchange.answer(answer.status, answer.content_type, answer.body, headers)
+
+    def failure(self, failure: Failure) -> None:
+        """Write the failure."""
+        self._exchange.fail(failure)
+
+
+def _end_document(answer: CallerAnswer) -> dict[str, object]:
+    return {
+        "status": answer.status,
+        "length": answer.length,
+        "digest": answer.digest,
+        "tokens": answer.tokens,
+        "versions": list(answer.versions),
+    }
+
+
+class CallerApi:
+    """Serves the callers' address of an entry."""
+
+    def __init__(
+        self,
+        daemon: EntryDaemon,
+        tokens: TokenChecker,
+        draws: DrawSessions,
+        make_id: Callable[[], str],
+    ) -> None:
+        """Submit to `daemon`; `make_id` returns ids that are never reused."""
+        self._daemon = daemon
+        self._tokens = tokens
+        self._draws = draws
+        self._make_id = make_id
+
+    def handle(self, exchange: HttpExchange) -> None:
+        """Take a request of any kind."""
+        path = parse_path(exchange.path)
+        if isinstance(path, Err):
+            exchange.fail(path.err_value)
+            return
+        if exchange.method != "POST":
+            exchange.fail(Failure(ResultCode.BAD_REQUEST, "expected the method POST"))
+            return
+        self._tokens.check(
+            exchange.header("Authorization"),
+            lambda principal: self._authenticated(exchange, path.ok_value, principal),
+        )
+
+    def _authenticated(
+        self, exchange: HttpExchange, path: EntryPath, principal: Result[Principal, Failure]
+    ) -> None:
+        entry = principal.and_then(
+            lambda who: find_entry(self._daemon.catalogue, path.entry_name, who)
+        )
+        if isinstance(entry, Err):
+            exchange.fail(entry.err_value)
+        elif path.verb == DRAWS:
+            self._draw(exchange, entry.ok_value)
+        else:
+            self._call(exchange, entry.ok_value, path.endpoint_path)
+
+    def _call(self, exchange: HttpExchange, entry: CatalogueEntry, path: str) -> None:
+        handle = self._make_id()
+        request = parse_call(handle, handle, entry, path, exchange.header, exchange.body)
+        if isinstance(request, Err):
+            exchange.fail(request.err_value)
+            return
+        exchange.on_gone = lambda: self._daemon.caller_gone(handle)
+        sink = CallSink(exchange, request.ok_value.request_id)
+        self._daemon.submit(request.ok_value, sink)
+
+    def _draw(self, exchange: HttpExchange, entry: CatalogueEntry) -> None:
+        if entry.request_class is not RequestClass.ROLLOUT:
+            exchange.fail(Failure(ResultCode.BAD_REQUEST, f"{entry.name} is not a rollout entry"))
+            return
+        handle = self._make_id()
+        request = parse_draw(handle, entry, exchange.body)
+        if isinstance(request, Err):
+            exchange.fail(request.err_value)
+            return
+        exchange.on_gone = lambda: self._draws.caller_gone(handle)
+        self._draws.start(request.ok_value, exchange)
--- /dev/null
+++ b/pumicedeck/draw_sessions.py
@@ -0,0 +1,142 @@
+"""Carries draws between trainers' connections, the coordinator and the entry's requests."""
+
+from pumicedeck.actions import CallerAnswer
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.drafts import (
+    CancelDraft,
+    DeliverGroup,
+    Draft,
+    DrawAction,
+    DrawRequest,
+    EndDraw,
+    SubmitDraft,
+)
+from pumicedeck.draw_documents import draft_document
+from pumicedeck.draws import DrawCoordinator
+from pumicedeck.entry_daemons import EntryDaemon
+from pumicedeck.histograms import Histograms, Measure, Series
+from pumicedeck.http_servers import HttpExchange
+from pumicedeck.results import Failure
+from pumicedeck.wakeups import Wakeup
+
+
+class _DraftSink:
+    """Reports the outcome of one draft to the coordinator."""
+
+    def __init__(self, draws: "DrawSessions", handle: str) -> None:
+        self._draws = draws
+        self._handle = handle
+
+    def chunk(self, data: bytes) -> None:
+        """Ignore partial output: drafts are not streamed."""
+
+    def answer(self, answer: CallerAnswer) -> None:
+        """Report a whole draft."""
+        self._draws.draft_finished(self._handle, answer)
+
+    def failure(self, failure: Failure) -> None:
+        """Report a failed draft."""
+        self._draws.draft_failed(self._handle, failure)
+
+
+class DrawSessions:
+    """Keeps the open draws of one entry."""
+
+    def __init__(
+        self,
+        coordinator: DrawCoordinator,
+        daemon: EntryDaemon,
+        timers: TimerQueue,
+        histograms: Histograms,
+    ) -> None:
+        """Submit drafts to `daemon`."""
+        self._coordinator = coordinator
+        self._daemon = daemon
+        self._timers = timers
+        self._histograms = histograms
+        self._exchanges: dict[str, HttpExchange] = {}
+        self._requests: dict[str, DrawRequest] = {}
+        self._wakeup = Wakeup(timers, coordinator.next_wakeup, self._on_time)
+
+    @property
+    def coordinator(self) -> DrawCoordinator:
+        """Return the state machine of the draws."""
+        return self._coordinator
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Return the models that open draws use."""
+        return tuple({each.entry.model for each in self._requests.values()})
+
+    def close(self) -> None:
+        """Cancel the timer."""
+        self._wakeup.close()
+
+    def start(self, request: DrawRequest, exchange: HttpExchange) -> None:
+        """Begin a draw whose groups go to `exchange`."""
+        self._exchanges[request.handle] = exchange
+        self._requests[request.handle] = request
+        exchange.begin_stream()
+        self._perform(self._coordinator.start(self._timers.now(), request))
+
+    def caller_gone(self, handle: str) -> None:
+        """Drop a draw whose trainer went away."""
+        self._forget(handle)
+        self._perform(self._coordinator.caller_gone(self._timers.now(), handle))
+
+    def newest_known(self, model: str, version: int) -> None:
+        """Take in the newest published version of a model."""
+        now = self._timers.now()
+        self._perform(self._coordinator.newest_known(now, model, version))
+
+    def draft_finished(self, handle: str, answer: CallerAnswer) -> None:
+        """Take in a whole draft."""
+        now = self._timers.now()
+        self._perform(self._coordinator.draft_finished(now, handle, answer))
+
+    def draft_failed(self, handle: str, failure: Failure) -> None:
+        """Take in a failed draft."""
+        now = self._timers.now()
+        self._perform(self._coordinator.draft_failed(now, handle, failure))
+
+    def _on_time(self, now: float) -> None:
+        self._perform(self._coordinator.on_time(now))
+
+    def _perform(self, actions: list[DrawAction]) -> None:
+        for action in actions:
+            match action:
+                case SubmitDraft(request):
+                    self._daemon.submit(request, _DraftSink(self, request.handle))
+                case CancelDraft(handle):
+                    self._daemon.caller_gone(handle)
+                case DeliverGroup(handle, group, drafts, newest):
+                    self._deliver(handle, group, drafts, newest)
+                case EndDraw(handle, failure):
+                    self._end(handle, failure)
+        self._wakeup.refresh()
+
+    def _deliver(self, handle: str, group: int, drafts: tuple[Draft, ...], newest: int) -> None:
+        exchange = self._exchanges.get(handle)
+        if exchange is None:
+            return
+        entry = self._requests[handle].entry
+        series = Series(entry.firm, entry.request_class, Measure.STALENESS)
+        for draft in drafts:
+            self._histograms.record(series, max(0, newest - draft.oldest_version))
+        documents = [draft_document(each) for each in drafts]
+        exchange.write_line({"group": group, "newest": newest, "drafts": documents})
+
+    def _end(self, handle: str, failure: Failure | None) -> None:
+        exchange = self._exchanges.get(handle)
+        self._forget(handle)
+        if exchange is None:
+            return
+        if failure is not None:
+            exchange.fail(failure)
+            return
+        exchange.write_line({"end": {}})
+        exchange.end_stream()
+
+    def _forget(self, handle: str) -> None:
+        self._exchanges.pop(handle, None)
+        self._requests.pop(handle, None)
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -21,7 +21,7 @@
 )
 from pumicedeck.agent_dialers import AgentDialer
 from pumicedeck.catalogue_entries import Catalogue
-from pumicedeck.catalogue_feeds import CatalogueFeed
+from pumicedeck.catalogue_followers import CatalogueFollower
 from pumicedeck.claim_outcomes import ClaimOutcome
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.entry_requests import EntryRequests
@@ -98,7 +98,7 @@
         self._peers = Peers(self)
         self._submitted: dict[str, _Submitted] = {}
         self._beats = 0
-        self._feed: CatalogueFeed | None = None
+        self._follower: CatalogueFollower | None = None
         self._dialer: AgentDialer | None = None
         self._is_draining = False
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
@@ -115,28 +115,28 @@
 
     @property
     def catalogue(self) -> Catalogue:
-        """Return the catalogue in force."""
-        return self._feed.catalogue
+        """Return the catalogue in force, an empty one at first."""
+        return self._follower.catalogue or Catalogue()
 
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         return not self._is_draining and self.catalogue.revision > 0
 
-    def bind(self, feed: CatalogueFeed, dialer: AgentDialer) -> None:
+    def bind(self, follower: CatalogueFollower, dialer: AgentDialer) -> None:
         """Complete the wiring."""
-        self._feed = feed
+        self._follower = follower
         self._dialer = dialer
 
     def start(self) -> None:
         """Begin to follow the catalogue."""
-        self._feed.start()
+        self._follower.start()
         _log.info("entry started", incarnation=self._parts.incarnation)
 
     def close(self) -> None:
         """Stop everything that `start` began."""
         self._wakeup.close()
-        self._feed.close()
+        self._follower.close()
         self._dialer.close()
 
     def drain(self) -> None:
@@ -177,19 +177,20 @@
         )
         now = self._timers.now()
         self._perform(self._requests.session_up(now, peer.incarnation, candidate))
-        self._feed.session_up(peer.incarnation)
+        self._follower.peer_up(peer.incarnation)
 
     def session_lost(self, peer: Hello) -> None:
         """Take an agent out of the choice."""
         self._perform(self._requests.session_lost(self._timers.now(), peer.incarnation))
-        self._feed.session_lost(peer.incarnation)
+        self._follower.peer_lost(peer.incarnation)
 
     def message(self, peer: Hello, message: Message) -> None:
         """Pass a message to whom it concerns."""
-        if isinstance(message, Heartbeat | CatalogueRequest | CatalogueCopy):
-            self._feed.message(peer.incarnation, message)
         if isinstance(message, CatalogueRequest | CatalogueCopy):
+            self._follower.message(peer.incarnation, message)
             return
+        if isinstance(message, Heartbeat):
+            self._follower.peer_revision(peer.incarnation, message.revision)
         now = self._timers.now()
         self._perform(self._requests.message(now, peer.incarnation, message))
 
@@ -200,7 +201,7 @@
     def heartbeat(self) -> Heartbeat:
         """Return the next heartbeat with the lowest sequence that is not settled."""
         self._beats += 1
-        revision = self._feed.catalogue.revision
+        revision = self._follower.revision
         return Heartbeat(self._beats, revision, floor=self._requests.floor)
 
     def _on_time(self, now: float) -> None:
