--- /dev/null
+++ b/pumicedeck/tests/test_catalogue_followers.py
@@ -0,0 +1,119 @@
+"""Tests of the follower over stores in virtual time."""
+
+from random import Random
+
+import pytest
+
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_entries import Pool
+from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
+from pumicedeck.catalogue_rows import SNAPSHOT_OBJECT
+from pumicedeck.catalogue_stores import MAX_CHANGES_PER_READ
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.edits import make_edit, new_change_id
+from pumicedeck.experiment_stores import (
+    ExperimentObjectStore,
+    ExperimentTableStore,
+    StoreFaults,
+    StoreService,
+)
+from pumicedeck.messages import Message
+from pumicedeck.world import EndpointKind
+
+TARGET_SECONDS = 16.0
+
+
+class World:
+    """A store, an editor and followers that send messages to each other."""
+
+    def __init__(self) -> None:
+        self.time = VirtualTime()
+        self.service = StoreService(self.time, Random(1), StoreFaults())
+        self.table = ExperimentTableStore(self.service)
+        self.objects = ExperimentObjectStore(self.service)
+        self.editor = CatalogueEditor(self.table, self.objects, self.time, Random(2))
+        self.followers: dict[str, CatalogueFollower] = {}
+        self.installed: dict[str, list[int]] = {}
+        self.edits = 0
+
+    def follower(self, name: str) -> CatalogueFollower:
+        def send(peer: str, message: Message) -> None:
+            self.time.call_later(0.03, lambda: self.followers[peer].message(name, message))
+
+        def announce(revision: int) -> None:
+            for peer in self.followers.values():
+                if peer is not self.followers[name]:
+                    self.time.call_later(0.03, lambda to=peer: to.peer_revision(name, revision))
+
+        revisions = self.installed.setdefault(name, [])
+        hooks = FollowerHooks(send, lambda each: revisions.append(each.revision), announce)
+        follower = CatalogueFollower(self.table, self.objects, self.time, Random(name), hooks)
+        self.followers[name] = follower
+        follower.start()
+        return follower
+
+    def edit(self, count: int = 1) -> None:
+        for _ in range(count):
+            self.edits += 1
+            self.editor.read(lambda read: self._submit(read.unwrap()))
+            self.run(1.0)
+
+    def _submit(self, stored: object) -> None:
+        pool = Pool(f"p{self.edits:04d}", EndpointKind.SERVICE)
+        change_id = new_change_id(stored.revision, f"{self.edits:08d}")
+        edit = make_edit(stored, change_id, "ana", "", (pool,))
+        self.editor.submit(edit, lambda answer: answer.unwrap())
+
+    def run(self, seconds: float) -> None:
+        self.time.run_until(self.time.now() + seconds)
+
+
+def test_a_follower_installs_each_change_within_the_target() -> None:
+    world = World()
+    world.edit(3)
+    follower = world.follower("a")
+    world.run(TARGET_SECONDS)
+    assert (follower.revision, follower.ready) == (3, True)
+    world.edit()
+    world.run(TARGET_SECONDS)
+    assert follower.catalogue.revision == 4
+    assert len(follower.catalogue.pools) == 4
+    follower.close()
+    world.edit()
+    world.run(60.0)
+    assert world.installed["a"] == [3, 4]
+
+
+@pytest.mark.parametrize("snapshot", ["missing", "damaged", "stale", "too old"])
+def test_a_bad_snapshot_is_harmless(snapshot: str) -> None:
+    world = World()
+    world.edit()
+    old = world.service.objects[SNAPSHOT_OBJECT]
+    world.edit(MAX_CHANGES_PER_READ + 1 if snapshot == "too old" else 3)
+    if snapshot == "missing":
+        del world.service.objects[SNAPSHOT_OBJECT]
+    else:
+        world.service.objects[SNAPSHOT_OBJECT] = b"\x1f" if snapshot == "damaged" else old
+    follower = world.follower("a")
+    world.run(TARGET_SECONDS)
+    assert follower.revision == world.edits
+    assert len(follower.catalogue.pools) == world.edits
+
+
+def test_what_one_process_learnt_before_an_outage_reaches_the_others_and_new_ones() -> None:
+    world = World()
+    world.edit()
+    followers = [world.follower(name) for name in "abc"]
+    world.run(TARGET_SECONDS)
+    world.edit()
+    world.run(0.0)
+    while all(each.revision < 2 for each in followers):
+        world.run(0.01)
+    world.service.down = True
+    world.run(TARGET_SECONDS)
+    assert [each.revision for each in followers] == [2, 2, 2]
+    late = world.follower("d")
+    for peer in "abc":
+        late.peer_up(peer)
+    world.run(TARGET_SECONDS)
+    assert (late.revision, late.ready) == (2, True)
