--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from pumicedeck.adapters import STANDINS  # noqa: F401
 from pumicedeck.platforms import adapter_names
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address, EndpointKind
@@ -85,26 +86,26 @@
 class TableStoreSettings(AdapterSettings):
     """The table service."""
 
-    adapter: _adapter("table_store") = "http"
+    adapter: _adapter("TableStore") = "http"
 
 
 class ObjectStoreSettings(AdapterSettings):
     """The object store."""
 
-    adapter: _adapter("object_store") = "http"
+    adapter: _adapter("ObjectStore") = "http"
 
 
 class WeightStoreSettings(AdapterSettings):
     """The weight store and the rate that its operators allow, in bytes per second."""
 
-    adapter: _adapter("weight_store") = "http"
+    adapter: _adapter("WeightStore") = "http"
     rate: Size = 1024**3
 
 
 class VmListSettings(AdapterSettings):
     """The platform's list of VMs."""
 
-    adapter: _adapter("vm_list") = "http"
+    adapter: _adapter("VmList") = "http"
 
 
 class PlatformSettings(_Section):
