Add the composition root, the operators' API and the VM watch

Cause: the parts need one root. Change: composition of entry and agent, status and catalogue over HTTP, sessions to listed VMs that are not cut while work is in flight.

--- a/pumicedeck/agent_daemons.py
+++ b/pumicedeck/agent_daemons.py
@@ -68,6 +68,11 @@
         """Return the request state machine."""
         return self._requests
 
+    @property
+    def revision(self) -> int:
+        """Return the catalogue revision in force, -1 if none."""
+        return self._follower.revision
+
     @property
     def is_ready(self) -> bool:
         """Return whether new work is taken."""
@@ -114,6 +119,10 @@
             self._weights.configure(catalogue)
         self._perform(self._requests.configure(self._timers.now(), catalogue))
 
+    def announce(self, revision: int) -> None:
+        """Tell every entry at once which catalogue revision is in force here."""
+        self._peers.send_to_all(self.heartbeat())
+
     def load(self) -> LoadReport:
         """Return the load with the weight version in force."""
         load = self._requests.load()
--- a/pumicedeck/agent_dialers.py
+++ b/pumicedeck/agent_dialers.py
@@ -21,6 +21,7 @@
     connection: int | None = None
     failures: int = 0
     timer: Timer | None = None
+    released: bool = False
 
 
 class AgentDialer:
@@ -52,18 +53,29 @@
         return held.vm if held is not None else None
 
     def want_only(self, vms: Iterable[Vm]) -> None:
-        """Replace the wanted set."""
+        """Replace the wanted set; an open session to any other VM ends by itself."""
         wanted = {vm.name: vm for vm in vms}
         for name in [each for each in self._wanted if each not in wanted]:
-            self.unwant(name)
+            self.release(name)
         for vm in wanted.values():
             self.want(vm)
 
+    def release(self, name: str) -> None:
+        """Keep an open session, on which work may be in flight, but dial no more."""
+        held = self._wanted.get(name)
+        if held is None:
+            return
+        if held.connection is None:
+            self.unwant(name)
+        else:
+            held.released = True
+
     def want(self, vm: Vm) -> None:
         """Keep a session to a VM."""
         held = self._wanted.get(vm.name)
         if held is not None and held.vm.address == vm.address:
             held.vm = vm
+            held.released = False
             return
         if held is not None:
             self.unwant(vm.name)
@@ -94,6 +106,9 @@
         if held is None:
             return
         held.connection = None
+        if held.released:
+            del self._wanted[name]
+            return
         limit = min(MAX_BACKOFF_SECONDS, MIN_BACKOFF_SECONDS * 2**held.failures)
         held.failures += 1
         delay = self._rng.uniform(limit / 2, limit)
--- /dev/null
+++ b/pumicedeck/composition.py
@@ -0,0 +1,310 @@
+"""The composition root: the only module that knows every part and wires them."""
+
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+from circuits import Component
+
+from pumicedeck.agent_daemons import AgentDaemon, AgentParts
+from pumicedeck.agent_dialers import AgentDialer
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.attributions import Attributions
+from pumicedeck.caller_api import CallerApi
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
+from pumicedeck.claims import Claims
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.connections import Connections
+from pumicedeck.draw_sessions import DrawSessions
+from pumicedeck.draws import DrawCoordinator
+from pumicedeck.endpoint_watches import EngineWatch, ServiceWatch
+from pumicedeck.entry_daemons import EntryDaemon, EntryParts
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.executions import EngineExecutions, ServiceExecutions
+from pumicedeck.handshakes import NONCE_BYTES, PROTOCOL_VERSION, Hello
+from pumicedeck.histograms import Histograms
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_guards import HttpGuard, HttpGuardSettings
+from pumicedeck.http_messages import HttpClientSettings
+from pumicedeck.http_servers import HttpServer
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.newest_versions import NewestVersionPoll
+from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
+from pumicedeck.platforms import (
+    EngineState,
+    ModelEngine,
+    ObjectStore,
+    PlainService,
+    TableStore,
+    VmList,
+    WeightStore,
+    find_adapter,
+)
+from pumicedeck.queues import QUEUES
+from pumicedeck.request_settings import AgentRequestSettings, EntryRequestSettings
+from pumicedeck.routers import ROUTERS
+from pumicedeck.sessions import SessionSettings
+from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
+from pumicedeck.tokens import TokenChecker
+from pumicedeck.vm_watches import VmWatch
+from pumicedeck.world import EndpointKind, FailureDomain, Incarnation, VmRole
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform as one process sees it."""
+
+    table: TableStore
+    objects: ObjectStore
+    weights: WeightStore
+    vms: VmList
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """The loop and timers that the parts of one or more daemons share."""
+
+    root: Component
+    timers: TimerQueue
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A wired daemon with its addresses; `close` undoes `start`."""
+
+    start: Callable[[], None]
+    drain: Callable[[], None]
+    close: Callable[[], None]
+    callers: HttpServer | None
+    operators: HttpServer
+    connections: Connections
+    daemon: EntryDaemon | AgentDaemon
+
+
+def connect_platform(settings: ProcessSettings, host: Host) -> Platform:
+    """Make the adapters that the settings name."""
+    client = HttpClient(host.timers).register(host.root)
+    chosen = settings.platform
+
+    def make(interface: str, section) -> object:
+        return find_adapter(interface, section.adapter)(client, section.address, section.timeout)
+
+    return Platform(
+        make("TableStore", chosen.table_store),
+        make("ObjectStore", chosen.object_store),
+        make("WeightStore", chosen.weight_store),
+        make("VmList", chosen.vm_list),
+    )
+
+
+def connect_endpoint(settings: AgentSettings, host: Host) -> ModelEngine | PlainService:
+    """Make the adapter of the endpoint beside an agent."""
+    endpoint = settings.endpoint
+    interface = "ModelEngine" if endpoint.kind is EndpointKind.MODEL else "PlainService"
+    client = HttpClient(host.timers, HttpClientSettings(silence_seconds=endpoint.timeout)).register(
+        host.root
+    )
+    return find_adapter(interface, endpoint.adapter)(client, endpoint.address, endpoint.timeout)
+
+
+def _incarnation(settings: ProcessSettings) -> str:
+    return str(Incarnation(settings.vm, uuid4().hex[:12]))
+
+
+def _hello(settings: ProcessSettings, role: VmRole, incarnation: str) -> Hello:
+    endpoint = settings.endpoint if isinstance(settings, AgentSettings) else None
+    return Hello(
+        protocol=PROTOCOL_VERSION,
+        incarnation=incarnation,
+        role=role,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        nonce=os.urandom(NONCE_BYTES),
+        endpoint=endpoint.name if endpoint else "",
+        pool=endpoint.pool if endpoint else "",
+        kind=endpoint.kind if endpoint else "",
+        slots=endpoint.slots if endpoint else 0,
+    )
+
+
+def _session_settings(settings: ProcessSettings) -> SessionSettings:
+    times = settings.times
+    return SessionSettings(heartbeat=times.heartbeat, silence=times.session_silence)
+
+
+def _secrets(settings: ProcessSettings) -> tuple[bytes, ...]:
+    return tuple(each.encode() for each in settings.secrets)
+
+
+def _guard(settings: ProcessSettings, host: Host) -> Callable[[str], HttpGuard]:
+    bounds = HttpGuardSettings(
+        header_bytes=settings.bounds.header,
+        body_bytes=settings.bounds.body,
+        request_seconds=settings.bounds.request_time,
+    )
+    return lambda channel: HttpGuard(channel, host.timers, bounds)
+
+
+def build_agent(
+    settings: AgentSettings,
+    host: Host,
+    platform: Platform,
+    endpoint: ModelEngine | PlainService,
+    stopped: Callable[[], None],
+) -> Running:
+    """Wire an agent; nothing runs before `start`."""
+    incarnation = _incarnation(settings)
+    rng = Random(f"{settings.seed}:{incarnation}")
+    requests = AgentRequests(
+        incarnation,
+        QUEUES[settings.queue](),
+        settings.endpoint.slots,
+        AgentRequestSettings(
+            kept_seconds=settings.bounds.kept_answer_time, kept_bytes=settings.bounds.kept_answers
+        ),
+    )
+    parts = AgentParts(incarnation, host.timers, requests, settings.times.drain_grace, stopped)
+    daemon = AgentDaemon(parts)
+    connections = Connections(
+        lambda: _hello(settings, VmRole.AGENT, incarnation),
+        _secrets(settings),
+        daemon.peers,
+        host.timers,
+        _session_settings(settings),
+        settings.sessions,
+    ).register(host.root)
+    daemon.peers.bind(connections)
+    follower = CatalogueFollower(
+        platform.table,
+        platform.objects,
+        host.timers,
+        rng,
+        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
+    )
+    if isinstance(endpoint, ModelEngine):
+        attributions = Attributions()
+        executions = EngineExecutions(incarnation, daemon, endpoint, attributions, host.timers)
+        watch = EngineWatch(
+            host.timers, daemon.drain, endpoint, lambda state: _observe(attributions, host, state)
+        )
+        weights = None
+    else:
+        executions = ServiceExecutions(incarnation, daemon, endpoint)
+        watch = ServiceWatch(host.timers, daemon.drain, endpoint)
+        weights = None
+    daemon.bind(executions, follower, watch, weights)
+    vm_watch = VmWatch(platform.vms, host.timers, rng)
+    vm_watch.on_leaving(settings.vm, daemon.drain)
+    operators = _serve_operators(
+        settings, host, AgentStatus(incarnation, daemon, connections), None, None
+    )
+
+    def start() -> None:
+        daemon.start()
+        vm_watch.start()
+
+    def close() -> None:
+        vm_watch.close()
+        daemon.close()
+
+    return Running(start, daemon.drain, close, None, operators, connections, daemon)
+
+
+def _observe(attributions: Attributions, host: Host, state: EngineState) -> None:
+    now = host.timers.now()
+    for loaded in state.models:
+        attributions.record(now, loaded.model).reported(now, loaded.version)
+
+
+def _serve_operators(settings, host, status, editor, tokens) -> HttpServer:
+    api = OperatorApi(status, editor, tokens, host.timers)
+    return HttpServer(
+        settings.operators, f"operators_{settings.vm}", api.handle, _guard(settings, host)
+    ).register(host.root)
+
+
+def build_entry(
+    settings: EntrySettings, host: Host, platform: Platform, stopped: Callable[[], None]
+) -> Running:
+    """Wire an entry; nothing runs before `start`."""
+    incarnation = _incarnation(settings)
+    rng = Random(f"{settings.seed}:{incarnation}")
+    home = FailureDomain(settings.failure_domain, settings.region)
+    router = ROUTERS[settings.router](home, settings.seed)
+    histograms = Histograms()
+    limiter = EntryLimiter(settings.vm)
+    requests = EntryRequests(
+        incarnation,
+        router,
+        EntryRequestSettings(notice_seconds=settings.times.balancer_notice),
+    )
+    daemon = EntryDaemon(
+        EntryParts(
+            incarnation,
+            host.timers,
+            requests,
+            limiter,
+            histograms,
+            stopped,
+            lambda: getattr(router, "paid_bytes", {}),
+        )
+    )
+    connections = Connections(
+        lambda: _hello(settings, VmRole.ENTRY, incarnation),
+        _secrets(settings),
+        daemon.peers,
+        host.timers,
+        _session_settings(settings),
+    ).register(host.root)
+    daemon.peers.bind(connections)
+    follower = CatalogueFollower(
+        platform.table,
+        platform.objects,
+        host.timers,
+        rng,
+        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
+    )
+    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, rng)
+    vm_watch = VmWatch(platform.vms, host.timers, rng)
+    claims = Claims(
+        incarnation,
+        platform.table,
+        host.timers,
+        daemon.claim_answered,
+        vm_watch.is_live,
+        time.time,
+    )
+    daemon.bind(follower, dialer, claims)
+    vm_watch.on_leaving(settings.vm, daemon.drain)
+    vm_watch.on_change(daemon.vms_changed)
+    draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms)
+    newest = NewestVersionPoll(
+        host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
+    )
+    tokens = TokenChecker(platform.table, host.timers)
+    numbers = iter(range(1, 2**62))
+    api = CallerApi(daemon, tokens, draws, lambda: f"{incarnation}-{next(numbers)}")
+    callers = HttpServer(
+        settings.callers, f"callers_{settings.vm}", api.handle, _guard(settings, host)
+    ).register(host.root)
+    editor = CatalogueEditor(platform.table, platform.objects, host.timers, rng)
+    status = EntryStatus(incarnation, daemon, connections, histograms, draws, limiter, claims)
+    operators = _serve_operators(settings, host, status, editor, tokens)
+
+    def start() -> None:
+        daemon.start()
+        vm_watch.start()
+        newest.start()
+
+    def close() -> None:
+        newest.close()
+        vm_watch.close()
+        draws.close()
+        claims.close()
+        daemon.close()
+
+    return Running(start, daemon.drain, close, callers, operators, connections, daemon)
--- a/pumicedeck/connections.py
+++ b/pumicedeck/connections.py
@@ -1,6 +1,7 @@
 """TCP connections that carry sessions, on circuits' loop."""
 
 import errno
+import itertools
 import socket
 from collections.abc import Callable
 
@@ -20,6 +21,8 @@
 
 _log = logger.bind(module="connections")
 
+_CHANNEL_NUMBERS = itertools.count(1)
+
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 TICK_SECONDS = 0.25
 
@@ -59,8 +62,6 @@
     writability instead.
     """
 
-    channel = "sessions"
-
     def __init__(
         self,
         hello: Callable[[], Hello],
@@ -72,7 +73,10 @@
     ) -> None:
         """Introduce this process with `hello()`; `listen` is None in a process that only dials."""
         self._listens = listen is not None
-        super().__init__((listen.host, listen.port) if listen else None, channel=self.channel)
+        super().__init__(
+            (listen.host, listen.port) if listen else None,
+            channel=f"sessions_{next(_CHANNEL_NUMBERS)}",
+        )
         self._hello = hello
         self._secrets = secrets
         self._events = events
--- /dev/null
+++ b/pumicedeck/edit_documents.py
@@ -0,0 +1,140 @@
+"""The JSON form of catalogue edits and of what operators read."""
+
+import json
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_diffs import render_rows
+from pumicedeck.catalogue_documents import (
+    catalogue_document,
+    entry_document,
+    parse_entry,
+    parse_pool,
+    pool_document,
+)
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry
+from pumicedeck.catalogue_rows import (
+    CatalogueChange,
+    RowKind,
+    RowName,
+    RowValue,
+    StoredCatalogue,
+)
+from pumicedeck.edits import MAX_ROWS_PER_EDIT, Edit, RowEdit
+from pumicedeck.results import Failure, ResultCode
+
+
+class _Document(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class RowEditDocument(_Document):
+    """Put `document`, or delete the row when it is null; `seen` is the revision as read."""
+
+    kind: Annotated[RowKind, Field(strict=False)]
+    name: str = Field(min_length=1)
+    seen: int = Field(ge=0)
+    document: dict[str, Any] | None
+
+
+class EditDocument(_Document):
+    """Row edits that take effect together or not at all."""
+
+    change_id: str
+    rows: list[RowEditDocument] = Field(min_length=1, max_length=MAX_ROWS_PER_EDIT)
+
+
+def row_document(value: RowValue) -> dict[str, Any]:
+    """Return the JSON form of an entry or pool without its name."""
+    if isinstance(value, CatalogueEntry):
+        return entry_document(value)
+    return pool_document(value)
+
+
+def parse_edit(body: bytes, operator: str, time: str) -> Result[Edit, Failure]:
+    """Check the JSON of an edit; `time` is wall time as text."""
+    try:
+        document = EditDocument.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors()[0]
+        path = ".".join(str(part) for part in first["loc"]) or "(top)"
+        return Err(Failure(ResultCode.BAD_REQUEST, f"{path}: {first['msg']}"))
+    rows = []
+    for each in document.rows:
+        value = _value(each)
+        if isinstance(value, Err):
+            return value
+        rows.append(RowEdit(RowName(each.kind, each.name), value.ok_value, each.seen))
+    return Ok(Edit(document.change_id, operator, time, tuple(rows)))
+
+
+def _value(row: RowEditDocument) -> Result[RowValue | None, Failure]:
+    if row.document is None:
+        return Ok(None)
+    parse = parse_entry if row.kind is RowKind.ENTRY else parse_pool
+    return parse(row.name, json.dumps(row.document))
+
+
+def edit_document(edit: Edit) -> dict[str, Any]:
+    """Return the JSON form of an edit."""
+    rows = [
+        {
+            "kind": str(each.name.kind),
+            "name": each.name.name,
+            "seen": each.seen,
+            "document": None if each.value is None else row_document(each.value),
+        }
+        for each in edit.rows
+    ]
+    return {"change_id": edit.change_id, "rows": rows}
+
+
+def change_document(change: CatalogueChange) -> dict[str, Any]:
+    """Return the JSON form of an accepted or planned change."""
+    return {
+        "revision": change.revision,
+        "change_id": change.change_id,
+        "operator": change.operator,
+        "time": change.time,
+        "diff": render_rows(change.rows).splitlines(),
+    }
+
+
+def stored_document(stored: StoredCatalogue) -> dict[str, Any]:
+    """Return the JSON form of the catalogue with the revision of each row."""
+    return {
+        "revision": stored.revision,
+        "catalogue": catalogue_document(stored.catalogue),
+        "rows": {row.name.key: row.revision for row in stored.rows},
+    }
+
+
+def seen_revision(row_revision: int, read_revision: int) -> int:
+    """Return the revision of a row as of the catalogue revision that the operator read.
+
+    A row that changed later gets a revision that no longer matches, so that the edit is refused.
+    """
+    return row_revision if row_revision <= read_revision else read_revision
+
+
+def edit_rows(
+    wanted: Catalogue,
+    current: Catalogue,
+    row_revisions: dict[str, int],
+    read_revision: int,
+    deletes: tuple[RowName, ...],
+) -> tuple[RowEdit, ...]:
+    """Return the edits that put what is wanted and differs, and delete what is named."""
+    puts: list[tuple[RowName, RowValue]] = []
+    for kind, values, find in (
+        (RowKind.ENTRY, wanted.entries, current.entry),
+        (RowKind.POOL, wanted.pools, current.pool),
+    ):
+        puts += [(RowName(kind, each.name), each) for each in values if find(each.name) != each]
+    named: list[tuple[RowName, RowValue | None]] = [*puts, *((name, None) for name in deletes)]
+    return tuple(
+        RowEdit(name, value, seen_revision(row_revisions.get(name.key, 0), read_revision))
+        for name, value in named
+    )
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -1,6 +1,6 @@
 """The entry: carries events between callers, the request state machine and the agents."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -32,13 +32,14 @@
     CatalogueCopy,
     CatalogueRequest,
     Heartbeat,
+    Leaving,
     Message,
 )
 from pumicedeck.peers import Peers
 from pumicedeck.results import Failure
 from pumicedeck.routers import Candidate
 from pumicedeck.wakeups import Wakeup
-from pumicedeck.world import Endpoint, EndpointKind, FailureDomain
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Vm, VmRole, VmState
 
 _log = logger.bind(module="entry")
 
@@ -59,8 +60,8 @@
 class ClaimWriter(Protocol):
     """Writes the claims of non-idempotent requests and their outcomes."""
 
-    def claim(self, claim: WriteClaim, done: Callable[[ClaimOutcome], None]) -> None:
-        """Insert a claim row."""
+    def claim(self, write: WriteClaim) -> None:
+        """Insert a claim row; the daemon's `claim_answered` hears of it."""
 
     def record(self, outcome: RecordOutcome) -> None:
         """Write the outcome into a claim row."""
@@ -75,8 +76,8 @@
     requests: EntryRequests
     limiter: EntryLimiter
     histograms: Histograms
-    claims: ClaimWriter
     drained: Callable[[], None]
+    paid_bytes: Callable[[], dict[str, int]]
 
 
 @dataclass(slots=True)
@@ -98,8 +99,10 @@
         self._peers = Peers(self)
         self._submitted: dict[str, _Submitted] = {}
         self._beats = 0
+        self._revisions: dict[str, int] = {}
         self._follower: CatalogueFollower | None = None
         self._dialer: AgentDialer | None = None
+        self._claims: ClaimWriter | None = None
         self._is_draining = False
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
 
@@ -123,8 +126,19 @@
         """Return whether the balancer should send callers here."""
         return not self._is_draining and self.catalogue.revision > 0
 
-    def bind(self, follower: CatalogueFollower, dialer: AgentDialer) -> None:
+    @property
+    def agent_revisions(self) -> dict[str, int]:
+        """Return the catalogue revision that each reachable agent reported last."""
+        return dict(self._revisions)
+
+    @property
+    def paid_bytes(self) -> dict[str, int]:
+        """Return the bytes sent over paid links, by firm."""
+        return self._parts.paid_bytes()
+
+    def bind(self, follower: CatalogueFollower, dialer: AgentDialer, claims: ClaimWriter) -> None:
         """Complete the wiring."""
+        self._claims = claims
         self._follower = follower
         self._dialer = dialer
 
@@ -152,6 +166,18 @@
         _log.info("catalogue installed", revision=catalogue.revision)
         self._parts.limiter.configure(self._timers.now(), catalogue)
 
+    def announce(self, revision: int) -> None:
+        """Tell every agent at once which catalogue revision is in force here."""
+        self._peers.send_to_all(self.heartbeat())
+
+    def vms_changed(self, vms: tuple[Vm, ...]) -> None:
+        """Keep sessions to the agents of the list and split limits among its entries."""
+        agents = [each for each in vms if each.role is VmRole.AGENT]
+        self._dialer.want_only(each for each in agents if each.state is VmState.LIVE)
+        self._stop_work_for(each.name for each in agents if each.state is VmState.LEAVING)
+        entries = [each.name for each in vms if each.role is VmRole.ENTRY]
+        self._parts.limiter.set_members(self._timers.now(), entries)
+
     def submit(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Admit a checked request under its entry's limits."""
         now = self._timers.now()
@@ -182,6 +208,7 @@
     def session_lost(self, peer: Hello) -> None:
         """Take an agent out of the choice."""
         self._perform(self._requests.session_lost(self._timers.now(), peer.incarnation))
+        self._revisions.pop(peer.incarnation, None)
         self._follower.peer_lost(peer.incarnation)
 
     def message(self, peer: Hello, message: Message) -> None:
@@ -190,6 +217,7 @@
             self._follower.message(peer.incarnation, message)
             return
         if isinstance(message, Heartbeat):
+            self._revisions[peer.incarnation] = message.revision
             self._follower.peer_revision(peer.incarnation, message.revision)
         now = self._timers.now()
         self._perform(self._requests.message(now, peer.incarnation, message))
@@ -204,10 +232,18 @@
         revision = self._follower.revision
         return Heartbeat(self._beats, revision, floor=self._requests.floor)
 
+    def _stop_work_for(self, vms: Iterable[str]) -> None:
+        leaving = set(vms)
+        for agent in self._peers.incarnations:
+            if agent.partition("/")[0] in leaving:
+                notice = Leaving("listed as leaving", 0.0)
+                self._perform(self._requests.message(self._timers.now(), agent, notice))
+
     def _on_time(self, now: float) -> None:
         self._perform(self._requests.on_time(now))
 
-    def _claim_answered(self, handle: str, outcome: ClaimOutcome) -> None:
+    def claim_answered(self, handle: str, outcome: ClaimOutcome) -> None:
+        """Take the outcome of a claim."""
         now = self._timers.now()
         self._perform(self._requests.claim_answered(now, handle, outcome))
 
@@ -222,18 +258,15 @@
                     self._deliver_answer(handle, answer)
                 case DeliverFailure(handle, failure):
                     self._deliver_failure(handle, failure)
-                case WriteClaim(handle):
-                    self._claim(handle, action)
+                case WriteClaim():
+                    self._claims.claim(action)
                 case RecordOutcome():
-                    self._parts.claims.record(action)
+                    self._claims.record(action)
                 case Drained():
                     _log.info("drained")
                     self._parts.drained()
         self._wakeup.refresh()
 
-    def _claim(self, handle: str, claim: WriteClaim) -> None:
-        self._parts.claims.claim(claim, lambda outcome: self._claim_answered(handle, outcome))
-
     def _deliver_chunk(self, handle: str, data: bytes) -> None:
         held = self._submitted.get(handle)
         if held is None:
--- /dev/null
+++ b/pumicedeck/operator_api.py
@@ -0,0 +1,239 @@
+"""HTTP for operators: health, readiness, status, histograms and the catalogue."""
+
+from collections.abc import Callable
+from dataclasses import asdict
+from datetime import UTC, datetime
+from typing import Any, Protocol
+from urllib.parse import parse_qs
+
+from result import Err, Result
+
+from pumicedeck.agent_daemons import AgentDaemon
+from pumicedeck.catalogue_documents import catalogue_document
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.claims import Claims
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.connections import Connections
+from pumicedeck.draw_sessions import DrawSessions
+from pumicedeck.edit_documents import change_document, parse_edit, stored_document
+from pumicedeck.entry_daemons import EntryDaemon
+from pumicedeck.histograms import Histograms
+from pumicedeck.http_servers import HttpExchange
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.tokens import Principal, TokenChecker
+
+MAX_HISTORY = 50
+
+
+class ProcessStatus(Protocol):
+    """What a process tells operators of itself."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the process takes new work."""
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document."""
+
+    def histograms(self) -> dict[str, Any]:
+        """Return the histograms document."""
+
+
+class AgentStatus:
+    """Status of an agent."""
+
+    def __init__(self, incarnation: str, daemon: AgentDaemon, connections: Connections) -> None:
+        """Describe `daemon`."""
+        self._incarnation = incarnation
+        self._daemon = daemon
+        self._connections = connections
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the agent takes new work."""
+        return self._daemon.is_ready
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document."""
+        return {
+            "role": "agent",
+            "incarnation": self._incarnation,
+            "ready": self.is_ready,
+            "revision": self._daemon.revision,
+            "sessions": list(self._daemon.peers.incarnations),
+            "rejected_connections": self._connections.rejected,
+            "load": asdict(self._daemon.load()),
+            "requests": asdict(self._daemon.requests.counters),
+        }
+
+    def histograms(self) -> dict[str, Any]:
+        """Return no histograms: durations are recorded at entries."""
+        return {"series": []}
+
+
+class EntryStatus:
+    """Status of an entry with what it knows of its agents."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        daemon: EntryDaemon,
+        connections: Connections,
+        histograms: Histograms,
+        draws: DrawSessions,
+        limiter: EntryLimiter,
+        claims: Claims,
+    ) -> None:
+        """Describe `daemon`."""
+        self._incarnation = incarnation
+        self._daemon = daemon
+        self._connections = connections
+        self._histograms = histograms
+        self._draws = draws
+        self._limiter = limiter
+        self._claims = claims
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self._daemon.is_ready
+
+    def status(self) -> dict[str, Any]:
+        """Return the status document; `behind` names the agents with an older catalogue."""
+        revision = self._daemon.catalogue.revision
+        agents = self._daemon.agent_revisions
+        return {
+            "role": "entry",
+            "incarnation": self._incarnation,
+            "ready": self.is_ready,
+            "revision": revision,
+            "agents": agents,
+            "behind": sorted(name for name, seen in agents.items() if seen < revision),
+            "pending": self._daemon.requests.pending,
+            "requests": asdict(self._daemon.requests.counters),
+            "claims": asdict(self._claims.counters),
+            "draws": {
+                "open": self._draws.coordinator.open_draws,
+                **asdict(self._draws.coordinator.counts),
+            },
+            "paid_bytes": self._daemon.paid_bytes,
+        }
+
+    def histograms(self) -> dict[str, Any]:
+        """Return a summary and the HDR interchange form of every series."""
+        encoded = self._histograms.encoded()
+        series = []
+        for each in self._histograms.summaries():
+            document = asdict(each)
+            document.update(document.pop("series"))
+            name = f"{each.series.firm}/{each.series.request_class}/{each.series.measure}"
+            series.append({**document, "hdr": encoded[name]})
+        return {"series": series}
+
+
+class OperatorApi:
+    """Serves the operators' address of a process; only an entry has an editor."""
+
+    def __init__(
+        self,
+        status: ProcessStatus,
+        editor: CatalogueEditor | None,
+        tokens: TokenChecker | None,
+        timers: TimerQueue,
+    ) -> None:
+        """Describe `status`; edits go to `editor`."""
+        self._status = status
+        self._editor = editor
+        self._tokens = tokens
+        self._timers = timers
+        self._routes: dict[tuple[str, str], Callable[[HttpExchange, Principal], None]] = {
+            ("GET", "/v1/catalogue"): self._get_catalogue,
+            ("GET", "/v1/catalogue/history"): self._get_history,
+            ("POST", "/v1/catalogue/edits"): self._post_edit,
+            ("GET", "/v1/catalogue/changes"): self._get_change,
+        }
+
+    def handle(self, exchange: HttpExchange) -> None:
+        """Take a request of any kind."""
+        match exchange.method, exchange.path:
+            case "GET", "/health":
+                exchange.answer_json(200, {"healthy": True})
+            case "GET", "/ready":
+                ready = self._status.is_ready
+                exchange.answer_json(200 if ready else 503, {"ready": ready})
+            case "GET", "/v1/status":
+                exchange.answer_json(200, self._status.status())
+            case "GET", "/v1/histograms":
+                exchange.answer_json(200, self._status.histograms())
+            case key:
+                self._protected(exchange, self._routes.get(key))
+
+    def _protected(
+        self,
+        exchange: HttpExchange,
+        route: Callable[[HttpExchange, Principal], None] | None,
+    ) -> None:
+        if route is None or self._editor is None:
+            exchange.fail(Failure(ResultCode.NOT_FOUND, exchange.path))
+            return
+
+        def checked(principal: Result[Principal, Failure]) -> None:
+            if isinstance(principal, Err):
+                exchange.fail(principal.err_value)
+            elif not principal.ok_value.is_operator:
+                exchange.fail(Failure(ResultCode.FORBIDDEN, "expected an operator's token"))
+            else:
+                route(exchange, principal.ok_value)
+
+        self._tokens.check(exchange.header("Authorization"), checked)
+
+    def _get_catalogue(self, exchange: HttpExchange, principal: Principal) -> None:
+        self._editor.read(_answering(exchange, stored_document))
+
+    def _get_history(self, exchange: HttpExchange, principal: Principal) -> None:
+        self._editor.history(
+            MAX_HISTORY,
+            _answering(
+                exchange,
+                lambda read: {
+                    "revision": read.head_revision,
+                    "changes": [change_document(each) for each in read.changes],
+                },
+            ),
+        )
+
+    def _get_change(self, exchange: HttpExchange, principal: Principal) -> None:
+        change_id = (parse_qs(exchange.query).get("id") or [""])[0]
+        self._editor.resolve(change_id, _answering(exchange, asdict))
+
+    def _post_edit(self, exchange: HttpExchange, principal: Principal) -> None:
+        now = datetime.now(UTC).isoformat(timespec="seconds")
+        edit = parse_edit(exchange.body, principal.name, now)
+        if isinstance(edit, Err):
+            exchange.fail(edit.err_value)
+        elif exchange.query == "dry_run=true":
+            self._editor.dry_run(
+                edit.ok_value,
+                _answering(
+                    exchange,
+                    lambda plan: {
+                        "change": change_document(plan.change),
+                        "catalogue": catalogue_document(plan.catalogue),
+                    },
+                ),
+            )
+        else:
+            self._editor.submit(edit.ok_value, _answering(exchange, asdict))
+
+
+def _answering(
+    exchange: HttpExchange, document: Callable[[Any], dict[str, Any]]
+) -> Callable[[Result[Any, Failure]], None]:
+    def done(outcome: Result[Any, Failure]) -> None:
+        if isinstance(outcome, Err):
+            exchange.fail(outcome.err_value)
+        else:
+            exchange.answer_json(200, document(outcome.ok_value))
+
+    return done
--- /dev/null
+++ b/pumicedeck/processes.py
@@ -0,0 +1,48 @@
+"""A process: the circuits loop, its timers and the reaction to signals."""
+
+import signal as signals
+from collections.abc import Callable
+
+from circuits import Component, handler
+from circuits.core.pollers import EPoll
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.loops import LoopTimers
+
+STOP_SECONDS = 0.2
+
+
+class Process(Component):
+    """Owns the one loop; `drain` is called at the first SIGTERM or SIGINT."""
+
+    channel = "process"
+
+    def __init__(self) -> None:
+        """Make a loop with a poller that has no bound on descriptors."""
+        super().__init__()
+        # The first poller that is registered is the one that sockets use.
+        EPoll().register(self)
+        self._timers = LoopTimers().register(self).timers
+        self._drain: Callable[[], None] = self.finish
+
+    @property
+    def timers(self) -> TimerQueue:
+        """Return the loop's timers."""
+        return self._timers
+
+    def on_signal(self, drain: Callable[[], None]) -> None:
+        """Call `drain` when the process is asked to end."""
+        self._drain = drain
+
+    def finish(self) -> None:
+        """End the loop after what is being written has had a moment to leave."""
+        self._timers.call_later(STOP_SECONDS, self.stop)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, number, stack):
+        """Drain at the first signal and end at once at the second."""
+        event.stop()
+        if number not in (signals.SIGTERM, signals.SIGINT):
+            return
+        drain, self._drain = self._drain, self.stop
+        drain()
