--- /dev/null
+++ b/pumicedeck/claim_rows.py
@@ -0,0 +1,132 @@
+"""Claim rows in the table service: their keys, their form and the age of request ids.
+
+A request id that is a UUID of version 7 carries its time. Its row is kept under the hour of that
+time, so that old rows are found together. The age of any other id is unknown: its row is kept.
+"""
+
+import base64
+import json
+from dataclasses import dataclass, replace
+from uuid import UUID
+
+from pumicedeck.actions import CallerAnswer
+from pumicedeck.results import Execution, ResultCode
+
+CLAIMS_TABLE = "claims"
+WATERMARK_KEY = "watermark"
+TIMED_PREFIX = "t/"
+OPAQUE_PREFIX = "o/"
+BUCKET_SECONDS = 3600
+
+_UUID_LENGTH = 36
+_UUID_VERSION = 7
+_UUID_TIME_SHIFT = 80
+_MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRow:
+    """Who claimed a request, with which body, and what came of it; no code while it runs.
+
+    `nonce` tells one claim of an entry incarnation from another.
+    """
+
+    holder: str
+    nonce: int
+    digest: str
+    code: int | None = None
+    answer: CallerAnswer | None = None
+
+    @property
+    def is_proven_not_run(self) -> bool:
+        """Return whether the holder recorded that the request did not run."""
+        if self.code is None:
+            return False
+        return ResultCode(self.code).info.execution is Execution.NOT_RUN
+
+    def finished(self, code: int, answer: CallerAnswer | None, max_bytes: int) -> "ClaimRow":
+        """Return the row with its outcome; an answer that is too large is not kept."""
+        kept = answer
+        if answer and (len(answer.body) > max_bytes or len(answer.body) != answer.length):
+            kept = None
+        return replace(self, code=code, answer=kept)
+
+
+def request_second(request_id: str) -> int | None:
+    """Return the Unix second that a request id carries, if it carries one."""
+    if len(request_id) != _UUID_LENGTH:
+        return None
+    try:
+        parsed = UUID(request_id)
+    except ValueError:
+        return None
+    if parsed.version != _UUID_VERSION:
+        return None
+    return (parsed.int >> _UUID_TIME_SHIFT) // _MILLISECONDS
+
+
+def claim_key(firm: str, request_id: str) -> str:
+    """Return the key of a claim row."""
+    second = request_second(request_id)
+    if second is None:
+        return f"{OPAQUE_PREFIX}{firm}/{request_id}"
+    return f"{TIMED_PREFIX}{second // BUCKET_SECONDS:010d}/{firm}/{request_id}"
+
+
+def bucket_end(key: str) -> int:
+    """Return the Unix second at which the bucket of a timed key ends."""
+    bucket = key.removeprefix(TIMED_PREFIX).partition("/")[0]
+    return (int(bucket) + 1) * BUCKET_SECONDS
+
+
+def encode_row(row: ClaimRow) -> bytes:
+    """Return the stored form of a claim row."""
+    document = {
+        "holder": row.holder,
+        "nonce": row.nonce,
+        "digest": row.digest,
+        "code": row.code,
+        "answer": _answer_document(row.answer) if row.answer else None,
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_row(value: bytes) -> ClaimRow:
+    """Return the claim row of a stored form."""
+    document = json.loads(value)
+    answer = document["answer"]
+    return ClaimRow(
+        document["holder"],
+        document["nonce"],
+        document["digest"],
+        document["code"],
+        _read_answer(answer) if answer else None,
+    )
+
+
+def _answer_document(answer: CallerAnswer) -> dict[str, object]:
+    return {
+        "status": answer.status,
+        "content_type": answer.content_type,
+        "body": base64.b64encode(answer.body).decode(),
+        "digest": answer.digest,
+        "tokens": answer.tokens,
+        "versions": answer.versions,
+        "bracketed": answer.bracketed,
+        "agent": answer.agent,
+    }
+
+
+def _read_answer(document: dict) -> CallerAnswer:
+    body = base64.b64decode(document["body"])
+    return CallerAnswer(
+        status=document["status"],
+        content_type=document["content_type"],
+        body=body,
+        length=len(body),
+        digest=document["digest"],
+        tokens=document["tokens"],
+        versions=tuple(document["versions"]),
+        bracketed=document["bracketed"],
+        agent=document["agent"],
+    )
--- /dev/null
+++ b/pumicedeck/claim_sweeps.py
@@ -0,0 +1,150 @@
+"""Removes claim rows that outlived the retry time promised to callers.
+
+The watermark is raised before rows below it are deleted, and every claim checks the watermark in
+its transaction, so an id whose row is gone is refused and never taken as new, whatever the clocks
+of the VMs show. The wall clock only decides how soon that happens.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+
+from result import Err, Result
+
+from pumicedeck.claim_rows import CLAIMS_TABLE, TIMED_PREFIX, WATERMARK_KEY, bucket_end
+from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.platforms import (
+    Committed,
+    Condition,
+    Row,
+    StoreKey,
+    TableStore,
+    Transaction,
+    Write,
+)
+from pumicedeck.results import Failure
+from pumicedeck.timeouts import TimedTableStore
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSweepSettings:
+    """Times in seconds and the write budget of a sweep.
+
+    `retry_seconds` is how long callers may repeat a request id; rows live `margin_seconds` longer.
+    """
+
+    retry_seconds: float = 3600.0
+    margin_seconds: float = 600.0
+    sweep_seconds: float = 600.0
+    call_seconds: float = 2.0
+    transaction_rows: int = 256
+    transaction_seconds: float = 0.5
+
+
+@dataclass(slots=True)
+class ClaimSweepCounters:
+    """Counts since the start of the process."""
+
+    watermarks: int = 0
+    transactions: int = 0
+    rows_deleted: int = 0
+    failures: int = 0
+
+
+class ClaimSweeps:
+    """Raises the watermark now and then; whoever raised it deletes what is below."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        timers: TimerQueue,
+        wall_clock: Callable[[], float],
+        random: Random,
+        settings: ClaimSweepSettings | None = None,
+    ) -> None:
+        """Sweep `store` within its write budget."""
+        self._settings = settings or ClaimSweepSettings()
+        self._store = TimedTableStore(store, timers, self._settings.call_seconds)
+        self._timers = timers
+        self._wall_clock = wall_clock
+        self._random = random
+        self._watermark = 0
+        self._timer: Timer | None = None
+        self._counters = ClaimSweepCounters()
+
+    @property
+    def counters(self) -> ClaimSweepCounters:
+        """Return a copy of the counts."""
+        return replace(self._counters)
+
+    def start(self) -> None:
+        """Begin to sweep, at a random moment of the first interval."""
+        self._after(self._random.uniform(0.0, self._settings.sweep_seconds), self._read_watermark)
+
+    def close(self) -> None:
+        """Stop sweeping."""
+        if self._timer:
+            self._timer.cancel()
+
+    def _after(self, seconds: float, step: Callable[[], None]) -> None:
+        self._timer = self._timers.call_later(seconds, step)
+
+    def _pause(self) -> None:
+        jitter = self._random.uniform(0.9, 1.1)
+        self._after(self._settings.sweep_seconds * jitter, self._read_watermark)
+
+    def _failed(self) -> None:
+        self._counters.failures += 1
+        self._pause()
+
+    def _read_watermark(self) -> None:
+        self._store.read((StoreKey(CLAIMS_TABLE, WATERMARK_KEY),), self._watermark_read)
+
+    def _watermark_read(self, result: Result[tuple[Row, ...], Failure]) -> None:
+        if isinstance(result, Err):
+            self._failed()
+            return
+        row = result.ok_value[0]
+        lifetime = self._settings.retry_seconds + self._settings.margin_seconds
+        wanted = int(self._wall_clock() - lifetime)
+        if wanted < int(row.value or b"0") + self._settings.sweep_seconds:
+            self._pause()
+            return
+        condition = Condition(CLAIMS_TABLE, WATERMARK_KEY, row.revision)
+        write = Write(CLAIMS_TABLE, WATERMARK_KEY, str(wanted).encode())
+        self._counters.transactions += 1
+        self._store.commit(
+            Transaction((condition,), (write,)), lambda done: self._raised(wanted, done)
+        )
+
+    def _raised(self, watermark: int, result: Result[Committed, Failure]) -> None:
+        if isinstance(result, Err):
+            self._failed()
+            return
+        self._counters.watermarks += 1
+        self._watermark = watermark
+        self._scan()
+
+    def _scan(self) -> None:
+        limit = self._settings.transaction_rows
+        self._store.scan(CLAIMS_TABLE, TIMED_PREFIX, limit, self._scanned)
+
+    def _scanned(self, result: Result[tuple[Row, ...], Failure]) -> None:
+        if isinstance(result, Err):
+            self._failed()
+            return
+        old = [row for row in result.ok_value if bucket_end(row.key) <= self._watermark]
+        if not old:
+            self._pause()
+            return
+        conditions = tuple(Condition(CLAIMS_TABLE, row.key, row.revision) for row in old)
+        writes = tuple(Write(CLAIMS_TABLE, row.key, None) for row in old)
+        self._counters.transactions += 1
+        self._store.commit(Transaction(conditions, writes), self._deleted)
+
+    def _deleted(self, result: Result[Committed, Failure]) -> None:
+        if isinstance(result, Err):
+            self._failed()
+            return
+        self._counters.rows_deleted += len(result.ok_value.revisions)
+        self._after(self._settings.transaction_seconds, self._scan)
--- a/pumicedeck/entry_requests.py
+++ b/pumicedeck/entry_requests.py
@@ -89,7 +89,7 @@
             return [DeliverFailure(request.handle, refusal)]
         self._attempts.earn_retry()
         pending = self._admit(now, request)
-        if request.idempotent:
+        if request.idempotent or not request.repeatable:
             return self._attempts.route(now, pending)
         self._counters.claims += 1
         self._pending.enter(pending, RequestPhase.CLAIMING, now + self._settings.claim_seconds)
--- /dev/null
+++ b/pumicedeck/tests/test_claims.py
@@ -0,0 +1,189 @@
+"""Tests of claims, recorded outcomes and sweeps against the stand-in table service."""
+
+from random import Random
+
+import pytest
+from result import Err
+
+from pumicedeck.actions import CallerAnswer, RecordOutcome, WriteClaim
+from pumicedeck.claim_outcomes import Claimed, ClaimOutcome, RecordedAnswer
+from pumicedeck.claim_rows import claim_key
+from pumicedeck.claim_sweeps import ClaimSweeps, ClaimSweepSettings
+from pumicedeck.claims import Claims, ClaimSettings
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.faults import Fault, FaultSwitches
+from pumicedeck.results import ResultCode
+from pumicedeck.standin_tables import StandinTableStore, StoreLimits, TableData
+
+BOOKED = CallerAnswer(200, "text/plain", b"booked", 6, "d")
+WALL_START = 1_800_000_000.0
+
+
+def uuid7(second: float, number: int = 0) -> str:
+    digits = f"{int(second * 1000):012x}7{number:03x}8{number:015x}"
+    return "-".join((digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:]))
+
+
+class World:
+    """Entries that share one table service."""
+
+    def __init__(self) -> None:
+        self.time = VirtualTime()
+        self.data = TableData()
+        self.live = {"a/1", "b/1"}
+        self.answers: dict[str, ClaimOutcome] = {}
+        self.stores: dict[str, StandinTableStore] = {}
+
+    def entry(self, name: str, **settings: object) -> Claims:
+        limits = StoreLimits(latency=0.002)
+        store = StandinTableStore(self.time, FaultSwitches(), self.data, limits)
+        self.stores[name] = store
+        return Claims(
+            name,
+            store,
+            self.time,
+            self.answers.__setitem__,
+            lambda holder: holder in self.live,
+            self.wall,
+            ClaimSettings(**settings),
+        )
+
+    def wall(self) -> float:
+        return WALL_START + self.time.now()
+
+    def claim(self, entry: Claims, handle: str, name: str = "r", digest: str = "x") -> object:
+        entry.claim(WriteClaim(handle, "f", name, digest))
+        self.run(3.0)
+        outcome = self.answers[handle]
+        return outcome.err_value.code if isinstance(outcome, Err) else outcome.ok_value
+
+    def record(self, entry: Claims, code: ResultCode, answer: CallerAnswer | None = None) -> None:
+        entry.record(RecordOutcome("f", "r", int(code), answer))
+        self.run(3.0)
+
+    def run(self, seconds: float) -> None:
+        self.time.run_until(self.time.now() + seconds)
+
+
+def test_a_repetition_on_another_entry_gets_what_became_of_the_first() -> None:
+    world = World()
+    first, second = world.entry("a/1"), world.entry("b/1")
+    assert world.claim(first, "h1") == Claimed()
+    assert world.claim(second, "h2") is ResultCode.IN_PROGRESS
+    assert world.claim(first, "h3") is ResultCode.IN_PROGRESS
+    assert world.claim(second, "h4", digest="y") is ResultCode.REQUEST_ID_REUSED
+    world.record(first, ResultCode.OK, BOOKED)
+    assert first.unrecorded == 0
+    for entry in (first, second):
+        recorded = world.claim(entry, "h5")
+        assert isinstance(recorded, RecordedAnswer) and recorded.answer.body == b"booked"
+
+
+def test_a_claim_of_a_vanished_entry_is_unknown_and_never_granted_again() -> None:
+    world = World()
+    assert world.claim(world.entry("a/1"), "h1") == Claimed()
+    world.live.discard("a/1")
+    assert world.claim(world.entry("b/1"), "h2") is ResultCode.OUTCOME_UNKNOWN
+    assert world.claim(world.entry("a/2"), "h3") is ResultCode.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("code", "again"),
+    [
+        (ResultCode.OVERLOADED, Claimed()),
+        (ResultCode.CANCELLED, Claimed()),
+        (ResultCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN),
+        (ResultCode.ENDPOINT_FAILED, ResultCode.ENDPOINT_FAILED),
+        (ResultCode.OK, ResultCode.ANSWER_EXPIRED),
+    ],
+)
+def test_only_a_recorded_not_run_may_be_claimed_again(code: ResultCode, again: object) -> None:
+    world = World()
+    first, second = world.entry("a/1"), world.entry("b/1")
+    world.claim(first, "h1")
+    world.record(first, code)
+    assert world.claim(second, "h2") == again
+
+
+@pytest.mark.parametrize("fault", [Fault.LOSE_REPLY, Fault.LOSE_REQUEST, Fault.SILENT])
+def test_a_lost_store_reply_is_resolved_by_reading_back(fault: Fault) -> None:
+    world = World()
+    first = world.entry("a/1")
+    world.stores["a/1"].faults.script(fault, operation="commit")
+    assert world.claim(first, "h1") == Claimed()
+    assert world.claim(world.entry("b/1"), "h2") is ResultCode.IN_PROGRESS
+
+
+def test_without_a_store_a_claim_is_refused_within_its_bound() -> None:
+    world = World()
+    first = world.entry("a/1")
+    world.stores["a/1"].faults.silent = True
+    asked_at = world.time.now()
+    first.claim(WriteClaim("h1", "f", "r", "x"))
+    world.time.run_until(asked_at + 1.2)
+    assert world.answers["h1"].err_value.code is ResultCode.STORE_UNAVAILABLE
+    first.claim(WriteClaim("h2", "f", "r2", "x"))
+    assert world.answers["h2"].err_value.code is ResultCode.STORE_UNAVAILABLE
+    assert first.counters.transactions == 1
+
+
+def test_a_refused_claim_that_was_written_after_all_can_be_claimed_again() -> None:
+    world = World()
+    first, second = world.entry("a/1"), world.entry("b/1")
+    faults = world.stores["a/1"].faults
+    faults.script(Fault.LOSE_REPLY, operation="commit")
+    faults.script(Fault.DOWN, operation="read")
+    assert world.claim(first, "h1") is ResultCode.STORE_UNAVAILABLE
+    assert world.claim(second, "h2") == Claimed()
+
+
+def test_a_group_is_one_transaction_and_a_lost_member_does_not_hold_up_the_others() -> None:
+    world = World()
+    first, second = world.entry("a/1"), world.entry("b/1")
+    world.claim(second, "h", "r3")
+    for number in range(6):
+        first.claim(WriteClaim(f"h{number}", "f", f"r{number}", "x"))
+    world.run(1.0)
+    lost = [each for each in world.answers if isinstance(world.answers[each], Err)]
+    assert lost == ["h3"]
+    assert first.counters.transactions == 2
+    assert first.counters.granted == 5
+
+
+def test_outcomes_survive_a_store_outage_in_memory() -> None:
+    world = World()
+    first = world.entry("a/1")
+    world.claim(first, "h1")
+    world.stores["a/1"].faults.down = True
+    world.record(first, ResultCode.OK, BOOKED)
+    assert first.unrecorded == 1
+    world.stores["a/1"].faults.down = False
+    world.run(3.0)
+    assert first.unrecorded == 0
+    assert isinstance(world.claim(world.entry("b/1"), "h2"), RecordedAnswer)
+
+
+def test_an_id_whose_row_was_swept_is_refused_and_never_taken_as_new() -> None:
+    world = World()
+    first = world.entry("a/1")
+    settings = ClaimSweepSettings(sweep_seconds=600.0)
+    sweeps = ClaimSweeps(
+        StandinTableStore(world.time, None, world.data), world.time, world.wall, Random(1), settings
+    )
+    sweeps.start()
+    old = uuid7(world.wall())
+    assert world.claim(first, "h1", old) == Claimed()
+    first.record(RecordOutcome("f", old, int(ResultCode.OK), BOOKED))
+    world.run(settings.retry_seconds - 10.0)
+    assert isinstance(world.claim(first, "h2", old), RecordedAnswer)
+    world.run(4 * 3600.0)
+    assert sweeps.counters.rows_deleted == 1
+    for entry in (first, world.entry("b/1")):
+        assert world.claim(entry, "h3", old) is ResultCode.REQUEST_ID_EXPIRED
+    assert world.claim(first, "h4", uuid7(world.wall())) == Claimed()
+    assert world.claim(first, "h5", uuid7(world.wall() + 1e6)) is ResultCode.BAD_REQUEST
+
+
+def test_ids_without_a_time_are_kept_apart_from_those_that_are_swept() -> None:
+    assert claim_key("f", "booking-7").startswith("o/")
+    assert claim_key("f", uuid7(7200.0)).startswith("t/0000000002/")
