Add the experiment tool and give interactive work express slots

Cause: routers and queues could not be compared; express slots were withheld from a firm whose own rollouts filled its part of the slots, so interactive work waited behind them. Change: run_experiment reads a YAML file (policies, endpoints, load, faults, seeds) and drives the real routers, queues and limiters against small fakes in virtual time; tables, HDR percentiles and an SVG plot come out. Express slots now go to firms whose interactive work is within their share; the agent that a prefix prefers is compared with a discount; the wait of interactive work leaves out other classes.

--- a/pumicedeck/agent_loads.py
+++ b/pumicedeck/agent_loads.py
@@ -84,5 +84,5 @@
     def expected_time(self, query: RouteQuery) -> float:
         """Return wait and service in seconds; a loaded agent is slightly worse than an idle one."""
         service = query.expected_tokens * self.slots / self.rate
-        pressure = PRESSURE_WEIGHT * self.tokens / self.rate
+        pressure = PRESSURE_WEIGHT * self.work_ahead(query) / self.rate
         return self.expected_wait(query) + service + pressure
--- /dev/null
+++ b/pumicedeck/experiment_runs.py
@@ -0,0 +1,195 @@
+"""One run of an experiment: a policy and a seed under virtual time."""
+
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.experiment_agents import FakeAgent
+from pumicedeck.experiment_entries import FakeEntry
+from pumicedeck.experiment_figures import WINDOW_SECONDS, Recorder, RunFigures
+from pumicedeck.experiment_files import Experiment, FaultKind, FaultSpec, Policy
+from pumicedeck.experiment_loads import Arrival, arrivals
+from pumicedeck.load_routers import LoadRouter
+from pumicedeck.network_costs import DOMAIN_DELAY_SECONDS, REGION_DELAY_SECONDS
+from pumicedeck.routers import ROUTERS, Router
+from pumicedeck.world import FailureDomain
+
+SAME_DOMAIN_DELAY_SECONDS = 0.0002
+LIMIT_EXCHANGE_SECONDS = 2.0
+
+
+def one_way_delay(source: FailureDomain, target: FailureDomain) -> float:
+    """Return the delay in seconds between two failure domains."""
+    if source == target:
+        return SAME_DOMAIN_DELAY_SECONDS
+    if source.region == target.region:
+        return DOMAIN_DELAY_SECONDS
+    return REGION_DELAY_SECONDS
+
+
+class ExperimentRun:
+    """Wires fake entry VMs and agents around the decision objects of one policy."""
+
+    def __init__(self, experiment: Experiment, policy: Policy, seed: int) -> None:
+        """Prepare a run."""
+        self._experiment = experiment
+        self._policy = policy
+        self._seed = seed
+        self._time = VirtualTime()
+        self._recorder = Recorder(experiment)
+        self._capacity: dict[int, float] = {}
+        self._report_lag = 0.0
+        self._agents = self._build_agents()
+        self._entries = self._build_entries()
+
+    def run(self) -> RunFigures:
+        """Run to the end and return the figures."""
+        self._schedule_faults()
+        self._report_loads()
+        self._exchange_limits()
+        self._sample_capacity()
+        for arrival in arrivals(self._experiment, self._seed):
+            self._time.run_until(arrival.time)
+            self._recorder.offered(arrival)
+            self._entry_for(arrival).submit(arrival)
+        longest = max(each.deadline_seconds for each in self._experiment.loads)
+        self._time.run_until(self._experiment.seconds + longest + 1.0)
+        return self._figures()
+
+    def _build_agents(self) -> list[FakeAgent]:
+        catalogue = self._experiment.catalogue()
+        return [
+            FakeAgent(
+                self._time,
+                f"{pool.name}-{domain}-{number}",
+                self._experiment.domain(domain),
+                pool,
+                self._policy,
+                catalogue,
+            )
+            for pool in self._experiment.pools
+            for domain, count in pool.agents.items()
+            for number in range(count)
+        ]
+
+    def _build_entries(self) -> list[FakeEntry]:
+        entries = []
+        catalogue = self._experiment.catalogue()
+        for spec in self._experiment.domains:
+            domain = self._experiment.domain(spec.name)
+            for number in range(spec.entries):
+                name = f"entry-{spec.name}-{number}"
+                router = self._build_router(domain, len(entries))
+                entries.append(
+                    FakeEntry(
+                        self._time, name, domain, router, catalogue, self._recorder, one_way_delay
+                    )
+                )
+        for entry in entries:
+            entry.limiter.set_members(0.0, [each.name for each in entries])
+            for agent in self._agents:
+                entry.connect(agent)
+        return entries
+
+    def _build_router(self, domain: FailureDomain, number: int) -> Router:
+        cls = ROUTERS[self._policy.router]
+        seed = self._seed * 1000 + number
+        if issubclass(cls, LoadRouter):
+            return cls(domain, seed, self._experiment.links())
+        return cls(domain, seed)
+
+    def _entry_for(self, arrival: Arrival) -> FakeEntry:
+        near = [each for each in self._entries if each.domain.region == arrival.load.home]
+        entries = near or self._entries
+        return entries[int(arrival.entry_pick * len(entries))]
+
+    def _report_loads(self) -> None:
+        for agent in self._agents:
+            if agent.alive:
+                for entry in self._entries:
+                    entry.receive_load(agent, self._report_lag)
+        if self._time.now() < self._experiment.seconds:
+            self._time.call_later(self._experiment.report_seconds, self._report_loads)
+
+    def _exchange_limits(self) -> None:
+        now = self._time.now()
+        rows = [row for each in self._entries for row in each.limiter.publish(now)]
+        for each in self._entries:
+            each.limiter.learn(now, rows)
+        if now < self._experiment.seconds:
+            self._time.call_later(LIMIT_EXCHANGE_SECONDS, self._exchange_limits)
+
+    def _sample_capacity(self) -> None:
+        now = self._time.now()
+        self._capacity[int(now / WINDOW_SECONDS)] = sum(
+            each.pool.slots * each.pool.slot_rate * self._speed(each)
+            for each in self._agents
+            if each.alive
+        )
+        if now < self._experiment.seconds:
+            self._time.call_later(WINDOW_SECONDS, self._sample_capacity)
+
+    def _speed(self, agent: FakeAgent) -> float:
+        now = self._time.now()
+        for fault in self._experiment.faults:
+            slow = fault.kind is FaultKind.SLOW_ENDPOINT and fault.target == agent.name
+            if slow and fault.start <= now < fault.end:
+                return 1 / fault.factor
+        return 1.0
+
+    def _schedule_faults(self) -> None:
+        for fault in self._experiment.faults:
+            self._time.call_at(fault.start, lambda fault=fault: self._begin(fault))
+            if fault.end < self._experiment.seconds:
+                self._time.call_at(fault.end, lambda fault=fault: self._end(fault))
+
+    def _begin(self, fault: FaultSpec) -> None:
+        if fault.kind is FaultKind.LATE_REPORTS:
+            self._report_lag = fault.delay
+        for agent in self._targets(fault):
+            if fault.kind is FaultKind.SLOW_ENDPOINT:
+                agent.engine.set_speed(1 / fault.factor)
+            else:
+                self._lose(agent)
+
+    def _end(self, fault: FaultSpec) -> None:
+        if fault.kind is FaultKind.LATE_REPORTS:
+            self._report_lag = 0.0
+        if fault.kind is FaultKind.SLOW_ENDPOINT:
+            for agent in self._targets(fault):
+                agent.engine.set_speed(1.0)
+
+    def _targets(self, fault: FaultSpec) -> list[FakeAgent]:
+        if fault.kind is FaultKind.LATE_REPORTS:
+            return []
+        return [each for each in self._agents if fault.target in (each.name, each.domain.name)]
+
+    def _lose(self, agent: FakeAgent) -> None:
+        agent.fail()
+        for entry in self._entries:
+            self._time.call_later(
+                self._experiment.failure_detection_seconds,
+                lambda entry=entry: entry.disconnect(agent.name),
+            )
+
+    def _figures(self) -> RunFigures:
+        recorder = self._recorder
+        caches = [each.engine.cache for each in self._agents]
+        looked_up = sum(each.hits + each.misses for each in caches)
+        routers = [each.router for each in self._entries if isinstance(each.router, LoadRouter)]
+        goodput = recorder.goodput()
+        capacity = tuple(self._capacity[each] for each in range(len(goodput)))
+        return RunFigures(
+            policy=self._policy.name,
+            seed=self._seed,
+            loads=recorder.load_figures(),
+            attempts_per_request=recorder.attempts / max(1, recorder.requests),
+            prefix_hit_rate=sum(each.hits for each in caches) / max(1, looked_up),
+            paid_bytes=sum(sum(each.paid_bytes.values()) for each in routers),
+            utilization=sum(goodput) / sum(capacity),
+            recovery_seconds=recorder.recovery_seconds(),
+            goodput=goodput,
+            capacity=capacity,
+        )
+
+
+def run_policy(experiment: Experiment, policy: Policy, seed: int) -> RunFigures:
+    """Run one policy with one seed."""
+    return ExperimentRun(experiment, policy, seed).run()
--- /dev/null
+++ b/pumicedeck/experiments.py
@@ -0,0 +1,33 @@
+"""Experiments: every policy of a file with every seed, under virtual time."""
+
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from pumicedeck.experiment_files import Experiment, read_experiment
+from pumicedeck.experiment_reports import ExperimentReport
+from pumicedeck.experiment_runs import run_policy
+from pumicedeck.queues import QUEUES
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.routers import ROUTERS
+
+
+def run_experiment(path: Path) -> Result[ExperimentReport, Failure]:
+    """Run an experiment file."""
+    read = read_experiment(path)
+    if read.is_err():
+        return Err(read.unwrap_err())
+    return measure(read.unwrap())
+
+
+def measure(experiment: Experiment) -> Result[ExperimentReport, Failure]:
+    """Run every policy of an experiment with every seed."""
+    for policy in experiment.policies:
+        if policy.router not in ROUTERS or policy.queue not in QUEUES:
+            return Err(Failure(ResultCode.BAD_SETTINGS, f"unknown router or queue: {policy.name}"))
+    runs = tuple(
+        run_policy(experiment, policy, seed)
+        for policy in experiment.policies
+        for seed in experiment.seeds
+    )
+    return Ok(ExperimentReport(experiment.name, runs))
--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -27,7 +27,6 @@
 class _Running:
     dispatch: Dispatch
     started: float
-    express: bool
 
 
 class _RateEstimate:
@@ -143,11 +142,11 @@
         free = self._slots - len(self._running)
         if free > 0:
             classes = CLASS_ORDER if self._bulk_open() else _INTERACTIVE_ONLY
-            return self._pop_from(now, list(self._firms.values()), classes, False)
+            return self._pop_from(now, list(self._firms.values()), classes)
         if -free >= self._express:
             return None
-        within = [each for each in self._firms.values() if self._may_use_express(each)]
-        return self._pop_from(now, within, _INTERACTIVE_ONLY, True)
+        within = [each for each in self._firms.values() if self._interactive_within_share(each)]
+        return self._pop_from(now, within, _INTERACTIVE_ONLY)
 
     def remove(self, now: float, attempt: AttemptId) -> Dispatch | None:
         """Take one dispatch out."""
@@ -174,9 +173,8 @@
         if run is None:
             return
         firm = self._firm(dispatch.firm)
-        firm.running -= 1
-        firm.express -= run.express
-        self._bulk_running -= dispatch.request_class is not RequestClass.INTERACTIVE
+        interactive = dispatch.request_class is RequestClass.INTERACTIVE
+        self._count_running(firm, interactive, -1)
         firm.correct(run.dispatch, tokens)
         if tokens:
             self._estimate.add(now, tokens, now - run.started)
@@ -216,15 +214,15 @@
     def _bulk_open(self) -> bool:
         return self._bulk_running < self._slots - self._reserved
 
-    def _may_use_express(self, firm: FirmNode) -> bool:
-        return firm.running < self._slot_share(firm)
+    def _interactive_within_share(self, firm: FirmNode) -> bool:
+        return firm.interactive < self._slot_share(firm)
 
     def _slot_share(self, firm: FirmNode) -> int:
         shares = sum(each.share for each in self._firms.values() if each.count or each.running)
         return max(1, math.ceil(self._slots * firm.share / max(shares, firm.share)))
 
     def _pop_from(
-        self, now: float, firms: list[FirmNode], classes: tuple[RequestClass, ...], express: bool
+        self, now: float, firms: list[FirmNode], classes: tuple[RequestClass, ...]
     ) -> Dispatch | None:
         busy = [each for each in firms if each.waiting_in(classes)]
         if not busy:
@@ -234,16 +232,22 @@
         self._clock = max(self._clock, firm.served)
         firm.charge(item)
         self.remove(now, item.dispatch.attempt)
-        return self._start(now, firm, item.dispatch, express)
-
-    def _start(self, now: float, firm: FirmNode, dispatch: Dispatch, express: bool) -> Dispatch:
-        within = firm.running < self._slot_share(firm)
-        firm.running += 1
-        firm.express += express
-        self._bulk_running += dispatch.request_class is not RequestClass.INTERACTIVE
-        self._running[dispatch.attempt] = _Running(dispatch, now, express)
+        return self._start(now, firm, item.dispatch)
+
+    def _start(self, now: float, firm: FirmNode, dispatch: Dispatch) -> Dispatch:
+        interactive = dispatch.request_class is RequestClass.INTERACTIVE
+        within = (firm.interactive if interactive else firm.running) < self._slot_share(firm)
+        self._count_running(firm, interactive, 1)
+        self._running[dispatch.attempt] = _Running(dispatch, now)
         return replace(dispatch, priority=engine_priority(dispatch.request_class, within))
 
+    def _count_running(self, firm: FirmNode, interactive: bool, sign: int) -> None:
+        firm.running += sign
+        if interactive:
+            firm.interactive += sign
+        else:
+            self._bulk_running += sign
+
     def _tokens_ahead(self, firm: FirmNode | None, request_class: RequestClass) -> int:
         if firm is None:
             return 0
--- a/pumicedeck/fair_shares.py
+++ b/pumicedeck/fair_shares.py
@@ -92,7 +92,7 @@
     tokens: int = 0
     body_bytes: int = 0
     running: int = 0
-    express: int = 0
+    interactive: int = 0
     classes: dict[RequestClass, ClassNode] = field(default_factory=dict)
 
     def node(self, request_class: RequestClass) -> ClassNode:
--- a/pumicedeck/load_routers.py
+++ b/pumicedeck/load_routers.py
@@ -8,7 +8,7 @@
 from pumicedeck.messages import LoadReport
 from pumicedeck.network_costs import NetworkCosts
 from pumicedeck.outliers import OutlierDetector
-from pumicedeck.prefix_affinities import PrefixAffinity
+from pumicedeck.prefix_affinities import LOAD_BOUND, PrefixAffinity
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.routers import Candidate, RouteQuery, Router, router
 from pumicedeck.world import FailureDomain, Link
@@ -180,7 +180,7 @@
         network = self._costs.cost(load.candidate.failure_domain, query)
         cost = load.expected_time(query) + network.delay + network.paid
         hinted = query.prefix and load.candidate.agent in self._affinity.hinted(query.prefix)
-        return cost - PREFIX_GAIN_SECONDS if preferred or hinted else cost
+        return cost / LOAD_BOUND - PREFIX_GAIN_SECONDS if preferred or hinted else cost
 
     def _worth_leaving(self, best: AgentLoad, remote: list[AgentLoad], query: RouteQuery) -> bool:
         if not remote:
