--- /dev/null
+++ b/pumicedeck/entry_requests.py
@@ -0,0 +1,257 @@
+"""The life of a request at the entry, free of I/O: events in, actions out.
+
+A request gets exactly one final answer, at the latest when its time budget is used up.
+"""
+
+from collections import OrderedDict
+from dataclasses import replace
+
+from result import Err
+
+from pumicedeck.actions import (
+    Action,
+    CallerRequest,
+    DeliverAnswer,
+    DeliverFailure,
+    Drained,
+    RecordOutcome,
+    WriteClaim,
+)
+from pumicedeck.claim_outcomes import ClaimOutcome, RecordedAnswer
+from pumicedeck.messages import (
+    Answer,
+    Chunk,
+    Heartbeat,
+    Leaving,
+    Message,
+    Refused,
+    Revoked,
+    Started,
+)
+from pumicedeck.pending_requests import PendingRequest, PendingRequests, RequestPhase
+from pumicedeck.request_attempts import RequestAttempts, claim_digest
+from pumicedeck.request_counters import EntryRequestCounters
+from pumicedeck.request_settings import EntryRequestSettings
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.routers import Candidate, RouteQuery, Router
+from pumicedeck.world import Incarnation
+
+
+class EntryRequests:
+    """Every method takes monotonic seconds and an event and returns actions."""
+
+    def __init__(
+        self,
+        incarnation: Incarnation | str,
+        router: Router,
+        settings: EntryRequestSettings | None = None,
+    ) -> None:
+        """Dispatch to the agents that `router` chooses."""
+        self._router = router
+        self._settings = settings or EntryRequestSettings()
+        self._counters = EntryRequestCounters()
+        self._pending = PendingRequests(str(incarnation))
+        self._attempts = RequestAttempts(self._pending, router, self._settings, self._counters)
+        self._late_claims: OrderedDict[str, CallerRequest] = OrderedDict()
+        self._leaving: set[str] = set()
+        self._closed_at: float | None = None
+        self._drained = False
+
+    @property
+    def counters(self) -> EntryRequestCounters:
+        """Return a copy of the counts."""
+        return replace(self._counters)
+
+    @property
+    def pending(self) -> int:
+        """Return how many requests have no final answer."""
+        return len(self._pending)
+
+    @property
+    def floor(self) -> int:
+        """Return the lowest sequence that is not settled; heartbeats carry it to agents."""
+        return self._pending.floor
+
+    def next_wakeup(self) -> float | None:
+        """Return the next second at which `on_time` is wanted."""
+        due = self._pending.next_due()
+        if self._closed_at is None or self._drained:
+            return due
+        if not self._pending:
+            return self._closed_at
+        return due
+
+    def submit(self, now: float, request: CallerRequest) -> list[Action]:
+        """Take in a checked request."""
+        self._counters.submitted += 1
+        refusal = self._refusal(now)
+        if refusal:
+            return [DeliverFailure(request.handle, refusal)]
+        self._attempts.earn_retry()
+        pending = self._admit(now, request)
+        if request.idempotent:
+            return self._attempts.route(now, pending)
+        self._counters.claims += 1
+        self._pending.enter(pending, RequestPhase.CLAIMING, now + self._settings.claim_seconds)
+        firm, digest = request.entry.firm, claim_digest(request)
+        return [WriteClaim(request.handle, firm, request.request_id, digest)]
+
+    def caller_gone(self, now: float, handle: str) -> list[Action]:
+        """Give up what nobody waits for; the outcome of a claimed request is still recorded."""
+        pending = self._pending.find(handle)
+        if pending is None or pending.abandoned:
+            return []
+        self._counters.callers_gone += 1
+        pending.abandoned = True
+        failure = Failure(ResultCode.CANCELLED, "the caller left")
+        if pending.attempt is None:
+            return self._fail_unsent(now, pending, failure)
+        if pending.claimed:
+            is_settled = pending.started or pending.phase is RequestPhase.DETACHED
+            return [] if is_settled else self._attempts.revoke(pending)
+        actions = self._attempts.give_up(now, pending)
+        return actions + self._attempts.fail(now, pending, failure) + self._drained_now(now)
+
+    def claim_answered(self, now: float, handle: str, outcome: ClaimOutcome) -> list[Action]:
+        """Dispatch a claimed request, or answer from what the claim row says."""
+        late = self._late_claims.pop(handle, None)
+        if late:
+            return _release(late, outcome)
+        pending = self._pending.find(handle)
+        if pending is None or pending.phase is not RequestPhase.CLAIMING:
+            return []
+        if isinstance(outcome, Err):
+            actions = self._attempts.fail(now, pending, outcome.err_value)
+        elif isinstance(outcome.ok_value, RecordedAnswer):
+            self._pending.remove(pending)
+            self._counters.answered += 1
+            actions = [DeliverAnswer(handle, outcome.ok_value.answer)]
+        else:
+            pending.claimed = True
+            actions = self._attempts.route(now, pending)
+        return actions + self._drained_now(now)
+
+    def session_up(
+        self, now: float, agent: str, candidate: Candidate | None = None
+    ) -> list[Action]:
+        """Take an agent into the choice and settle what was outstanding there."""
+        if candidate and agent not in self._leaving:
+            self._router.add(now, candidate)
+        actions: list[Action] = []
+        for pending in self._pending.at_agent(agent):
+            actions += self._attempts.resume(now, pending)
+        return actions + self._attempts.cancel_orphans(agent)
+
+    def session_lost(self, now: float, agent: str) -> list[Action]:
+        """Take an agent out of the choice; its attempts wait for a new session."""
+        self._router.remove(now, agent)
+        for pending in self._pending.at_agent(agent):
+            self._attempts.detach(now, pending)
+        return []
+
+    def agent_replaced(self, now: float, agent: str) -> list[Action]:
+        """Settle what was outstanding at an incarnation that is gone for good."""
+        self._router.remove(now, agent)
+        self._leaving.discard(agent)
+        actions: list[Action] = []
+        for pending in self._pending.at_agent(agent):
+            actions += self._attempts.outcome_unknown(now, pending, "the agent is gone")
+        self._attempts.drop_orphans(agent)
+        return actions + self._drained_now(now)
+
+    def message(self, now: float, agent: str, message: Message) -> list[Action]:
+        """Handle a message from an agent incarnation."""
+        match message:
+            case Heartbeat():
+                self._heartbeat(now, agent, message)
+            case Leaving():
+                self._agent_leaving(now, agent)
+            case Refused() | Started() | Chunk() | Answer() | Revoked():
+                return self._attempts.receive(now, agent, message) + self._drained_now(now)
+        return []
+
+    def begin_drain(self, now: float) -> list[Action]:
+        """Refuse new requests after the balancer's notice time and finish those in flight."""
+        if self._closed_at is None:
+            self._closed_at = now + self._settings.notice_seconds
+        return self._drained_now(now)
+
+    def on_time(self, now: float) -> list[Action]:
+        """Do what is due."""
+        actions: list[Action] = []
+        for pending in self._pending.pop_due(now):
+            actions += self._due(now, pending)
+        return actions + self._drained_now(now)
+
+    def _refusal(self, now: float) -> Failure | None:
+        if self._closed_at is not None and now >= self._closed_at:
+            return Failure(ResultCode.NOT_READY, "the entry is leaving", 0.0)
+        if len(self._pending) >= self._settings.max_pending:
+            retry_after = self._settings.overload_retry_seconds
+            return Failure(ResultCode.OVERLOADED, "too many pending requests", retry_after)
+        return None
+
+    def _admit(self, now: float, request: CallerRequest) -> PendingRequest:
+        limits = request.entry.limits
+        pending = PendingRequest(
+            request=request,
+            query=RouteQuery(request.entry, request.expected_tokens, request.prefix),
+            deadline=now + min(request.budget, limits.deadline_seconds),
+            queue_due=now + limits.queue_seconds,
+        )
+        self._pending.add(pending)
+        return pending
+
+    def _fail_unsent(self, now: float, pending: PendingRequest, failure: Failure) -> list[Action]:
+        if pending.phase is RequestPhase.CLAIMING:
+            self._late_claims[pending.request.handle] = pending.request
+        return self._attempts.fail(now, pending, failure) + self._drained_now(now)
+
+    def _heartbeat(self, now: float, agent: str, heartbeat: Heartbeat) -> None:
+        if heartbeat.load is None:
+            return
+        self._router.reported(now, agent, heartbeat.load)
+        if not heartbeat.load.accepting:
+            self._agent_leaving(now, agent)
+
+    def _agent_leaving(self, now: float, agent: str) -> None:
+        self._leaving.add(agent)
+        self._router.remove(now, agent)
+
+    def _due(self, now: float, pending: PendingRequest) -> list[Action]:
+        if now >= pending.deadline:
+            return self._deadline_passed(now, pending)
+        match pending.phase:
+            case RequestPhase.CLAIMING:
+                failure = Failure(ResultCode.STORE_UNAVAILABLE, "no reply to the claim", 1.0)
+                return self._fail_unsent(now, pending, failure)
+            case RequestPhase.WAITING:
+                return self._attempts.route(now, pending)
+            case RequestPhase.SENT:
+                return self._attempts.revoke(pending)
+            case RequestPhase.DETACHED:
+                why = "the session did not come back"
+                return self._attempts.outcome_unknown(now, pending, why)
+            case RequestPhase.REVOKING:
+                return []
+
+    def _deadline_passed(self, now: float, pending: PendingRequest) -> list[Action]:
+        failure = Failure(ResultCode.DEADLINE_EXCEEDED, "the time budget is used up")
+        if pending.attempt is None:
+            proven = not pending.may_have_run
+            return self._fail_unsent(now, pending, replace(failure, proven_not_run=proven))
+        actions = self._attempts.give_up(now, pending)
+        return actions + self._attempts.fail(now, pending, failure)
+
+    def _drained_now(self, now: float) -> list[Action]:
+        if self._drained or self._closed_at is None or now < self._closed_at or self._pending:
+            return []
+        self._drained = True
+        return [Drained()]
+
+
+def _release(request: CallerRequest, outcome: ClaimOutcome) -> list[Action]:
+    if isinstance(outcome, Err) or isinstance(outcome.ok_value, RecordedAnswer):
+        return []
+    code = int(ResultCode.CANCELLED)
+    return [RecordOutcome(request.entry.firm, request.request_id, code, None)]
