--- /dev/null
+++ b/pumicedeck/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line."""
+
+from pumicedeck.cli import main
+
+main()
--- /dev/null
+++ b/pumicedeck/cli.py
@@ -0,0 +1,95 @@
+"""The command line: daemons, the operators' client, experiments and the demo."""
+
+import json
+import os
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from result import Err, Result
+
+from pumicedeck.catalogue_commands import catalogue_app
+from pumicedeck.cli_outputs import JsonOption, UrlOption, finish, print_table
+from pumicedeck.experiment_commands import experiment_app
+from pumicedeck.operator_clients import OperatorClient
+from pumicedeck.results import Failure
+
+app = typer.Typer(
+    help="A rollout service for reinforcement learning: daemons and the operators' client.",
+    no_args_is_help=True,
+)
+app.add_typer(catalogue_app, name="catalogue")
+app.add_typer(experiment_app, name="experiment")
+
+SettingsArgument = Annotated[Path, typer.Argument(help="The settings file, in YAML.")]
+
+
+@app.command()
+def entry(settings: SettingsArgument) -> None:
+    """Run an entry: HTTP for callers, trainers and operators."""
+    from pumicedeck.daemon_commands import run_entry
+
+    finish(run_entry(settings))
+
+
+@app.command()
+def agent(settings: SettingsArgument) -> None:
+    """Run the agent beside an endpoint."""
+    from pumicedeck.daemon_commands import run_agent
+
+    finish(run_agent(settings))
+
+
+@app.command()
+def standins(settings: SettingsArgument) -> None:
+    """Run stand-ins of the platform and of endpoints, for trials on one machine."""
+    from pumicedeck.daemon_commands import run_standin_servers
+
+    finish(run_standin_servers(settings))
+
+
+@app.command()
+def demo(
+    seconds: Annotated[float, typer.Option(help="How long to run the load, in seconds.")] = 20.0,
+) -> None:
+    """Run both firms' catalogue with stand-ins in one process and print what held."""
+    from pumicedeck.demos import run_demo
+
+    raise typer.Exit(run_demo(seconds))
+
+
+@app.command()
+def status(url: UrlOption = "http://127.0.0.1:8081", as_json: JsonOption = False) -> None:
+    """Show a process's state, its catalogue revision and which agents lag behind."""
+    document = _read(url, "/v1/status")
+    if as_json:
+        typer.echo(json.dumps(document, indent=2))
+        return
+    for key, value in document.items():
+        typer.echo(f"{key}: {json.dumps(value)}")
+
+
+@app.command()
+def stats(url: UrlOption = "http://127.0.0.1:8081", as_json: JsonOption = False) -> None:
+    """Show the histograms per firm, class and measure."""
+    document = _read(url, "/v1/histograms")
+    if as_json:
+        typer.echo(json.dumps(document, indent=2))
+        return
+    columns = ("firm", "request_class", "measure", "count", "mean", "p50", "p90", "p99", "highest")
+    print_table(columns, [[each[name] for name in columns] for each in document["series"]])
+
+
+def _read(url: str, path: str) -> Any:
+    client = OperatorClient(url)
+    read: Result[Any, Failure] = client.get(path)
+    client.close()
+    if isinstance(read, Err):
+        finish(read)
+    return read.ok_value
+
+
+def main() -> None:
+    """Run the command line."""
+    os.environ.setdefault("TERMINAL_WIDTH", "100")
+    app()
--- /dev/null
+++ b/pumicedeck/cli_outputs.py
@@ -0,0 +1,39 @@
+"""What all commands share: options, tables and exits by result code."""
+
+from collections.abc import Sequence
+from typing import Annotated, Any
+
+import typer
+from result import Err, Result
+
+from pumicedeck.results import Failure
+
+UrlOption = Annotated[
+    str, typer.Option("--url", envvar="PUMICEDECK_URL", help="A process's operators' address.")
+]
+TokenOption = Annotated[
+    str, typer.Option("--token", envvar="PUMICEDECK_TOKEN", help="The operator's token.")
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
+
+
+def finish(outcome: Result[Any, Failure]) -> None:
+    """End the command; a failure is printed with its number and sets the exit status."""
+    if not isinstance(outcome, Err):
+        return
+    failure = outcome.err_value
+    typer.echo(f"{int(failure.code)} {failure.code.name}: {failure.detail}", err=True)
+    raise typer.Exit(failure.code.info.exit_status)
+
+
+def print_table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print rows under aligned column names."""
+    cells = [list(columns), *([_cell(value) for value in row] for row in rows)]
+    widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
+    for row in cells:
+        line = "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        typer.echo(line.rstrip())
+
+
+def _cell(value: Any) -> str:
+    return f"{value:.4f}" if isinstance(value, float) else str(value)
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -44,14 +44,14 @@
     WeightStore,
     find_adapter,
 )
-from pumicedeck.queues import QUEUES
+from pumicedeck.registries import express_slots, make_queue
 from pumicedeck.request_settings import AgentRequestSettings, EntryRequestSettings
 from pumicedeck.routers import ROUTERS
 from pumicedeck.sessions import SessionSettings
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
 from pumicedeck.tokens import TokenChecker
 from pumicedeck.vm_watches import VmWatch
-from pumicedeck.world import EndpointKind, FailureDomain, Incarnation, VmRole
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, VmRole
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,10 +159,16 @@
     """Wire an agent; nothing runs before `start`."""
     incarnation = _incarnation(settings)
     rng = Random(f"{settings.seed}:{incarnation}")
+    site = Endpoint(
+        settings.endpoint.name,
+        settings.endpoint.pool,
+        settings.endpoint.kind,
+        settings.endpoint.slots,
+    )
     requests = AgentRequests(
         incarnation,
-        QUEUES[settings.queue](),
-        settings.endpoint.slots,
+        make_queue(settings.queue, site),
+        site.slots + express_slots(site),
         AgentRequestSettings(
             kept_seconds=settings.bounds.kept_answer_time, kept_bytes=settings.bounds.kept_answers
         ),
--- a/pumicedeck/connections.py
+++ b/pumicedeck/connections.py
@@ -89,6 +89,11 @@
         self._rejected = 0
         timers.call_later(TICK_SECONDS, self._tick)
 
+    @property
+    def address(self) -> Address:
+        """Return the bound address of a process that listens."""
+        return Address(self.host, self.port)
+
     @property
     def rejected(self) -> int:
         """Return how many connections ended before a session opened."""
--- /dev/null
+++ b/pumicedeck/daemon_commands.py
@@ -0,0 +1,69 @@
+"""Runs one daemon as a process."""
+
+from pathlib import Path
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.composition import (
+    Host,
+    Running,
+    build_agent,
+    build_entry,
+    connect_endpoint,
+    connect_platform,
+)
+from pumicedeck.logs import set_up_logs
+from pumicedeck.processes import Process
+from pumicedeck.results import Failure
+from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings, load_settings
+
+_log = logger.bind(module="daemon_commands")
+
+
+def run_entry(path: Path) -> Result[None, Failure]:
+    """Run an entry until it is drained."""
+    settings = load_settings(EntrySettings, path)
+    if isinstance(settings, Err):
+        return settings
+    process, host = _prepare(settings.ok_value)
+    platform = connect_platform(settings.ok_value, host)
+    return _run(process, build_entry(settings.ok_value, host, platform, process.finish))
+
+
+def run_agent(path: Path) -> Result[None, Failure]:
+    """Run an agent until it is drained."""
+    settings = load_settings(AgentSettings, path)
+    if isinstance(settings, Err):
+        return settings
+    process, host = _prepare(settings.ok_value)
+    platform = connect_platform(settings.ok_value, host)
+    endpoint = connect_endpoint(settings.ok_value, host)
+    agent = build_agent(settings.ok_value, host, platform, endpoint, process.finish)
+    return _run(process, agent)
+
+
+def run_standin_servers(path: Path) -> Result[None, Failure]:
+    """Run the stand-ins that a settings file lists until the process is ended."""
+    from pumicedeck.standin_servers import load_standin_settings, run_standins
+
+    settings = load_standin_settings(path)
+    if isinstance(settings, Err):
+        return settings
+    run_standins(settings.ok_value)
+    return Ok(None)
+
+
+def _prepare(settings: ProcessSettings) -> tuple[Process, Host]:
+    set_up_logs(settings.vm, settings.log.level, settings.log.format)
+    process = Process()
+    return process, Host(process, process.timers)
+
+
+def _run(process: Process, running: Running) -> Result[None, Failure]:
+    process.on_signal(running.drain)
+    process.timers.call_later(0.0, running.start)
+    process.run()
+    running.close()
+    _log.info("stopped")
+    return Ok(None)
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -1,15 +1,16 @@
 """Reads, defaults and checks every setting of every process."""
 
 import re
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
 import yaml
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
-from pumicedeck.adapters import STANDINS  # noqa: F401
 from pumicedeck.platforms import adapter_names
+from pumicedeck.registries import queue_names, router_names
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address, EndpointKind
 
@@ -54,16 +55,19 @@
     return Address(match[1], int(match[2]))
 
 
-def _adapter(interface: str) -> Any:
+def _one_of(kind: str, names: Callable[[], tuple[str, ...]]) -> Any:
     def check(value: Any) -> str:
-        if value not in adapter_names(interface):
-            known = ", ".join(adapter_names(interface))
-            raise ValueError(f"unknown adapter {value!r}, expected one of: {known}")
+        if value not in names():
+            raise ValueError(f"unknown {kind} {value!r}, expected one of: {', '.join(names())}")
         return value
 
     return Annotated[str, BeforeValidator(check)]
 
 
+def _adapter(interface: str) -> Any:
+    return _one_of("adapter", lambda: adapter_names(interface))
+
+
 Duration = Annotated[float, BeforeValidator(_duration)]
 Size = Annotated[int, BeforeValidator(_size)]
 ListenAddress = Annotated[Address, BeforeValidator(_address)]
@@ -164,7 +168,7 @@
 
     callers: ListenAddress
     operators: ListenAddress
-    router: str = "expected_wait"
+    router: _one_of("router", router_names) = "expected_wait"
     sessions_per_domain: int = Field(16, ge=1)
 
 
@@ -179,6 +183,14 @@
     adapter: str = "http"
     timeout: Duration = 120.0
 
+    @model_validator(mode="after")
+    def _check_adapter(self) -> "EndpointSettings":
+        interface = "ModelEngine" if self.kind is EndpointKind.MODEL else "PlainService"
+        if self.adapter not in adapter_names(interface):
+            known = ", ".join(adapter_names(interface))
+            raise ValueError(f"unknown adapter {self.adapter!r}, expected one of: {known}")
+        return self
+
 
 class AgentSettings(ProcessSettings):
     """An agent: where entries reach it, and its endpoint."""
@@ -186,7 +198,7 @@
     sessions: ListenAddress
     operators: ListenAddress
     endpoint: EndpointSettings
-    queue: str = "fair"
+    queue: _one_of("queue", queue_names) = "fair"
     swap_rank: int = Field(0, ge=0)
 
 
--- /dev/null
+++ b/pumicedeck/tests/test_standin_fleets.py
@@ -0,0 +1,150 @@
+"""Tests of the whole path in one process: caller, entry, agent, endpoint, store."""
+
+import json
+
+import pytest
+from result import Ok
+
+from pumicedeck.composition import Host
+from pumicedeck.demo_firms import CATALOGUE, QUINTELA, SITES, TAINAN, TN_A
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.platforms import WeightVersion
+from pumicedeck.processes import Process
+from pumicedeck.standin_fleets import StandinFleet
+from pumicedeck.tokens import Principal
+
+TOKENS = {
+    "desk": Principal("desk", TAINAN),
+    "portal": Principal("portal", QUINTELA),
+    "operator": Principal("operator", "*"),
+}
+PATIENCE_SECONDS = 60.0
+
+
+class _Path:
+    """A small fleet on one loop that a test turns until a condition holds."""
+
+    def __init__(self) -> None:
+        self.process = Process()
+        self.fleet = StandinFleet(Host(self.process, self.process.timers), CATALOGUE, TOKENS)
+        for site in SITES:
+            self.fleet.add_site(site)
+        self.entry = self.fleet.add_entry(0, TN_A)
+        self.client = HttpClient(self.process.timers).register(self.process)
+        self.fleet.start()
+
+    def until(self, condition) -> None:
+        give_up = self.process.timers.now() + PATIENCE_SECONDS
+        while self.process.timers.now() < give_up:
+            self.process.tick()
+            if condition():
+                return
+        raise AssertionError("the condition never held")
+
+    def settle(self) -> None:
+        agents = len(self.fleet.agents)
+        self.until(
+            lambda: self.entry.daemon.is_ready and self.entry.connections.open_count == agents
+        )
+
+    def send(self, path, body=b"{}", token="desk", method="POST", chunk=None, **headers):
+        """Return the list that will hold the outcome."""
+        named = [(name.replace("_", "-"), value) for name, value in headers.items()]
+        named.append(("Authorization", f"Bearer {token}"))
+        address = self.entry.callers.address
+        request = HttpRequest(method, address, path, tuple(named), body)
+        outcomes = []
+        self.client.send(request, outcomes.append, chunk)
+        return outcomes
+
+    def ask(self, *args, **kwargs) -> HttpResponse:
+        outcomes = self.send(*args, **kwargs)
+        self.until(lambda: outcomes)
+        return outcomes[0].unwrap()
+
+    def executions(self, request_id: str) -> int:
+        services = [each.endpoint for each in self.fleet.agents if hasattr(each.endpoint, "call")]
+        return sum(each.executions(request_id) for each in services)
+
+
+@pytest.fixture(scope="module")
+def path():
+    built = _Path()
+    built.settle()
+    yield built
+    built.fleet.close()
+    built.client.close()
+
+
+def test_a_booking_is_answered_whole_and_runs_once_even_if_repeated(path: _Path) -> None:
+    request_id = "booking-1"
+    first = path.ask("/v1/entries/bookings/call/book", b'{"rig": 7}', X_Request_Id=request_id)
+    again = path.ask("/v1/entries/bookings/call/book", b'{"rig": 7}', X_Request_Id=request_id)
+    assert first.status == again.status == 200
+    assert first.body == again.body
+    assert int(first.header("x-answer-length")) == len(first.body)
+    assert path.executions(request_id) == 1
+
+
+def test_the_same_id_with_another_body_is_refused_as_not_run(path: _Path) -> None:
+    path.ask("/v1/entries/bookings/call/book", b'{"rig": 1}', X_Request_Id="booking-2")
+    other = path.ask("/v1/entries/bookings/call/book", b'{"rig": 2}', X_Request_Id="booking-2")
+    document = json.loads(other.body)
+    assert (document["code"], document["execution"]) == (409, "not_run")
+    assert path.executions("booking-2") == 1
+
+
+@pytest.mark.parametrize(
+    ("target", "token", "headers", "code"),
+    [
+        ("/v1/entries/bookings/call/book", "nobody", {}, 401),
+        ("/v1/entries/nothing/call/book", "desk", {}, 403),
+        ("/v1/entries/previews/call/preview", "desk", {}, 403),
+        ("/v1/entries/bookings/call/book", "desk", {"X_Idempotent": "perhaps"}, 400),
+        ("/v1/entries/bookings/call/book", "desk", {"X_Budget_Ms": "-5"}, 400),
+        ("/v1/entries/bookings/call/book", "desk", {"X_Budget_Ms": "9" * 5000}, 400),
+        ("/v1/entries/bookings/call/book", "desk", {"X_Request_Id": "a b"}, 400),
+        ("/v1/entries/bookings/draws", "desk", {}, 400),
+        ("/v1/elsewhere", "desk", {}, 410),
+    ],
+)
+def test_bad_input_gets_its_number_and_proof(path: _Path, target, token, headers, code) -> None:
+    answer = path.ask(target, b'{"x": 1}', token=token, **headers)
+    document = json.loads(answer.body)
+    assert (document["code"], document["execution"]) == (code, "not_run")
+
+
+def test_a_stream_has_offsets_and_ends_with_its_length(path: _Path) -> None:
+    chunks: list[bytes] = []
+    body = json.dumps({"prompt": "a hall with a low ceiling", "max_tokens": 40}).encode()
+    outcomes = path.send(
+        "/v1/entries/rig-presets/call/v1/generate", body, chunk=chunks.append, X_Stream="true"
+    )
+    path.until(lambda: outcomes)
+    lines = [json.loads(line) for line in b"".join(chunks).splitlines()]
+    text = "".join(line.get("text", "") for line in lines[:-1])
+    assert len(lines) > 2
+    assert lines[-1]["end"]["length"] == len(text.encode())
+    assert [line["offset"] for line in lines[:-1]] == sorted(line["offset"] for line in lines[:-1])
+
+
+def test_a_draw_delivers_each_group_once_with_its_versions(path: _Path) -> None:
+    published = []
+    path.fleet.weights.publish(WeightVersion("tuner", 0, 1000), published.append)
+    path.until(lambda: published)
+    groups = [
+        {"group": number, "body": {"prompt": f"sketch {number}", "max_tokens": 12}, "samples": 4}
+        for number in range(3)
+    ]
+    draw = json.dumps({"trainer": "tuner-1", "step": 1, "groups": groups}).encode()
+    chunks: list[bytes] = []
+    outcomes = path.send("/v1/entries/rig-presets/draws", draw, chunk=chunks.append)
+    path.until(lambda: outcomes)
+    assert isinstance(outcomes[0], Ok)
+    lines = [json.loads(line) for line in b"".join(chunks).splitlines()]
+    assert sorted(line["group"] for line in lines[:-1]) == [0, 1, 2]
+    assert "end" in lines[-1]
+    for line in lines[:-1]:
+        assert [draft["index"] for draft in line["drafts"]] == [0, 1, 2, 3]
+        assert all(draft["versions"] == [0] for draft in line["drafts"])
