--- a/pumicedeck/faults.py
+++ b/pumicedeck/faults.py
@@ -72,16 +72,33 @@
 
     def __init__(self, random: Random | None = None) -> None:
         """Draw random faults from `random`."""
-        self.down = False
         self.delay = 0.0
         self.lose_reply = False
         self.silent = False
+        self._down = False
+        self._watchers: list[Callable[[bool], None]] = []
         self._random = random or Random(0)
         self._rates: tuple[FaultRate, ...] = ()
         self._script: list[tuple[str, int, Fault]] = []
         self._calls: dict[str, int] = {}
         self._epoch = 0
 
+    @property
+    def down(self) -> bool:
+        """Return whether calls are refused."""
+        return self._down
+
+    @down.setter
+    def down(self, down: bool) -> None:
+        changed = down != self._down
+        self._down = down
+        for watcher in self._watchers if changed else ():
+            watcher(down)
+
+    def watch_down(self, watcher: Callable[[bool], None]) -> None:
+        """Call `watcher` whenever `down` changes."""
+        self._watchers.append(watcher)
+
     def script(self, fault: Fault, nth: int = 1, operation: str = ANY_OPERATION) -> None:
         """Let the `nth` call of `operation` from now on meet `fault`."""
         self._script.append((operation, self._calls.get(operation, 0) + nth, fault))
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -10,8 +10,9 @@
 import h11
 from circuits.core.pollers import BasePoller
 
-from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
+from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.world import Address
 
 _READ_BYTES = 65536
@@ -72,8 +73,7 @@
         self._unsent = memoryview(b"")
         self._written = 0
         self._uses = 0
-        self._deadline = 0.0
-        self._timer: Timer | None = None
+        self._deadline = MovingDeadline(timers, self._on_deadline)
         self._response: h11.Response | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -111,7 +111,7 @@
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         error = self._socket.connect_ex((self._address.host, self._address.port))
-        self._expect_within(self._settings.connect_seconds)
+        self._deadline.set(self._settings.connect_seconds)
         if error in (0, EINPROGRESS):
             self._poller.addWriter(self._source, self._socket)
             return
@@ -140,7 +140,7 @@
         self._body = []
         self._body_bytes = 0
         self._unsent = memoryview(self._encode(request))
-        self._expect_within(silence)
+        self._deadline.set(silence)
         self._write()
 
     def close(self) -> None:
@@ -148,8 +148,7 @@
         if self._state is ConnectionState.CLOSED:
             return
         self._state = ConnectionState.CLOSED
-        if self._timer is not None:
-            self._timer.cancel()
+        self._deadline.close()
         self._chunk = None
         if self._socket is not None:
             self._poller.discard(self._socket)
@@ -176,7 +175,7 @@
         if self._state is ConnectionState.IDLE:
             self._break(BrokenReason.CLOSED, "while idle")
             return
-        self._expect_within(self._silence)
+        self._deadline.set(self._silence)
         self._parse(data)
 
     def on_hangup(self) -> None:
@@ -215,7 +214,7 @@
 
     def _become_idle(self) -> None:
         self._state = ConnectionState.IDLE
-        self._expect_within(self._settings.pooled_seconds)
+        self._deadline.set(self._settings.pooled_seconds)
 
     def _refuse(self, error: int) -> None:
         if self._state is not ConnectionState.CLOSED:
@@ -232,7 +231,7 @@
                 return
             self._written += count
             self._unsent = self._unsent[count:]
-            self._expect_within(self._silence)
+            self._deadline.set(self._silence)
         writing = self._poller.isWriting(self._socket)
         if self._unsent and not writing:
             self._poller.addWriter(self._source, self._socket)
@@ -317,20 +316,8 @@
         self.close()
         self._events.broken(self, reason, detail)
 
-    def _expect_within(self, seconds: float) -> None:
-        self._deadline = self._timers.now() + seconds
-        if self._timer is None or self._timer.due > self._deadline:
-            if self._timer is not None:
-                self._timer.cancel()
-            self._timer = self._timers.call_at(self._deadline, self._on_deadline)
-
     def _on_deadline(self) -> None:
-        self._timer = None
-        if self._state is ConnectionState.CLOSED:
-            return
-        if self._timers.now() < self._deadline:
-            self._timer = self._timers.call_at(self._deadline, self._on_deadline)
-        elif self._state is ConnectionState.CONNECTING:
+        if self._state is ConnectionState.CONNECTING:
             self._break(BrokenReason.REFUSED, "timed out")
         elif self._state is ConnectionState.IDLE:
             self._break(BrokenReason.CLOSED, "idle for long")
--- /dev/null
+++ b/pumicedeck/http_framings.py
@@ -0,0 +1,121 @@
+"""Checks the framing of one HTTP/1.1 request before anything acts on it."""
+
+from dataclasses import dataclass
+
+import h11
+from result import Err, Ok, Result
+
+from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.results import Failure, ResultCode
+
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding", b"connection", b"expect")
+_HEADER_OVERHEAD_BYTES = 4
+_TOO_LARGE_STATUSES = (413, 431)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBounds:
+    """The largest header and body that a request may have."""
+
+    header_bytes: int = 16 * KIB
+    body_bytes: int = 8 * MIB
+
+
+@dataclass(frozen=True, slots=True)
+class WholeRequest:
+    """A request as one canonical message; `rest` is what followed it on the connection."""
+
+    data: bytes
+    rest: bytes
+
+
+class RequestReader:
+    """Takes in the bytes of one request until it is whole or proven wrong."""
+
+    def __init__(self, bounds: RequestBounds) -> None:
+        """Check against `bounds`."""
+        self._bounds = bounds
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.header_bytes)
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._began = False
+
+    @property
+    def began(self) -> bool:
+        """Return whether any byte came in."""
+        return self._began
+
+    @property
+    def wants_continue(self) -> bool:
+        """Return whether the other side waits for leave to send its body."""
+        return self._parser.they_are_waiting_for_100_continue
+
+    def feed(self, data: bytes) -> Result[WholeRequest | None, Failure]:
+        """Take in bytes; None until the request is whole."""
+        self._began = True
+        try:
+            self._parser.receive_data(data)
+            return self._read_events()
+        except h11.RemoteProtocolError as error:
+            too_large = error.error_status_hint in _TOO_LARGE_STATUSES
+            code = ResultCode.TOO_LARGE if too_large else ResultCode.BAD_FRAMING
+            return _wrong(code, str(error))
+
+    def _read_events(self) -> Result[WholeRequest | None, Failure]:
+        while True:
+            event = self._parser.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return Ok(None)
+            if isinstance(event, h11.Request):
+                wrong = self._check_head(event)
+            elif isinstance(event, h11.Data):
+                wrong = self._add(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Ok(WholeRequest(self._canonical(), self._parser.trailing_data[0]))
+            else:
+                wrong = _wrong(ResultCode.BAD_FRAMING, "the connection ended")
+            if wrong is not None:
+                return wrong
+
+    def _check_head(self, head: h11.Request) -> Err[Failure] | None:
+        self._head = head
+        size = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
+        if size + len(head.target) > self._bounds.header_bytes:
+            return _wrong(ResultCode.TOO_LARGE, "header")
+        if head.method == b"CONNECT" or not head.target.startswith(b"/"):
+            return _wrong(ResultCode.BAD_REQUEST, "only paths are served")
+        framing = [name for name, _ in head.headers if name in _FRAMING_HEADERS[:2]]
+        if len(framing) > 1:
+            return _wrong(ResultCode.BAD_FRAMING, "more than one statement of the body's length")
+        declared = dict(head.headers).get(b"content-length", b"0")
+        if int(declared) > self._bounds.body_bytes:
+            return _wrong(ResultCode.TOO_LARGE, "body")
+        return None
+
+    def _add(self, data: bytes) -> Err[Failure] | None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._bounds.body_bytes:
+            return _wrong(ResultCode.TOO_LARGE, "body")
+        self._body.append(bytes(data))
+        return None
+
+    def _canonical(self) -> bytes:
+        """Write the request anew with one plain statement of its length."""
+        head = self._head
+        lines = [b"%s %s HTTP/%s" % (head.method, head.target, head.http_version)]
+        for name, value in head.headers.raw_items():
+            if name.lower() not in _FRAMING_HEADERS:
+                lines.append(b"%s: %s" % (name, value))
+        lines.append(b"Connection: %s" % (b"keep-alive" if self._keeps_alive() else b"close"))
+        if self._body_bytes > 0:
+            lines.append(b"Content-Length: %d" % self._body_bytes)
+        return b"\r\n".join([*lines, b"", b"".join(self._body)])
+
+    def _keeps_alive(self) -> bool:
+        # The parser refuses another cycle after "Connection: close" and for HTTP/1.0.
+        return self._parser.their_state is not h11.MUST_CLOSE
+
+
+def _wrong(code: ResultCode, detail: str) -> Err[Failure]:
+    return Err(Failure(code, detail, proven_not_run=True))
--- /dev/null
+++ b/pumicedeck/http_guards.py
@@ -0,0 +1,192 @@
+"""Stands before circuits.web and lets through only whole, well-framed requests, one at a time."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from circuits import BaseComponent, handler
+from circuits.net.events import close, read, write
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_documents import JSON_TYPE, write_failure
+from pumicedeck.http_framings import RequestBounds, RequestReader, WholeRequest
+from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.moving_deadlines import MovingDeadline
+from pumicedeck.results import Failure, ResultCode
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_PIPELINED = Failure(
+    ResultCode.BAD_FRAMING,
+    "one request at a time on a connection; bytes followed an unanswered request",
+    proven_not_run=True,
+)
+_TOO_SLOW = Failure(
+    ResultCode.REQUEST_TIMEOUT, "the request was not whole in time", proven_not_run=True
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpGuardSettings:
+    """Bounds of callers' requests; times are in seconds.
+
+    `request_seconds` is how long a request may take to arrive, `idle_seconds` how long a
+    connection may stay without one, `linger_seconds` how long a refused one is still read from.
+    """
+
+    header_bytes: int = 16 * KIB
+    body_bytes: int = 8 * MIB
+    request_seconds: float = 10.0
+    idle_seconds: float = 75.0
+    linger_seconds: float = 1.0
+
+
+@dataclass(slots=True)
+class HttpGuardStats:
+    """Counts since the start."""
+
+    passed: int = 0
+    refused: int = 0
+    timed_out: int = 0
+
+
+class _Phase(StrEnum):
+    RECEIVING = "receiving"
+    ANSWERING = "answering"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True, eq=False)
+class _Caller:
+    """One connection."""
+
+    reader: RequestReader
+    deadline: MovingDeadline
+    phase: _Phase = _Phase.RECEIVING
+    pipelined: bool = False
+    continued: bool = field(default=False)
+
+
+class _CheckedRead(read):
+    """Hands a whole request on to circuits.web."""
+
+    name = "read"
+
+
+class HttpGuard(BaseComponent):
+    """Filters the `read` events of one server channel.
+
+    A refused request is answered with a numbered JSON error and its connection is closed. What
+    follows an unanswered request is refused only after that one's own answer.
+    """
+
+    def __init__(
+        self, channel: str, timers: TimerQueue, settings: HttpGuardSettings | None = None
+    ) -> None:
+        """Guard the server on `channel`."""
+        super().__init__(channel=channel)
+        self._timers = timers
+        self._settings = settings or HttpGuardSettings()
+        self._bounds = RequestBounds(self._settings.header_bytes, self._settings.body_bytes)
+        self._callers: dict[socket.socket, _Caller] = {}
+        self._stats = HttpGuardStats()
+
+    @property
+    def stats(self) -> HttpGuardStats:
+        """Return counts since the start."""
+        return self._stats
+
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections there are."""
+        return len(self._callers)
+
+    @handler("connect")
+    def _on_connect(self, sock, *_) -> None:
+        deadline = MovingDeadline(self._timers, self._expiry(sock))
+        deadline.set(self._settings.request_seconds)
+        self._callers[sock] = _Caller(RequestReader(self._bounds), deadline)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock) -> None:
+        caller = self._callers.pop(sock, None)
+        if caller is not None:
+            caller.deadline.close()
+
+    @handler("read", priority=10)
+    def _on_read(self, event, sock, data) -> None:
+        if isinstance(event, _CheckedRead):
+            return
+        event.stop()
+        caller = self._callers.get(sock)
+        if caller is None or caller.phase is _Phase.REFUSED:
+            return
+        if caller.phase is _Phase.ANSWERING:
+            caller.pipelined = True
+            return
+        self._receive(sock, caller, data)
+
+    @handler("response", "stream", priority=-100)
+    def _on_answered(self, reply, *_) -> None:
+        sock = reply.request.sock
+        caller = self._callers.get(sock)
+        if not reply.done or caller is None or caller.phase is not _Phase.ANSWERING:
+            return
+        if caller.pipelined and not reply.close:
+            self._refuse(sock, caller, _PIPELINED)
+            return
+        caller.reader = RequestReader(self._bounds)
+        caller.continued = False
+        caller.phase = _Phase.RECEIVING
+        caller.deadline.set(self._settings.idle_seconds)
+
+    def _receive(self, sock: socket.socket, caller: _Caller, data: bytes) -> None:
+        if not caller.reader.began:
+            caller.deadline.set(self._settings.request_seconds)
+        outcome = caller.reader.feed(data)
+        if outcome.is_err():
+            self._refuse(sock, caller, outcome.unwrap_err())
+            return
+        whole = outcome.unwrap()
+        if whole is not None:
+            self._pass_on(sock, caller, whole)
+        elif caller.reader.wants_continue and not caller.continued:
+            caller.continued = True
+            self.fire(write(sock, _CONTINUE))
+
+    def _pass_on(self, sock: socket.socket, caller: _Caller, whole: WholeRequest) -> None:
+        caller.phase = _Phase.ANSWERING
+        caller.pipelined = bool(whole.rest)
+        caller.deadline.clear()
+        self._stats.passed += 1
+        self.fire(_CheckedRead(sock, whole.data))
+
+    def _refuse(self, sock: socket.socket, caller: _Caller, failure: Failure) -> None:
+        self._stats.refused += 1
+        caller.phase = _Phase.REFUSED
+        self.fire(write(sock, _error_answer(failure)))
+        # Closing at once would reset the connection before the error was read.
+        caller.deadline.set(self._settings.linger_seconds)
+
+    def _expiry(self, sock: socket.socket) -> Callable[[], None]:
+        return lambda: self._on_expired(sock)
+
+    def _on_expired(self, sock: socket.socket) -> None:
+        caller = self._callers.get(sock)
+        if caller is None:
+            return
+        if caller.phase is _Phase.RECEIVING and caller.reader.began:
+            self._stats.timed_out += 1
+            self._refuse(sock, caller, _TOO_SLOW)
+        else:
+            self.fire(close(sock))
+
+
+def _error_answer(failure: Failure) -> bytes:
+    body = write_failure(failure)
+    status = failure.code.info.http_status
+    head = (
+        f"HTTP/1.1 {status} {failure.code.name}\r\nContent-Type: {JSON_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- a/pumicedeck/standin_engines.py
+++ b/pumicedeck/standin_engines.py
@@ -114,6 +114,11 @@
         running = [s for s in self._batch.running if s.generation.body == body]
         return len(running) + sum(1 for item in self.ledger if item.body == body)
 
+    def is_answering(self, handle: str) -> bool:
+        """Tell whether an open call waits for this generation and did not go silent."""
+        listener = self._listeners.get(handle)
+        return listener is not None and not self.faults.is_silenced(listener.plan)
+
     # Generations
 
     def generate(
--- /dev/null
+++ b/pumicedeck/tests/test_http_guards.py
@@ -0,0 +1,262 @@
+"""Contract of the HTTP boundary, with raw sockets."""
+
+import json
+import socket
+
+import pytest
+
+from pumicedeck.http_guards import HttpGuard, HttpGuardSettings
+from pumicedeck.http_servers import HttpServer
+from pumicedeck.results import ResultCode
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.world import Address
+
+SETTINGS = HttpGuardSettings(header_bytes=16 * 1024, body_bytes=64 * 1024, request_seconds=5.0)
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+
+
+class Bench:
+    """A guarded server that holds its exchanges until told to echo them."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.held = []
+        self.seen = []
+        self.guards = []
+        self.server = HttpServer(Address("127.0.0.1", 0), "web", self.take, self.guard)
+        self.server.register(self.loop)
+        self.loop.settle()
+        self.holding = False
+        self.open_sockets = []
+
+    @property
+    def stats(self):
+        return self.guards[0].stats
+
+    def guard(self, channel):
+        self.guards.append(HttpGuard(channel, self.loop.timers, SETTINGS))
+        return self.guards[0]
+
+    def take(self, exchange):
+        self.seen.append(exchange.body)
+        self.held.append(exchange)
+        if not self.holding:
+            self.echo()
+
+    def echo(self):
+        while self.held:
+            exchange = self.held.pop()
+            exchange.answer(200, "text/plain", b"<" + exchange.body + b">")
+
+    def connect(self):
+        sock = socket.create_connection((self.server.address.host, self.server.address.port))
+        sock.setblocking(False)
+        # Without it the kernel holds a small second part back until the first is acknowledged.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.open_sockets.append(sock)
+        self.loop.settle()
+        return sock
+
+    def exchange(self, *parts, sock=None):
+        """Send each part in a read of its own and return what came back."""
+        sock = sock or self.connect()
+        for part in parts:
+            sent = 0
+            while sent < len(part):
+                sent += sock.send(part[sent : sent + 4096])
+                self.loop.settle()
+        return received(sock)
+
+    def is_closed(self, sock):
+        self.loop.advance(SETTINGS.linger_seconds)
+        try:
+            return sock.recv(1) == b""
+        except BlockingIOError:
+            return False
+        except ConnectionResetError:
+            return True
+
+
+def received(sock):
+    data = b""
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except (BlockingIOError, ConnectionResetError):
+        pass
+    return data
+
+
+def error(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"application/json" in head and b"Connection: close" in head
+    return int(head.split()[1]), json.loads(body)
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    for sock in made.open_sockets:
+        sock.close()
+    made.loop.shut()
+
+
+def post(body, extra=b""):
+    return HEAD + extra + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+WHOLE = {
+    "at once": (post(b"abc"),),
+    "byte by byte": tuple(bytes([byte]) for byte in post(b"abc")),
+    "chunked": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"2\r\nab\r\n1\r\nc\r\n",
+        b"0\r\n\r\n",
+    ),
+    "the same length twice": (post(b"abc", b"Content-Length: 3\r\n"),),
+    "query and spaces": (post(b"abc").replace(b"/a", b"/a%20b?c=d"),),
+}
+
+
+@pytest.mark.parametrize("parts", WHOLE.values(), ids=WHOLE.keys())
+def test_whole_request_gets_its_answer_and_the_connection_stays(bench, parts):
+    sock = bench.connect()
+    for _ in range(2):
+        assert bench.exchange(*parts, sock=sock).endswith(b"<abc>")
+    assert bench.seen == [b"abc", b"abc"]
+    assert not bench.is_closed(sock)
+
+
+REFUSED = {
+    "length and transfer coding": (
+        HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ResultCode.BAD_FRAMING,
+    ),
+    "two lengths": (
+        HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        ResultCode.BAD_FRAMING,
+    ),
+    "negative length": (HEAD + b"Content-Length: -3\r\n\r\nabc", ResultCode.BAD_FRAMING),
+    "length that is no number": (
+        HEAD + b"Content-Length: 0x3\r\n\r\nabc",
+        ResultCode.BAD_FRAMING,
+    ),
+    "unknown transfer coding": (
+        HEAD + b"Transfer-Encoding: gzip\r\n\r\nabc",
+        ResultCode.BAD_FRAMING,
+    ),
+    "bad chunk": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc",
+        ResultCode.BAD_FRAMING,
+    ),
+    "no host": (b"GET /a HTTP/1.1\r\n\r\n", ResultCode.BAD_FRAMING),
+    "TLS hello": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", ResultCode.BAD_FRAMING),
+    "garbage": (b"\x00\xff\xfe garbage\r\n\r\n", ResultCode.BAD_FRAMING),
+    "garbage text": (b"hello there\r\n\r\n", ResultCode.BAD_FRAMING),
+    "huge header": (HEAD + b"X: " + b"x" * 1024 * 1024, ResultCode.TOO_LARGE),
+    "header over its bound in one read": (
+        HEAD + b"X: " + b"x" * (16 * 1024) + b"\r\n\r\n",
+        ResultCode.TOO_LARGE,
+    ),
+    "header without end of line": (b"x" * 20_000, ResultCode.TOO_LARGE),
+    "declared body too large": (HEAD + b"Content-Length: 65537\r\n\r\n", ResultCode.TOO_LARGE),
+    "chunked body too large": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + (b"4000\r\n" + b"x" * 0x4000 + b"\r\n") * 5,
+        ResultCode.TOO_LARGE,
+    ),
+    "tunnel": (b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n", ResultCode.BAD_REQUEST),
+    "proxied target": (b"GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n", ResultCode.BAD_REQUEST),
+}
+
+
+@pytest.mark.parametrize("data, code", REFUSED.values(), ids=REFUSED.keys())
+def test_wrong_request_gets_a_numbered_error_and_disturbs_nobody(bench, data, code):
+    other = bench.connect()
+    other.send(post(b"other")[:-2])
+    sock = bench.connect()
+    status, document = error(bench.exchange(data, sock=sock))
+    assert 400 <= status < 500
+    assert (document["code"], document["execution"]) == (int(code), "not_run")
+    assert bench.is_closed(sock)
+    assert bench.exchange(b"er", sock=other).endswith(b"<other>")
+    assert bench.seen == [b"other"]
+    assert bench.stats.refused == 1
+
+
+@pytest.mark.parametrize("part", [HEAD, post(b"abc")[:-1], b"P"])
+def test_half_a_request_ends_in_408(bench, part):
+    sock = bench.connect()
+    assert bench.exchange(part, sock=sock) == b""
+    bench.loop.advance(SETTINGS.request_seconds - 1)
+    assert bench.exchange(b"", sock=sock) == b""
+    bench.loop.advance(1.0)
+    status, document = error(received(sock))
+    assert (status, document["code"]) == (408, int(ResultCode.REQUEST_TIMEOUT))
+    assert bench.is_closed(sock)
+    assert bench.seen == []
+
+
+def test_slow_bytes_do_not_extend_the_time(bench):
+    sock = bench.connect()
+    for byte in HEAD[:10]:
+        sock.send(bytes([byte]))
+        bench.loop.advance(SETTINGS.request_seconds / 8)
+    assert error(received(sock))[0] == 408
+
+
+def test_connection_without_a_request_is_closed_quietly(bench):
+    sock = bench.connect()
+    bench.loop.advance(SETTINGS.request_seconds + 1)
+    assert received(sock) == b"" and bench.is_closed(sock)
+
+
+@pytest.mark.parametrize("in_one_read", [True, False])
+def test_pipelined_request_is_refused_after_the_answer_to_the_first(bench, in_one_read):
+    bench.holding = True
+    sock = bench.connect()
+    parts = [post(b"first"), post(b"second")]
+    bench.exchange(*([b"".join(parts)] if in_one_read else parts), sock=sock)
+    bench.echo()
+    bench.loop.settle()
+    first, _, second = received(sock).partition(b"<first>")
+    assert first.startswith(b"HTTP/1.1 200")
+    assert error(second)[1]["code"] == int(ResultCode.BAD_FRAMING)
+    assert bench.seen == [b"first"]
+    assert bench.is_closed(sock)
+
+
+def test_bytes_after_the_body_never_enter_anybodys_body(bench):
+    bench.holding = True
+    socks = [bench.connect() for _ in range(3)]
+    for number, sock in enumerate(socks):
+        sock.send(post(b"%d" % number) + b"smuggled")
+    bench.loop.settle()
+    bench.echo()
+    bench.loop.settle()
+    assert sorted(bench.seen) == [b"0", b"1", b"2"]
+    for number, sock in enumerate(socks):
+        assert b"<%d>" % number in received(sock)
+
+
+def test_expect_continue_is_answered_before_the_body(bench):
+    sock = bench.connect()
+    whole = post(b"abc", b"Expect: 100-continue\r\n")
+    assert bench.exchange(whole[:-3], sock=sock).startswith(b"HTTP/1.1 100 ")
+    assert bench.exchange(whole[-3:], sock=sock).endswith(b"<abc>")
+
+
+def test_connection_close_is_kept(bench):
+    sock = bench.connect()
+    answer = bench.exchange(post(b"abc", b"Connection: close\r\n"), sock=sock)
+    assert answer.endswith(b"<abc>") and bench.is_closed(sock)
+    assert bench.guards[0].open_connections == 0
+
+
+def test_caller_that_leaves_half_way_leaves_nothing_behind(bench):
+    sock = bench.connect()
+    bench.exchange(post(b"abc")[:-1], sock=sock)
+    sock.close()
+    bench.loop.settle()
+    assert bench.guards[0].open_connections == 0
+    assert bench.seen == []
