Prove the platform contracts in process and over HTTP

Cause: adapters and stand-ins must behave alike under every fault.

The pacer of the table stand-in counts places instead of adding gaps, which drifted.

Conclusion: a lost reply is told apart from a refusal at each interface.

--- a/pumicedeck/standin_tables.py
+++ b/pumicedeck/standin_tables.py
@@ -125,13 +125,20 @@
     """Spaces calls evenly so that a rate is never exceeded."""
 
     def __init__(self, rate: float) -> None:
-        self._gap = 1.0 / rate if rate > 0 else 0.0
-        self._free_at = 0.0
+        self._rate = rate
+        self._base = 0.0
+        self._count = 0
 
     def wait(self, now: float) -> float:
         """Take the next place and return how long it is away."""
-        start = max(now, self._free_at)
-        self._free_at = start + self._gap
+        if self._rate <= 0:
+            return 0.0
+        # Places are counted from a base, since a sum of gaps would drift.
+        start = self._base + self._count / self._rate
+        if start < now:
+            start = self._base = now
+            self._count = 0
+        self._count += 1
         return start - now
 
 
--- a/pumicedeck/tests/loop_harnesses.py
+++ b/pumicedeck/tests/loop_harnesses.py
@@ -60,6 +60,19 @@
                 idle = 0
         raise AssertionError("the condition was not met within the bounded number of turns")
 
+    def holds_within(self, seconds, holds, turns=5000):
+        """Tick until `holds()` or until the virtual seconds are over; tell which."""
+        end = self.timers.now() + seconds
+        for _ in range(turns):
+            self.settle()
+            if holds():
+                return True
+            due = self.timers.next_due()
+            if due is None or due > end:
+                return False
+            self.timers.run_until(due)
+        raise AssertionError("the loop did not come to rest")
+
     def advance(self, seconds):
         """Let virtual time pass, with the sockets served at each timer."""
         end = self.timers.now() + seconds
--- /dev/null
+++ b/pumicedeck/tests/platform_benches.py
@@ -0,0 +1,72 @@
+"""One bench for the contract tests: an interface in process or over HTTP."""
+
+from pumicedeck.faults import Fault
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.platforms import find_adapter
+from pumicedeck.standin_servers import StandinServer
+from pumicedeck.tests.loop_harnesses import Loop
+
+KINDS = ("standin", "http")
+SILENCE_SECONDS = 8.0
+PATIENCE_SECONDS = 30.0
+
+
+class PlatformBench:
+    """`subject` is what is tested, `standin` what stands behind it."""
+
+    def __init__(self, kind, interface, http_interface=None, **options):
+        self.kind = kind
+        self.loop = Loop()
+        self.timers = self.loop.timers
+        self.client = HttpClient(self.timers).register(self.loop)
+        self.standin = find_adapter(interface, "standin")(self.timers, **options)
+        self.subject = self.standin
+        self.server = None
+        if kind == "http":
+            self.server = StandinServer("subject", self.standin, self.timers).register(self.loop)
+            adapter = find_adapter(interface, "http")
+            self.subject = adapter(self.client, self.server.address, SILENCE_SECONDS)
+        self.loop.settle()
+
+    @property
+    def over_http(self):
+        return self.kind == "http"
+
+    def ask(self, method, *arguments):
+        """Call the subject and return its outcome, or None if it never answers."""
+        outcomes = []
+        getattr(self.subject, method)(*arguments, outcomes.append)
+        self.loop.holds_within(PATIENCE_SECONDS, lambda: outcomes)
+        assert len(outcomes) <= 1
+        return outcomes[0] if outcomes else None
+
+    def set_fault(self, fault):
+        """Let the next call meet a fault; a name of a switch sets that switch."""
+        if isinstance(fault, Fault):
+            self.standin.faults.script(fault)
+        elif fault == "crashed":
+            self.standin.crash()
+        elif fault == "slow":
+            self.standin.faults.delay = SILENCE_SECONDS / 2
+        elif fault is not None:
+            setattr(self.standin.faults, fault, True)
+        self.loop.settle()
+
+    def clear_faults(self):
+        """Make the stand-in whole again."""
+        self.standin.restart()
+        self.standin.faults.delay = 0.0
+        self.standin.faults.silent = False
+        self.standin.faults.lose_reply = False
+        self.loop.settle()
+
+    def close(self):
+        self.client.close()
+        self.loop.shut()
+
+
+def code_of(outcome):
+    """Return the failure's code, None for a success or "silent" for no answer."""
+    if outcome is None:
+        return "silent"
+    return outcome.unwrap_err().code if outcome.is_err() else None
--- /dev/null
+++ b/pumicedeck/tests/test_plain_services.py
@@ -0,0 +1,79 @@
+"""Contract of a plain service, in process and over HTTP."""
+
+import pytest
+
+import pumicedeck.http_services  # noqa: F401
+from pumicedeck.faults import Fault
+from pumicedeck.platforms import ServiceCall
+from pumicedeck.results import Execution, ResultCode
+from pumicedeck.standin_services import expected_reply
+from pumicedeck.tests.platform_benches import KINDS, PlatformBench, code_of
+
+FAILED = ResultCode.ENDPOINT_FAILED
+REFUSED = ResultCode.ENDPOINT_UNREACHABLE
+
+
+@pytest.fixture(params=KINDS)
+def bench(request):
+    made = PlatformBench(request.param, "PlainService", service_seconds=0.5, slots=2)
+    yield made
+    made.close()
+
+
+def call(number=1):
+    return ServiceCall(f"h{number}", f"r{number}", "/bookings", b"rig %d" % number)
+
+
+def test_each_call_gets_its_own_reply_and_runs_once(bench):
+    outcomes = {}
+    for number in range(6):
+        bench.subject.call(call(number), lambda o, n=number: outcomes.update({n: o}))
+    assert bench.loop.holds_within(10.0, lambda: len(outcomes) == 6)
+    for number in range(6):
+        assert outcomes[number].unwrap().body == expected_reply(call(number))
+        assert bench.standin.executions(f"r{number}") == 1
+    assert {item.call for item in bench.standin.ledger} == {call(n) for n in range(6)}
+
+
+def test_health_shows_leaving(bench):
+    assert bench.ask("healthy").unwrap() is True
+    bench.standin.leaving = True
+    assert bench.ask("healthy").unwrap() is False
+
+
+# fault, code in process, over HTTP, executions
+FAULTS = [
+    ("slow", None, None, 1),
+    ("down", REFUSED, REFUSED, 0),
+    ("crashed", REFUSED, REFUSED, 0),
+    ("lose_reply", FAILED, FAILED, 1),
+    ("silent", "silent", FAILED, 1),
+    (Fault.LOSE_REQUEST, FAILED, FAILED, 0),
+    (Fault.CRASH, FAILED, FAILED, 1),
+]
+
+
+@pytest.mark.parametrize("warm", [False, True])
+@pytest.mark.parametrize("fault, in_process, over_http, executions", FAULTS)
+def test_call_under_faults(bench, warm, fault, in_process, over_http, executions):
+    if warm:
+        bench.ask("call", call(0))
+    bench.set_fault(fault)
+    outcome = bench.ask("call", call())
+    assert code_of(outcome) == (over_http if bench.over_http else in_process)
+    if outcome is not None and outcome.is_err():
+        proven = outcome.unwrap_err().execution is Execution.NOT_RUN
+        assert proven == (code_of(outcome) is REFUSED)
+    assert bench.standin.executions("r1") == executions
+    bench.clear_faults()
+    assert bench.ask("call", call(2)).is_ok()
+
+
+def test_crash_fails_the_calls_in_flight(bench):
+    outcomes = []
+    bench.subject.call(call(), outcomes.append)
+    bench.loop.settle()
+    bench.standin.crash()
+    assert bench.loop.holds_within(10.0, lambda: outcomes)
+    assert code_of(outcomes[0]) is FAILED
+    assert bench.standin.executions("r1") == 0
--- /dev/null
+++ b/pumicedeck/tests/test_vm_lists.py
@@ -0,0 +1,57 @@
+"""Contract of the VM list, in process and over HTTP."""
+
+from dataclasses import replace
+
+import pytest
+
+import pumicedeck.http_vm_lists  # noqa: F401
+from pumicedeck.faults import Fault
+from pumicedeck.results import ResultCode
+from pumicedeck.tests.platform_benches import KINDS, PlatformBench, code_of
+from pumicedeck.world import Address, Endpoint, EndpointKind, FailureDomain, Vm, VmRole, VmState
+
+LAG = 4.0
+ENTRY = Vm("e1", VmRole.ENTRY, FailureDomain("tn-a", "tw-south"), Address("127.0.0.1", 7000))
+AGENT = Vm(
+    "a1",
+    VmRole.AGENT,
+    FailureDomain("tp-a", "tw-north"),
+    Address("127.0.0.1", 7001),
+    endpoint=Endpoint("s1", "tuner-gen", EndpointKind.MODEL, 4),
+)
+
+
+@pytest.fixture(params=KINDS)
+def bench(request):
+    made = PlatformBench(request.param, "VmList", vms=(ENTRY,), lag=LAG)
+    yield made
+    made.close()
+
+
+def test_changes_show_after_the_lag(bench):
+    leaving = replace(ENTRY, state=VmState.LEAVING)
+    bench.standin.put(AGENT)
+    bench.loop.advance(LAG / 2)
+    bench.standin.put(leaving)
+    bench.standin.remove(AGENT.name)
+    assert bench.ask("list").unwrap() == (ENTRY,)
+    bench.loop.advance(LAG / 2)
+    assert bench.ask("list").unwrap() == (ENTRY, AGENT)
+    bench.loop.advance(LAG / 2)
+    assert bench.ask("list").unwrap() == (leaving,)
+
+
+@pytest.mark.parametrize(
+    "fault, code",
+    [
+        ("slow", None),
+        ("down", ResultCode.STORE_UNAVAILABLE),
+        ("lose_reply", ResultCode.STORE_UNAVAILABLE),
+        (Fault.CRASH, ResultCode.STORE_UNAVAILABLE),
+    ],
+)
+def test_list_under_faults(bench, fault, code):
+    bench.set_fault(fault)
+    assert code_of(bench.ask("list")) is code
+    bench.clear_faults()
+    assert bench.ask("list").unwrap() == (ENTRY,)
