--- /dev/null
+++ b/pumicedeck/entry_daemons.py
@@ -0,0 +1,310 @@
+"""The entry: carries events between callers, the request state machine and the agents."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+from result import Err
+
+from pumicedeck.actions import (
+    Action,
+    CallerAnswer,
+    CallerRequest,
+    DeliverAnswer,
+    DeliverChunk,
+    DeliverFailure,
+    Drained,
+    RecordOutcome,
+    SendMessage,
+    WriteClaim,
+)
+from pumicedeck.agent_dialers import AgentDialer
+from pumicedeck.catalogue_entries import Catalogue
+from pumicedeck.catalogue_followers import CatalogueFollower
+from pumicedeck.claim_outcomes import ClaimOutcome
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.handshakes import Hello
+from pumicedeck.histograms import Histograms, Measure, Series
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.messages import (
+    CatalogueCopy,
+    CatalogueRequest,
+    Heartbeat,
+    Leaving,
+    Message,
+)
+from pumicedeck.peers import Peers
+from pumicedeck.results import Failure
+from pumicedeck.routers import Candidate
+from pumicedeck.wakeups import Wakeup
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Vm, VmRole, VmState
+
+_log = logger.bind(module="entry")
+
+
+class AnswerSink(Protocol):
+    """Where the outcome of a submitted request goes."""
+
+    def chunk(self, data: bytes) -> None:
+        """Take the next bytes of a streamed answer."""
+
+    def answer(self, answer: CallerAnswer) -> None:
+        """Take the whole answer."""
+
+    def failure(self, failure: Failure) -> None:
+        """Take the failure."""
+
+
+class ClaimWriter(Protocol):
+    """Writes the claims of non-idempotent requests and their outcomes."""
+
+    def claim(self, write: WriteClaim) -> None:
+        """Insert a claim row; the daemon's `claim_answered` hears of it."""
+
+    def record(self, outcome: RecordOutcome) -> None:
+        """Write the outcome into a claim row."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the composition root gives to an entry."""
+
+    incarnation: str
+    timers: TimerQueue
+    requests: EntryRequests
+    limiter: EntryLimiter
+    histograms: Histograms
+    drained: Callable[[], None]
+    paid_bytes: Callable[[], dict[str, int]]
+
+
+@dataclass(slots=True)
+class _Submitted:
+    request: CallerRequest
+    sink: AnswerSink
+    at: float
+    seen_first: bool = False
+
+
+class EntryDaemon:
+    """One entry process: requests come in, answers go out, sessions lead to agents."""
+
+    def __init__(self, parts: EntryParts) -> None:
+        """Take the parts; `bind` completes the wiring before `start`."""
+        self._parts = parts
+        self._requests = parts.requests
+        self._timers = parts.timers
+        self._peers = Peers(self)
+        self._submitted: dict[str, _Submitted] = {}
+        self._beats = 0
+        self._revisions: dict[str, int] = {}
+        self._follower: CatalogueFollower | None = None
+        self._dialer: AgentDialer | None = None
+        self._claims: ClaimWriter | None = None
+        self._is_draining = False
+        self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
+
+    @property
+    def peers(self) -> Peers:
+        """Return the sessions to agents."""
+        return self._peers
+
+    @property
+    def requests(self) -> EntryRequests:
+        """Return the request state machine."""
+        return self._requests
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue in force, an empty one at first."""
+        return self._follower.catalogue or Catalogue()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return not self._is_draining and self.catalogue.revision > 0
+
+    @property
+    def agent_revisions(self) -> dict[str, int]:
+        """Return the catalogue revision that each reachable agent reported last."""
+        return dict(self._revisions)
+
+    @property
+    def paid_bytes(self) -> dict[str, int]:
+        """Return the bytes sent over paid links, by firm."""
+        return self._parts.paid_bytes()
+
+    def bind(self, follower: CatalogueFollower, dialer: AgentDialer, claims: ClaimWriter) -> None:
+        """Complete the wiring."""
+        self._claims = claims
+        self._follower = follower
+        self._dialer = dialer
+
+    def start(self) -> None:
+        """Begin to follow the catalogue."""
+        self._follower.start()
+        _log.info("entry started", incarnation=self._parts.incarnation)
+
+    def close(self) -> None:
+        """Stop everything that `start` began."""
+        self._wakeup.close()
+        self._follower.close()
+        self._dialer.close()
+
+    def drain(self) -> None:
+        """Fail the readiness check, serve for the balancer's notice time, then stop."""
+        if self._is_draining:
+            return
+        _log.info("drain started")
+        self._is_draining = True
+        self._perform(self._requests.begin_drain(self._timers.now()))
+
+    def installed(self, catalogue: Catalogue) -> None:
+        """Put a newly installed catalogue in force."""
+        _log.info("catalogue installed", revision=catalogue.revision)
+        self._parts.limiter.configure(self._timers.now(), catalogue)
+
+    def announce(self, revision: int) -> None:
+        """Tell every agent at once which catalogue revision is in force here."""
+        self._peers.send_to_all(self.heartbeat())
+
+    def vms_changed(self, vms: tuple[Vm, ...]) -> None:
+        """Keep sessions to the agents of the list and split limits among its entries."""
+        agents = [each for each in vms if each.role is VmRole.AGENT]
+        self._dialer.want_only(each for each in agents if each.state is VmState.LIVE)
+        self._stop_work_for(each.name for each in agents if each.state is VmState.LEAVING)
+        entries = [each.name for each in vms if each.role is VmRole.ENTRY]
+        self._parts.limiter.set_members(self._timers.now(), entries)
+
+    def submit(self, request: CallerRequest, sink: AnswerSink) -> None:
+        """Admit a checked request under its entry's limits."""
+        now = self._timers.now()
+        admitted = self._parts.limiter.admit(now, request.entry, request.expected_tokens)
+        if isinstance(admitted, Err):
+            sink.failure(admitted.err_value)
+            return
+        self._submitted[request.handle] = _Submitted(request, sink, now)
+        self._perform(self._requests.submit(now, request))
+
+    def caller_gone(self, handle: str) -> None:
+        """Give up a request that nobody waits for."""
+        self._perform(self._requests.caller_gone(self._timers.now(), handle))
+
+    # What the sessions report
+
+    def session_up(self, peer: Hello) -> None:
+        """Take an agent into the choice."""
+        self._dialer.opened(peer.incarnation.partition("/")[0])
+        endpoint = Endpoint(peer.endpoint, peer.pool, EndpointKind(peer.kind), peer.slots)
+        candidate = Candidate(
+            peer.incarnation, endpoint, FailureDomain(peer.failure_domain, peer.region)
+        )
+        now = self._timers.now()
+        self._perform(self._requests.session_up(now, peer.incarnation, candidate))
+        self._follower.peer_up(peer.incarnation)
+
+    def session_lost(self, peer: Hello) -> None:
+        """Take an agent out of the choice."""
+        self._perform(self._requests.session_lost(self._timers.now(), peer.incarnation))
+        self._revisions.pop(peer.incarnation, None)
+        self._follower.peer_lost(peer.incarnation)
+
+    def message(self, peer: Hello, message: Message) -> None:
+        """Pass a message to whom it concerns."""
+        if isinstance(message, CatalogueRequest | CatalogueCopy):
+            self._follower.message(peer.incarnation, message)
+            return
+        if isinstance(message, Heartbeat):
+            self._revisions[peer.incarnation] = message.revision
+            self._follower.peer_revision(peer.incarnation, message.revision)
+        now = self._timers.now()
+        self._perform(self._requests.message(now, peer.incarnation, message))
+
+    def dial_ended(self, connection: int) -> None:
+        """Dial again if the agent is still wanted."""
+        self._dialer.ended(connection)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the next heartbeat with the lowest sequence that is not settled."""
+        self._beats += 1
+        revision = self._follower.revision
+        return Heartbeat(self._beats, revision, floor=self._requests.floor)
+
+    def _stop_work_for(self, vms: Iterable[str]) -> None:
+        leaving = set(vms)
+        for agent in self._peers.incarnations:
+            if agent.partition("/")[0] in leaving:
+                notice = Leaving("listed as leaving", 0.0)
+                self._perform(self._requests.message(self._timers.now(), agent, notice))
+
+    def _on_time(self, now: float) -> None:
+        self._perform(self._requests.on_time(now))
+
+    def claim_answered(self, handle: str, outcome: ClaimOutcome) -> None:
+        """Take the outcome of a claim."""
+        now = self._timers.now()
+        self._perform(self._requests.claim_answered(now, handle, outcome))
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendMessage(peer, message):
+                    self._peers.send(peer, message)
+                case DeliverChunk(handle, data):
+                    self._deliver_chunk(handle, data)
+                case DeliverAnswer(handle, answer):
+                    self._deliver_answer(handle, answer)
+                case DeliverFailure(handle, failure):
+                    self._deliver_failure(handle, failure)
+                case WriteClaim():
+                    self._claims.claim(action)
+                case RecordOutcome():
+                    self._claims.record(action)
+                case Drained():
+                    _log.info("drained")
+                    self._parts.drained()
+        self._wakeup.refresh()
+
+    def _deliver_chunk(self, handle: str, data: bytes) -> None:
+        held = self._submitted.get(handle)
+        if held is None:
+            return
+        if not held.seen_first:
+            held.seen_first = True
+            self._record(held, Measure.FIRST_TOKEN, self._timers.now() - held.at)
+        held.sink.chunk(data)
+
+    def _deliver_answer(self, handle: str, answer: CallerAnswer) -> None:
+        held = self._finish(handle, answer.tokens)
+        if held is None:
+            return
+        self._record(held, Measure.QUEUE_WAIT, answer.queue_wait)
+        self._record(held, Measure.WHOLE_ANSWER, self._timers.now() - held.at)
+        held.sink.answer(answer)
+
+    def _deliver_failure(self, handle: str, failure: Failure) -> None:
+        held = self._finish(handle, 0)
+        if held is None:
+            return
+        _log.info(
+            "request failed",
+            request_id=held.request.request_id,
+            entry=held.request.entry.name,
+            code=int(failure.code),
+            execution=str(failure.execution),
+        )
+        held.sink.failure(failure)
+
+    def _finish(self, handle: str, tokens: int) -> _Submitted | None:
+        held = self._submitted.pop(handle, None)
+        if held is not None:
+            now = self._timers.now()
+            expected = held.request.expected_tokens
+            self._parts.limiter.finished(now, held.request.entry, expected, tokens)
+        return held
+
+    def _record(self, held: _Submitted, measure: Measure, value: float) -> None:
+        entry = held.request.entry
+        self._parts.histograms.record(Series(entry.firm, entry.request_class, measure), value)
