Prove the model engine's contract in process and over HTTP

Cause: drafts must be attributed and delivered whole whatever the engine or the connection to it does.

Change: contract tests of generations, resume, cancel, orders, fencing, swaps, cache events, KV moves and restarts against the engine's true ledger, with the faults in tables, in process and over HTTP.

Conclusion: a stream that breaks is resumed without running twice, and a lost order is settled by reading the state back.

--- /dev/null
+++ b/pumicedeck/tests/test_model_engines.py
@@ -0,0 +1,301 @@
+"""Contract of the model engine, in process and over HTTP."""
+
+import json
+
+import pytest
+
+import pumicedeck.http_engines  # noqa: F401
+from pumicedeck.faults import Fault
+from pumicedeck.platforms import EngineOrder, Generation, LoadedModel, OrderKind
+from pumicedeck.results import Execution, ResultCode
+from pumicedeck.standin_batches import BatchSettings, body_digest, token_text
+from pumicedeck.standin_caches import CacheSettings
+from pumicedeck.standin_ledgers import EngineSettings
+from pumicedeck.tests.platform_benches import (
+    KINDS,
+    SILENCE_SECONDS,
+    PlatformBench,
+    code_of,
+)
+
+FAILED = ResultCode.ENDPOINT_FAILED
+REFUSED = ResultCode.ENDPOINT_UNREACHABLE
+ORDER_UNKNOWN = ResultCode.ORDER_UNKNOWN
+TOKEN_SECONDS = 0.25
+SETTINGS = EngineSettings(
+    models=(LoadedModel("base", 0),),
+    batch=BatchSettings(slots=4, token_seconds=TOKEN_SECONDS, step_tokens=1),
+    cache=CacheSettings(event_lag=5.0),
+    install_seconds=0.5,
+)
+
+
+@pytest.fixture(params=KINDS)
+def bench(request):
+    made = PlatformBench(request.param, "ModelEngine", settings=SETTINGS)
+    yield made
+    made.close()
+
+
+@pytest.fixture(params=KINDS)
+def lax_bench(request):
+    settings = EngineSettings(checks_fencing=False, reports_versions=False)
+    made = PlatformBench(request.param, "ModelEngine", settings=settings)
+    yield made
+    made.close()
+
+
+class Call:
+    """One generation and what it reported."""
+
+    def __init__(self, bench, handle="h", body=None, streamed=True, offset=0, model="base"):
+        self.chunks = []
+        self.outcomes = []
+        self.bench = bench
+        generation = Generation(
+            handle, model, "/v1/generate", body or prompt(), 0, streamed, offset
+        )
+        bench.subject.generate(generation, self.chunks.append, self.outcomes.append)
+
+    @property
+    def data(self):
+        data = bytearray()
+        start = self.chunks[0].offset if self.chunks else 0
+        for chunk in self.chunks:
+            assert chunk.offset - start <= len(data)
+            data[chunk.offset - start :] = chunk.data
+        return bytes(data)
+
+    def outcome(self, seconds=60.0):
+        self.bench.loop.holds_within(seconds, lambda: self.outcomes)
+        assert len(self.outcomes) <= 1
+        return self.outcomes[0] if self.outcomes else None
+
+
+def prompt(text="a", tokens=6):
+    return json.dumps({"prompt": text, "max_tokens": tokens}).encode()
+
+
+def whole(body, versions):
+    return b"".join(token_text(body_digest(body), i, v) for i, v in enumerate(versions))
+
+
+def swap(version, fencing=1, order_id=None, kind=OrderKind.SWAP_VERSION):
+    return EngineOrder(order_id or f"o{version}", fencing, kind, "base", version)
+
+
+def version_of(bench):
+    return bench.ask("state").unwrap().models[0].version
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+def test_each_caller_gets_its_own_whole_answer(bench, streamed):
+    bodies = [prompt(f"p{number}", 3 + number) for number in range(9)]
+    calls = [Call(bench, f"h{i}", body, streamed) for i, body in enumerate(bodies)]
+    for number, call in enumerate(calls):
+        end = call.outcome().unwrap()
+        expected = whole(bodies[number], [0] * (3 + number))
+        assert call.data == expected
+        assert (end.length, end.tokens) == (len(expected), 3 + number)
+        assert sum((chunk.versions for chunk in call.chunks), ()) == (0,) * (3 + number)
+        assert (len(call.chunks) > 1) == streamed
+
+
+def test_long_generation_outlives_the_silence_time(bench):
+    body = prompt(tokens=round(4 * SILENCE_SECONDS / TOKEN_SECONDS))
+    assert Call(bench, body=body, streamed=False).outcome(10 * SILENCE_SECONDS).is_ok()
+
+
+# fault, code in process, over HTTP, executions
+FAULTS = [
+    ("slow", None, None, 1),
+    ("down", REFUSED, REFUSED, 0),
+    ("crashed", REFUSED, REFUSED, 0),
+    ("lose_reply", FAILED, FAILED, 1),
+    ("silent", "silent", FAILED, 1),
+    (Fault.LOSE_REQUEST, FAILED, FAILED, 0),
+    (Fault.LOSE_REPLY, FAILED, FAILED, 1),
+    (Fault.CRASH, FAILED, FAILED, 1),
+]
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+@pytest.mark.parametrize("fault, in_process, over_http, executions", FAULTS)
+def test_generation_under_faults(bench, fault, in_process, over_http, executions, streamed):
+    bench.ask("state")
+    bench.set_fault(fault)
+    outcome = Call(bench, streamed=streamed).outcome()
+    assert code_of(outcome) == (over_http if bench.over_http else in_process)
+    if code_of(outcome) in (REFUSED, FAILED):
+        proven = outcome.unwrap_err().execution is Execution.NOT_RUN
+        assert proven == (code_of(outcome) is REFUSED)
+    bench.loop.advance(10.0)
+    assert bench.standin.executions(prompt()) == executions
+    bench.clear_faults()
+    assert Call(bench, "next", prompt("next")).outcome().is_ok()
+
+
+def test_silent_stream_is_resumed_by_offset_and_runs_once(bench):
+    body = prompt(tokens=80)
+    first = Call(bench, body=body)
+    bench.loop.advance(4 * TOKEN_SECONDS)
+    bench.standin.faults.silence_open()
+    assert code_of(first.outcome(2 * SILENCE_SECONDS)) == (FAILED if bench.over_http else "silent")
+    received = first.data
+    second = Call(bench, body=body, offset=len(received))
+    assert second.outcome().is_ok()
+    assert received + second.data == whole(body, [0] * 80)
+    assert bench.standin.executions(body) == 1
+
+
+def test_stream_broken_by_the_network_is_resumed(bench):
+    body = prompt(tokens=20)
+    bench.standin.faults.script(Fault.LOSE_REPLY, operation="generate")
+    first = Call(bench, body=body)
+    assert code_of(first.outcome()) is FAILED
+    second = Call(bench, body=body, offset=len(first.data))
+    assert second.outcome().is_ok()
+    assert first.data + second.data == whole(body, [0] * 20)
+    assert bench.standin.executions(body) == 1
+
+
+def test_resuming_what_the_engine_does_not_know_is_no_proof(bench):
+    failure = Call(bench, "unknown", offset=5).outcome().unwrap_err()
+    assert failure.code is FAILED
+    assert failure.execution is Execution.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("after", [0.0, 2 * TOKEN_SECONDS])
+def test_cancel_is_reported_by_the_generation(bench, after):
+    call = Call(bench, body=prompt(tokens=50))
+    bench.loop.advance(after)
+    bench.subject.cancel("h")
+    assert code_of(call.outcome()) is ResultCode.CANCELLED
+    assert bench.ask("state").unwrap().running == 0
+
+
+@pytest.mark.parametrize(
+    "body, model, code",
+    [
+        (b"not json", "base", ResultCode.BAD_REQUEST),
+        (b"[1]", "base", ResultCode.BAD_REQUEST),
+        (prompt(), "missing", ResultCode.NOT_FOUND),
+    ],
+)
+def test_wrong_generation_is_refused_with_proof(bench, body, model, code):
+    failure = Call(bench, body=body, model=model).outcome().unwrap_err()
+    assert failure.code is code
+    assert failure.execution is Execution.NOT_RUN
+
+
+def test_leaving_engine_refuses_with_proof_and_finishes_what_runs(bench):
+    running = Call(bench, "old")
+    bench.loop.advance(TOKEN_SECONDS)
+    bench.standin.begin_leaving()
+    refused = Call(bench, "new", prompt("b")).outcome().unwrap_err()
+    assert refused.code is ResultCode.ENDPOINT_LEAVING
+    assert refused.execution is Execution.NOT_RUN
+    assert bench.ask("state").unwrap().leaving
+    assert running.outcome().is_ok()
+
+
+# fault, code in process, over HTTP, version afterwards
+ORDER_FAULTS = [
+    (None, None, None, 5),
+    ("slow", None, None, 5),
+    ("down", REFUSED, REFUSED, 0),
+    ("lose_reply", ORDER_UNKNOWN, ORDER_UNKNOWN, 5),
+    ("silent", "silent", ORDER_UNKNOWN, 5),
+    (Fault.LOSE_REQUEST, ORDER_UNKNOWN, ORDER_UNKNOWN, 0),
+    (Fault.PARTIAL_SWAP, ResultCode.SWAP_FAILED, ResultCode.SWAP_FAILED, -1),
+    (Fault.CRASH, ORDER_UNKNOWN, ORDER_UNKNOWN, 0),
+]
+
+
+@pytest.mark.parametrize("fault, in_process, over_http, version", ORDER_FAULTS)
+def test_order_under_faults_is_settled_by_reading_the_state(
+    bench, fault, in_process, over_http, version
+):
+    bench.ask("state")
+    bench.set_fault(fault)
+    outcome = bench.ask("order", swap(5))
+    assert code_of(outcome) == (over_http if bench.over_http else in_process)
+    if bench.standin.faults.down:
+        bench.clear_faults()
+    bench.standin.faults.silent = bench.standin.faults.lose_reply = False
+    assert version_of(bench) == version
+    partial = [item.partial for item in bench.standin.orders]
+    assert partial == ([] if version == 0 else [version == -1])
+
+
+def test_repeated_order_takes_effect_once(bench):
+    first = bench.ask("order", swap(5, order_id="same")).unwrap()
+    again = bench.ask("order", swap(5, order_id="same")).unwrap()
+    assert first.last_order == again.last_order == "same"
+    assert len(bench.standin.orders) == 1
+
+
+def test_old_fencing_number_is_refused(bench):
+    bench.ask("order", swap(5, fencing=9))
+    assert code_of(bench.ask("order", swap(4, fencing=8))) is ResultCode.FENCED
+    assert bench.ask("state").unwrap().highest_fencing == 9
+    assert version_of(bench) == 5
+
+
+def test_engine_that_ignores_fencing_takes_an_old_order_and_says_no_versions(lax_bench):
+    lax_bench.ask("order", swap(5, fencing=9))
+    assert lax_bench.ask("order", swap(4, fencing=8)).is_ok()
+    assert lax_bench.ask("state").unwrap().highest_fencing == 0
+    assert version_of(lax_bench) == 4
+    call = Call(lax_bench)
+    assert call.outcome().is_ok()
+    assert {chunk.versions for chunk in call.chunks} == {()}
+    assert lax_bench.standin.ledger[0].versions == (4,) * 6
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_swap_spans_or_restarts_a_stream(bench, restart):
+    body = prompt(tokens=12)
+    call = Call(bench, body=body)
+    bench.loop.advance(4 * TOKEN_SECONDS)
+    order = EngineOrder("o", 1, OrderKind.SWAP_VERSION, "base", 1, restart_running=restart)
+    bench.ask("order", order)
+    assert call.outcome().is_ok()
+    versions = bench.standin.ledger[0].versions
+    assert call.data == whole(body, versions)
+    assert set(versions) == ({1} if restart else {0, 1})
+
+
+def test_cache_events_come_late_and_after_a_number(bench):
+    Call(bench).outcome()
+    assert bench.ask("cache_events", 0).unwrap() == ()
+    bench.loop.advance(5.0)
+    events = bench.ask("cache_events", 0).unwrap()
+    assert [event.cached for event in events] == [True]
+    assert bench.ask("cache_events", events[0].sequence).unwrap() == ()
+
+
+def test_generation_moves_by_its_kv_cache(bench):
+    body = prompt(tokens=16)
+    call = Call(bench, body=body)
+    bench.loop.advance(3 * TOKEN_SECONDS)
+    exported = bench.ask("export_kv", "h").unwrap()
+    assert code_of(call.outcome()) is ResultCode.CANCELLED
+    assert bench.ask("export_kv", "h").unwrap_err().code is ResultCode.NOT_FOUND
+    assert code_of(bench.ask("import_kv", "x", b"junk")) is ResultCode.BAD_REQUEST
+    bench.ask("import_kv", "moved", exported).unwrap()
+    moved = Call(bench, "moved", body, offset=len(call.data))
+    assert moved.outcome().is_ok()
+    assert call.data + moved.data == whole(body, [0] * 16)
+
+
+def test_restarted_engine_has_a_new_incarnation(bench):
+    before = bench.ask("state").unwrap().incarnation
+    bench.ask("order", swap(5))
+    bench.standin.crash()
+    bench.loop.settle()
+    assert code_of(bench.ask("state")) is REFUSED
+    bench.clear_faults()
+    state = bench.ask("state").unwrap()
+    assert state.incarnation != before
+    assert state.models == (LoadedModel("base", 0),)
