Host stand-ins in a process of their own with a control port

Cause: daemons are to be started against stand-ins over loopback ports, with faults set from outside.

Change: run_standins(settings) serves each stand-in on its own port, prints the bound addresses as JSON lines and stops on a signal. The control port sets faults, leaving and the VM list, and shows the ledgers. A stand-in that is down has no listener, so connections are truly refused.

--- a/pumicedeck/http_documents.py
+++ b/pumicedeck/http_documents.py
@@ -10,7 +10,7 @@
 from pumicedeck.results import Execution, Failure, ResultCode
 
 JSON_TYPE = "application/json"
-_BYTES_AS_BASE64 = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
+_BYTES_AS_BASE64 = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64", extra="forbid")
 
 
 class Document:
--- /dev/null
+++ b/pumicedeck/standin_hosts.py
@@ -0,0 +1,280 @@
+"""A process of stand-ins: what it hosts, its control port and how it is run."""
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import islice
+from random import Random
+from typing import TextIO
+from urllib.parse import parse_qs
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.faults import FaultSettings, FaultSwitches, StandIn
+from pumicedeck.http_documents import JSON_TYPE, Document
+from pumicedeck.http_guards import HttpGuard
+from pumicedeck.http_servers import HttpExchange, HttpServer
+from pumicedeck.loops import LoopTimers
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.standin_engines import StandinEngine
+from pumicedeck.standin_ledgers import EngineSettings, ExecutedGeneration
+from pumicedeck.standin_objects import StandinObjectStore
+from pumicedeck.standin_servers import StandinServer
+from pumicedeck.standin_services import ExecutedCall, StandinService
+from pumicedeck.standin_tables import StandinTableStore, StoreLimits
+from pumicedeck.standin_vm_lists import StandinVmList
+from pumicedeck.standin_weights import StandinWeightStore
+from pumicedeck.world import Address, Vm
+
+ANY_PORT = Address("127.0.0.1", 0)
+CONTROL_NAME = "control"
+_LEDGER_PAGE = 1000
+_HTTP_OK = 200
+_FAULTS = Document(FaultSettings)
+_VMS = Document(tuple[Vm, ...])
+_LEDGERS = {
+    StandinEngine: Document(tuple[ExecutedGeneration, ...]),
+    StandinService: Document(tuple[ExecutedCall, ...]),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class StandinSettings:
+    """A stand-in and where it listens; its port may be 0."""
+
+    name: str
+    listen: Address = ANY_PORT
+
+
+@dataclass(frozen=True, slots=True)
+class TableSettings(StandinSettings):
+    """A table service."""
+
+    limits: StoreLimits = StoreLimits()
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectSettings(StandinSettings):
+    """An object store."""
+
+
+@dataclass(frozen=True, slots=True)
+class WeightSettings(StandinSettings):
+    """A weight store; 0 bytes per second means unlimited."""
+
+    bytes_per_second: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class VmListSettings(StandinSettings):
+    """A VM list that shows changes `lag` seconds late."""
+
+    vms: tuple[Vm, ...] = ()
+    lag: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelSettings(StandinSettings):
+    """A model engine; `weights` names the hosted weight store that it fetches from."""
+
+    engine: EngineSettings = field(default_factory=EngineSettings)
+    weights: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings(StandinSettings):
+    """A plain service; times are in seconds, 0 slots mean no bound."""
+
+    service_seconds: float = 0.0
+    slots: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StandinHostSettings:
+    """The stand-ins of one process in the order in which they are made."""
+
+    standins: tuple[StandinSettings, ...]
+    control: Address = ANY_PORT
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BoundAddress:
+    """Where a stand-in, or the control port, truly listens."""
+
+    name: str
+    address: Address
+
+
+Builder = Callable[["StandinHost", StandinSettings, FaultSwitches], StandIn]
+_BUILDERS: dict[type[StandinSettings], Builder] = {}
+
+
+def _builds(kind: type[StandinSettings]) -> Callable[[Builder], Builder]:
+    """Register the function that makes a stand-in from its settings."""
+
+    def register(builder: Builder) -> Builder:
+        _BUILDERS[kind] = builder
+        return builder
+
+    return register
+
+
+@_builds(TableSettings)
+def _build_tables(host, settings, faults) -> StandIn:
+    return StandinTableStore(host.timers, faults, limits=settings.limits)
+
+
+@_builds(ObjectSettings)
+def _build_objects(host, settings, faults) -> StandIn:
+    return StandinObjectStore(host.timers, faults)
+
+
+@_builds(WeightSettings)
+def _build_weights(host, settings, faults) -> StandIn:
+    return StandinWeightStore(host.timers, faults, settings.bytes_per_second)
+
+
+@_builds(VmListSettings)
+def _build_vm_list(host, settings, faults) -> StandIn:
+    return StandinVmList(host.timers, faults, settings.vms, settings.lag)
+
+
+@_builds(ModelSettings)
+def _build_engine(host, settings, faults) -> StandIn:
+    weights = host.find(settings.weights).fetch if settings.weights else None
+    return StandinEngine(host.timers, faults, settings.engine, weights, settings.name)
+
+
+@_builds(ServiceSettings)
+def _build_service(host, settings, faults) -> StandIn:
+    return StandinService(host.timers, faults, settings.service_seconds, settings.slots)
+
+
+class StandinHost(BaseComponent):
+    """Hosts stand-ins, each on its own port, and a control port for faults and ledgers."""
+
+    channel = "standin_host"
+
+    def __init__(self, settings: StandinHostSettings, timers: TimerQueue) -> None:
+        """Listen at once."""
+        super().__init__()
+        self._timers = timers
+        self._servers: dict[str, StandinServer] = {}
+        self._routes = {
+            "faults": self._set_faults,
+            "leaving": self._set_leaving,
+            "vms": self._set_vms,
+            "ledger": self._show_ledger,
+        }
+        for item in settings.standins:
+            faults = FaultSwitches(Random(f"{settings.seed}/{item.name}"))
+            standin = _BUILDERS[type(item)](self, item, faults)
+            server = StandinServer(item.name, standin, timers, item.listen)
+            self._servers[item.name] = server.register(self)
+        self._control = HttpServer(
+            settings.control,
+            "standin_control",
+            self._handle,
+            lambda channel: HttpGuard(channel, timers),
+        )
+        self._control.register(self)
+
+    @property
+    def timers(self) -> TimerQueue:
+        """Return the queue that everything runs on."""
+        return self._timers
+
+    @property
+    def bound(self) -> tuple[BoundAddress, ...]:
+        """Return where each stand-in and the control port listen."""
+        servers = self._servers.items()
+        bound = [BoundAddress(name, server.address) for name, server in servers]
+        return (*bound, BoundAddress(CONTROL_NAME, self._control.address))
+
+    def find(self, name: str) -> StandIn:
+        """Return a hosted stand-in."""
+        return self._servers[name].standin
+
+    def address(self, name: str) -> Address:
+        """Return where a stand-in or the control port listens."""
+        return next(item.address for item in self.bound if item.name == name)
+
+    @handler("signal", channel="*")
+    def _on_signal(self, *_) -> None:
+        self.root.stop()
+
+    def _handle(self, exchange: HttpExchange) -> None:
+        parts = exchange.path.strip("/").split("/")
+        route = self._routes.get(parts[0])
+        server = self._servers.get(parts[-1])
+        if len(parts) != 2 or route is None or server is None:
+            exchange.fail(Failure(ResultCode.NOT_FOUND, exchange.path, proven_not_run=True))
+            return
+        route(exchange, server.standin)
+
+    def _set_faults(self, exchange: HttpExchange, standin: StandIn) -> None:
+        decoded = _FAULTS.decode(b"[%s]" % exchange.body)
+        if decoded.is_err():
+            exchange.fail(decoded.unwrap_err())
+            return
+        standin.apply_faults(decoded.unwrap()[0])
+        exchange.answer(_HTTP_OK, JSON_TYPE, b"{}")
+
+    def _set_leaving(self, exchange: HttpExchange, standin: StandIn) -> None:
+        if not hasattr(standin, "leaving"):
+            exchange.fail(Failure(ResultCode.NOT_FOUND, exchange.path))
+            return
+        standin.leaving = True
+        exchange.answer(_HTTP_OK, JSON_TYPE, b"{}")
+
+    def _set_vms(self, exchange: HttpExchange, standin: StandIn) -> None:
+        decoded = _VMS.decode(b"[%s]" % exchange.body)
+        if not isinstance(standin, StandinVmList) or decoded.is_err():
+            exchange.fail(Failure(ResultCode.BAD_REQUEST, "a list of VMs is expected"))
+            return
+        standin.replace_all(decoded.unwrap()[0])
+        exchange.answer(_HTTP_OK, JSON_TYPE, b"{}")
+
+    def _show_ledger(self, exchange: HttpExchange, standin: StandIn) -> None:
+        document = _LEDGERS.get(type(standin))
+        after = parse_qs(exchange.query).get("after", ["0"])[0]
+        if document is None or not after.isdecimal():
+            exchange.fail(Failure(ResultCode.NOT_FOUND, exchange.path))
+            return
+        start = int(after)
+        page = tuple(islice(standin.ledger, start, start + _LEDGER_PAGE))
+        exchange.answer(_HTTP_OK, JSON_TYPE, document.encode(page))
+
+
+class StandinApplication(BaseComponent):
+    """A whole process: poller, timers and host."""
+
+    def __init__(self, settings: StandinHostSettings) -> None:
+        """Listen at once; `run` serves until a signal."""
+        super().__init__()
+        EPoll().register(self)
+        self._timers = LoopTimers().register(self)
+        self._host = StandinHost(settings, self._timers.timers).register(self)
+
+    @property
+    def host(self) -> StandinHost:
+        """Return the host."""
+        return self._host
+
+    @property
+    def timers(self) -> TimerQueue:
+        """Return the timers of the loop."""
+        return self._timers.timers
+
+
+def run_standins(settings: StandinHostSettings, out: TextIO = sys.stdout) -> None:
+    """Print one JSON line for each bound port and serve until a signal."""
+    application = StandinApplication(settings)
+    for item in application.host.bound:
+        address = f"{item.address.host}:{item.address.port}"
+        print(json.dumps({"name": item.name, "address": address}), file=out, flush=True)
+    application.run()
--- a/pumicedeck/standin_servers.py
+++ b/pumicedeck/standin_servers.py
@@ -44,6 +44,7 @@
 from pumicedeck.world import Address
 
 KEEPALIVE_SECONDS = 2.0
+RELISTEN_SECONDS = 0.05
 _BODY_BYTES = 64 * MIB
 _LOST_CODES = (
     ResultCode.STORE_OUTCOME_UNKNOWN,
@@ -128,20 +129,29 @@
         # A listener that closed may still hear events of its channel, so each has its own.
         self._listens += 1
         settings = HttpGuardSettings(body_bytes=_BODY_BYTES)
-        self._server = HttpServer(
+        server = HttpServer(
             self._address,
             f"{self.channel}_{self._listens}",
             self._handle,
             lambda channel: HttpGuard(channel, self._timers, settings),
         )
-        self._server.register(self)
-        self._address = self._server.address
+        self._server = server.register(self)
+        self._address = server.address
+
+    def _listen_again(self) -> None:
+        if self._server is not None or self._standin.faults.down:
+            return
+        try:
+            self._listen()
+        except OSError:
+            # The former listener is still being closed.
+            self._timers.call_later(RELISTEN_SECONDS, self._listen_again)
 
     def _on_down(self, down: bool) -> None:
         if down:
             self.close()
-        elif self._server is None:
-            self._listen()
+        else:
+            self._timers.call_later(0.0, self._listen_again)
 
     def _handle(self, exchange: HttpExchange) -> None:
         route = self._table.get(exchange.path) or self._table.get("")
--- a/pumicedeck/standin_vm_lists.py
+++ b/pumicedeck/standin_vm_lists.py
@@ -47,6 +47,11 @@
         self._vms.pop(name, None)
         self._record()
 
+    def replace_all(self, vms: tuple[Vm, ...]) -> None:
+        """Replace the whole list."""
+        self._vms = {vm.name: vm for vm in vms}
+        self._record()
+
     def list(self, done: Done[tuple[Vm, ...]]) -> None:
         """Read the list as the platform shows it now."""
         self._serve("list", lambda: Ok(self._shown()), done, _DOWN, _LOST)
--- /dev/null
+++ b/pumicedeck/tests/test_standin_hosts.py
@@ -0,0 +1,135 @@
+"""Tests of a process of stand-ins and its control port."""
+
+import io
+import json
+import os
+import signal
+
+import pytest
+
+import pumicedeck.standin_hosts as hosts
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_engines import HttpEngine
+from pumicedeck.http_messages import HttpRequest
+from pumicedeck.http_services import HttpService
+from pumicedeck.http_weights import HttpWeightStore
+from pumicedeck.platforms import EngineOrder, OrderKind, ServiceCall, WeightVersion
+from pumicedeck.results import ResultCode
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.tests.platform_benches import code_of
+
+SETTINGS = hosts.StandinHostSettings(
+    (
+        hosts.TableSettings("tables"),
+        hosts.ObjectSettings("objects"),
+        hosts.WeightSettings("weights", bytes_per_second=100.0),
+        hosts.VmListSettings("vms"),
+        hosts.ModelSettings("s1", weights="weights"),
+        hosts.ServiceSettings("desk", service_seconds=0.5),
+    )
+)
+
+
+class Bench:
+    """A host on a test loop and a client."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.client = HttpClient(self.loop.timers).register(self.loop)
+        self.host = hosts.StandinHost(SETTINGS, self.loop.timers).register(self.loop)
+        self.loop.settle()
+
+    def control(self, path, body=b"", method="POST"):
+        address = self.host.address(hosts.CONTROL_NAME)
+        return self.wait(self.client.send, HttpRequest(method, address, path, body=body)).unwrap()
+
+    def wait(self, call, *arguments):
+        outcomes = []
+        call(*arguments, outcomes.append)
+        assert self.loop.holds_within(60.0, lambda: outcomes)
+        return outcomes[0]
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    made.client.close()
+    made.loop.shut()
+
+
+def test_every_standin_has_its_own_port(bench):
+    ports = {item.address.port for item in bench.host.bound}
+    assert len(ports) == len(SETTINGS.standins) + 1
+    assert 0 not in ports
+
+
+def test_engine_fetches_from_the_hosted_weight_store_at_its_rate(bench):
+    weights = HttpWeightStore(bench.client, bench.host.address("weights"))
+    engine = HttpEngine(bench.client, bench.host.address("s1"))
+    bench.wait(weights.publish, WeightVersion("base", 3, 500)).unwrap()
+    before = bench.loop.timers.now()
+    order = EngineOrder("o", 1, OrderKind.SWAP_VERSION, "base", 3)
+    assert bench.wait(engine.order, order).unwrap().models[0].version == 3
+    assert bench.loop.timers.now() - before >= 5.0
+    missing = EngineOrder("p", 1, OrderKind.SWAP_VERSION, "base", 9)
+    assert code_of(bench.wait(engine.order, missing)) is ResultCode.SWAP_FAILED
+
+
+def test_faults_are_set_over_the_control_port(bench):
+    service = HttpService(bench.client, bench.host.address("desk"))
+    call = ServiceCall("h", "r", "/book", b"x")
+    scripted = {"script": [{"fault": "lose_reply", "nth": 2, "operation": "call"}]}
+    assert bench.control("/faults/desk", json.dumps(scripted).encode()).status == 200
+    codes = [code_of(bench.wait(service.call, call)) for _ in range(3)]
+    assert codes == [None, ResultCode.ENDPOINT_FAILED, None]
+    bench.control("/faults/desk", b'{"crash": true}')
+    assert code_of(bench.wait(service.call, call)) is ResultCode.ENDPOINT_UNREACHABLE
+    bench.control("/faults/desk", b'{"restart": true}')
+    assert bench.wait(service.call, call).is_ok()
+    ledger = json.loads(bench.control("/ledger/desk?after=1", method="GET").body)
+    assert [item["call"]["request_id"] for item in ledger[0]] == ["r"] * 3
+
+
+def test_leaving_is_set_over_the_control_port(bench):
+    service = HttpService(bench.client, bench.host.address("desk"))
+    bench.control("/leaving/desk")
+    assert bench.wait(service.healthy).unwrap() is False
+
+
+@pytest.mark.parametrize(
+    "path, body",
+    [
+        ("/faults/none", b"{}"),
+        ("/faults/desk", b'{"dwon": true}'),
+        ("/faults/desk", b"junk"),
+        ("/faults/desk", b'{"script": [{"fault": "fire", "nth": 1}]}'),
+        ("/ledger/tables", b""),
+        ("/vms/desk", b"[]"),
+        ("/", b""),
+    ],
+)
+def test_wrong_control_request_is_refused(bench, path, body):
+    response = bench.control(path, body)
+    assert 400 <= response.status < 500
+    assert json.loads(response.body)["execution"] == "not_run"
+
+
+def test_process_announces_its_ports_and_stops_on_a_signal(monkeypatch):
+    before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT)}
+    out = io.StringIO()
+    run = hosts.StandinApplication.run
+
+    def run_and_stop(application):
+        application.timers.call_later(0.0, lambda: os.kill(os.getpid(), signal.SIGTERM))
+        run(application)
+
+    monkeypatch.setattr(hosts.StandinApplication, "run", run_and_stop)
+    try:
+        hosts.run_standins(SETTINGS, out)
+    finally:
+        for number, former in before.items():
+            signal.signal(number, former)
+    lines = [json.loads(line) for line in out.getvalue().splitlines()]
+    assert [line["name"] for line in lines][-1] == hosts.CONTROL_NAME
+    assert all(not line["address"].endswith(":0") for line in lines)
