Run the path in separate processes; end broken streams with their error

Cause: tried by hand with the README's lines: a broken stream was closed before its last line was written, a first draw waited 1.5 s for the newest version, the history of a seeded catalogue was refused. Ruled out: the client's part of the broken stream, whose test had a silence bound equal to the wait it measured.

--- a/pumicedeck/catalogue_stores.py
+++ b/pumicedeck/catalogue_stores.py
@@ -79,7 +79,11 @@
                 done(read)
                 return
             head = read.ok_value.revision
-            self.read_changes(max(0, head - newest), head, done)
+            first = max(1, head - newest + 1)
+            keys = tuple(StoreKey(LOG_TABLE, history_key(each)) for each in range(first, head + 1))
+            self._table.read(
+                keys, lambda rows: done(rows.and_then(lambda held: _kept_changes(head, held)))
+            )
 
         self.read_head(with_head)
 
@@ -136,6 +140,15 @@
     return Ok(StoredCatalogue(head.revision, head.version, tuple(decoded)))
 
 
+def _kept_changes(head: int, rows: tuple[Row, ...]) -> Result[ChangesRead, Failure]:
+    """Decode the changes that the log still holds; a first catalogue has none."""
+    decoded = [decode_change(row.value) for row in rows if row.revision]
+    failed = next((each for each in decoded if isinstance(each, Err)), None)
+    if failed is not None:
+        return failed
+    return Ok(ChangesRead(head, tuple(each.ok_value for each in decoded)))
+
+
 def _changes_of(since: int, rows: tuple[Row, ...]) -> Result[ChangesRead, Failure]:
     head = head_of(rows[0])
     if isinstance(head, Err):
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -287,7 +287,7 @@
     daemon.bind(follower, dialer, claims)
     vm_watch.on_leaving(settings.vm, daemon.drain)
     vm_watch.on_change(daemon.vms_changed)
-    draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms)
+    draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
     newest = NewestVersionPoll(
         host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
     )
--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -17,6 +17,8 @@
 from pumicedeck.processes import Process
 from pumicedeck.results import Failure
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings, load_settings
+from pumicedeck.standin_hosts import StandinApplication
+from pumicedeck.standin_settings import TABLE_NAME, load_seed, load_standin_settings
 
 _log = logger.bind(module="daemon_commands")
 
@@ -45,12 +47,18 @@
 
 def run_standin_servers(path: Path) -> Result[None, Failure]:
     """Run the stand-ins that a settings file lists until the process is ended."""
-    from pumicedeck.standin_servers import load_standin_settings, run_standins
-
     settings = load_standin_settings(path)
     if isinstance(settings, Err):
         return settings
-    run_standins(settings.ok_value)
+    seed = load_seed(path, settings.ok_value)
+    if isinstance(seed, Err):
+        return seed
+    set_up_logs("standins", "INFO", "text")
+    application = StandinApplication(settings.ok_value.host())
+    application.host.find(TABLE_NAME).commit(seed.ok_value, lambda _: None)
+    for bound in application.host.bound:
+        _log.info("listening", name=bound.name, address=str(bound.address))
+    application.run()
     return Ok(None)
 
 
--- a/pumicedeck/draw_sessions.py
+++ b/pumicedeck/draw_sessions.py
@@ -1,5 +1,7 @@
 """Carries draws between trainers' connections, the coordinator and the entry's requests."""
 
+from collections.abc import Callable
+
 from pumicedeck.actions import CallerAnswer
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.drafts import (
@@ -48,12 +50,14 @@
         daemon: EntryDaemon,
         timers: TimerQueue,
         histograms: Histograms,
+        ask_newest: Callable[[], None],
     ) -> None:
-        """Submit drafts to `daemon`."""
+        """Submit drafts to `daemon`; `ask_newest` has the newest versions read now."""
         self._coordinator = coordinator
         self._daemon = daemon
         self._timers = timers
         self._histograms = histograms
+        self._ask_newest = ask_newest
         self._exchanges: dict[str, HttpExchange] = {}
         self._requests: dict[str, DrawRequest] = {}
         self._wakeup = Wakeup(timers, coordinator.next_wakeup, self._on_time)
@@ -78,6 +82,7 @@
         self._requests[request.handle] = request
         exchange.begin_stream()
         self._perform(self._coordinator.start(self._timers.now(), request))
+        self._ask_newest()
 
     def caller_gone(self, handle: str) -> None:
         """Drop a draw whose trainer went away."""
--- a/pumicedeck/http_servers.py
+++ b/pumicedeck/http_servers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
 from circuits.net.events import close
 from circuits.web.events import response, stream
 from circuits.web.servers import BaseServer
@@ -32,6 +32,10 @@
     return document
 
 
+class abort_connection(Event):  # noqa: N801 - circuits names events in lower case
+    """Close a connection after what was written before."""
+
+
 class HttpExchange:
     """One request and the answer that is still owed to it."""
 
@@ -142,7 +146,7 @@
             return
         self._ended = True
         self._server.finished(self)
-        self._server.fire(close(self.sock), self._server.channel)
+        self._server.fire(abort_connection(self.sock), self._server.channel)
 
     def gone(self) -> None:
         """Take note that the caller closed the connection."""
@@ -210,6 +214,11 @@
         self._handle(exchange)
         return True
 
+    @handler("abort_connection")
+    def _on_abort(self, sock):
+        # One event later than the last line, whose bytes are themselves written by an event.
+        self.fire(close(sock))
+
     @handler("disconnect")
     def _on_disconnect(self, sock):
         exchange = self._open.pop(sock, None)
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -73,13 +73,15 @@
 ListenAddress = Annotated[Address, BeforeValidator(_address)]
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
+    """A part of a settings file; unknown keys are refused."""
+
     model_config = ConfigDict(
         extra="forbid", frozen=True, strict=True, arbitrary_types_allowed=True
     )
 
 
-class AdapterSettings(_Section):
+class AdapterSettings(Section):
     """An adapter's name and the address it talks to."""
 
     adapter: str
@@ -112,7 +114,7 @@
     adapter: _adapter("VmList") = "http"
 
 
-class PlatformSettings(_Section):
+class PlatformSettings(Section):
     """Where the platform's services are."""
 
     table_store: TableStoreSettings
@@ -121,14 +123,14 @@
     vm_list: VmListSettings
 
 
-class LogSettings(_Section):
+class LogSettings(Section):
     """What is logged and how; `format` is json or text."""
 
     level: str = Field("INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
     format: str = Field("json", pattern="^(json|text)$")
 
 
-class TimeSettings(_Section):
+class TimeSettings(Section):
     """Times that both roles keep; durations."""
 
     heartbeat: Duration = 1.0
@@ -137,7 +139,7 @@
     balancer_notice: Duration = 5.0
 
 
-class BoundSettings(_Section):
+class BoundSettings(Section):
     """Bounds on what callers and peers may send; sizes and durations."""
 
     header: Size = 16 * 1024
@@ -147,7 +149,7 @@
     kept_answer_time: Duration = 120.0
 
 
-class ProcessSettings(_Section):
+class ProcessSettings(Section):
     """What a process of either role must know of itself."""
 
     vm: str = Field(min_length=1)
@@ -172,7 +174,7 @@
     sessions_per_domain: int = Field(16, ge=1)
 
 
-class EndpointSettings(_Section):
+class EndpointSettings(Section):
     """The endpoint beside an agent."""
 
     name: str = Field(min_length=1)
@@ -202,7 +204,8 @@
     swap_rank: int = Field(0, ge=0)
 
 
-def _explain(path: Path, error: ValidationError) -> str:
+def explain(path: Path, error: ValidationError) -> str:
+    """Return a line for each wrong key: the file, the key and what is expected."""
     lines = []
     for each in error.errors():
         key = ".".join(str(part) for part in each["loc"]) or "(top)"
@@ -227,7 +230,7 @@
     try:
         return Ok(cls.model_validate(document))
     except ValidationError as error:
-        return Err(Failure(ResultCode.BAD_SETTINGS, _explain(path, error)))
+        return Err(Failure(ResultCode.BAD_SETTINGS, explain(path, error)))
 
 
 def load_settings(cls: type[T], path: Path) -> Result[T, Failure]:
--- /dev/null
+++ b/pumicedeck/standin_settings.py
@@ -0,0 +1,159 @@
+"""Settings of a process of stand-ins: what it hosts and what its table service holds at first."""
+
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import Field, ValidationError
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_documents import parse_catalogue
+from pumicedeck.catalogue_entries import Catalogue
+from pumicedeck.catalogue_rows import (
+    CATALOGUE_TABLE,
+    HEAD_KEY,
+    CatalogueRow,
+    encode_head,
+    encode_row,
+    name_of,
+)
+from pumicedeck.platforms import LoadedModel, Transaction, Write
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.settings import Duration, ListenAddress, Section, Size, explain
+from pumicedeck.standin_batches import BatchSettings
+from pumicedeck.standin_hosts import (
+    ModelSettings,
+    ObjectSettings,
+    ServiceSettings,
+    StandinHostSettings,
+    StandinSettings,
+    TableSettings,
+    VmListSettings,
+    WeightSettings,
+)
+from pumicedeck.standin_ledgers import EngineSettings
+from pumicedeck.tokens import Principal, token_write
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Vm, VmRole
+
+FIRST_REVISION = 1
+TABLE_NAME = "table_store"
+WEIGHTS_NAME = "weight_store"
+
+
+class PrincipalSettings(Section):
+    """Who a token belongs to; the firm `*` is the operators."""
+
+    name: str
+    firm: str
+
+
+class VmSettings(Section):
+    """A VM of the list; an agent's names its endpoint."""
+
+    name: str
+    role: Annotated[VmRole, Field(strict=False)]
+    failure_domain: str
+    region: str
+    address: ListenAddress
+    pool: str = ""
+    kind: Annotated[EndpointKind, Field(strict=False)] = EndpointKind.SERVICE
+    slots: int = Field(8, ge=1)
+
+    def vm(self) -> Vm:
+        """Return the VM as the list shows it."""
+        endpoint = None
+        if self.role is VmRole.AGENT:
+            endpoint = Endpoint(self.name, self.pool, self.kind, self.slots)
+        domain = FailureDomain(self.failure_domain, self.region)
+        return Vm(self.name, self.role, domain, self.address, endpoint=endpoint)
+
+
+class EndpointStandinSettings(Section):
+    """An engine, if it has models, or a plain service."""
+
+    name: str
+    address: ListenAddress
+    slots: int = Field(8, ge=1)
+    models: list[str] = []
+    checks_fencing: bool = True
+    token_time: Duration = 0.002
+    service_time: Duration = 0.02
+
+    def standin(self) -> StandinSettings:
+        """Return the settings of the stand-in."""
+        if not self.models:
+            return ServiceSettings(self.name, self.address, self.service_time, self.slots)
+        engine = EngineSettings(
+            models=tuple(LoadedModel(model, 0) for model in self.models),
+            batch=BatchSettings(slots=self.slots, token_seconds=self.token_time),
+            checks_fencing=self.checks_fencing,
+        )
+        return ModelSettings(self.name, self.address, engine, WEIGHTS_NAME)
+
+
+class StandinFileSettings(Section):
+    """A settings file of stand-ins; `catalogue` is a path relative to the file."""
+
+    control: ListenAddress
+    table_store: ListenAddress
+    object_store: ListenAddress
+    weight_store: ListenAddress
+    vm_list: ListenAddress
+    weight_rate: Size = 1024**3
+    list_lag: Duration = 1.0
+    catalogue: str = ""
+    tokens: dict[str, PrincipalSettings] = {}
+    vms: list[VmSettings] = []
+    endpoints: list[EndpointStandinSettings] = []
+    seed: int = 0
+
+    def host(self) -> StandinHostSettings:
+        """Return the settings of the process."""
+        platform: list[StandinSettings] = [
+            TableSettings(TABLE_NAME, self.table_store),
+            ObjectSettings("object_store", self.object_store),
+            WeightSettings(WEIGHTS_NAME, self.weight_store, float(self.weight_rate)),
+            VmListSettings(
+                "vm_list", self.vm_list, tuple(each.vm() for each in self.vms), self.list_lag
+            ),
+        ]
+        endpoints = [each.standin() for each in self.endpoints]
+        return StandinHostSettings((*platform, *endpoints), self.control, self.seed)
+
+
+def seed_transaction(catalogue: Catalogue | None, tokens: dict[str, Principal]) -> Transaction:
+    """Return the transaction that stores a first catalogue and the tokens."""
+    writes = [token_write(token, principal) for token, principal in tokens.items()]
+    if catalogue is not None:
+        writes.append(Write(CATALOGUE_TABLE, HEAD_KEY, encode_head(FIRST_REVISION)))
+        for value in catalogue.entries + catalogue.pools:
+            row = CatalogueRow(name_of(value), value, FIRST_REVISION)
+            writes.append(Write(CATALOGUE_TABLE, row.name.key, encode_row(row)))
+    return Transaction((), tuple(writes))
+
+
+def load_standin_settings(path: Path) -> Result[StandinFileSettings, Failure]:
+    """Read and check a settings file of stand-ins."""
+    try:
+        document = yaml.safe_load(path.read_text(encoding="utf-8"))
+        return Ok(StandinFileSettings.model_validate(document))
+    except ValidationError as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, explain(path, error)))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"{path}: {error}"))
+
+
+def load_seed(path: Path, settings: StandinFileSettings) -> Result[Transaction, Failure]:
+    """Read the catalogue that a settings file names and return what is stored at first."""
+    catalogue = None
+    if settings.catalogue:
+        source = path.parent / settings.catalogue
+        try:
+            parsed = parse_catalogue(source.read_text(encoding="utf-8"), FIRST_REVISION)
+        except (OSError, UnicodeDecodeError) as error:
+            return Err(Failure(ResultCode.BAD_SETTINGS, f"{source}: {error}"))
+        if isinstance(parsed, Err):
+            return parsed
+        catalogue = parsed.ok_value
+    tokens = {token: Principal(each.name, each.firm) for token, each in settings.tokens.items()}
+    return Ok(seed_transaction(catalogue, tokens))
