Add the fault matrix, its oracle and the simulation it runs in

Cause: the promises were shown only by hand-picked cases.

Change: entries, agents, endpoints, callers and the table stand-in run in one virtual time with the real state machines; 27 faults meet 12 steps of 5 kinds of requests, generated from the lists; an oracle that knows nothing of the state machines compares executions with what callers were told. Mended on the way, each found by a cell: an agent that had nothing to do left before it refused what was on its way (Drained now waits for a notice time); a repetition was told "in progress" while the outcome waited to be written (it is now answered from memory); an entry left before its outcomes were written (Claims.flush and unrecorded).

Conclusion: mutations must now show that the oracle can go red.

--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -36,7 +36,8 @@
 from pumicedeck.tombstones import Tombstone, Tombstones, Verdict
 from pumicedeck.world import Incarnation
 
-_DRAIN = "drain"
+_NOTICE = "end of notice"
+_DRAIN = "end of grace"
 
 
 class AgentRequests:
@@ -67,6 +68,7 @@
         self._deadlines: Deadlines[AttemptId | str] = Deadlines()
         self._counters = AgentRequestCounters()
         self._leaving: Leaving | None = None
+        self._leave_at = 0.0
         self._drained = False
 
     @property
@@ -180,10 +182,15 @@
         return actions + self._advance(now)
 
     def begin_drain(self, now: float, grace: float) -> list[Action]:
-        """Refuse new work, hand back what waits and let what runs finish within `grace`."""
+        """Refuse new work, hand back what waits and let what runs finish within `grace`.
+
+        The process stays for a notice time in any case, to refuse what was already on its way.
+        """
         if self._leaving:
             return []
         self._leaving = Leaving("draining", grace)
+        self._leave_at = now + min(grace, self._settings.drain_notice_seconds)
+        self._deadlines.set(_NOTICE, self._leave_at)
         self._deadlines.set(_DRAIN, now + grace)
         actions: list[Action] = [SendMessage(each, self._leaving) for each in self._sessions]
         for attempt in self._in_phase(AttemptPhase.QUEUED):
@@ -201,7 +208,7 @@
                 actions += self._attempt_due(now, key)
             elif key == _DRAIN:
                 actions += self._end_grace(now)
-            else:
+            elif key != _NOTICE:
                 actions += self._abandon_entry(now, key)
         for attempt in self._kept.expire(now):
             self._drop_answer(now, attempt)
@@ -358,7 +365,7 @@
             if dispatch is None:
                 break
             actions += self._start(now, dispatch)
-        if self.draining and not self._attempts and not self._drained:
+        if self.draining and not self._attempts and not self._drained and now >= self._leave_at:
             self._drained = True
             actions.append(Drained())
         return actions
--- a/pumicedeck/claims.py
+++ b/pumicedeck/claims.py
@@ -154,6 +154,8 @@
     def claim(self, write: WriteClaim) -> None:
         """Claim a request id; `answered` hears of the outcome."""
         self._counters.claims += 1
+        if self._answer_from_memory(write):
+            return
         refusal = self._refusal(write)
         if refusal:
             self._counters.refused += 1
@@ -181,10 +183,34 @@
         self._outcomes.append(claim)
         self._flush_within(self._settings.outcome_seconds)
 
-    def _refusal(self, write: WriteClaim) -> Failure | None:
+    def flush(self) -> None:
+        """Write what waits for company now, because the process is leaving."""
+        self._flush_within(0.0)
+
+    def _answer_from_memory(self, write: WriteClaim) -> bool:
+        """Answer a repetition of what this entry works on or has not recorded yet."""
         held = self._held.get(claim_key(write.firm, write.request_id))
-        if held:
-            return self._held_refusal(held, write)
+        if held is None:
+            return False
+        self._counters.repeated += 1
+        self._answered(write.handle, self._recorded(held.row, write.body_digest))
+        return True
+
+    def _recorded(self, row: ClaimRow, digest: str) -> ClaimOutcome:
+        """Return what a claim row says to a repetition that may not be granted."""
+        if row.digest != digest:
+            return Err(Failure(ResultCode.REQUEST_ID_REUSED, "claimed with another body"))
+        if row.code is None and not self._is_live(row.holder):
+            return Err(Failure(ResultCode.OUTCOME_UNKNOWN, f"{row.holder} is gone"))
+        if row.code is None or row.is_proven_not_run:
+            return Err(Failure(ResultCode.IN_PROGRESS, f"held by {row.holder}", 1.0))
+        if row.code != ResultCode.OK:
+            return Err(Failure(ResultCode(row.code), "recorded outcome"))
+        if row.answer is None:
+            return Err(Failure(ResultCode.ANSWER_EXPIRED, "the answer was not kept"))
+        return Ok(RecordedAnswer(row.answer))
+
+    def _refusal(self, write: WriteClaim) -> Failure | None:
         second = request_second(write.request_id)
         if second is not None and second < self._watermark:
             return Failure(ResultCode.REQUEST_ID_EXPIRED, write.request_id)
@@ -197,13 +223,6 @@
             return self._unavailable("too many outcomes are not recorded yet")
         return None
 
-    def _held_refusal(self, held: _Claim, write: WriteClaim) -> Failure:
-        if held.row.digest != write.body_digest:
-            return Failure(ResultCode.REQUEST_ID_REUSED, write.request_id)
-        if held.row.code is None:
-            return Failure(ResultCode.IN_PROGRESS, write.request_id, 1.0)
-        return Failure(ResultCode.IN_PROGRESS, "the outcome is being recorded", 1.0)
-
     def _unavailable(self, detail: str) -> Failure:
         return Failure(ResultCode.STORE_UNAVAILABLE, detail, self._settings.retry_seconds)
 
@@ -307,22 +326,11 @@
     def _resolve_other(self, claim: _Claim, revision: int, found: ClaimRow) -> bool:
         self._counters.repeated += 1
         never_granted = found.holder == self._incarnation and found.code is None
-        if found.digest != claim.row.digest:
-            self._refuse(claim, Failure(ResultCode.REQUEST_ID_REUSED, claim.key))
-        elif found.is_proven_not_run or never_granted:
+        if found.digest == claim.row.digest and (found.is_proven_not_run or never_granted):
             claim.revision = revision
             return True
-        elif found.code is None and self._is_live(found.holder):
-            self._refuse(claim, Failure(ResultCode.IN_PROGRESS, found.holder, 1.0))
-        elif found.code is None:
-            self._refuse(claim, Failure(ResultCode.OUTCOME_UNKNOWN, f"{found.holder} is gone"))
-        elif found.code != ResultCode.OK:
-            self._refuse(claim, Failure(ResultCode(found.code), "recorded outcome"))
-        elif found.answer is None:
-            self._refuse(claim, Failure(ResultCode.ANSWER_EXPIRED, "the answer was not kept"))
-        else:
-            del self._held[claim.key]
-            self._answered(claim.handle, Ok(RecordedAnswer(found.answer)))
+        del self._held[claim.key]
+        self._answered(claim.handle, self._recorded(found, claim.row.digest))
         return False
 
     def _has_expired(self, claim: _Claim) -> bool:
--- /dev/null
+++ b/pumicedeck/fault_matrices.py
@@ -0,0 +1,166 @@
+"""The fault matrix: every fault at every step of every kind of request, and seeded pairs."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from pumicedeck.matrix_faults import FAULTS, drain_agent
+from pumicedeck.oracles import Violation
+from pumicedeck.results import Execution
+from pumicedeck.simulations import Factories, RequestKind, Simulation, Step
+
+PAIR_DELAYS_SECONDS = (0.0, 0.05, 0.5, 4.0)
+
+_STEPS = tuple(Step)
+_DRAINS = ("agent drains", "entry drains")
+
+
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """A fault and the step of the target at which it strikes, `delay` seconds later."""
+
+    fault: str
+    step: Step
+    delay: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One run of the matrix: a kind of request and the faults that strike it."""
+
+    kind: RequestKind
+    strikes: tuple[Strike, ...]
+
+    def __str__(self) -> str:
+        """Return the form that reports use."""
+        struck = " + ".join(f"{each.fault} at {each.step}" for each in self.strikes)
+        return f"{self.kind}: {struck}"
+
+
+@dataclass(frozen=True, slots=True)
+class CellResult:
+    """What a cell showed; `reached` if every fault struck."""
+
+    cell: Cell
+    reached: bool
+    violations: tuple[Violation, ...]
+    target: Execution | None
+
+
+def single_cells() -> Iterator[Cell]:
+    """Generate every fault at every step of every kind of request."""
+    for kind in RequestKind:
+        for name in FAULTS:
+            for step in Step:
+                yield Cell(kind, (Strike(name, step),))
+
+
+def pair_cells(seed: int, count: int) -> Iterator[Cell]:
+    """Generate a seeded sample of pairs of faults; a fault may strike twice."""
+    random = Random(seed)
+    names = tuple(FAULTS)
+    for _ in range(count):
+        kind = random.choice(tuple(RequestKind))
+        first = Strike(random.choice(names), random.choice(_STEPS))
+        delay = random.choice(PAIR_DELAYS_SECONDS)
+        yield Cell(kind, (first, Strike(random.choice(names), random.choice(_STEPS), delay)))
+
+
+def run_cell(cell: Cell, factories: Factories | None = None) -> CellResult:
+    """Run one cell and judge it."""
+    simulation = Simulation(cell.kind, factories)
+    if cell.kind is RequestKind.DRAIN:
+        first = min(_STEPS.index(cell.strikes[0].step), _STEPS.index(Step.EXECUTING))
+        simulation.inject(_STEPS[first], drain_agent)
+    for strike in cell.strikes:
+        simulation.inject(strike.step, FAULTS[strike.fault], strike.delay)
+    if all(each.fault in _DRAINS for each in cell.strikes):
+        simulation.expect_success()
+    outcome = simulation.run()
+    return CellResult(cell, all(outcome.reached), tuple(outcome.violations), outcome.target)
+
+
+def write_matrix(path: Path, seed: int, pairs: int) -> int:
+    """Run the matrix and the pairs, write the page and return the number of violations."""
+    singles = [run_cell(cell) for cell in single_cells()]
+    doubles = [run_cell(cell) for cell in pair_cells(seed, pairs)]
+    path.write_text(_page(singles, doubles, seed), encoding="utf-8")
+    return sum(len(each.violations) for each in singles + doubles)
+
+
+def _page(singles: list[CellResult], doubles: list[CellResult], seed: int) -> str:
+    lines = ["# Fault matrix", "", *_INTRODUCTION, ""]
+    lines += _totals("Single faults", singles)
+    lines += _totals(f"Pairs of faults, seed {seed}", doubles)
+    for kind in RequestKind:
+        lines += _kind_table(kind, [each for each in singles if each.cell.kind is kind])
+    lines += _violation_list(singles + doubles)
+    return "\n".join(lines) + "\n"
+
+
+_INTRODUCTION = (
+    "Written by `pumicedeck experiment matrix`; not edited by hand. Each cell is one run in",
+    "virtual time of two entries, three agents with an endpoint each, the table service and seven",
+    "requests, with the real state machines. The fault strikes when the target request reaches",
+    "the step. An independent oracle compares what the endpoints executed with what every caller",
+    "was told, and checks every promise for every request of the run, not only the target.",
+    "",
+    "A cell shows what the first caller of the target was told: `ran` (a whole answer), `not run`",
+    "(proven), `may` (may have run) or `none` (the caller or its entry was gone). `-` means that",
+    "the target never reaches the step. `VIOLATED` means that a promise did not hold.",
+)
+
+_WORDS = {
+    Execution.RAN: "ran",
+    Execution.NOT_RUN: "not run",
+    Execution.MAY_HAVE_RUN: "may",
+    None: "none",
+}
+
+
+def _totals(title: str, results: list[CellResult]) -> list[str]:
+    reached = [each for each in results if each.reached]
+    violated = sum(bool(each.violations) for each in results)
+    told = Counter(_WORDS[each.target] for each in reached)
+    words = ", ".join(f"{word} {count}" for word, count in sorted(told.items()))
+    return [
+        f"## {title}",
+        "",
+        f"- runs: {len(results)}; in {len(reached)} of them every fault struck",
+        f"- runs with a violated promise: {violated}",
+        f"- what the first caller of the target was told where every fault struck: {words}",
+        "",
+    ]
+
+
+def _kind_table(kind: RequestKind, results: list[CellResult]) -> list[str]:
+    by_place = {(each.cell.strikes[0].fault, each.cell.strikes[0].step): each for each in results}
+    reached = sum(each.reached for each in results)
+    lines = [f"## Kind: {kind}", "", f"{reached} cells reached.", ""]
+    lines.append("| fault | " + " | ".join(Step) + " | reached | violated |")
+    lines.append("|---|" + "---|" * (len(Step) + 2))
+    for name in FAULTS:
+        row = [by_place[(name, step)] for step in Step]
+        words = [_word(each) for each in row]
+        counts = [sum(each.reached for each in row), sum(bool(each.violations) for each in row)]
+        lines.append("| " + " | ".join([name, *words, *map(str, counts)]) + " |")
+    return lines + [""]
+
+
+def _word(result: CellResult) -> str:
+    if result.violations:
+        return "VIOLATED"
+    return _WORDS[result.target] if result.reached else "-"
+
+
+def _violation_list(results: list[CellResult]) -> list[str]:
+    violated = [each for each in results if each.violations]
+    lines = ["## Violations", ""]
+    if not violated:
+        return lines + ["None."]
+    for each in violated:
+        details = "; ".join(f"{found.promise}: {found.detail}" for found in each.violations)
+        lines.append(f"- {each.cell}: {details}")
+    return lines
--- a/pumicedeck/request_settings.py
+++ b/pumicedeck/request_settings.py
@@ -34,5 +34,6 @@
     orphan_seconds: float = 60.0
     cancel_seconds: float = 5.0
     budget_margin_seconds: float = 1.0
+    drain_notice_seconds: float = 3.0
     drain_linger_seconds: float = 2.0
     leaving_retry_seconds: float = 0.5
--- /dev/null
+++ b/pumicedeck/simulations.py
@@ -0,0 +1,462 @@
+"""Entries, agents, endpoints, callers and the table service in one virtual time.
+
+The state machines, the claims and the table stand-in are the real ones; only the network, the
+endpoints and the callers are simulated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pumicedeck.actions import CallerAnswer, CallerRequest, WriteClaim
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.catalogue_entries import CatalogueEntry, Limits, RequestClass
+from pumicedeck.claim_rows import CLAIMS_TABLE, decode_row
+from pumicedeck.claims import Claims
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.messages import Answer, AttemptId, Dispatch, DraftId, Message
+from pumicedeck.oracles import ExpectedCall, Oracle, Violation
+from pumicedeck.platforms import Transaction
+from pumicedeck.results import Execution, Failure
+from pumicedeck.simulated_endpoints import SimulatedEndpoint, true_answer
+from pumicedeck.simulated_networks import SimulatedNetwork
+from pumicedeck.simulated_processes import (
+    POOL,
+    AgentProcess,
+    EntryProcess,
+    SimulatedProcess,
+)
+from pumicedeck.standin_tables import TableData
+
+FIRM = "firm"
+TARGET = "target"
+AGENTS = 3
+ENTRIES = 2
+RESTART_SECONDS = 1.0
+LIST_LAG_SECONDS = 10.0
+REPEAT_SECONDS = 0.5
+RECORD_SECONDS = 5.0
+MAX_REPEATS = 3
+HORIZON_SECONDS = 120.0
+SETTLE_SECONDS = 15.0
+GRACE_SECONDS = 30.0
+
+
+class RequestKind(StrEnum):
+    """Kinds of requests whose steps the faults meet."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMED = "streamed"
+    DRAFT = "draft"
+    DRAIN = "drain"
+
+
+class Step(StrEnum):
+    """Moments in the life of a request, in their order."""
+
+    SUBMITTED = "submitted"
+    CLAIM_SENT = "claim sent"
+    CLAIM_WRITTEN = "claim written"
+    DISPATCHED = "dispatched"
+    QUEUED = "queued"
+    STARTED = "started"
+    EXECUTING = "executing"
+    PARTIAL = "partial"
+    FINISHED = "finished"
+    ANSWER_SENT = "answer sent"
+    ANSWERED = "answered"
+    OUTCOME_WRITTEN = "outcome written"
+
+
+@dataclass(frozen=True, slots=True)
+class Factories:
+    """Makes the state machines; tests put broken ones in their place."""
+
+    entry: Callable[..., EntryRequests] = EntryRequests
+    agent: Callable[..., AgentRequests] = AgentRequests
+    claims: Callable[..., Claims] = Claims
+
+
+@dataclass(frozen=True, slots=True)
+class CallSpec:
+    """What a caller asks for, again and again under one request id."""
+
+    request_id: str
+    kind: RequestKind
+    budget: float = 10.0
+
+    @property
+    def idempotent(self) -> bool:
+        """Return whether the request may run twice."""
+        return self.kind is not RequestKind.NON_IDEMPOTENT
+
+    @property
+    def streamed(self) -> bool:
+        """Return whether the answer comes in chunks."""
+        return self.kind is RequestKind.STREAMED
+
+    @property
+    def entry(self) -> CatalogueEntry:
+        """Return the catalogue entry that the request is made under."""
+        is_draft = self.kind is RequestKind.DRAFT
+        request_class = RequestClass.ROLLOUT if is_draft else RequestClass.INTERACTIVE
+        return CatalogueEntry(self.kind, FIRM, request_class, (POOL,), Limits(queue_seconds=8.0))
+
+
+@dataclass(slots=True)
+class _Call:
+    spec: CallSpec
+    entry: EntryProcess
+    repeats: int
+    is_open: bool = True
+    is_gone: bool = False
+
+
+class Callers:
+    """Callers behind a balancer; they repeat a request id after a failure or a lost reply."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        """Begin without calls."""
+        self._simulation = simulation
+        self._calls: dict[str, _Call] = {}
+        self._waiting = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no call is open and none will be made."""
+        return not self._waiting and not any(call.is_open for call in self._calls.values())
+
+    def call_later(self, seconds: float, spec: CallSpec, entry: int = 0, repeats: int = 0) -> None:
+        """Call through entry number `entry`, or the next one that is ready."""
+        self._waiting += 1
+        time = self._simulation.time
+        time.call_later(seconds, lambda: self._call(spec, entry, repeats))
+
+    def open_at(self, entry: EntryProcess) -> list[str]:
+        """Return the open calls at an entry."""
+        return [key for key, call in self._calls.items() if call.is_open and call.entry is entry]
+
+    def first_handle(self, request_id: str) -> str:
+        """Return the handle of the first call for a request."""
+        calls = self._calls.items()
+        return next(handle for handle, call in calls if call.spec.request_id == request_id)
+
+    def leave(self, request_id: str) -> None:
+        """Close the connections of the open calls for a request."""
+        for handle, call in list(self._calls.items()):
+            if call.is_open and call.spec.request_id == request_id:
+                self._close(handle)
+                call.entry.caller_gone(handle)
+
+    def repeat(self, request_id: str) -> None:
+        """Call again, while the first call is open, through another entry."""
+        calls = [each for each in self._calls.values() if each.spec.request_id == request_id]
+        if calls:
+            number = self._simulation.entries.index(calls[0].entry) + 1
+            self.call_later(0.0, calls[0].spec, number, MAX_REPEATS)
+
+    def entry_died(self, entry: EntryProcess) -> None:
+        """Lose the connections to an entry and call again elsewhere."""
+        for handle in self.open_at(entry):
+            self._close(handle)
+            self._call_again(self._calls[handle])
+
+    def got_chunk(self, handle: str, data: bytes) -> None:
+        """Receive bytes."""
+        if not self._calls[handle].is_gone:
+            self._simulation.oracle.got_chunk(handle, data)
+
+    def got_final(self, handle: str, final: CallerAnswer | Failure) -> None:
+        """Receive the end of a call."""
+        call = self._calls[handle]
+        if call.is_gone:
+            return
+        now = self._simulation.time.now()
+        self._simulation.oracle.got_final(now, handle, final)
+        call.is_open = False
+        self._simulation.reach(Step.ANSWERED, call.spec.request_id)
+        is_answered = isinstance(final, CallerAnswer)
+        if not is_answered or (not call.spec.idempotent and call.repeats == 0):
+            self._call_again(call)
+
+    def _call_again(self, call: _Call) -> None:
+        if call.repeats < MAX_REPEATS:
+            number = self._simulation.entries.index(call.entry) + 1
+            self.call_later(REPEAT_SECONDS, call.spec, number, call.repeats + 1)
+
+    def _close(self, handle: str) -> None:
+        self._calls[handle].is_open = False
+        self._calls[handle].is_gone = True
+        self._simulation.oracle.excuse(handle)
+
+    def _call(self, spec: CallSpec, number: int, repeats: int) -> None:
+        self._waiting -= 1
+        entry = self._simulation.ready_entry(number)
+        if entry is None:
+            self.call_later(REPEAT_SECONDS, spec, number, repeats)
+            return
+        handle = f"{spec.request_id}#{len(self._calls)}"
+        body = b"body of " + spec.request_id.encode()
+        self._calls[handle] = _Call(spec, entry, repeats)
+        expected = ExpectedCall(
+            handle,
+            spec.request_id,
+            spec.idempotent,
+            spec.streamed,
+            true_answer(spec.request_id, body),
+            self._simulation.time.now(),
+            spec.budget,
+            repeats > 0,
+        )
+        self._simulation.oracle.called(expected)
+        if entry.is_paused:
+            self._simulation.oracle.excuse_time(handle)
+        draft = None
+        if spec.kind is RequestKind.DRAFT:
+            draft = DraftId(spec.kind, "trainer", 1, 1, len(self._calls))
+        request = CallerRequest(
+            handle,
+            spec.request_id,
+            spec.entry,
+            "/run",
+            body,
+            spec.idempotent,
+            spec.streamed,
+            spec.budget,
+            prefix=handle,
+            draft=draft,
+        )
+        self._simulation.reach(Step.SUBMITTED, spec.request_id, entry)
+        self._simulation.time.call_later(0.0, lambda: entry.submit(request))
+
+
+@dataclass(slots=True)
+class _Injection:
+    step: Step
+    inject: Callable[[Simulation], None]
+    delay: float
+    is_done: bool = False
+
+
+@dataclass(slots=True)
+class Focus:
+    """The processes that handle the target request."""
+
+    entry: EntryProcess
+    agent: AgentProcess
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a run showed: which injections struck, what was violated, how the target ended."""
+
+    reached: tuple[bool, ...]
+    violations: list[Violation]
+    target: Execution | None
+
+
+class Simulation:
+    """One run of a few requests, among them the target, with faults at steps of the target."""
+
+    def __init__(self, kind: RequestKind, factories: Factories | None = None) -> None:
+        """Start all processes and let callers make their calls."""
+        self.kind = kind
+        self.factories = factories or Factories()
+        self.time = VirtualTime()
+        self.oracle = Oracle()
+        self.table = TableData()
+        self.network = SimulatedNetwork(self)
+        self.callers = Callers(self)
+        self.endpoints: dict[str, SimulatedEndpoint] = {}
+        self.agents: list[AgentProcess] = []
+        self.entries: list[EntryProcess] = []
+        self._injections: list[_Injection] = []
+        self._gone: dict[str, float] = {}
+        self._dispatches: dict[tuple[str, AttemptId], Dispatch] = {}
+        self._must_succeed = False
+        for number in range(ENTRIES):
+            self.entries.append(EntryProcess(self, f"entry{number}", 1))
+        for number in range(AGENTS):
+            self.add_agent(f"agent{number}", 1)
+        self.focus = Focus(self.entries[0], self.agents[0])
+        self._make_calls()
+
+    def inject(self, step: Step, inject: Callable[[Simulation], None], delay: float = 0.0) -> None:
+        """Let a fault strike `delay` seconds after the target first reaches a step."""
+        self._injections.append(_Injection(step, inject, delay))
+
+    def expect_success(self) -> None:
+        """Let the oracle hold that no call fails."""
+        self._must_succeed = True
+
+    def run(self) -> Outcome:
+        """Run until all is settled and judge."""
+        self.time.run_until(2.0)
+        while not self.callers.is_settled and self.time.now() < HORIZON_SECONDS:
+            self.time.run_until(self.time.now() + 1.0)
+        self.time.run_until(self.time.now() + SETTLE_SECONDS)
+        reached = tuple(each.is_done for each in self._injections)
+        violations = self.oracle.violations(self._must_succeed)
+        first = self.callers.first_handle(TARGET)
+        return Outcome(reached, violations, _execution(self.oracle.final(first)))
+
+    def add_agent(self, vm: str, number: int) -> AgentProcess:
+        """Start an agent beside the endpoint of a VM and connect it to all entries."""
+        if vm not in self.endpoints:
+            self.endpoints[vm] = SimulatedEndpoint(self, vm, version=len(self.endpoints) + 1)
+        agent = AgentProcess(self, vm, number)
+        self.agents.append(agent)
+        for entry in self.entries:
+            self.network.dial(entry, agent)
+        return agent
+
+    def replace_agent(self, former: AgentProcess, vm: str, number: int) -> None:
+        """Start the successor of an agent and tell the entries that the former is gone."""
+        for entry in self.entries:
+            entry.peer_replaced(former.incarnation)
+        self.add_agent(vm, number)
+
+    def replace_entry(self, former: EntryProcess) -> None:
+        """Start the successor of an entry."""
+        number = int(former.incarnation.rpartition("/")[2]) + 1
+        entry = EntryProcess(self, former.vm, number)
+        self.entries.append(entry)
+        for agent in self.agents:
+            self.network.dial(entry, agent)
+
+    def end_entry(self, entry: EntryProcess) -> None:
+        """End an entry process; its callers' connections break."""
+        if not entry.is_alive:
+            return
+        entry.kill()
+        self._gone[entry.incarnation] = self.time.now()
+        self.network.process_killed(entry, is_noticed=True)
+        self.callers.entry_died(entry)
+        self.time.call_later(RESTART_SECONDS, lambda: self.replace_entry(entry))
+
+    def end_agent(self, agent: AgentProcess, is_noticed: bool = True) -> None:
+        """End an agent process."""
+        if agent.is_alive:
+            agent.kill()
+            self.network.process_killed(agent, is_noticed)
+
+    def ready_entry(self, number: int) -> EntryProcess | None:
+        """Return an entry that the balancer would choose."""
+        ready = [each for each in self.entries if each.is_alive and each.is_ready]
+        return ready[number % len(ready)] if ready else None
+
+    def is_entry_live(self, incarnation: str) -> bool:
+        """Return what the lagging VM list says of an entry incarnation."""
+        gone_at = self._gone.get(incarnation)
+        return gone_at is None or self.time.now() < gone_at + LIST_LAG_SECONDS
+
+    def entry_drained(self, entry: EntryProcess) -> None:
+        """Let a drained entry exit."""
+        for handle in self.callers.open_at(entry):
+            self.oracle.cut_off(f"{handle} was open at {entry.incarnation}")
+        entry.claims.flush()
+        self._end_when_recorded(entry, self.time.now() + RECORD_SECONDS)
+
+    def _end_when_recorded(self, entry: EntryProcess, latest: float) -> None:
+        if entry.claims.unrecorded and self.time.now() < latest:
+            self.time.call_later(0.1, lambda: self._end_when_recorded(entry, latest))
+            return
+        self.time.call_later(0.0, lambda: self.end_entry(entry))
+
+    def agent_drained(self, agent: AgentProcess) -> None:
+        """Let a drained agent exit and its VM be replaced."""
+        if agent.endpoint.running(agent.incarnation):
+            self.oracle.cut_off(f"work was running at {agent.incarnation}")
+        self.time.call_later(0.0, lambda: self.end_agent(agent))
+        successor = agent.vm + "n"
+        self.time.call_later(RESTART_SECONDS, lambda: self.replace_agent(agent, successor, 1))
+
+    def reach(
+        self,
+        step: Step,
+        request_id: str,
+        entry: EntryProcess | None = None,
+        agent: AgentProcess | None = None,
+    ) -> None:
+        """Let the faults of a step strike when the target reaches it."""
+        if request_id != TARGET:
+            return
+        self.focus.entry = entry or self.focus.entry
+        self.focus.agent = agent or self.focus.agent
+        for each in self._injections:
+            if each.step is step and not each.is_done:
+                each.is_done = True
+                self.time.call_later(each.delay, lambda each=each: each.inject(self))
+
+    def sending(self, process: SimulatedProcess, peer: str, message: Message) -> None:
+        """Hear that a process sends a message."""
+        match message:
+            case Dispatch(request_id=request_id):
+                agent = next(each for each in self.agents if each.incarnation == peer)
+                self.reach(Step.DISPATCHED, request_id, agent=agent)
+            case Answer(attempt) if isinstance(process, AgentProcess):
+                self.reach(Step.ANSWER_SENT, self._request_of(process, attempt))
+
+    def claiming(self, entry: EntryProcess, claim: WriteClaim) -> None:
+        """Hear that an entry claims a request."""
+        self.reach(Step.CLAIM_SENT, claim.request_id, entry)
+
+    def rows_written(self, process: SimulatedProcess, transaction: Transaction) -> None:
+        """Hear that a transaction was carried out."""
+        for write in transaction.writes:
+            if write.table != CLAIMS_TABLE or write.value is None:
+                continue
+            request_id = write.key.rpartition("/")[2]
+            is_outcome = decode_row(write.value).code is not None
+            self.reach(Step.OUTCOME_WRITTEN if is_outcome else Step.CLAIM_WRITTEN, request_id)
+
+    def queued(self, agent: AgentProcess, dispatch: Dispatch) -> None:
+        """Hear that an agent queued a dispatch."""
+        self.reach(Step.QUEUED, dispatch.request_id, agent=agent)
+
+    def starting(self, agent: AgentProcess, dispatch: Dispatch) -> None:
+        """Hear that an agent hands a dispatch over."""
+        self._dispatches[(agent.incarnation, dispatch.attempt)] = dispatch
+        self.reach(Step.STARTED, dispatch.request_id, agent=agent)
+
+    def executing(self, agent: AgentProcess, dispatch: Dispatch) -> None:
+        """Hear that an endpoint began to run a dispatch."""
+        self.reach(Step.EXECUTING, dispatch.request_id, agent=agent)
+
+    def produced(self, agent: AgentProcess, dispatch: Dispatch) -> None:
+        """Hear that an endpoint produced bytes."""
+        self.reach(Step.PARTIAL, dispatch.request_id, agent=agent)
+
+    def finished(self, agent: AgentProcess, dispatch: Dispatch) -> None:
+        """Hear that an endpoint finished."""
+        self.reach(Step.FINISHED, dispatch.request_id, agent=agent)
+
+    def damaged(self, agent: str, attempt: AttemptId) -> None:
+        """Hear that a chunk was damaged on its way."""
+        self.oracle.excuse_chunks(self._dispatches[(agent, attempt)].prefix)
+
+    def _request_of(self, agent: AgentProcess, attempt: AttemptId) -> str:
+        dispatch = self._dispatches.get((agent.incarnation, attempt))
+        return dispatch.request_id if dispatch else ""
+
+    def _make_calls(self) -> None:
+        kind = self.kind
+        if kind is RequestKind.DRAIN:
+            kind = RequestKind.NON_IDEMPOTENT
+        for number in range(AGENTS):
+            spec = CallSpec(f"early{number}", RequestKind.IDEMPOTENT)
+            self.callers.call_later(0.9 + number * 0.01, spec, number)
+        self.callers.call_later(1.0, CallSpec(TARGET, kind))
+        self.callers.call_later(1.02, CallSpec("once", RequestKind.NON_IDEMPOTENT), 1)
+        self.callers.call_later(1.03, CallSpec("stream", RequestKind.STREAMED))
+        self.callers.call_later(1.04, CallSpec("draft", RequestKind.DRAFT), 1)
+
+
+def _execution(final: CallerAnswer | Failure | None) -> Execution | None:
+    if isinstance(final, CallerAnswer):
+        return Execution.RAN
+    return final.execution if final else None
