Select the agents that an entry keeps sessions to

Cause: a full mesh of 380 entries and 600 agents breaks the control budget of a node, and yet every agent must be covered and every pool reachable.

Change: agent_selections combines two rendezvous choices (each agent names the entries of a region that cover it, each entry picks agents of every pool spread over failure domains); memberships turns the VM list, sessions and reports into sessions to open and close, at a bounded rate; membership_drivers binds it. An entry tells an agent that the list shows it as leaving, so that agents need no polls of their own and the poll interval can grow with the fleet.

--- /dev/null
+++ b/pumicedeck/membership_drivers.py
@@ -0,0 +1,117 @@
+"""Binds the membership of an entry to the VM list, the timers and the sessions."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from result import Result
+
+from pumicedeck.catalogue_entries import Catalogue
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.memberships import (
+    CloseSession,
+    ListVms,
+    Membership,
+    MembershipAction,
+    MembershipSettings,
+    OpenSession,
+    TellLeaving,
+)
+from pumicedeck.platforms import VmList
+from pumicedeck.results import Failure
+from pumicedeck.wakeups import Wakeup
+from pumicedeck.world import Vm
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipHooks:
+    """What the process does for the membership.
+
+    `open_session` dials an agent, `close_session` drains and closes the session to a VM, and
+    `tell_leaving` tells an agent that the list shows its VM as leaving.
+    """
+
+    open_session: Callable[[Vm], None]
+    close_session: Callable[[str], None]
+    tell_leaving: Callable[[str], None]
+
+
+class MembershipDriver:
+    """Keeps the sessions of an entry to the agents that it should have."""
+
+    def __init__(
+        self,
+        own: Vm,
+        vm_list: VmList,
+        timers: TimerQueue,
+        rng: Random,
+        hooks: MembershipHooks,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        """Select for the entry VM `own` from `vm_list`."""
+        self._vm_list = vm_list
+        self._timers = timers
+        self._hooks = hooks
+        self._membership = Membership(own, rng, settings)
+        self._wakeup = Wakeup(timers, self._membership.next_wakeup, self._on_time)
+        self._running = False
+
+    @property
+    def wanted(self) -> frozenset[str]:
+        """Return the names of the agents that sessions are kept to."""
+        return self._membership.wanted
+
+    def start(self) -> None:
+        """Begin to read the list."""
+        self._running = True
+        self._run(self._membership.start(self._timers.now()))
+
+    def close(self) -> None:
+        """Stop; sessions stay as they are."""
+        self._running = False
+        self._wakeup.close()
+
+    def catalogue_installed(self, catalogue: Catalogue) -> None:
+        """Take the pools of a new catalogue."""
+        self._run(self._membership.catalogue_installed(self._timers.now(), catalogue))
+
+    def session_up(self, vm: str) -> None:
+        """Count a session that opened."""
+        self._run(self._membership.session_up(self._timers.now(), vm))
+
+    def session_lost(self, vm: str) -> None:
+        """Count a session that ended or could not be opened."""
+        self._run(self._membership.session_lost(self._timers.now(), vm))
+
+    def agent_leaving(self, vm: str) -> None:
+        """Leave out an agent that says that it is leaving."""
+        self._run(self._membership.agent_leaving(self._timers.now(), vm))
+
+    def agent_reported(self, vm: str, accepting: bool) -> None:
+        """Take whether an endpoint accepts work."""
+        self._run(self._membership.agent_reported(self._timers.now(), vm, accepting))
+
+    def _on_time(self, now: float) -> None:
+        self._run(self._membership.on_time(now))
+
+    def _run(self, actions: list[MembershipAction]) -> None:
+        if not self._running:
+            return
+        for action in actions:
+            self._perform(action)
+        self._wakeup.refresh()
+
+    def _perform(self, action: MembershipAction) -> None:
+        match action:
+            case ListVms(call):
+                self._vm_list.list(lambda read: self._listed(call, read))
+            case OpenSession(vm):
+                self._hooks.open_session(vm)
+            case CloseSession(vm):
+                self._hooks.close_session(vm)
+            case TellLeaving(vm):
+                self._hooks.tell_leaving(vm)
+
+    def _listed(self, call: int, read: Result[tuple[Vm, ...], Failure]) -> None:
+        if self._running:
+            self._run(self._membership.vms_listed(self._timers.now(), call, read))
--- /dev/null
+++ b/pumicedeck/tests/test_memberships.py
@@ -0,0 +1,250 @@
+"""Tests of the selection of agents and of the sessions that an entry keeps."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import pytest
+from result import Err, Ok
+
+from pumicedeck.agent_selections import (
+    MIN_PICKS,
+    SelectionSettings,
+    covered_agents,
+    fleet_of,
+    select_agents,
+)
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, RequestClass
+from pumicedeck.memberships import (
+    CloseSession,
+    ListVms,
+    Membership,
+    MembershipSettings,
+    OpenSession,
+    TellLeaving,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import (
+    Address,
+    Endpoint,
+    EndpointKind,
+    FailureDomain,
+    Vm,
+    VmRole,
+    VmState,
+)
+
+SETTINGS = SelectionSettings()
+
+
+def _vms(entries: int, agents: int, pools: int) -> tuple[Vm, ...]:
+    domains = [FailureDomain(f"d{index}", f"r{index % 2}") for index in range(6)]
+    address = Address("127.0.0.1", 1)
+    found = [
+        Vm(f"entry-{index}", VmRole.ENTRY, domains[index % 6], address) for index in range(entries)
+    ]
+    for index in range(agents):
+        endpoint = Endpoint(f"e{index}", f"p{index % pools}", EndpointKind.MODEL)
+        domain = domains[index // pools % 6]
+        vm = Vm(f"agent-{index}", VmRole.AGENT, domain, address, endpoint=endpoint)
+        found.append(vm)
+    return tuple(found)
+
+
+def _catalogue(pools: int) -> Catalogue:
+    names = tuple(f"p{index}" for index in range(pools))
+    return Catalogue(1, (CatalogueEntry("all", "firm", RequestClass.BATCH, names),))
+
+
+def _selections(vms: tuple[Vm, ...]) -> dict[str, frozenset[str]]:
+    pools = frozenset(vm.endpoint.pool for vm in vms if vm.endpoint)
+    fleet = fleet_of(vms, pools)
+    return {
+        entry.name: select_agents(entry, fleet, SETTINGS, covered_agents(entry, fleet, SETTINGS))
+        for entry in fleet.entries
+    }
+
+
+@pytest.mark.parametrize(("entries", "agents", "pools"), [(6, 21, 4), (95, 150, 10), (30, 6, 6)])
+def test_agents_are_covered_pools_are_reachable_and_sessions_bounded(
+    entries: int, agents: int, pools: int
+) -> None:
+    vms = {vm.name: vm for vm in _vms(entries, agents, pools)}
+    selections = _selections(tuple(vms.values()))
+    cover: Counter[tuple[str, str]] = Counter()
+    for entry, selected in selections.items():
+        region = vms[entry].failure_domain.region
+        cover.update((agent, region) for agent in selected)
+        reached = Counter(vms[agent].endpoint.pool for agent in selected)
+        per_pool = agents // pools
+        assert len(reached) == pools
+        assert min(reached.values()) >= min(MIN_PICKS, per_pool)
+        assert len(selected) <= max(SETTINGS.max_entry_sessions, MIN_PICKS * pools + agents // 2)
+    for agent in (vm for vm in vms.values() if vm.endpoint):
+        for region in ("r0", "r1"):
+            assert cover[(agent.name, region)] >= min(SETTINGS.cover_entries, entries // 2)
+
+
+@pytest.mark.parametrize("gone", ["agent-7", "entry-7"])
+def test_a_vm_that_goes_moves_few_sessions_of_others(gone: str) -> None:
+    vms = _vms(95, 150, 10)
+    before = _selections(vms)
+    after = _selections(tuple(vm for vm in vms if vm.name != gone))
+    holders = sum(gone in selected for selected in before.values()) + len(before.get(gone, ()))
+    moved = sum(len(before[entry] ^ after[entry]) for entry in after)
+    assert 0 < moved <= 4 * holders
+
+
+def test_selection_does_not_depend_on_the_order_of_the_list() -> None:
+    vms = _vms(12, 40, 3)
+    assert _selections(vms) == _selections(tuple(reversed(vms)))
+
+
+class Entry:
+    """Drives the membership of one entry; sessions open at once unless `broken`."""
+
+    def __init__(self, vms: tuple[Vm, ...], pools: int) -> None:
+        self.membership = Membership(vms[0], Random(1))
+        self.vms: tuple[Vm, ...] | None = vms
+        self.broken: set[str] = set()
+        self.open: set[str] = set()
+        self.now = 0.0
+        self.log: list[tuple[float, object]] = []
+        self.take(self.membership.catalogue_installed, _catalogue(pools))
+        self.take(self.membership.start)
+
+    def take(self, event: Callable, *arguments: object) -> None:
+        actions = event(self.now, *arguments)
+        for action in actions:
+            self.log.append((self.now, action))
+            self._perform(action)
+        due = self.membership.next_wakeup()
+        assert due is None or due > self.now
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while (due := self.membership.next_wakeup()) is not None and due <= end:
+            self.now = due
+            self.take(self.membership.on_time)
+        self.now = end
+
+    def made(self, kind: type) -> list:
+        return [action for _, action in self.log if isinstance(action, kind)]
+
+    def lose(self, agents: set[str]) -> None:
+        for agent in sorted(agents & self.open):
+            self.open.discard(agent)
+            self.take(self.membership.session_lost, agent)
+
+    def _perform(self, action: object) -> None:
+        match action:
+            case ListVms(call):
+                down = Err(Failure(ResultCode.STORE_UNAVAILABLE))
+                read = down if self.vms is None else Ok(self.vms)
+                self.take(self.membership.vms_listed, call, read)
+            case OpenSession(vm) if vm.name in self.broken:
+                self.take(self.membership.session_lost, vm.name)
+            case OpenSession(vm):
+                self.open.add(vm.name)
+                self.take(self.membership.session_up, vm.name)
+            case CloseSession(vm):
+                self.open.discard(vm)
+
+
+def test_sessions_open_at_a_bounded_rate_and_the_list_is_polled_within_its_budget() -> None:
+    entry = Entry(_vms(95, 150, 10), 10)
+    entry.run(600.0)
+    assert entry.open == entry.membership.wanted
+    polls = len(entry.made(ListVms))
+    assert 600.0 / (1.25 * 0.03 * 245) <= polls <= 2 + 600.0 / (0.75 * 0.03 * 245)
+    first = entry.log[0][0]
+    opened = [when for when, action in entry.log if isinstance(action, OpenSession)]
+    settings = MembershipSettings()
+    for when in opened:
+        earlier = sum(other <= when for other in opened)
+        assert earlier <= settings.open_burst + settings.opens_per_second * (when - first) + 1e-6
+
+
+def test_a_leaving_agent_is_replaced_at_once_told_once_and_left_to_drain() -> None:
+    entry = Entry(_vms(6, 60, 1), 1)
+    entry.run(30.0)
+    agent = sorted(entry.membership.wanted)[0]
+    entry.take(entry.membership.agent_leaving, agent)
+    assert agent not in entry.membership.wanted
+    other = sorted(entry.membership.wanted)[0]
+    entry.vms = tuple(
+        replace(vm, state=VmState.LEAVING) if vm.name == other else vm for vm in entry.vms
+    )
+    entry.run(60.0)
+    assert other not in entry.membership.wanted
+    assert entry.made(TellLeaving) == [TellLeaving(other)]
+    assert entry.made(CloseSession) == []
+    assert entry.membership.wanted <= entry.open
+
+
+def test_a_vm_of_the_same_name_is_dialed_again_after_it_left() -> None:
+    entry = Entry(_vms(6, 6, 1), 1)
+    entry.run(30.0)
+    agent = sorted(entry.membership.wanted)[0]
+    entry.take(entry.membership.agent_leaving, agent)
+    entry.lose({agent})
+    entry.run(30.0)
+    assert agent not in entry.open
+    entry.run(60.0)
+    assert agent in entry.open
+
+
+def test_a_lost_domain_is_replaced_and_comes_back_without_a_storm() -> None:
+    vms = _vms(12, 120, 4)
+    entry = Entry(vms, 4)
+    entry.run(30.0)
+    home = entry.membership.wanted
+    lost = {vm.name for vm in vms if vm.failure_domain.name == "d2"}
+    entry.broken = lost
+    entry.lose(lost)
+    before = len(entry.made(OpenSession))
+    entry.run(3600.0)
+    dials = len(entry.made(OpenSession)) - before
+    assert dials <= len(lost & home) * 3600.0 / 15.0 + 2 * len(lost)
+    pools = {vm.name: vm.endpoint.pool for vm in vms if vm.endpoint}
+    assert {pools[agent] for agent in entry.open} == {"p0", "p1", "p2", "p3"}
+    entry.broken = set()
+    entry.run(60.0)
+    assert entry.open == home
+
+
+@pytest.mark.parametrize("kept", [0, 3])
+def test_a_list_that_lost_most_vms_is_distrusted_for_a_while(kept: int) -> None:
+    entry = Entry(_vms(6, 60, 2), 2)
+    entry.run(30.0)
+    held = entry.membership.wanted
+    entry.vms = entry.vms[:kept]
+    entry.run(6.0)
+    assert entry.membership.wanted == held
+    entry.run(120.0)
+    assert entry.open == set()
+
+
+def test_an_agent_that_accepts_nothing_is_replaced_until_it_does() -> None:
+    entry = Entry(_vms(95, 150, 10), 10)
+    entry.run(60.0)
+    held = entry.membership.wanted
+    fleet = fleet_of(entry.vms, frozenset(f"p{index}" for index in range(10)))
+    agent = sorted(held - covered_agents(entry.vms[0], fleet, SETTINGS))[0]
+    entry.take(entry.membership.agent_reported, agent, False)
+    assert agent not in entry.membership.wanted
+    entry.take(entry.membership.agent_reported, agent, True)
+    assert entry.membership.wanted == held
+    assert entry.made(CloseSession) == []
+
+
+def test_a_list_that_is_down_is_asked_with_backoff_and_nothing_is_dropped() -> None:
+    entry = Entry(_vms(6, 60, 2), 2)
+    entry.run(30.0)
+    held = set(entry.open)
+    entry.vms = None
+    before = len(entry.made(ListVms))
+    entry.run(3600.0)
+    assert entry.open == held
+    assert len(entry.made(ListVms)) - before <= 3600.0 / 15.0 + 10
