Let an entry without a catalogue reach agents that hold one

Cause: sessions follow the pools of the catalogue, so an entry that starts while the store is down had no session and so no peer to fetch it from.

Change: without a catalogue the membership keeps six sessions to any agents.

Conclusion: start with the store down works over sessions too.

--- a/pumicedeck/agent_selections.py
+++ b/pumicedeck/agent_selections.py
@@ -10,6 +10,7 @@
 _MASK = (1 << 64) - 1
 _MULTIPLIERS = (0xBF58476D1CE4E5B9, 0x94D049BB133111EB)
 MIN_PICKS = 2
+FIRST_PICKS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,16 @@
     return frozenset(chosen)
 
 
+def select_any(entry: Vm, vms: tuple[Vm, ...], unreachable: frozenset[str]) -> frozenset[str]:
+    """Return agents from which an entry without a catalogue can fetch one."""
+    live = [vm for vm in vms if vm.state is VmState.LIVE and vm.role is VmRole.AGENT]
+    ranked = sorted(
+        live,
+        key=lambda vm: (vm.name in unreachable, rendezvous_weight(entry.name, vm.name)),
+    )
+    return frozenset(vm.name for vm in ranked[:FIRST_PICKS])
+
+
 def rendezvous_weight(first: str, second: str) -> int:
     """Return a pseudo-random weight of a pair of names, the same in every process."""
     value = (_digest(first) + 3 * _digest(second)) & _MASK
--- a/pumicedeck/memberships.py
+++ b/pumicedeck/memberships.py
@@ -11,6 +11,7 @@
     covered_agents,
     fleet_of,
     select_agents,
+    select_any,
 )
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.results import Failure
@@ -112,7 +113,7 @@
         self._settings = settings or MembershipSettings()
         self._budget = StoreBudget(self._settings.lists, rng)
         self._opens = TokenBucket(self._settings.opens_per_second, self._settings.open_burst)
-        self._pools: frozenset[str] = frozenset()
+        self._pools: frozenset[str] | None = None
         self._vms: dict[str, Vm] = {}
         self._absent_since: dict[str, float] = {}
         self._peers: dict[str, _Peer] = {}
@@ -307,6 +308,9 @@
         vms = tuple(vm for name, vm in sorted(self._vms.items()) if name not in leaving)
         if self._own.name not in self._vms:
             vms = (*vms, self._own)
+        if self._pools is None:
+            self._wanted = select_any(self._own, vms, unreachable)
+            return
         fleet = fleet_of(vms, self._pools, unreachable)
         covered = self._cover(fleet)
         self._wanted = select_agents(self._own, fleet, self._settings.selection, covered)
--- a/pumicedeck/tests/test_memberships.py
+++ b/pumicedeck/tests/test_memberships.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from pumicedeck.agent_selections import (
+    FIRST_PICKS,
     MIN_PICKS,
     SelectionSettings,
     covered_agents,
@@ -239,6 +240,18 @@
     assert entry.made(CloseSession) == []
 
 
+def test_an_entry_without_a_catalogue_opens_sessions_to_fetch_one() -> None:
+    entry = Entry(_vms(6, 60, 2), 0)
+    entry.membership = Membership(entry.vms[0], Random(1))
+    entry.take(entry.membership.start)
+    entry.run(30.0)
+    assert len(entry.open) == FIRST_PICKS
+    entry.take(entry.membership.catalogue_installed, _catalogue(2))
+    entry.run(30.0)
+    assert entry.open == entry.membership.wanted
+    assert len(entry.open) > FIRST_PICKS
+
+
 def test_a_list_that_is_down_is_asked_with_backoff_and_nothing_is_dropped() -> None:
     entry = Entry(_vms(6, 60, 2), 2)
     entry.run(30.0)
