Drive the real request state machines in experiments and refuse overload early

Cause: the fakes stood in for EntryRequests and AgentRequests. A request that is proven not run and finds all agents overloaded is refused at once. Retry budget 0.08 with a burst of 10. A refusal pauses an agent for a sixteenth of the queue time. DispatchQueue has express_slots, interactive_tokens and service_rate with defaults; AgentRequests hands over express slots, reports both figures and tells the queue of a popped dispatch that it refuses.

--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -87,7 +87,9 @@
             slots=self._slots,
             queued_tokens=self._queue.queued_tokens,
             running_tokens=self._running_tokens,
+            service_rate=self._queue.service_rate,
             accepting=not self.draining,
+            interactive_tokens=self._queue.interactive_tokens,
         )
 
     def next_wakeup(self) -> float | None:
@@ -353,7 +355,8 @@
 
     def _advance(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        while self._running < self._slots and not self.draining:
+        handed_over = self._slots + self._queue.express_slots
+        while self._running < handed_over and not self.draining:
             dispatch = self._queue.pop(now)
             if dispatch is None:
                 break
@@ -368,6 +371,7 @@
         held = self._attempts[attempt]
         remaining = held.arrived + dispatch.budget - now
         if remaining <= 0.0:
+            self._queue.finished(now, dispatch, 0)
             return self._refuse(now, attempt, _queue_timeout())
         held.phase = AttemptPhase.RUNNING
         held.started = now
--- a/pumicedeck/experiment_engines.py
+++ b/pumicedeck/experiment_engines.py
@@ -98,6 +98,12 @@
             self._pause(found)
             self._schedule()
 
+    def clear(self) -> None:
+        """Drop every generation without calling its `done`."""
+        for each in self._jobs.values():
+            self._pause(each)
+        self._jobs.clear()
+
     def _schedule(self) -> None:
         jobs = list(self._jobs.values())
         if len(jobs) > self._slots:
--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -9,14 +9,17 @@
 from pumicedeck.catalogue_entries import Catalogue, RequestClass
 from pumicedeck.fair_shares import CLASS_ORDER, FirmNode, Waiting
 from pumicedeck.messages import AttemptId, Dispatch
-from pumicedeck.queues import DispatchQueue, queue
+from pumicedeck.queues import QUEUES, DispatchQueue, queue
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import Endpoint, EndpointKind
 
 FIRM_QUEUE_LENGTH = 1024
 FIRM_QUEUE_BYTES = 8 * 1024 * 1024
 DEFAULT_SLOTS = 8
 INITIAL_SLOT_RATE = 50.0
 RATE_MEMORY_SECONDS = 15.0
+EXPRESS_FRACTION = 0.5
+RESERVED_SLOTS = 1
 OVERDUE_FACTOR = 2.0
 LEAST_RETRY_SECONDS = 0.25
 LONGEST_RETRY_SECONDS = 30.0
@@ -72,6 +75,7 @@
         self._clock = 0.0
         self._order = 0
         self._tokens = 0
+        self._now = 0.0
         self._estimate = _RateEstimate(INITIAL_SLOT_RATE)
 
     @property
@@ -93,24 +97,13 @@
 
     @property
     def service_rate(self) -> float:
-        """Return the tokens a second that the endpoint serves when all slots are busy."""
-        return self._estimate.rate * max(self._slots, len(self._running))
-
-    def current_rate(self, now: float) -> float:
-        """Return the service rate, lowered if most running dispatches are overdue."""
-        bounds = sorted(
-            each.dispatch.expected_tokens / max(now - each.started, 1e-6)
-            for each in self._running.values()
-        )
-        median = bounds[len(bounds) // 2] if bounds else math.inf
-        if median * OVERDUE_FACTOR > self._estimate.rate:
-            return self.service_rate
-        return median * max(self._slots, len(self._running))
+        """Return the tokens a second of the endpoint, lowered if most of what runs is overdue."""
+        return self._slot_rate() * max(self._slots, len(self._running))
 
     @property
-    def capacity(self) -> int:
-        """Return how many dispatches may be handed over at once."""
-        return self._slots + self._express
+    def express_slots(self) -> int:
+        """Return how many dispatches may be handed over beyond the slots of the endpoint."""
+        return self._express
 
     def expected_wait(self, firm: str, request_class: RequestClass) -> float:
         """Return the seconds that a new dispatch of a firm and class would wait."""
@@ -126,6 +119,7 @@
 
     def push(self, now: float, dispatch: Dispatch) -> Result[None, Failure]:
         """Queue a dispatch, or refuse it if its firm's queue is full or too slow for its budget."""
+        self._now = now
         firm = self._firm(dispatch.firm)
         if firm.count >= FIRM_QUEUE_LENGTH:
             return self._refusal(dispatch, "the firm's queue is full")
@@ -139,6 +133,7 @@
 
     def pop(self, now: float) -> Dispatch | None:
         """Take the dispatch to run next; None if no slot is open to what waits."""
+        self._now = now
         free = self._slots - len(self._running)
         if free > 0:
             classes = CLASS_ORDER if self._bulk_open() else _INTERACTIVE_ONLY
@@ -159,6 +154,7 @@
 
     def expire(self, now: float) -> list[Dispatch]:
         """Take out every dispatch whose queue time has run out."""
+        self._now = now
         late = []
         while self._due and self._due[0][0] <= now:
             _, order, attempt = heapq.heappop(self._due)
@@ -248,6 +244,15 @@
         else:
             self._bulk_running += sign
 
+    def _slot_rate(self) -> float:
+        bounds = sorted(
+            each.dispatch.expected_tokens / max(self._now - each.started, 1e-6)
+            for each in self._running.values()
+        )
+        median = bounds[len(bounds) // 2] if bounds else math.inf
+        rate = self._estimate.rate
+        return median if median * OVERDUE_FACTOR < rate else rate
+
     def _tokens_ahead(self, firm: FirmNode | None, request_class: RequestClass) -> int:
         if firm is None:
             return 0
@@ -290,3 +295,13 @@
     """Return the priority for the engine: work of a firm within its share goes first."""
     rank = len(CLASS_ORDER) - 1 - CLASS_ORDER.index(request_class)
     return rank + (len(CLASS_ORDER) if within_share else 0)
+
+
+def build_queue(name: str, endpoint: Endpoint) -> DispatchQueue:
+    """Build the queue called `name` as it suits an endpoint."""
+    if name != "fair":
+        return QUEUES[name]()
+    if endpoint.kind is EndpointKind.MODEL:
+        express = max(1, round(endpoint.slots * EXPRESS_FRACTION))
+        return FairQueue(endpoint.slots, express=express)
+    return FairQueue(endpoint.slots, reserved=min(RESERVED_SLOTS, endpoint.slots // 4))
--- a/pumicedeck/load_routers.py
+++ b/pumicedeck/load_routers.py
@@ -10,12 +10,14 @@
 from pumicedeck.outliers import OutlierDetector
 from pumicedeck.prefix_affinities import LOAD_BOUND, PrefixAffinity
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.routers import Candidate, RouteQuery, Router, router
+from pumicedeck.routers import ROUTERS, Candidate, RouteQuery, Router, router
 from pumicedeck.world import FailureDomain, Link
 
 RANDOM_CHOICES = 2
 PREFIX_GAIN_SECONDS = 0.25
-REFUSAL_PAUSE_SECONDS = 0.5
+LEAST_PAUSE_SECONDS = 0.25
+LONGEST_PAUSE_SECONDS = 2.0
+PAUSE_FRACTION = 1 / 16
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 LEAVING_SECONDS = 30.0
 PAUSES_KEPT = 4096
@@ -153,7 +155,7 @@
         super().finished(now, agent, query, code)
         self._outliers.ended(now, agent, code)
         if code in REFUSALS:
-            self._pause(now, agent, query, REFUSAL_PAUSE_SECONDS * self._random.uniform(0.5, 1.5))
+            self._pause(now, agent, query, self._refusal_pause(query))
         elif code is ResultCode.ENDPOINT_LEAVING:
             self._pause(now, agent, query, LEAVING_SECONDS)
 
@@ -202,6 +204,11 @@
             self._pauses = {key: until for key, until in self._pauses.items() if until > now}
         self._pauses[self._key(agent, query)] = now + seconds
 
+    def _refusal_pause(self, query: RouteQuery) -> float:
+        seconds = query.entry.limits.queue_seconds * PAUSE_FRACTION
+        bounded = min(max(seconds, LEAST_PAUSE_SECONDS), LONGEST_PAUSE_SECONDS)
+        return bounded * self._random.uniform(0.5, 1.5)
+
     def _paused(self, now: float, load: AgentLoad, query: RouteQuery) -> bool:
         return self._pauses.get(self._key(load.candidate.agent, query), now) > now
 
@@ -210,3 +217,11 @@
     ) -> Result[str, Failure]:
         first = min(self._pauses[self._key(each.candidate.agent, query)] for each in loads)
         return Err(Failure(ResultCode.OVERLOADED, "all agents refused lately", first - now))
+
+
+def build_router(
+    name: str, home: FailureDomain, seed: int = 0, links: tuple[Link, ...] = ()
+) -> Router:
+    """Build the router called `name`."""
+    cls = ROUTERS[name]
+    return cls(home, seed, links) if issubclass(cls, LoadRouter) else cls(home, seed)
--- a/pumicedeck/queues.py
+++ b/pumicedeck/queues.py
@@ -54,6 +54,21 @@
     def queued_tokens(self) -> int:
         """Return the sum of expected tokens that wait."""
 
+    @property
+    def express_slots(self) -> int:
+        """Return how many dispatches may be handed over beyond the slots of the endpoint."""
+        return 0
+
+    @property
+    def interactive_tokens(self) -> int:
+        """Return the expected tokens of interactive work that waits or runs, if known."""
+        return 0
+
+    @property
+    def service_rate(self) -> float:
+        """Return the tokens a second of the endpoint with all slots busy; 0 if unknown."""
+        return 0.0
+
     @abstractmethod
     def __len__(self) -> int:
         """Return how many dispatches wait."""
--- a/pumicedeck/request_attempts.py
+++ b/pumicedeck/request_attempts.py
@@ -188,7 +188,8 @@
 
     def _wait(self, now: float, pending: PendingRequest, failure: Failure) -> list[Action]:
         pending.last_failure = failure
-        if now >= pending.last_route_due:
+        refused_early = failure.code is ResultCode.OVERLOADED and not pending.may_have_run
+        if refused_early or now >= pending.last_route_due:
             return self.fail(now, pending, failure)
         retry_at = now + self._settings.retry_wait_seconds
         due = min(retry_at, pending.last_route_due)
--- a/pumicedeck/request_settings.py
+++ b/pumicedeck/request_settings.py
@@ -14,8 +14,8 @@
     reattach_seconds: float = 10.0
     reattach_idempotent_seconds: float = 1.0
     retry_wait_seconds: float = 0.1
-    retry_ratio: float = 0.1
-    retry_burst: float = 32.0
+    retry_ratio: float = 0.08
+    retry_burst: float = 10.0
     overload_retry_seconds: float = 1.0
     notice_seconds: float = 5.0
     max_orphans: int = 4096
