Let the membership decide which agents an entry keeps sessions to

Cause: the entry dialed every agent and every process read the list of VMs itself, which neither the control budget nor the store's carries at 380 entries and 600 agents. Change: the membership driver opens and closes sessions; a session that is no longer wanted closes when nothing waits on it; agents learn from entries that the list shows them as leaving and read no list. Before: 980 readers of the list; after: 380. Conclusion: one mechanism decides on sessions.

--- a/pumicedeck/agent_daemons.py
+++ b/pumicedeck/agent_daemons.py
@@ -20,6 +20,7 @@
     CatalogueCopy,
     CatalogueRequest,
     Heartbeat,
+    Leaving,
     LoadReport,
     Message,
 )
@@ -148,6 +149,9 @@
         if isinstance(message, CatalogueRequest | CatalogueCopy):
             self._follower.message(peer.incarnation, message)
             return
+        if isinstance(message, Leaving):
+            self.drain()
+            return
         if isinstance(message, Heartbeat):
             self._follower.peer_revision(peer.incarnation, message.revision)
         now = self._timers.now()
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -32,6 +32,7 @@
 from pumicedeck.http_messages import HttpClientSettings
 from pumicedeck.http_servers import HttpServer
 from pumicedeck.limiters import EntryLimiter
+from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
 from pumicedeck.platforms import (
@@ -50,8 +51,7 @@
 from pumicedeck.sessions import SessionSettings
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
 from pumicedeck.tokens import TokenChecker
-from pumicedeck.vm_watches import VmWatch
-from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, VmRole
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, Vm, VmRole
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,21 +203,10 @@
         watch = ServiceWatch(host.timers, daemon.drain, endpoint)
         weights = None
     daemon.bind(executions, follower, watch, weights)
-    vm_watch = VmWatch(platform.vms, host.timers, rng)
-    vm_watch.on_leaving(settings.vm, daemon.drain)
     operators = _serve_operators(
         settings, host, AgentStatus(incarnation, daemon, connections), None, None
     )
-
-    def start() -> None:
-        daemon.start()
-        vm_watch.start()
-
-    def close() -> None:
-        vm_watch.close()
-        daemon.close()
-
-    return Running(start, daemon.drain, close, None, operators, connections, daemon)
+    return Running(daemon.start, daemon.drain, daemon.close, None, operators, connections, daemon)
 
 
 def _observe(attributions: Attributions, host: Host, state: EngineState) -> None:
@@ -250,9 +239,11 @@
     )
     daemon = EntryDaemon(
         EntryParts(
+            settings.vm,
             incarnation,
             host.timers,
             requests,
+            router,
             limiter,
             histograms,
             stopped,
@@ -274,19 +265,23 @@
         rng,
         FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
     )
-    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, rng)
-    vm_watch = VmWatch(platform.vms, host.timers, rng)
+    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, daemon.outstanding)
+    membership = MembershipDriver(
+        Vm(settings.vm, VmRole.ENTRY, home, settings.callers),
+        platform.vms,
+        host.timers,
+        rng,
+        MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
+    )
     claims = Claims(
         incarnation,
         platform.table,
         host.timers,
         daemon.claim_answered,
-        vm_watch.is_live,
+        daemon.is_live,
         time.time,
     )
-    daemon.bind(follower, dialer, claims)
-    vm_watch.on_leaving(settings.vm, daemon.drain)
-    vm_watch.on_change(daemon.vms_changed)
+    daemon.bind(follower, dialer, claims, membership)
     draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
     newest = NewestVersionPoll(
         host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
@@ -303,12 +298,10 @@
 
     def start() -> None:
         daemon.start()
-        vm_watch.start()
         newest.start()
 
     def close() -> None:
         newest.close()
-        vm_watch.close()
         draws.close()
         claims.close()
         daemon.close()
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -1,6 +1,6 @@
 """The entry: carries events between callers, the request state machine and the agents."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -28,6 +28,7 @@
 from pumicedeck.handshakes import Hello
 from pumicedeck.histograms import Histograms, Measure, Series
 from pumicedeck.limiters import EntryLimiter
+from pumicedeck.membership_drivers import MembershipDriver
 from pumicedeck.messages import (
     CatalogueCopy,
     CatalogueRequest,
@@ -37,7 +38,7 @@
 )
 from pumicedeck.peers import Peers
 from pumicedeck.results import Failure
-from pumicedeck.routers import Candidate
+from pumicedeck.routers import Candidate, Router
 from pumicedeck.wakeups import Wakeup
 from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Vm, VmRole, VmState
 
@@ -66,14 +67,19 @@
     def record(self, outcome: RecordOutcome) -> None:
         """Write the outcome into a claim row."""
 
+    def flush(self) -> None:
+        """Write now what waits for company."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryParts:
     """What the composition root gives to an entry."""
 
+    vm: str
     incarnation: str
     timers: TimerQueue
     requests: EntryRequests
+    router: Router
     limiter: EntryLimiter
     histograms: Histograms
     drained: Callable[[], None]
@@ -103,6 +109,8 @@
         self._follower: CatalogueFollower | None = None
         self._dialer: AgentDialer | None = None
         self._claims: ClaimWriter | None = None
+        self._membership: MembershipDriver | None = None
+        self._entries: frozenset[str] = frozenset()
         self._is_draining = False
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
 
@@ -136,20 +144,29 @@
         """Return the bytes sent over paid links, by firm."""
         return self._parts.paid_bytes()
 
-    def bind(self, follower: CatalogueFollower, dialer: AgentDialer, claims: ClaimWriter) -> None:
+    def bind(
+        self,
+        follower: CatalogueFollower,
+        dialer: AgentDialer,
+        claims: ClaimWriter,
+        membership: MembershipDriver,
+    ) -> None:
         """Complete the wiring."""
+        self._membership = membership
         self._claims = claims
         self._follower = follower
         self._dialer = dialer
 
     def start(self) -> None:
-        """Begin to follow the catalogue."""
+        """Begin to follow the catalogue and the list of VMs."""
         self._follower.start()
+        self._membership.start()
         _log.info("entry started", incarnation=self._parts.incarnation)
 
     def close(self) -> None:
         """Stop everything that `start` began."""
         self._wakeup.close()
+        self._membership.close()
         self._follower.close()
         self._dialer.close()
 
@@ -165,18 +182,45 @@
         """Put a newly installed catalogue in force."""
         _log.info("catalogue installed", revision=catalogue.revision)
         self._parts.limiter.configure(self._timers.now(), catalogue)
+        self._membership.catalogue_installed(catalogue)
 
     def announce(self, revision: int) -> None:
         """Tell every agent at once which catalogue revision is in force here."""
         self._peers.send_to_all(self.heartbeat())
 
-    def vms_changed(self, vms: tuple[Vm, ...]) -> None:
-        """Keep sessions to the agents of the list and split limits among its entries."""
-        agents = [each for each in vms if each.role is VmRole.AGENT]
-        self._dialer.want_only(each for each in agents if each.state is VmState.LIVE)
-        self._stop_work_for(each.name for each in agents if each.state is VmState.LEAVING)
-        entries = [each.name for each in vms if each.role is VmRole.ENTRY]
-        self._parts.limiter.set_members(self._timers.now(), entries)
+    def vms_listed(self, vms: tuple[Vm, ...]) -> None:
+        """Take the platform's list: who is live, and whether this VM is leaving."""
+        entries = frozenset(each.name for each in vms if each.role is VmRole.ENTRY)
+        if entries != self._entries:
+            self._entries = entries
+            self._parts.limiter.set_members(self._timers.now(), entries)
+        own = next((each for each in vms if each.name == self._parts.vm), None)
+        if own is not None and own.state is VmState.LEAVING:
+            self.drain()
+
+    def is_live(self, incarnation: str) -> bool:
+        """Tell whether the VM of an entry incarnation is still listed."""
+        return not self._entries or _vm_of(incarnation) in self._entries
+
+    def outstanding(self, vm: str) -> int:
+        """Return how many attempts wait for answers of a VM."""
+        return sum(self._requests.outstanding(each) for each in self._incarnations_of(vm))
+
+    def close_session(self, vm: str) -> None:
+        """Send no new work to a VM and close the session when nothing is outstanding."""
+        for incarnation in self._incarnations_of(vm):
+            self._parts.router.remove(self._timers.now(), incarnation)
+        self._dialer.close_when_idle(vm)
+
+    def tell_leaving(self, vm: str) -> None:
+        """Tell an agent that the list shows its VM as leaving, and send it nothing new."""
+        notice = Leaving("listed as leaving", 0.0)
+        for incarnation in self._incarnations_of(vm):
+            self._peers.send(incarnation, notice)
+            self._perform(self._requests.message(self._timers.now(), incarnation, notice))
+
+    def _incarnations_of(self, vm: str) -> list[str]:
+        return [each for each in self._peers.incarnations if _vm_of(each) == vm]
 
     def submit(self, request: CallerRequest, sink: AnswerSink) -> None:
         """Admit a checked request under its entry's limits."""
@@ -196,7 +240,7 @@
 
     def session_up(self, peer: Hello) -> None:
         """Take an agent into the choice."""
-        self._dialer.opened(peer.incarnation.partition("/")[0])
+        self._membership.session_up(_vm_of(peer.incarnation))
         endpoint = Endpoint(peer.endpoint, peer.pool, EndpointKind(peer.kind), peer.slots)
         candidate = Candidate(
             peer.incarnation, endpoint, FailureDomain(peer.failure_domain, peer.region)
@@ -219,12 +263,19 @@
         if isinstance(message, Heartbeat):
             self._revisions[peer.incarnation] = message.revision
             self._follower.peer_revision(peer.incarnation, message.revision)
+            if message.load is not None:
+                vm = _vm_of(peer.incarnation)
+                self._membership.agent_reported(vm, message.load.accepting)
+        if isinstance(message, Leaving):
+            self._membership.agent_leaving(_vm_of(peer.incarnation))
         now = self._timers.now()
         self._perform(self._requests.message(now, peer.incarnation, message))
 
     def dial_ended(self, connection: int) -> None:
-        """Dial again if the agent is still wanted."""
-        self._dialer.ended(connection)
+        """Have the membership decide whether to dial again."""
+        vm = self._dialer.ended(connection)
+        if vm is not None:
+            self._membership.session_lost(vm)
 
     def heartbeat(self) -> Heartbeat:
         """Return the next heartbeat with the lowest sequence that is not settled."""
@@ -232,13 +283,6 @@
         revision = self._follower.revision
         return Heartbeat(self._beats, revision, floor=self._requests.floor)
 
-    def _stop_work_for(self, vms: Iterable[str]) -> None:
-        leaving = set(vms)
-        for agent in self._peers.incarnations:
-            if agent.partition("/")[0] in leaving:
-                notice = Leaving("listed as leaving", 0.0)
-                self._perform(self._requests.message(self._timers.now(), agent, notice))
-
     def _on_time(self, now: float) -> None:
         self._perform(self._requests.on_time(now))
 
@@ -264,6 +308,7 @@
                     self._claims.record(action)
                 case Drained():
                     _log.info("drained")
+                    self._claims.flush()
                     self._parts.drained()
         self._wakeup.refresh()
 
@@ -308,3 +353,7 @@
     def _record(self, held: _Submitted, measure: Measure, value: float) -> None:
         entry = held.request.entry
         self._parts.histograms.record(Series(entry.firm, entry.request_class, measure), value)
+
+
+def _vm_of(incarnation: str) -> str:
+    return incarnation.partition("/")[0]
--- a/pumicedeck/entry_requests.py
+++ b/pumicedeck/entry_requests.py
@@ -72,6 +72,10 @@
         """Return the lowest sequence that is not settled; heartbeats carry it to agents."""
         return self._pending.floor
 
+    def outstanding(self, agent: str) -> int:
+        """Return how many attempts wait for an answer of an agent incarnation."""
+        return len(self._pending.at_agent(agent))
+
     def next_wakeup(self) -> float | None:
         """Return the next second at which `on_time` is wanted."""
         due = self._pending.next_due()
--- a/pumicedeck/membership_drivers.py
+++ b/pumicedeck/membership_drivers.py
@@ -1,10 +1,10 @@
 """Binds the membership of an entry to the VM list, the timers and the sessions."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
-from result import Result
+from result import Ok, Result
 
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.clocks import TimerQueue
@@ -23,17 +23,23 @@
 from pumicedeck.world import Vm
 
 
+def _ignore(*arguments: object) -> None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class MembershipHooks:
     """What the process does for the membership.
 
     `open_session` dials an agent, `close_session` drains and closes the session to a VM, and
-    `tell_leaving` tells an agent that the list shows its VM as leaving.
+    `tell_leaving` tells an agent that the list shows its VM as leaving. `listed` hears of every
+    list that was read.
     """
 
     open_session: Callable[[Vm], None]
     close_session: Callable[[str], None]
     tell_leaving: Callable[[str], None]
+    listed: Callable[[tuple[Vm, ...]], None] = field(default=_ignore)
 
 
 class MembershipDriver:
@@ -114,4 +120,6 @@
 
     def _listed(self, call: int, read: Result[tuple[Vm, ...], Failure]) -> None:
         if self._running:
+            if isinstance(read, Ok):
+                self._hooks.listed(read.ok_value)
             self._run(self._membership.vms_listed(self._timers.now(), call, read))
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -171,7 +171,7 @@
     callers: ListenAddress
     operators: ListenAddress
     router: _one_of("router", router_names) = "expected_wait"
-    sessions_per_domain: int = Field(16, ge=1)
+    max_sessions: int = Field(45, ge=1)
 
 
 class EndpointSettings(Section):
