Add the demo's callers and trainers

Cause: the demo needs callers that check what they are told. Change: callers and trainers over HTTP. Conclusion: none yet.

--- /dev/null
+++ b/pumicedeck/demo_callers.py
@@ -0,0 +1,234 @@
+"""Callers and trainers of the demo, over HTTP on the demo's own loop."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from result import Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.results import Failure
+from pumicedeck.world import Address
+
+
+@dataclass(slots=True)
+class CallCounts:
+    """What callers of one entry were told."""
+
+    sent: int = 0
+    answered: int = 0
+    refused_not_run: int = 0
+    other: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """Calls that one kind of caller makes, at `rate` per second."""
+
+    entry_name: str
+    token: str
+    path: str
+    rate: float
+
+
+class DemoCaller:
+    """Sends calls at random moments and checks each answer against its request."""
+
+    def __init__(
+        self,
+        plan: CallPlan,
+        client: HttpClient,
+        target: Callable[[], Address],
+        timers: TimerQueue,
+        rng: Random,
+    ) -> None:
+        """Send to whichever entry `target` returns."""
+        self._plan = plan
+        self._client = client
+        self._target = target
+        self._timers = timers
+        self._rng = rng
+        self._stopped = False
+        self.counts = CallCounts()
+        self.swapped = 0
+        self.told_not_run: set[str] = set()
+        self.request_ids: list[str] = []
+
+    @property
+    def name(self) -> str:
+        """Return the catalogue entry that is called."""
+        return self._plan.entry_name
+
+    @property
+    def open_calls(self) -> int:
+        """Return how many calls have no answer yet."""
+        counts = self.counts
+        return counts.sent - counts.answered - counts.refused_not_run - counts.other
+
+    def start(self) -> None:
+        """Begin to call."""
+        self._timers.call_later(self._rng.expovariate(self._plan.rate), self._call)
+
+    def stop(self) -> None:
+        """Make no more calls."""
+        self._stopped = True
+
+    def _call(self) -> None:
+        if self._stopped:
+            return
+        self.start()
+        self.counts.sent += 1
+        request_id = f"{self._plan.entry_name}-{self.counts.sent}"
+        self.request_ids.append(request_id)
+        request = HttpRequest(
+            "POST",
+            self._target(),
+            f"/v1/entries/{self._plan.entry_name}/call{self._plan.path}",
+            (("Authorization", f"Bearer {self._plan.token}"), ("X-Request-Id", request_id)),
+            json.dumps({"number": self.counts.sent}).encode(),
+        )
+        self._client.send(request, lambda outcome: self._answered(request_id, outcome))
+
+    def _answered(self, request_id: str, outcome: Result[HttpResponse, Failure]) -> None:
+        if not isinstance(outcome, Ok):
+            self.counts.other += 1
+            return
+        document = json.loads(outcome.ok_value.body)
+        if outcome.ok_value.status == 200:
+            self.counts.answered += 1
+            self.swapped += document.get("request_id") != request_id
+        elif document.get("execution") == "not_run":
+            self.counts.refused_not_run += 1
+            self.told_not_run.add(request_id)
+        else:
+            self.counts.other += 1
+
+
+@dataclass(frozen=True, slots=True)
+class TrainerPlan:
+    """A trainer that draws steps of `groups` groups of `samples` samples."""
+
+    entry_name: str
+    token: str
+    trainer: str
+    groups: int
+    samples: int
+    max_tokens: int
+    train_seconds: float
+
+
+@dataclass(slots=True)
+class TrainerCounts:
+    """What a trainer received; `idle_seconds` is the time it waited for steps."""
+
+    steps: int = 0
+    drafts: int = 0
+    doubled: int = 0
+    over_bound: int = 0
+    failed_draws: int = 0
+    idle_seconds: float = 0.0
+    places: set[tuple[int, int, int]] = field(default_factory=set)
+
+
+class DemoTrainer:
+    """Draws one step after another and repeats a draw that broke."""
+
+    def __init__(
+        self,
+        plan: TrainerPlan,
+        client: HttpClient,
+        target: Callable[[], Address],
+        timers: TimerQueue,
+        newest: Callable[[], int],
+        staleness_bound: int,
+    ) -> None:
+        """Check drafts against `newest()`, the version published last, when a draw began."""
+        self._plan = plan
+        self._client = client
+        self._target = target
+        self._timers = timers
+        self._newest = newest
+        self._bound = staleness_bound
+        self._held: set[int] = set()
+        self._newest_at_draw = 0
+        self._began = 0.0
+        self._buffer = b""
+        self._stopped = False
+        self.counts = TrainerCounts()
+
+    @property
+    def name(self) -> str:
+        """Return the trainer's name."""
+        return self._plan.trainer
+
+    def start(self) -> None:
+        """Draw the first step."""
+        self._began = self._timers.now()
+        self._draw()
+
+    def stop(self) -> None:
+        """Draw no more steps."""
+        self._stopped = True
+
+    def _draw(self) -> None:
+        plan = self._plan
+        self._buffer = b""
+        self._newest_at_draw = self._newest()
+        missing = [number for number in range(plan.groups) if number not in self._held]
+        groups = [
+            {
+                "group": number,
+                "body": {"prompt": f"{plan.trainer} {number}", "max_tokens": plan.max_tokens},
+                "samples": plan.samples,
+                "expected_tokens": plan.max_tokens,
+            }
+            for number in missing
+        ]
+        draw = {
+            "trainer": plan.trainer,
+            "step": self.counts.steps,
+            "held": sorted(self._held),
+            "groups": groups,
+            "newest_version": self._newest_at_draw,
+        }
+        request = HttpRequest(
+            "POST",
+            self._target(),
+            f"/v1/entries/{plan.entry_name}/draws",
+            (("Authorization", f"Bearer {plan.token}"),),
+            json.dumps(draw).encode(),
+        )
+        self._client.send(request, self._ended, self._received, plan.train_seconds + 60.0)
+
+    def _received(self, data: bytes) -> None:
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        for line in lines:
+            document = json.loads(line)
+            if "group" in document:
+                self._take_group(document)
+
+    def _take_group(self, document: dict) -> None:
+        counts = self.counts
+        self._held.add(document["group"])
+        for draft in document["drafts"]:
+            place = (counts.steps, document["group"], draft["index"])
+            counts.doubled += place in counts.places
+            counts.places.add(place)
+            counts.drafts += 1
+            oldest_allowed = self._newest_at_draw - self._bound
+            counts.over_bound += min(draft["versions"]) < oldest_allowed
+
+    def _ended(self, outcome: Result[HttpResponse, Failure]) -> None:
+        if self._stopped:
+            return
+        if len(self._held) < self._plan.groups:
+            self.counts.failed_draws += 1
+            self._timers.call_later(0.2, self._draw)
+            return
+        self.counts.idle_seconds += self._timers.now() - self._began
+        self.counts.steps += 1
+        self._held.clear()
+        self._timers.call_later(self._plan.train_seconds, self.start)
