Hand checked requests on without another turn of the loop

Cause: the guard fired a second read event for each request, which costs a whole turn of the loop when few requests are in flight; the client counted its connections after every answer.

Change: the guard replaces the data of the read event in place, and the client returns early when nothing waits. A measurement of both is kept as a module.

--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -156,6 +156,8 @@
             if connection is None:
                 break
             self._assign(connection, pool.waiting.popleft())
+        if not pool.waiting:
+            return
         connecting = self._connecting(pool)
         spare = self._settings.connections_per_address - len(pool.connections)
         for _ in range(min(spare, len(pool.waiting) - connecting)):
--- /dev/null
+++ b/pumicedeck/http_experiments.py
@@ -0,0 +1,125 @@
+"""Measures the HTTP client, the guard and the stand-in server in one process on loopback.
+
+Run as `python -m pumicedeck.http_experiments [requests]`.
+"""
+
+import sys
+import time
+from dataclasses import dataclass
+
+from circuits import BaseComponent
+from circuits.core.events import started
+from circuits.core.pollers import EPoll
+from result import Result
+
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_guards import HttpGuard
+from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
+from pumicedeck.http_servers import HttpExchange, HttpServer
+from pumicedeck.loops import LoopTimers
+from pumicedeck.results import Failure
+from pumicedeck.world import Address
+
+_DEFAULT_REQUESTS = 1000
+_CONCURRENCIES = (1, 32, 256)
+_ROUNDS = 5
+_TICK_SECONDS = 0.05
+_WARM_UP_REQUESTS = 300
+_BODY = b'{"rig": "line array"}'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpMeasurement:
+    """One run; latencies and processor time are in milliseconds."""
+
+    guarded: bool
+    concurrency: int
+    requests_per_second: float
+    p50: float
+    p99: float
+    processor: float
+
+
+class _Experiment:
+    """Keeps a number of requests in flight until enough were answered."""
+
+    def __init__(self, guarded: bool, concurrency: int) -> None:
+        self._guarded = guarded
+        self._concurrency = concurrency
+        self._root = BaseComponent()
+        EPoll().register(self._root)
+        timers = LoopTimers().register(self._root).timers
+        settings = HttpClientSettings(connections_per_address=concurrency)
+        self._client = HttpClient(timers, settings).register(self._root)
+        guard = (lambda channel: HttpGuard(channel, timers)) if guarded else None
+        self._server = HttpServer(Address("127.0.0.1", 0), "experiment", _echo, guard)
+        self._server.register(self._root)
+        self._left = 0
+        self._latencies: list[float] = []
+
+    def run(self, requests: int) -> HttpMeasurement:
+        self._root._running = True
+        self._root.fire(started(self._root))
+        self._root.tick(0)
+        self._answer(_WARM_UP_REQUESTS)
+        self._latencies = []
+        began, processor = time.perf_counter(), time.process_time()
+        self._answer(requests)
+        seconds = time.perf_counter() - began
+        processor = time.process_time() - processor
+        self._client.close()
+        ordered = sorted(self._latencies)
+        return HttpMeasurement(
+            guarded=self._guarded,
+            concurrency=self._concurrency,
+            requests_per_second=requests / seconds,
+            p50=1000 * ordered[len(ordered) // 2],
+            p99=1000 * ordered[len(ordered) * 99 // 100],
+            processor=1000 * processor / requests,
+        )
+
+    def _answer(self, requests: int) -> None:
+        self._left = requests
+        wanted = len(self._latencies) + requests
+        for _ in range(min(self._concurrency, requests)):
+            self._send()
+        while len(self._latencies) < wanted:
+            self._root.tick(_TICK_SECONDS)
+
+    def _send(self) -> None:
+        self._left -= 1
+        sent_at = time.perf_counter()
+
+        def done(outcome: Result[HttpResponse, Failure]) -> None:
+            outcome.unwrap()
+            self._latencies.append(time.perf_counter() - sent_at)
+            if self._left > 0:
+                self._send()
+
+        self._client.send(HttpRequest("POST", self._server.address, "/a", body=_BODY), done)
+
+
+def _echo(exchange: HttpExchange) -> None:
+    exchange.answer(200, "application/json", exchange.body)
+
+
+def main() -> None:
+    """Print the median of interleaved rounds by processor time."""
+    requests = int(sys.argv[1]) if len(sys.argv) > 1 else _DEFAULT_REQUESTS
+    print("guard  in flight  requests/s   p50 ms   p99 ms  processor ms/request")
+    for concurrency in _CONCURRENCIES:
+        rounds = [
+            [_Experiment(guarded, concurrency).run(requests) for guarded in (False, True)]
+            for _ in range(_ROUNDS)
+        ]
+        for runs in zip(*rounds, strict=True):
+            row = sorted(runs, key=lambda run: run.processor)[_ROUNDS // 2]
+            print(
+                f"{'on' if row.guarded else 'off':>5} {row.concurrency:>10}"
+                f" {row.requests_per_second:>11.0f} {row.p50:>8.2f} {row.p99:>8.2f}"
+                f" {row.processor:>21.3f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from circuits import BaseComponent, handler
-from circuits.net.events import close, read, write
+from circuits.net.events import close, write
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_documents import JSON_TYPE, write_failure
@@ -67,12 +67,6 @@
     continued: bool = field(default=False)
 
 
-class _CheckedRead(read):
-    """Hands a whole request on to circuits.web."""
-
-    name = "read"
-
-
 class HttpGuard(BaseComponent):
     """Filters the `read` events of one server channel.
 
@@ -115,16 +109,12 @@
 
     @handler("read", priority=10)
     def _on_read(self, event, sock, data) -> None:
-        if isinstance(event, _CheckedRead):
-            return
-        event.stop()
-        caller = self._callers.get(sock)
-        if caller is None or caller.phase is _Phase.REFUSED:
+        whole = self._take(sock, data)
+        if whole is None:
+            event.stop()
             return
-        if caller.phase is _Phase.ANSWERING:
-            caller.pipelined = True
-            return
-        self._receive(sock, caller, data)
+        # circuits.web sees the canonical message in the same event, which saves a loop turn.
+        event.args[1] = whole.data
 
     @handler("response", "stream", priority=-100)
     def _on_answered(self, reply, *_) -> None:
@@ -140,26 +130,35 @@
         caller.phase = _Phase.RECEIVING
         caller.deadline.set(self._settings.idle_seconds)
 
-    def _receive(self, sock: socket.socket, caller: _Caller, data: bytes) -> None:
+    def _take(self, sock: socket.socket, data: bytes) -> WholeRequest | None:
+        caller = self._callers.get(sock)
+        if caller is None or caller.phase is _Phase.REFUSED:
+            return None
+        if caller.phase is _Phase.ANSWERING:
+            caller.pipelined = True
+            return None
+        return self._receive(sock, caller, data)
+
+    def _receive(self, sock: socket.socket, caller: _Caller, data: bytes) -> WholeRequest | None:
         if not caller.reader.began:
             caller.deadline.set(self._settings.request_seconds)
         outcome = caller.reader.feed(data)
         if outcome.is_err():
             self._refuse(sock, caller, outcome.unwrap_err())
-            return
+            return None
         whole = outcome.unwrap()
         if whole is not None:
-            self._pass_on(sock, caller, whole)
+            self._begin_answer(caller, whole)
         elif caller.reader.wants_continue and not caller.continued:
             caller.continued = True
             self.fire(write(sock, _CONTINUE))
+        return whole
 
-    def _pass_on(self, sock: socket.socket, caller: _Caller, whole: WholeRequest) -> None:
+    def _begin_answer(self, caller: _Caller, whole: WholeRequest) -> None:
         caller.phase = _Phase.ANSWERING
         caller.pipelined = bool(whole.rest)
         caller.deadline.clear()
         self._stats.passed += 1
-        self.fire(_CheckedRead(sock, whole.data))
 
     def _refuse(self, sock: socket.socket, caller: _Caller, failure: Failure) -> None:
         self._stats.refused += 1
