Show by mutations that the oracle goes red

Cause: no violation in the matrix says little unless the oracle can see one.

Change: 15 mutations of the state machines and claims are put into the simulation. Four were not seen at first: faults now also meet messages in flight, session faults before the dispatch meet all sessions of the entry, endpoints have two slots, and later calls meet idle agents.

--- a/pumicedeck/fault_matrices.py
+++ b/pumicedeck/fault_matrices.py
@@ -102,7 +102,7 @@
 
 _INTRODUCTION = (
     "Written by `pumicedeck experiment matrix`; not edited by hand. Each cell is one run in",
-    "virtual time of two entries, three agents with an endpoint each, the table service and seven",
+    "virtual time of two entries, three agents with an endpoint each, the table service and 12",
     "requests, with the real state machines. The fault strikes when the target request reaches",
     "the step. An independent oracle compares what the endpoints executed with what every caller",
     "was told, and checks every promise for every request of the run, not only the target.",
--- a/pumicedeck/matrix_faults.py
+++ b/pumicedeck/matrix_faults.py
@@ -150,73 +150,66 @@
 
 @fault("session goes silent")
 def silence_session(simulation: Simulation) -> None:
-    """Lose all that is sent over one session; a new one works."""
-    session = _session(simulation)
-    if session:
+    """Lose all that is sent over a session; a new one works."""
+    for session in _sessions(simulation):
         simulation.network.silence(session, session.entry, session.agent)
 
 
 @fault("session silent towards agent")
 def silence_towards_agent(simulation: Simulation) -> None:
-    """Lose all that the entry sends over one session."""
-    session = _session(simulation)
-    if session:
+    """Lose all that the entry sends over a session."""
+    for session in _sessions(simulation):
         simulation.network.silence(session, session.entry)
 
 
 @fault("session silent towards entry")
 def silence_towards_entry(simulation: Simulation) -> None:
-    """Lose all that the agent sends over one session."""
-    session = _session(simulation)
-    if session:
+    """Lose all that the agent sends over a session."""
+    for session in _sessions(simulation):
         simulation.network.silence(session, session.agent)
 
 
 @fault("session reset")
 def reset_session(simulation: Simulation) -> None:
-    """Break the session so that both sides learn of it."""
-    session = _session(simulation)
-    if session:
+    """Break a session so that both sides learn of it."""
+    for session in _sessions(simulation):
         simulation.network.reset(session)
 
 
 @fault("session delivers 8 s late")
 def stall_session(simulation: Simulation) -> None:
     """Deliver what the entry sends after the session was replaced."""
-    session = _session(simulation)
-    if session:
+    for session in _sessions(simulation):
         simulation.network.stall(session, STALL_SECONDS)
 
 
 @fault("entry and agent cut off for 60 s")
 def partition(simulation: Simulation) -> None:
     """Let no session between the two work for a while."""
-    session = _session(simulation)
-    if session:
+    for session in _sessions(simulation):
         simulation.network.partition(session, PARTITION_SECONDS)
 
 
 @fault("answer damaged in flight")
 def damage_answer(simulation: Simulation) -> None:
     """Change a byte of the next chunk or answer."""
-    session = _session(simulation)
-    if session:
+    for session in _sessions(simulation):
         session.damage_next = flip_first_byte
 
 
 @fault("chunk or answer lost")
 def lose_answer(simulation: Simulation) -> None:
     """Lose the next chunk or answer of a session that works otherwise."""
-    session = _session(simulation)
-    if session:
+    for session in _sessions(simulation):
         session.damage_next = drop_message
 
 
 @fault("dispatch delivered twice")
 def repeat_dispatch(simulation: Simulation) -> None:
     """Deliver the next dispatch to each agent twice."""
+    entry = simulation.focus.entry
     for agent in simulation.agents:
-        session = simulation.network.session(simulation.focus.entry, agent.incarnation)
+        session = simulation.network.session(entry, agent.incarnation)
         if session:
             session.repeat_next = True
 
@@ -247,9 +240,12 @@
         simulation.focus.entry.begin_drain()
 
 
-def _session(simulation: Simulation) -> Session | None:
+def _sessions(simulation: Simulation) -> list[Session]:
+    """Return the session that carries the target; all of its entry's before it is dispatched."""
     focus = simulation.focus
-    return simulation.network.session(focus.entry, focus.agent.incarnation)
+    agents = [focus.agent] if focus.is_dispatched else simulation.agents
+    sessions = [simulation.network.session(focus.entry, each.incarnation) for each in agents]
+    return [each for each in sessions if each]
 
 
 def _pause(simulation: Simulation, process: SimulatedProcess, seconds: float) -> None:
--- a/pumicedeck/simulated_networks.py
+++ b/pumicedeck/simulated_networks.py
@@ -120,34 +120,39 @@
         return [each for (one, _), each in self._sessions.items() if one == process.incarnation]
 
     def _transmit(self, session: Session, sender: Process, message: Message) -> None:
+        self._arrive_later(LATENCY_SECONDS, session, sender, message)
+
+    def _arrive_later(
+        self, seconds: float, session: Session, sender: Process, message: Message
+    ) -> None:
+        self._time.call_later(seconds, lambda: self._arrive(session, sender, message))
+
+    def _arrive(self, session: Session, sender: Process, message: Message) -> None:
+        """Let a message meet the faults that its connection has by now."""
         if sender.incarnation in session.silent_from:
             return
+        held_for = session.stalled_until - self._time.now()
+        if sender is session.entry and held_for > 0.0:
+            self._arrive_later(held_for, session, sender, message)
+            return
         if session.damage_next and isinstance(message, Answer | Chunk):
-            damaged, session.damage_next = session.damage_next(message), None
+            damage, session.damage_next = session.damage_next, None
+            damaged = damage(message)
             if damaged is None:
                 return
-            if damaged != message and isinstance(message, Chunk):
+            if isinstance(message, Chunk):
                 self._simulation.damaged(session.agent.incarnation, message.attempt)
             message = damaged
-        copies = 1
         if session.repeat_next and isinstance(message, Dispatch):
             session.repeat_next = False
-            copies = 2
-        delay = LATENCY_SECONDS
-        is_stalled = sender is session.entry and session.stalled_until > self._time.now()
-        if is_stalled:
-            delay = session.stalled_until - self._time.now()
-        for _ in range(copies):
-            self._time.call_later(delay, lambda: self._arrive(session, sender, message, is_stalled))
-            delay += LATENCY_SECONDS
-
-    def _arrive(
-        self, session: Session, sender: Process, message: Message, is_stalled: bool
-    ) -> None:
+            self._arrive_later(LATENCY_SECONDS, session, sender, message)
+        self._hear(session, sender, message)
+
+    def _hear(self, session: Session, sender: Process, message: Message) -> None:
         receiver = session.peer_of(sender)
 
         def hear() -> None:
-            if receiver.incarnation in session.open_sides or is_stalled:
+            if receiver.incarnation in session.open_sides or session.stalled_until:
                 receiver.message(sender.incarnation, message)
 
         receiver.deliver(hear)
--- a/pumicedeck/simulated_processes.py
+++ b/pumicedeck/simulated_processes.py
@@ -40,7 +40,7 @@
     from pumicedeck.simulations import Simulation
 
 STORE_SECONDS = 0.002
-HEARTBEAT_SECONDS = 2.0
+HEARTBEAT_SECONDS = 4.0
 POOL = "pool"
 DOMAIN = FailureDomain("a", "r")
 
--- a/pumicedeck/simulations.py
+++ b/pumicedeck/simulations.py
@@ -35,9 +35,11 @@
 TARGET = "target"
 AGENTS = 3
 ENTRIES = 2
+SLOTS = 2
 RESTART_SECONDS = 1.0
 LIST_LAG_SECONDS = 10.0
 REPEAT_SECONDS = 0.5
+LATE_SECONDS = 7.0
 RECORD_SECONDS = 5.0
 MAX_REPEATS = 3
 HORIZON_SECONDS = 120.0
@@ -248,6 +250,7 @@
 
     entry: EntryProcess
     agent: AgentProcess
+    is_dispatched: bool = False
 
 
 @dataclass(slots=True)
@@ -307,7 +310,7 @@
     def add_agent(self, vm: str, number: int) -> AgentProcess:
         """Start an agent beside the endpoint of a VM and connect it to all entries."""
         if vm not in self.endpoints:
-            self.endpoints[vm] = SimulatedEndpoint(self, vm, version=len(self.endpoints) + 1)
+            self.endpoints[vm] = SimulatedEndpoint(self, vm, len(self.endpoints) + 1, SLOTS)
         agent = AgentProcess(self, vm, number)
         self.agents.append(agent)
         for entry in self.entries:
@@ -387,6 +390,7 @@
             return
         self.focus.entry = entry or self.focus.entry
         self.focus.agent = agent or self.focus.agent
+        self.focus.is_dispatched = self.focus.is_dispatched or agent is not None
         for each in self._injections:
             if each.step is step and not each.is_done:
                 each.is_done = True
@@ -447,13 +451,15 @@
         kind = self.kind
         if kind is RequestKind.DRAIN:
             kind = RequestKind.NON_IDEMPOTENT
-        for number in range(AGENTS):
+        for number in range(AGENTS * SLOTS):
             spec = CallSpec(f"early{number}", RequestKind.IDEMPOTENT)
             self.callers.call_later(0.9 + number * 0.01, spec, number)
         self.callers.call_later(1.0, CallSpec(TARGET, kind))
         self.callers.call_later(1.02, CallSpec("once", RequestKind.NON_IDEMPOTENT), 1)
         self.callers.call_later(1.03, CallSpec("stream", RequestKind.STREAMED))
         self.callers.call_later(1.04, CallSpec("draft", RequestKind.DRAFT), 1)
+        for number, late in enumerate((RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT)):
+            self.callers.call_later(LATE_SECONDS, CallSpec(f"late{number}", late))
 
 
 def _execution(final: CallerAnswer | Failure | None) -> Execution | None:
--- /dev/null
+++ b/pumicedeck/tests/test_fault_matrices.py
@@ -0,0 +1,269 @@
+"""The fault matrix, and mutations that show that its oracle can go red."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import pytest
+from result import Ok
+
+from pumicedeck import request_attempts
+from pumicedeck.actions import DeliverAnswer, DeliverFailure, Drained, WriteClaim
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.claim_outcomes import Claimed
+from pumicedeck.claims import Claims
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.fault_matrices import Cell, CellResult, pair_cells, run_cell, single_cells
+from pumicedeck.matrix_faults import FAULTS
+from pumicedeck.oracles import Promise
+from pumicedeck.pending_requests import PendingRequest, PendingRequests
+from pumicedeck.request_settings import AgentRequestSettings
+from pumicedeck.simulations import Factories, RequestKind, Simulation, Step
+from pumicedeck.tombstones import Tombstones
+
+PAIRS = 200
+SEED = 20
+
+
+def violated(results: list[CellResult]) -> list[str]:
+    return [f"{each.cell}: {each.violations}" for each in results if each.violations]
+
+
+def test_without_a_fault_every_call_succeeds() -> None:
+    for kind in (RequestKind.NON_IDEMPOTENT, RequestKind.STREAMED, RequestKind.DRAFT):
+        simulation = Simulation(kind)
+        simulation.expect_success()
+        assert simulation.run().violations == []
+
+
+@pytest.mark.parametrize("kind", RequestKind)
+def test_no_single_fault_breaks_a_promise(kind: RequestKind) -> None:
+    results = [run_cell(cell) for cell in single_cells() if cell.kind is kind]
+    assert violated(results) == []
+    steps = {each.cell.strikes[0].step for each in results if each.reached}
+    assert {Step.SUBMITTED, Step.EXECUTING, Step.ANSWERED} <= steps
+    assert {each.cell.strikes[0].fault for each in results if each.reached} == set(FAULTS)
+
+
+def test_no_pair_of_faults_of_a_seeded_sample_breaks_a_promise() -> None:
+    results = [run_cell(cell) for cell in pair_cells(SEED, PAIRS)]
+    assert violated(results) == []
+    assert sum(each.reached for each in results) > PAIRS / 4
+
+
+class WithoutTombstones(AgentRequests):
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self._tombstones = ForgetfulTombstones(600.0, 0, 100)
+
+
+class ForgetfulTombstones(Tombstones):
+    def is_below_floor(self, attempt: object) -> bool:
+        return False
+
+
+class WithoutDedup(AgentRequests):
+    def _is_known(self, attempt: object) -> bool:
+        return False
+
+
+class WithoutDrain(AgentRequests):
+    def begin_drain(self, now: float, grace: float) -> list:
+        return []
+
+
+class WithHastyDrain(AgentRequests):
+    def begin_drain(self, now: float, grace: float) -> list:
+        return [*super().begin_drain(now, grace), Drained()]
+
+
+class WithWrongVersions(AgentRequests):
+    def execution_finished(self, now: float, attempt: object, outcome: object) -> list:
+        if isinstance(outcome, Ok):
+            outcome = Ok(replace(outcome.ok_value, versions=(99,)))
+        return super().execution_finished(now, attempt, outcome)
+
+
+class WithoutClaims(Claims):
+    def claim(self, write: WriteClaim) -> None:
+        self._answered(write.handle, Ok(Claimed()))
+
+
+class BlindClaims(Claims):
+    def _recorded(self, row: object, digest: str) -> object:
+        return Ok(Claimed())
+
+
+class CarelessRequest(PendingRequest):
+    is_repeatable = property(lambda self: True)
+
+
+class GullibleRequest(PendingRequest):
+    def is_whole(self, answer: object) -> bool:
+        return True
+
+
+class ForgivingRequest(PendingRequest):
+    def final_failure(self, failure: object) -> object:
+        return replace(failure, proven_not_run=True)
+
+
+class MixedUpRequests(PendingRequests):
+    def find_attempt(self, attempt: object, agent: str) -> PendingRequest | None:
+        found = super().find_attempt(attempt, agent)
+        others = [each for each in self._by_sequence.values() if each is not found]
+        return others[0] if others else found
+
+
+def entry_with(request: type, pending: type = PendingRequests) -> type:
+    class MutatedEntry(EntryRequests):
+        def __init__(self, incarnation: str, router: object) -> None:
+            super().__init__(incarnation, router)
+            self._pending = pending(incarnation)
+            self._attempts._pending = self._pending
+
+        def _admit(self, now: float, caller_request: object) -> PendingRequest:
+            held = super()._admit(now, caller_request)
+            mutated = request(held.request, held.query, held.deadline, held.queue_due)
+            self._pending.add(mutated)
+            return mutated
+
+    return MutatedEntry
+
+
+class WithoutDeadline(EntryRequests):
+    def _deadline_passed(self, now: float, pending: object) -> list:
+        return []
+
+
+class WithEveryAnswerTwice(EntryRequests):
+    def message(self, now: float, agent: str, message: object) -> list:
+        actions = super().message(now, agent, message)
+        finals = [each for each in actions if isinstance(each, DeliverAnswer | DeliverFailure)]
+        return actions + finals
+
+
+class WithShortStreams(EntryRequests):
+    def message(self, now: float, agent: str, message: object) -> list:
+        pending = None
+        if isinstance(message, request_attempts.Answer):
+            pending = self._pending.find_attempt(message.attempt, agent)
+        if pending and pending.request.streamed:
+            digest = pending.digest.hexdigest()
+            message = replace(message, code=100, length=pending.delivered, digest=digest)
+        return super().message(now, agent, message)
+
+
+@dataclass(frozen=True)
+class Mutation:
+    promise: Promise
+    factories: Factories
+    faults: tuple[str, ...]
+
+
+def agent_that_forgets_soon(tombstones: type) -> Callable[..., AgentRequests]:
+    def make(incarnation: str, queue: object, slots: int) -> AgentRequests:
+        settings = AgentRequestSettings(tombstone_seconds=0.1)
+        made = AgentRequests(incarnation, queue, slots, settings)
+        made._tombstones = tombstones(0.1, 0, 100)
+        return made
+
+    return make
+
+
+LATE = ("session delivers 8 s late",)
+LOST = ("agent killed", "session goes silent", "entry and agent cut off for 60 s")
+
+MUTATIONS = {
+    "tombstones dropped": Mutation(Promise.AT_MOST_ONCE, Factories(agent=WithoutTombstones), LATE),
+    "attempts below the floor accepted": Mutation(
+        Promise.AT_MOST_ONCE,
+        Factories(agent=agent_that_forgets_soon(ForgetfulTombstones)),
+        LATE,
+    ),
+    "repeated dispatches run": Mutation(
+        Promise.AT_MOST_ONCE, Factories(agent=WithoutDedup), ("dispatch delivered twice",)
+    ),
+    "drain ignored": Mutation(
+        Promise.NO_NEW_WORK, Factories(agent=WithoutDrain), ("agent drains",)
+    ),
+    "drain too hasty": Mutation(
+        Promise.NOTHING_CUT_OFF, Factories(agent=WithHastyDrain), ("agent drains",)
+    ),
+    "versions made up": Mutation(
+        Promise.TRUE_VERSIONS, Factories(agent=WithWrongVersions), ("caller goes away",)
+    ),
+    "claims forgotten": Mutation(
+        Promise.AT_MOST_ONCE,
+        Factories(claims=WithoutClaims),
+        ("caller repeats through another entry",),
+    ),
+    "found claims granted": Mutation(
+        Promise.AT_MOST_ONCE,
+        Factories(claims=BlindClaims),
+        ("caller repeats through another entry",),
+    ),
+    "requests that may have run retried": Mutation(
+        Promise.AT_MOST_ONCE, Factories(entry=entry_with(CarelessRequest)), LOST
+    ),
+    "digest not checked": Mutation(
+        Promise.WHOLE_AND_OWN,
+        Factories(entry=entry_with(GullibleRequest)),
+        ("answer damaged in flight",),
+    ),
+    "answers mixed up": Mutation(
+        Promise.WHOLE_AND_OWN,
+        Factories(entry=entry_with(GullibleRequest, MixedUpRequests)),
+        ("caller goes away",),
+    ),
+    "not run said without proof": Mutation(
+        Promise.NOT_RUN_IS_TRUE, Factories(entry=entry_with(ForgivingRequest)), LOST
+    ),
+    "deadline ignored": Mutation(
+        Promise.IN_TIME,
+        Factories(entry=WithoutDeadline),
+        ("endpoint connections go silent",),
+    ),
+    "answers given twice": Mutation(
+        Promise.ONE_FINAL_ANSWER, Factories(entry=WithEveryAnswerTwice), ("session reset",)
+    ),
+    "partial streams ended cleanly": Mutation(
+        Promise.CLEAN_END, Factories(entry=WithShortStreams), ("endpoint crashes",)
+    ),
+}
+
+
+def cells_of(mutation: Mutation) -> list[Cell]:
+    return [cell for cell in single_cells() if cell.strikes[0].fault in mutation.faults]
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_the_oracle_catches_a_broken_promise(name: str) -> None:
+    mutation = MUTATIONS[name]
+    for cell in cells_of(mutation):
+        found = {each.promise for each in run_cell(cell, mutation.factories).violations}
+        if mutation.promise in found:
+            return
+    pytest.fail(f"no cell shows: {mutation.promise}")
+
+
+def test_forgetting_tombstones_soon_breaks_no_promise_as_long_as_the_floor_is_kept() -> None:
+    factories = Factories(agent=agent_that_forgets_soon(Tombstones))
+    cells = [cell for cell in single_cells() if cell.strikes[0].fault in LATE]
+    assert violated([run_cell(cell, factories) for cell in cells]) == []
+
+
+def test_the_page_has_a_row_a_fault_and_a_column_a_step(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    from pumicedeck import fault_matrices
+
+    few = dict(list(FAULTS.items())[:2])
+    monkeypatch.setattr(fault_matrices, "FAULTS", few)
+    page = tmp_path / "matrix.md"
+    assert fault_matrices.write_matrix(page, SEED, 2) == 0
+    text = page.read_text(encoding="utf-8")
+    for step in Step:
+        assert f" {step} |" in text
+    for name in few:
+        assert text.count(f"| {name} |") == len(RequestKind)
