--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -1,15 +1,16 @@
 """Reads, defaults and checks every setting of every process."""
 
 import re
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
 import yaml
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
-from pumicedeck.adapters import STANDINS  # noqa: F401
 from pumicedeck.platforms import adapter_names
+from pumicedeck.registries import queue_names, router_names
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address, EndpointKind
 
@@ -54,28 +55,33 @@
     return Address(match[1], int(match[2]))
 
 
-def _adapter(interface: str) -> Any:
+def _one_of(kind: str, names: Callable[[], tuple[str, ...]]) -> Any:
     def check(value: Any) -> str:
-        if value not in adapter_names(interface):
-            known = ", ".join(adapter_names(interface))
-            raise ValueError(f"unknown adapter {value!r}, expected one of: {known}")
+        if value not in names():
+            raise ValueError(f"unknown {kind} {value!r}, expected one of: {', '.join(names())}")
         return value
 
     return Annotated[str, BeforeValidator(check)]
 
 
+def _adapter(interface: str) -> Any:
+    return _one_of("adapter", lambda: adapter_names(interface))
+
+
 Duration = Annotated[float, BeforeValidator(_duration)]
 Size = Annotated[int, BeforeValidator(_size)]
 ListenAddress = Annotated[Address, BeforeValidator(_address)]
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
+    """A part of a settings file; unknown keys are refused."""
+
     model_config = ConfigDict(
         extra="forbid", frozen=True, strict=True, arbitrary_types_allowed=True
     )
 
 
-class AdapterSettings(_Section):
+class AdapterSettings(Section):
     """An adapter's name and the address it talks to."""
 
     adapter: str
@@ -108,7 +114,7 @@
     adapter: _adapter("VmList") = "http"
 
 
-class PlatformSettings(_Section):
+class PlatformSettings(Section):
     """Where the platform's services are."""
 
     table_store: TableStoreSettings
@@ -117,14 +123,14 @@
     vm_list: VmListSettings
 
 
-class LogSettings(_Section):
+class LogSettings(Section):
     """What is logged and how; `format` is json or text."""
 
     level: str = Field("INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
     format: str = Field("json", pattern="^(json|text)$")
 
 
-class TimeSettings(_Section):
+class TimeSettings(Section):
     """Times that both roles keep; durations."""
 
     heartbeat: Duration = 1.0
@@ -133,7 +139,7 @@
     balancer_notice: Duration = 5.0
 
 
-class BoundSettings(_Section):
+class BoundSettings(Section):
     """Bounds on what callers and peers may send; sizes and durations."""
 
     header: Size = 16 * 1024
@@ -143,7 +149,7 @@
     kept_answer_time: Duration = 120.0
 
 
-class ProcessSettings(_Section):
+class ProcessSettings(Section):
     """What a process of either role must know of itself."""
 
     vm: str = Field(min_length=1)
@@ -164,11 +170,11 @@
 
     callers: ListenAddress
     operators: ListenAddress
-    router: str = "expected_wait"
+    router: _one_of("router", router_names) = "expected_wait"
     sessions_per_domain: int = Field(16, ge=1)
 
 
-class EndpointSettings(_Section):
+class EndpointSettings(Section):
     """The endpoint beside an agent."""
 
     name: str = Field(min_length=1)
@@ -179,6 +185,14 @@
     adapter: str = "http"
     timeout: Duration = 120.0
 
+    @model_validator(mode="after")
+    def _check_adapter(self) -> "EndpointSettings":
+        interface = "ModelEngine" if self.kind is EndpointKind.MODEL else "PlainService"
+        if self.adapter not in adapter_names(interface):
+            known = ", ".join(adapter_names(interface))
+            raise ValueError(f"unknown adapter {self.adapter!r}, expected one of: {known}")
+        return self
+
 
 class AgentSettings(ProcessSettings):
     """An agent: where entries reach it, and its endpoint."""
@@ -186,11 +200,12 @@
     sessions: ListenAddress
     operators: ListenAddress
     endpoint: EndpointSettings
-    queue: str = "fair"
+    queue: _one_of("queue", queue_names) = "fair"
     swap_rank: int = Field(0, ge=0)
 
 
-def _explain(path: Path, error: ValidationError) -> str:
+def explain(path: Path, error: ValidationError) -> str:
+    """Return a line for each wrong key: the file, the key and what is expected."""
     lines = []
     for each in error.errors():
         key = ".".join(str(part) for part in each["loc"]) or "(top)"
@@ -215,7 +230,7 @@
     try:
         return Ok(cls.model_validate(document))
     except ValidationError as error:
-        return Err(Failure(ResultCode.BAD_SETTINGS, _explain(path, error)))
+        return Err(Failure(ResultCode.BAD_SETTINGS, explain(path, error)))
 
 
 def load_settings(cls: type[T], path: Path) -> Result[T, Failure]:
