--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -12,6 +12,7 @@
 from pumicedeck.agent_daemons import AgentDaemon, AgentParts
 from pumicedeck.agent_dialers import AgentDialer
 from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.agent_selections import SelectionSettings
 from pumicedeck.attributions import Attributions
 from pumicedeck.caller_api import CallerApi
 from pumicedeck.catalogue_editors import CatalogueEditor
@@ -33,6 +34,7 @@
 from pumicedeck.http_servers import HttpServer
 from pumicedeck.limiters import EntryLimiter
 from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
+from pumicedeck.memberships import MembershipSettings
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
 from pumicedeck.platforms import (
@@ -83,6 +85,8 @@
     operators: HttpServer
     connections: Connections
     daemon: EntryDaemon | AgentDaemon
+    editor: CatalogueEditor | None = None
+    histograms: Histograms | None = None
 
 
 def connect_platform(settings: ProcessSettings, host: Host) -> Platform:
@@ -272,6 +276,7 @@
         host.timers,
         rng,
         MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
+        MembershipSettings(SelectionSettings(max_entry_sessions=settings.max_sessions)),
     )
     claims = Claims(
         incarnation,
@@ -306,4 +311,14 @@
         claims.close()
         daemon.close()
 
-    return Running(start, daemon.drain, close, callers, operators, connections, daemon)
+    return Running(
+        start,
+        daemon.drain,
+        close,
+        callers,
+        operators,
+        connections,
+        daemon,
+        editor,
+        histograms,
+    )
--- /dev/null
+++ b/pumicedeck/demos.py
@@ -0,0 +1,262 @@
+"""Runs both firms with stand-ins in one process and prints what was measured and what held."""
+
+import time
+from dataclasses import dataclass, replace
+from random import Random
+
+import typer
+from loguru import logger
+
+from pumicedeck.cli_outputs import print_table
+from pumicedeck.composition import Host
+from pumicedeck.demo_callers import CallPlan, DemoCaller, DemoTrainer, TrainerPlan
+from pumicedeck.demo_firms import (
+    CATALOGUE,
+    LISBOA_A,
+    QUINTELA,
+    SITES,
+    TAINAN,
+    TN_A,
+)
+from pumicedeck.edits import make_edit, new_change_id
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.platforms import WeightVersion
+from pumicedeck.processes import Process
+from pumicedeck.standin_fleets import StandinFleet
+from pumicedeck.standin_services import StandinService
+from pumicedeck.tokens import Principal
+from pumicedeck.world import Address
+
+DESK = "desk-token"
+PORTAL = "portal-token"
+TOKENS = {
+    DESK: Principal("desk", TAINAN),
+    PORTAL: Principal("portal", QUINTELA),
+    "operator-token": Principal("operator", "*"),
+}
+CALLS = (
+    CallPlan("bookings", DESK, "/book", 20.0),
+    CallPlan("stock-checks", DESK, "/stock", 20.0),
+    CallPlan("previews", PORTAL, "/preview", 20.0),
+    CallPlan("tax-checks", PORTAL, "/tax", 10.0),
+)
+TRAINERS = (
+    TrainerPlan("rig-presets", DESK, "tuner-1", 8, 4, 200, 1.0),
+    TrainerPlan("line-drafts", PORTAL, "redator-1", 8, 4, 100, 1.0),
+)
+MODELS = ("tuner", "redator")
+WEIGHT_BYTES = 20_000_000
+SETTLE_SECONDS = 10.0
+PUBLICATIONS = 4
+LEAVING_AT = 0.4
+EDIT_AT = 0.6
+EDITED_QUEUE_SECONDS = 45.0
+SEED = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """A promise with the count of what would break it."""
+
+    text: str
+    violations: int
+
+
+class Demo:
+    """The fleet, its load and the events of the run."""
+
+    def __init__(self, seconds: float) -> None:
+        """Run the load for `seconds`."""
+        self._seconds = seconds
+        self._process = Process()
+        self._timers = self._process.timers
+        self._fleet = StandinFleet(Host(self._process, self._timers), CATALOGUE, TOKENS)
+        for site in SITES:
+            self._fleet.add_site(site)
+        self._entries = [self._fleet.add_entry(0, TN_A), self._fleet.add_entry(1, LISBOA_A)]
+        self._client = HttpClient(self._timers).register(self._process)
+        self._rng = Random(SEED)
+        self._versions = dict.fromkeys(MODELS, 0)
+        self._callers = [self._caller(plan) for plan in CALLS]
+        self._trainers = [self._trainer(plan) for plan in TRAINERS]
+        self._accepted_revision = 0
+        self._left = self._fleet.agents[0]
+
+    def run(self) -> int:
+        """Run the demo and return its exit status."""
+        self._timers.call_later(0.0, self._fleet.start)
+        self._timers.call_later(0.0, self._publish)
+        self._timers.call_later(0.5, self._when_ready)
+        self._process.run()
+        return self._report()
+
+    def _address(self) -> Address:
+        return self._rng.choice(self._entries).callers.address
+
+    def _caller(self, plan: CallPlan) -> DemoCaller:
+        return DemoCaller(plan, self._client, self._address, self._timers, self._rng)
+
+    def _trainer(self, plan: TrainerPlan) -> DemoTrainer:
+        entry = CATALOGUE.entry(plan.entry_name)
+        return DemoTrainer(
+            plan,
+            self._client,
+            self._address,
+            self._timers,
+            lambda: self._versions[entry.model],
+            entry.staleness_bound,
+        )
+
+    def _when_ready(self) -> None:
+        ready = all(each.daemon.is_ready for each in self._entries)
+        reached = all(each.connections.open_count for each in self._entries)
+        if not (ready and reached):
+            self._timers.call_later(0.5, self._when_ready)
+            return
+        typer.echo(f"{len(self._fleet.agents)} agents and {len(self._entries)} entries are up")
+        for each in (*self._callers, *self._trainers):
+            each.start()
+        for number in range(1, PUBLICATIONS + 1):
+            after = self._seconds * number / (PUBLICATIONS + 1)
+            self._timers.call_later(after, self._publish_next)
+        self._timers.call_later(self._seconds * LEAVING_AT, self._leave)
+        self._timers.call_later(self._seconds * EDIT_AT, self._edit)
+        self._timers.call_later(self._seconds, self._stop_load)
+
+    def _publish(self) -> None:
+        for model, version in self._versions.items():
+            weights = WeightVersion(model, version, WEIGHT_BYTES)
+            self._fleet.weights.publish(weights, lambda _: None)
+
+    def _publish_next(self) -> None:
+        for model in MODELS:
+            self._versions[model] += 1
+        self._publish()
+        typer.echo(f"published weight versions {self._versions}")
+
+    def _leave(self) -> None:
+        typer.echo(f"{self._left.vm.name} is leaving")
+        self._left.running.drain()
+
+    def _edit(self) -> None:
+        editor = self._entries[0].editor
+        editor.read(lambda read: self._submit(read.unwrap()))
+
+    def _submit(self, stored) -> None:
+        entry = stored.catalogue.entry("stock-checks")
+        entry = replace(entry, limits=replace(entry.limits, queue_seconds=EDITED_QUEUE_SECONDS))
+        change_id = new_change_id(stored.revision, "demoedit1")
+        edit = make_edit(stored, change_id, "demo", "during the demo", (entry,))
+        self._entries[0].editor.submit(edit, self._edited)
+
+    def _edited(self, outcome) -> None:
+        self._accepted_revision = outcome.unwrap().revision
+        typer.echo(f"catalogue edit accepted at revision {self._accepted_revision}")
+
+    def _stop_load(self) -> None:
+        for each in (*self._callers, *self._trainers):
+            each.stop()
+        self._timers.call_later(0.0, lambda: self._wait_for_answers(SETTLE_SECONDS))
+
+    def _wait_for_answers(self, seconds: float) -> None:
+        if seconds > 0.0 and any(each.open_calls for each in self._callers):
+            self._timers.call_later(0.5, lambda: self._wait_for_answers(seconds - 0.5))
+            return
+        self._fleet.close()
+        self._process.finish()
+
+    def _report(self) -> int:
+        self._print_calls()
+        self._print_steps()
+        self._print_histograms()
+        promises = self._promises()
+        print_table(("promise", "violations"), [[each.text, each.violations] for each in promises])
+        return int(any(each.violations for each in promises))
+
+    def _print_calls(self) -> None:
+        rows = []
+        for each in self._callers:
+            counts = each.counts
+            rows.append(
+                [each.name, counts.sent, counts.answered, counts.refused_not_run, counts.other]
+            )
+        print_table(("calls of", "sent", "answered", "refused not run", "other"), rows)
+        typer.echo()
+
+    def _print_steps(self) -> None:
+        rows = []
+        for each in self._trainers:
+            counts = each.counts
+            idle = counts.idle_seconds / self._seconds
+            rows.append([each.name, counts.steps, counts.drafts, idle, counts.failed_draws])
+        print_table(("trainer", "steps", "drafts", "idle share", "broken draws"), rows)
+        typer.echo()
+
+    def _print_histograms(self) -> None:
+        rows = []
+        for number, entry in enumerate(self._entries):
+            for each in entry.histograms.summaries():
+                series = each.series
+                rows.append(
+                    [
+                        number,
+                        series.firm,
+                        series.request_class,
+                        series.measure,
+                        each.count,
+                        each.p50,
+                        each.p99,
+                    ]
+                )
+        print_table(("entry", "firm", "class", "measure", "count", "p50", "p99"), rows)
+        typer.echo()
+
+    def _promises(self) -> tuple[Promise, ...]:
+        return (
+            Promise("a booking ran at most once", self._count_repeated()),
+            Promise("what was refused as not run did not run", self._count_false_refusals()),
+            Promise(
+                "every caller got the answer to the own request",
+                sum(each.swapped for each in self._callers),
+            ),
+            Promise(
+                "every call got an answer or a proof",
+                sum(each.counts.other + each.open_calls for each in self._callers),
+            ),
+            Promise(
+                "each draft reached its trainer once",
+                sum(each.counts.doubled for each in self._trainers),
+            ),
+            Promise(
+                "no draft was older than its bound",
+                sum(each.counts.over_bound for each in self._trainers),
+            ),
+            Promise("the edit is in force in every process", self._count_behind()),
+        )
+
+    def _executions(self, request_id: str) -> int:
+        services = [each.endpoint for each in self._fleet.agents]
+        return sum(
+            each.executions(request_id) for each in services if isinstance(each, StandinService)
+        )
+
+    def _count_repeated(self) -> int:
+        bookings = next(each for each in self._callers if each.name == "bookings")
+        return sum(self._executions(each) > 1 for each in bookings.request_ids)
+
+    def _count_false_refusals(self) -> int:
+        told = [each for caller in self._callers for each in caller.told_not_run]
+        return sum(self._executions(each) > 0 for each in told)
+
+    def _count_behind(self) -> int:
+        running = [each.running for each in self._fleet.agents] + self._entries
+        return sum(each.daemon.revision < self._accepted_revision for each in running)
+
+
+def run_demo(seconds: float) -> int:
+    """Run the demo for `seconds` of load; the exit status tells whether every promise held."""
+    logger.remove()
+    began = time.monotonic()
+    status = Demo(seconds).run()
+    typer.echo(f"took {time.monotonic() - began:.0f} s")
+    return status
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -134,6 +134,11 @@
         """Return whether the balancer should send callers here."""
         return not self._is_draining and self.catalogue.revision > 0
 
+    @property
+    def revision(self) -> int:
+        """Return the catalogue revision in force, -1 if none."""
+        return self._follower.revision
+
     @property
     def agent_revisions(self) -> dict[str, int]:
         """Return the catalogue revision that each reachable agent reported last."""
