--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -5,8 +5,13 @@
 
 import typer
 
-from pumicedeck.cli_outputs import finish
+from pumicedeck.cli_outputs import finish, print_table
 from pumicedeck.experiments import run_experiment
+from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.world import Address
+
+OPERATOR_URLS = ("http://127.0.0.1:18081", "http://127.0.0.1:19201")
+CALLERS = (1, 32, 256)
 
 experiment_app = typer.Typer(
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
@@ -29,3 +34,59 @@
     typer.echo(report.ok_value.text())
     if plot is not None:
         plot.write_text(report.ok_value.svg(), encoding="utf-8")
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.partition(":")
+    return Address(host, int(port))
+
+
+@experiment_app.command("path")
+def path(
+    entry: Annotated[str, typer.Option(help="The callers' address.")] = "127.0.0.1:18080",
+    direct: Annotated[str, typer.Option(help="The endpoint's address.")] = "127.0.0.1:19301",
+    operators: Annotated[
+        list[str], typer.Option(help="Operators' addresses whose processor time counts.")
+    ] = OPERATOR_URLS,
+    name: Annotated[str, typer.Option(help="The catalogue entry called.")] = "stock-checks",
+    token: Annotated[str, typer.Option(help="The caller's token.")] = "desk-token",
+    callers: Annotated[list[int], typer.Option(help="Numbers of callers.")] = CALLERS,
+    rate: Annotated[
+        float, typer.Option(help="Requests a second together, 0 for a closed loop.")
+    ] = 0.0,
+    seconds: Annotated[float, typer.Option(help="How long each load is recorded.")] = 5.0,
+) -> None:
+    """Measure the path through running daemons against calling the endpoint directly."""
+    through = PathTarget(
+        _address(entry),
+        f"/v1/entries/{name}/call/stock",
+        (("Authorization", f"Bearer {token}"),),
+    )
+    plain = PathTarget(_address(direct), "/stock", (("X-Request-Id", "direct"),))
+    rows = []
+    for label, target in (("direct", plain), ("through", through)):
+        for number in callers:
+            before = [read_use(url) for url in operators]
+            figures = ClosedLoop(target, number, rate).run(seconds)
+            after = [read_use(url) for url in operators]
+            rows.append(
+                [
+                    label,
+                    number,
+                    round(figures.rate),
+                    figures.failed,
+                    figures.p50 * 1000.0,
+                    figures.p99 * 1000.0,
+                    *_used(before, after, figures.requests),
+                ]
+            )
+    columns = ("call", "callers", "requests/s", "failed", "p50 ms", "p99 ms")
+    used = [f"cpu ms/request {index}" for index in range(len(operators))]
+    print_table((*columns, *used), rows)
+
+
+def _used(before: list[ProcessUse], after: list[ProcessUse], requests: int) -> list[float]:
+    pairs = zip(before, after, strict=True)
+    return [
+        1000.0 * (late.cpu_seconds - early.cpu_seconds) / max(1, requests) for early, late in pairs
+    ]
--- a/pumicedeck/operator_api.py
+++ b/pumicedeck/operator_api.py
@@ -20,6 +20,7 @@
 from pumicedeck.histograms import Histograms
 from pumicedeck.http_servers import HttpExchange
 from pumicedeck.limiters import EntryLimiter
+from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tokens import Principal, TokenChecker
 
@@ -64,6 +65,7 @@
             "sessions": list(self._daemon.peers.incarnations),
             "rejected_connections": self._connections.rejected,
             "load": asdict(self._daemon.load()),
+            "process": asdict(read_process_figures()),
             "requests": asdict(self._daemon.requests.counters),
         }
 
@@ -118,6 +120,7 @@
                 **asdict(self._draws.coordinator.counts),
             },
             "paid_bytes": self._daemon.paid_bytes,
+            "process": asdict(read_process_figures()),
         }
 
     def histograms(self) -> dict[str, Any]:
--- /dev/null
+++ b/pumicedeck/path_benchmarks.py
@@ -0,0 +1,110 @@
+"""Measures the whole path over loopback: latency, rate, processor time and memory."""
+
+import time
+from dataclasses import dataclass
+
+import httpx
+from hdrh.histogram import HdrHistogram
+
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpClientSettings, HttpRequest
+from pumicedeck.processes import Process
+from pumicedeck.world import Address
+
+MICROSECONDS = 1_000_000
+MAX_MICROSECONDS = 60 * MICROSECONDS
+DIGITS = 3
+WARM_UP_SECONDS = 1.0
+MAX_CONNECTIONS = 512
+
+
+@dataclass(frozen=True, slots=True)
+class PathTarget:
+    """What is called: an address, a path and headers."""
+
+    address: Address
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PathFigures:
+    """Figures of one load; latencies in seconds, rate in requests per second."""
+
+    callers: int
+    requests: int
+    failed: int
+    rate: float
+    p50: float
+    p99: float
+
+
+class ClosedLoop:
+    """A number of callers, each with one request in flight, or a fixed rate of arrivals."""
+
+    def __init__(self, target: PathTarget, callers: int, rate: float = 0.0) -> None:
+        """Call `target`; with a `rate` callers start requests at that rate together."""
+        self._target = target
+        self._callers = callers
+        self._pause = callers / rate if rate else 0.0
+        self._process = Process()
+        settings = HttpClientSettings(connections_per_address=MAX_CONNECTIONS)
+        self._client = HttpClient(self._process.timers, settings).register(self._process)
+        self._histogram = HdrHistogram(1, MAX_MICROSECONDS, DIGITS)
+        self._failed = 0
+        self._recording = False
+
+    def run(self, seconds: float) -> PathFigures:
+        """Warm up, record for `seconds` and return the figures."""
+        timers = self._process.timers
+        for number in range(self._callers):
+            delay = self._pause * number / self._callers
+            timers.call_later(delay, self._send)
+        timers.call_later(WARM_UP_SECONDS, self._record)
+        timers.call_later(WARM_UP_SECONDS + seconds, self._process.stop)
+        self._process.run()
+        count = self._histogram.get_total_count()
+        return PathFigures(
+            self._callers,
+            count,
+            self._failed,
+            count / seconds,
+            self._at(50),
+            self._at(99),
+        )
+
+    def _at(self, percentile: float) -> float:
+        return self._histogram.get_value_at_percentile(percentile) / MICROSECONDS
+
+    def _record(self) -> None:
+        self._recording = True
+
+    def _send(self) -> None:
+        began = self._process.timers.now()
+        request = HttpRequest(
+            "POST", self._target.address, self._target.path, self._target.headers, b'{"rig": 1}'
+        )
+        self._client.send(request, lambda outcome: self._answered(began, outcome))
+
+    def _answered(self, began: float, outcome) -> None:
+        now = self._process.timers.now()
+        if self._recording:
+            succeeded = outcome.is_ok() and outcome.ok_value.status == 200
+            self._failed += not succeeded
+            self._histogram.record_value(max(1, round((now - began) * MICROSECONDS)))
+        self._process.timers.call_later(max(0.0, began + self._pause - now), self._send)
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessUse:
+    """Processor seconds and resident bytes of a daemon, as it reports them."""
+
+    cpu_seconds: float
+    resident_bytes: int
+    at: float
+
+
+def read_use(url: str) -> ProcessUse:
+    """Ask a daemon's operators' address what it has used."""
+    document = httpx.get(f"{url}/v1/status", timeout=5.0).json()["process"]
+    return ProcessUse(document["cpu_seconds"], document["resident_bytes"], time.monotonic())
