Refuse request targets with more than one reading

Cause: circuits.web answers paths that it would write differently with an HTML redirect, and some others with an HTML error; callers are promised numbered JSON errors.

Change: the guard refuses dot and empty segments, parameters, fragments and escapes that change a path's meaning, and writes escapes in upper case.

Conclusion: every refusal at the boundary is a numbered JSON error.

--- a/pumicedeck/http_framings.py
+++ b/pumicedeck/http_framings.py
@@ -1,6 +1,8 @@
 """Checks the framing of one HTTP/1.1 request before anything acts on it."""
 
+import re
 from dataclasses import dataclass
+from urllib.parse import quote, unquote
 
 import h11
 from result import Err, Ok, Result
@@ -10,6 +12,7 @@
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding", b"connection", b"expect")
 _HEADER_OVERHEAD_BYTES = 4
+_ESCAPE = re.compile(rb"%[0-9A-Fa-f]{2}")
 _TOO_LARGE_STATUSES = (413, 431)
 
 
@@ -83,8 +86,8 @@
         size = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
         if size + len(head.target) > self._bounds.header_bytes:
             return _wrong(ResultCode.TOO_LARGE, "header")
-        if head.method == b"CONNECT" or not head.target.startswith(b"/"):
-            return _wrong(ResultCode.BAD_REQUEST, "only paths are served")
+        if head.method == b"CONNECT" or not is_plain_target(_upper_escapes(head.target)):
+            return _wrong(ResultCode.BAD_REQUEST, "only plain paths are served")
         framing = [name for name, _ in head.headers if name in _FRAMING_HEADERS[:2]]
         if len(framing) > 1:
             return _wrong(ResultCode.BAD_FRAMING, "more than one statement of the body's length")
@@ -103,7 +106,8 @@
     def _canonical(self) -> bytes:
         """Write the request anew with one plain statement of its length."""
         head = self._head
-        lines = [b"%s %s HTTP/%s" % (head.method, head.target, head.http_version)]
+        target = _upper_escapes(head.target)
+        lines = [b"%s %s HTTP/%s" % (head.method, target, head.http_version)]
         for name, value in head.headers.raw_items():
             if name.lower() not in _FRAMING_HEADERS:
                 lines.append(b"%s: %s" % (name, value))
@@ -117,5 +121,22 @@
         return self._parser.their_state is not h11.MUST_CLOSE
 
 
+def is_plain_target(target: bytes) -> bool:
+    """Tell whether a target is a path, with a query or not, that has only one reading."""
+    path = target.decode("latin-1").partition("?")[0]
+    if not path.startswith("/") or b"#" in target or ";" in path:
+        return False
+    if any(segment in ("", ".", "..") for segment in path.split("/")[1:-1]):
+        return False
+    if path.endswith(("/.", "/..")):
+        return False
+    # Any other path would be answered by circuits.web with a redirect.
+    return quote(unquote(path)) in (path, quote(path))
+
+
+def _upper_escapes(target: bytes) -> bytes:
+    return _ESCAPE.sub(lambda match: match.group().upper(), target)
+
+
 def _wrong(code: ResultCode, detail: str) -> Err[Failure]:
     return Err(Failure(code, detail, proven_not_run=True))
--- a/pumicedeck/tests/test_http_guards.py
+++ b/pumicedeck/tests/test_http_guards.py
@@ -128,6 +128,23 @@
     assert not bench.is_closed(sock)
 
 
+TARGETS = {
+    200: "/ /a /a/ /a%20b /a+b /a~b(c)!*' /a:b@c /a|b /%E4%B8%AD /%e4%b8%ad /a?b=%zz /a?b=../c;d",
+    400: "//x /a//b /a/../b /a/./b /a/.. /. /%2e%2e/x /a%2Fb /a;p=1 /a%ffb /a#b * a http://h/a",
+}
+
+
+@pytest.mark.parametrize(
+    "target, status", [(item, code) for code, items in TARGETS.items() for item in items.split()]
+)
+def test_target_with_more_than_one_reading_is_refused_as_json(bench, target, status):
+    answer = bench.exchange(post(b"abc").replace(b"/a", target.encode()))
+    assert int(answer.split()[1]) == status
+    assert answer.endswith(b"<abc>") == (status == 200)
+    if status == 400:
+        assert error(answer)[1]["code"] == int(ResultCode.BAD_REQUEST)
+
+
 REFUSED = {
     "length and transfer coding": (
         HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
