Notice silent connections without waiting for a slow answer's time-out

Cause: an agent waits up to its endpoint's time-out, 120 s by default, for a call on a connection that something in between dropped; a caller that stopped reading held its connection for good.

Change: the kernel breaks connections on which nothing is acknowledged, for both ends; a generation is given up after 10 s without a byte, as engines send one every 2 s; the guard bounds the number of connections.

That the kernel breaks a dropped connection is not measured here: loopback drops nothing, so the tests check the options only.

Conclusion: the time to notice no longer depends on how slow a service may be.

--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from errno import EINPROGRESS
+from errno import EHOSTUNREACH, EINPROGRESS, ENETUNREACH, ETIMEDOUT
 
 import h11
 from circuits.core.pollers import BasePoller
@@ -13,9 +13,11 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
 from pumicedeck.moving_deadlines import MovingDeadline
+from pumicedeck.socket_options import detect_silence
 from pumicedeck.world import Address
 
 _READ_BYTES = 65536
+_SILENCE_ERRORS = (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
 _SUCCESS = range(200, 300)
 _BODILESS = (204, 304)
 
@@ -110,6 +112,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        detect_silence(self._socket, self._settings.acknowledge_seconds)
         error = self._socket.connect_ex((self._address.host, self._address.port))
         self._deadline.set(self._settings.connect_seconds)
         if error in (0, EINPROGRESS):
@@ -170,7 +173,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._break(BrokenReason.CLOSED, os.strerror(error.errno or 0))
+            self._break_by(error.errno or 0)
             return
         if self._state is ConnectionState.IDLE:
             self._break(BrokenReason.CLOSED, "while idle")
@@ -183,7 +186,7 @@
         if self._state is ConnectionState.CONNECTING:
             self._finish_connecting()
         elif self._state is not ConnectionState.CLOSED:
-            self._break(BrokenReason.CLOSED, "hang-up")
+            self._break_by(self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=self._settings.header_bytes)
@@ -310,6 +313,10 @@
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         return done and not self._unsent and not parser.trailing_data[0]
 
+    def _break_by(self, error: int) -> None:
+        silent = error in _SILENCE_ERRORS
+        self._break(BrokenReason.SILENT if silent else BrokenReason.CLOSED, os.strerror(error))
+
     def _break(self, reason: BrokenReason, detail: str) -> None:
         if self._state is ConnectionState.CLOSED:
             return
--- a/pumicedeck/http_engines.py
+++ b/pumicedeck/http_engines.py
@@ -29,6 +29,7 @@
 )
 from pumicedeck.results import Failure, ResultCode
 
+GENERATION_SILENCE_SECONDS = 10.0
 _HTTP_OK = 200
 
 
@@ -88,6 +89,10 @@
     ) -> None:
         """Start a generation or, with `resume_offset`, resume the one with the same handle."""
         reader = _LineReader(chunk, generation.resume_offset)
+        # The engine keeps an open generation alive with empty lines, however long it takes.
+        silence = min(
+            self._silence_seconds or GENERATION_SILENCE_SECONDS, GENERATION_SILENCE_SECONDS
+        )
 
         def settle(outcome: Result[HttpResponse, Failure]) -> None:
             if outcome.is_err():
@@ -101,7 +106,7 @@
             self._request(GENERATE, (generation,)),
             settle,
             chunk=reader.feed,
-            silence_seconds=self._silence_seconds,
+            silence_seconds=silence,
         )
 
     def cancel(self, handle: str) -> None:
--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -14,6 +14,7 @@
 from pumicedeck.http_messages import KIB, MIB
 from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.socket_options import detect_silence
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _PIPELINED = Failure(
@@ -21,6 +22,9 @@
     "one request at a time on a connection; bytes followed an unanswered request",
     proven_not_run=True,
 )
+_TOO_MANY = Failure(
+    ResultCode.OVERLOADED, "too many connections", retry_after=1.0, proven_not_run=True
+)
 _TOO_SLOW = Failure(
     ResultCode.REQUEST_TIMEOUT, "the request was not whole in time", proven_not_run=True
 )
@@ -31,7 +35,8 @@
     """Bounds of callers' requests; times are in seconds.
 
     `request_seconds` is how long a request may take to arrive, `idle_seconds` how long a
-    connection may stay without one, `linger_seconds` how long a refused one is still read from.
+    connection may stay without one, `linger_seconds` how long a refused one is still read from,
+    `acknowledge_seconds` how long a caller's kernel may acknowledge nothing.
     """
 
     header_bytes: int = 16 * KIB
@@ -39,6 +44,8 @@
     request_seconds: float = 10.0
     idle_seconds: float = 75.0
     linger_seconds: float = 1.0
+    acknowledge_seconds: float = 30.0
+    connections: int = 8192
 
 
 @dataclass(slots=True)
@@ -97,9 +104,13 @@
 
     @handler("connect")
     def _on_connect(self, sock, *_) -> None:
+        detect_silence(sock, self._settings.acknowledge_seconds)
         deadline = MovingDeadline(self._timers, self._expiry(sock))
         deadline.set(self._settings.request_seconds)
-        self._callers[sock] = _Caller(RequestReader(self._bounds), deadline)
+        caller = _Caller(RequestReader(self._bounds), deadline)
+        self._callers[sock] = caller
+        if len(self._callers) > self._settings.connections:
+            self._refuse(sock, caller, _TOO_MANY)
 
     @handler("disconnect")
     def _on_disconnect(self, sock) -> None:
--- a/pumicedeck/http_messages.py
+++ b/pumicedeck/http_messages.py
@@ -38,12 +38,14 @@
     """Bounds of the client; times are in seconds.
 
     `silence_seconds` is the longest time without a byte either way while a request is open,
-    `pooled_seconds` the longest time that an unused connection is kept.
+    `pooled_seconds` the longest time that an unused connection is kept. `acknowledge_seconds` is
+    how long the other side's kernel may acknowledge nothing, which a slow answer does not exceed.
     """
 
     connect_seconds: float = 2.0
     silence_seconds: float = 10.0
     pooled_seconds: float = 15.0
+    acknowledge_seconds: float = 8.0
     header_bytes: int = 16 * KIB
     body_bytes: int = 64 * MIB
     connections_per_address: int = 64
--- a/pumicedeck/tests/test_http_clients.py
+++ b/pumicedeck/tests/test_http_clients.py
@@ -160,6 +160,15 @@
     assert bench.answer().is_ok()
 
 
+def test_kernel_watches_connections_for_lost_acknowledgements(bench):
+    bench.server.reply = OK
+    bench.answer()
+    sock = next(iter(bench.client._by_socket))
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert timeout == 1000 * SETTINGS.acknowledge_seconds
+
+
 def test_pooled_connection_closed_by_the_server_is_replaced_before_use(bench):
     bench.server.reply = OK
     bench.answer()
--- a/pumicedeck/tests/test_http_guards.py
+++ b/pumicedeck/tests/test_http_guards.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from dataclasses import replace
 
 import pytest
 
@@ -270,6 +271,26 @@
     assert bench.guards[0].open_connections == 0
 
 
+def test_connections_are_bounded_and_places_come_back(bench):
+    bench.guards[0]._settings = replace(SETTINGS, connections=2)
+    socks = [bench.connect() for _ in range(3)]
+    status, document = error(received(socks[2]))
+    assert (status, document["code"]) == (503, int(ResultCode.OVERLOADED))
+    assert bench.is_closed(socks[2])
+    socks[0].close()
+    bench.loop.settle()
+    assert bench.exchange(post(b"abc")).endswith(b"<abc>")
+
+
+def test_kernel_watches_callers_connections(bench):
+    bench.holding = True
+    bench.exchange(post(b"abc"))
+    sock = bench.held[0].sock
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert timeout == 1000 * SETTINGS.acknowledge_seconds
+
+
 def test_caller_that_leaves_half_way_leaves_nothing_behind(bench):
     sock = bench.connect()
     bench.exchange(post(b"abc")[:-1], sock=sock)
--- a/pumicedeck/tests/test_model_engines.py
+++ b/pumicedeck/tests/test_model_engines.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-import pumicedeck.http_engines  # noqa: F401
 from pumicedeck.faults import Fault
+from pumicedeck.http_engines import GENERATION_SILENCE_SECONDS, HttpEngine
 from pumicedeck.platforms import EngineOrder, Generation, LoadedModel, OrderKind
 from pumicedeck.results import Execution, ResultCode
 from pumicedeck.standin_batches import BatchSettings, body_digest, token_text
@@ -148,6 +148,16 @@
     assert bench.standin.executions(body) == 1
 
 
+def test_silent_engine_is_noticed_however_long_the_adapter_waits_for_orders(bench):
+    if bench.over_http:
+        bench.subject = HttpEngine(bench.client, bench.server.address, 100 * SILENCE_SECONDS)
+    bench.standin.faults.silent = True
+    call = Call(bench, body=prompt(tokens=1000))
+    assert code_of(call.outcome(2 * GENERATION_SILENCE_SECONDS)) == (
+        FAILED if bench.over_http else "silent"
+    )
+
+
 def test_stream_broken_by_the_network_is_resumed(bench):
     body = prompt(tokens=20)
     bench.standin.faults.script(Fault.LOSE_REPLY, operation="generate")
