--- a/pumicedeck/attributions.py
+++ b/pumicedeck/attributions.py
@@ -68,8 +68,9 @@
         running = self._running.get(handle)
         if running is None:
             return
-        kept = {offset: each for offset, each in running.reports.items() if offset < chunk.offset}
-        running.reports = {**kept, chunk.offset: chunk}
+        while running.reports and next(reversed(running.reports)) >= chunk.offset:
+            running.reports.popitem()
+        running.reports[chunk.offset] = chunk
 
     def dropped(self, handle: str) -> None:
         """Stop following a draft that failed or was cancelled."""
--- a/pumicedeck/orders.py
+++ b/pumicedeck/orders.py
@@ -99,6 +99,7 @@
         self._not_before = 0.0
         self._trusted_fencing = -1
         self._engine = ""
+        self._advanced_at = float("-inf")
 
     @property
     def idle(self) -> bool:
@@ -165,7 +166,10 @@
         if self._reading.due is not None and not self._reading.active:
             times.append(self._reading.due)
         if self._queue and self._sent is None:
-            times.append(max(self._not_before, self._queue[0].not_before))
+            due = max(self._not_before, self._queue[0].not_before)
+            # What is due already waits for the lease or a reply, not for time.
+            if due > self._advanced_at:
+                times.append(due)
         return min(times, default=None)
 
     def refresh(self, now: float) -> list[OrderAction]:
@@ -175,6 +179,7 @@
         return []
 
     def _advance(self, now: float) -> list[OrderAction]:
+        self._advanced_at = now
         if self._reading.active:
             return []
         if self._reading.due is not None and now >= self._reading.due:
--- /dev/null
+++ b/pumicedeck/tests/test_swaps.py
@@ -0,0 +1,91 @@
+"""Tests of the swap schedule and of what a swap does to running drafts."""
+
+from dataclasses import replace
+
+import pytest
+
+from pumicedeck.catalogue_entries import SwapPolicy
+from pumicedeck.platforms import WeightVersion
+from pumicedeck.swaps import (
+    BeginSwap,
+    RunningDraft,
+    SwapPlace,
+    SwapSchedule,
+    SwapSettings,
+    SwapSlots,
+    choose_policy,
+    swap_place,
+)
+from pumicedeck.tests.draw_fixtures import ENTRY
+
+SETTINGS = SwapSettings(store_rate=10e9, rate_share=1.0)
+V2 = WeightVersion("m", 2, 10**9)
+
+
+@pytest.mark.parametrize("agents", [1, 6, 600])
+def test_slots_keep_the_rate_and_turn_with_the_version(agents) -> None:
+    slots = SwapSlots(SETTINGS)
+    places = [SwapPlace(rank, agents) for rank in range(agents)]
+    delays = sorted(slots.first(V2, place) for place in places)
+    assert delays == [pytest.approx(rank * 0.1) for rank in range(agents)]
+    firsts = {
+        next(p.rank for p in places if slots.first(replace(V2, version=v), p) == 0.0)
+        for v in range(40)
+    }
+    assert len(firsts) > 1 or agents == 1
+
+
+def test_retries_use_the_tail() -> None:
+    slots = SwapSlots(SETTINGS)
+    place = SwapPlace(3, 100)
+    first = slots.retry(V2, place, "e3", 1)
+    second = slots.retry(V2, place, "e3", 2)
+    assert 10.0 <= first < 11.0 <= second < 12.0
+
+
+def test_ranks_are_those_of_the_sorted_names() -> None:
+    assert swap_place("b", ["c", "a"]) == SwapPlace(1, 3)
+
+
+def test_the_schedule_swaps_once_for_each_version_and_skips_older_ones() -> None:
+    schedule, place = SwapSchedule("e", SETTINGS), SwapPlace(0, 1)
+    schedule.newest(0.0, V2, place)
+    schedule.newest(1.0, replace(V2, version=1), place)
+    assert schedule.on_time(1.0) == [BeginSwap(V2)]
+    assert schedule.on_time(2.0) == []
+    schedule.failed(3.0, "m", 2, place)
+    due = schedule.next_wakeup()
+    assert schedule.on_time(due) == [BeginSwap(V2)]
+    schedule.reported("m", 2)
+    assert not schedule.pending
+    schedule.newest(9.0, V2, place)
+    assert not schedule.pending
+    schedule.reported("m", -1)
+    schedule.newest(10.0, V2, place)
+    assert schedule.pending
+
+
+TAINAN = replace(ENTRY, idle_time_weight=3.0, staleness_weight=1.0)
+QUINTELA = replace(ENTRY, idle_time_weight=1.0, staleness_weight=3.0)
+
+
+@pytest.mark.parametrize(
+    ("entry", "elapsed", "remaining", "oldest", "policy"),
+    [
+        (TAINAN, 30.0, 60.0, 4, SwapPolicy.SPAN),
+        (QUINTELA, 30.0, 60.0, 4, SwapPolicy.RESTART),
+        (QUINTELA, 30.0, 2.0, 4, SwapPolicy.RESTART),
+        (QUINTELA, 200.0, 2.0, 4, SwapPolicy.FINISH),
+        (TAINAN, 300.0, 60.0, 3, SwapPolicy.RESTART),
+        (TAINAN, 300.0, 4.0, 4, SwapPolicy.FINISH),
+    ],
+)
+def test_the_owners_weights_choose_what_happens_to_running_drafts(
+    entry, elapsed, remaining, oldest, policy
+) -> None:
+    drafts = [RunningDraft(entry, elapsed, remaining, oldest) for _ in range(8)]
+    assert choose_policy(drafts, 5, SETTINGS) is policy
+
+
+def test_an_idle_engine_swaps_at_once() -> None:
+    assert choose_policy([], 5, SETTINGS) is SwapPolicy.SPAN
