--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -36,7 +36,8 @@
 from pumicedeck.tombstones import Tombstone, Tombstones, Verdict
 from pumicedeck.world import Incarnation
 
-_DRAIN = "drain"
+_NOTICE = "end of notice"
+_DRAIN = "end of grace"
 
 
 class AgentRequests:
@@ -67,6 +68,7 @@
         self._deadlines: Deadlines[AttemptId | str] = Deadlines()
         self._counters = AgentRequestCounters()
         self._leaving: Leaving | None = None
+        self._leave_at = 0.0
         self._drained = False
 
     @property
@@ -87,7 +89,9 @@
             slots=self._slots,
             queued_tokens=self._queue.queued_tokens,
             running_tokens=self._running_tokens,
+            service_rate=self._queue.service_rate,
             accepting=not self.draining,
+            interactive_tokens=self._queue.interactive_tokens,
         )
 
     def next_wakeup(self) -> float | None:
@@ -132,12 +136,21 @@
         return actions + self._advance(now)
 
     def execution_chunk(
-        self, now: float, attempt: AttemptId, data: bytes, tokens: int = 0
+        self, now: float, attempt: AttemptId, data: bytes, tokens: int = 0, offset: int = -1
     ) -> list[Action]:
-        """Take in bytes that the endpoint produced."""
+        """Take in bytes that the endpoint produced.
+
+        An `offset` below what came before says that the endpoint began again from there.
+        """
         held = self._attempts.get(attempt)
         if held is None or held.phase is not AttemptPhase.RUNNING or held.cancelled:
             return []
+        if 0 <= offset < len(held.output):
+            if held.dispatch.streamed:
+                return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the stream restarted")
+            held.rewind(offset)
+        if offset > len(held.output):
+            return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the answer has a gap")
         if len(held.output) + len(data) > self._settings.max_answer_bytes:
             return self._stop(now, attempt, ResultCode.ENDPOINT_FAILED, "the answer is too large")
         chunk = held.append(data)
@@ -171,10 +184,15 @@
         return actions + self._advance(now)
 
     def begin_drain(self, now: float, grace: float) -> list[Action]:
-        """Refuse new work, hand back what waits and let what runs finish within `grace`."""
+        """Refuse new work, hand back what waits and let what runs finish within `grace`.
+
+        The process stays for a notice time in any case, to refuse what was already on its way.
+        """
         if self._leaving:
             return []
         self._leaving = Leaving("draining", grace)
+        self._leave_at = now + min(grace, self._settings.drain_notice_seconds)
+        self._deadlines.set(_NOTICE, self._leave_at)
         self._deadlines.set(_DRAIN, now + grace)
         actions: list[Action] = [SendMessage(each, self._leaving) for each in self._sessions]
         for attempt in self._in_phase(AttemptPhase.QUEUED):
@@ -192,7 +210,7 @@
                 actions += self._attempt_due(now, key)
             elif key == _DRAIN:
                 actions += self._end_grace(now)
-            else:
+            elif key != _NOTICE:
                 actions += self._abandon_entry(now, key)
         for attempt in self._kept.expire(now):
             self._drop_answer(now, attempt)
@@ -344,12 +362,13 @@
 
     def _advance(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        while self._running < self._slots and not self.draining:
+        handed_over = self._slots + self._queue.express_slots
+        while self._running < handed_over and not self.draining:
             dispatch = self._queue.pop(now)
             if dispatch is None:
                 break
             actions += self._start(now, dispatch)
-        if self.draining and not self._attempts and not self._drained:
+        if self.draining and not self._attempts and not self._drained and now >= self._leave_at:
             self._drained = True
             actions.append(Drained())
         return actions
@@ -359,6 +378,7 @@
         held = self._attempts[attempt]
         remaining = held.arrived + dispatch.budget - now
         if remaining <= 0.0:
+            self._queue.finished(now, dispatch, 0)
             return self._refuse(now, attempt, _queue_timeout())
         held.phase = AttemptPhase.RUNNING
         held.started = now
