Measure spread and membership with many processes in virtual time

Cause: the promise of 16 s, no revert and the budgets of store and nodes must be shown with the real decision objects at the target size.

Membership ranks agents once for each set of VMs and polls the list half as often.

--- a/pumicedeck/agent_selections.py
+++ b/pumicedeck/agent_selections.py
@@ -28,42 +28,70 @@
     max_agent_sessions: int = 60
 
 
-@dataclass(frozen=True, slots=True)
-class Fleet:
-    """The VMs that a selection goes by; `unreachable` are agents that do not answer now."""
-
-    entries: tuple[Vm, ...]
-    agents: tuple[Vm, ...]
-    unreachable: frozenset[str] = frozenset()
-
-
-def fleet_of(
-    vms: tuple[Vm, ...], pools: frozenset[str], unreachable: frozenset[str] = frozenset()
-) -> Fleet:
-    """Return the live entries and the live agents of `pools`."""
-    live = [vm for vm in vms if vm.state is VmState.LIVE]
-    entries = tuple(vm for vm in live if vm.role is VmRole.ENTRY)
-    agents = tuple(vm for vm in live if vm.endpoint is not None and vm.endpoint.pool in pools)
-    return Fleet(entries, agents, unreachable)
+class AgentRanking:
+    """The order in which one entry prefers agents; worked out once for each set of VMs."""
+
+    def __init__(
+        self, entry: Vm, vms: tuple[Vm, ...], pools: frozenset[str], settings: SelectionSettings
+    ) -> None:
+        """Rank the live agents of `pools` for `entry`."""
+        live = [vm for vm in vms if vm.state is VmState.LIVE]
+        agents = [vm for vm in live if vm.endpoint is not None and vm.endpoint.pool in pools]
+        entries = [vm for vm in live if vm.role is VmRole.ENTRY]
+        region = entry.failure_domain.region
+        rivals = [vm.name for vm in entries if vm.failure_domain.region == region]
+        self._settings = settings
+        self._entries = max(1, len(entries))
+        self._covered = frozenset(
+            vm.name for vm in agents if _covers(entry, vm, rivals, settings.cover_entries)
+        )
+        agents.sort(key=lambda vm: rendezvous_weight(entry.name, vm.name))
+        self._groups: dict[str, _Group] = {}
+        for vm in agents:
+            group = self._groups.setdefault(vm.endpoint.pool, _Group([], []))
+            side = group.local if vm.failure_domain.region == region else group.remote
+            side.append(vm)
+
+    @property
+    def covered(self) -> frozenset[str]:
+        """Return the agents that the entry has to cover, whether or not they are reachable."""
+        return self._covered
+
+    def select(
+        self, unreachable: frozenset[str] = frozenset(), leaving: frozenset[str] = frozenset()
+    ) -> frozenset[str]:
+        """Return the names of the agents that the entry keeps sessions to."""
+        free = max(0, self._settings.max_entry_sessions - len(self._covered))
+        room = free // max(1, len(self._groups))
+        chosen = set(self._covered - leaving)
+        for group in self._groups.values():
+            chosen |= self._pick(group, room, unreachable, leaving)
+        return frozenset(chosen)
+
+    def _pick(
+        self, group: "_Group", room: int, unreachable: frozenset[str], leaving: frozenset[str]
+    ) -> set[str]:
+        settings = self._settings
+        share = settings.max_agent_sessions * group.size // self._entries
+        total = max(MIN_PICKS, min(settings.local_picks + settings.remote_picks, room, share))
+        remote_picks = min(settings.remote_picks, total // 3) if group.local else total
+        local_picks = total - remote_picks
+        local = [vm for vm in group.local if vm.name not in leaving]
+        remote = [vm for vm in group.remote if vm.name not in leaving]
+        chosen = _pick_spread(remote, remote_picks, self._covered, unreachable)
+        return chosen | _pick_spread(local, local_picks, self._covered, unreachable)
 
 
-def covered_agents(entry: Vm, fleet: Fleet, settings: SelectionSettings) -> frozenset[str]:
-    """Return the agents that `entry` has to cover, whether or not they are reachable."""
-    return frozenset(vm.name for vm in fleet.agents if _covers(entry, vm, fleet, settings))
+@dataclass(frozen=True, slots=True)
+class _Group:
+    """The agents of one pool in order of preference, by region."""
 
+    local: list[Vm]
+    remote: list[Vm]
 
-def select_agents(
-    entry: Vm, fleet: Fleet, settings: SelectionSettings, covered: frozenset[str]
-) -> frozenset[str]:
-    """Return the names of the agents that `entry` keeps sessions to."""
-    by_pool: dict[str, list[Vm]] = {}
-    for vm in fleet.agents:
-        by_pool.setdefault(vm.endpoint.pool, []).append(vm)
-    room = max(0, settings.max_entry_sessions - len(covered)) // max(1, len(by_pool))
-    chosen = set(covered)
-    for agents in by_pool.values():
-        chosen |= _pick_pool(entry, agents, fleet, covered, room, settings)
-    return frozenset(chosen)
+    @property
+    def size(self) -> int:
+        return len(self.local) + len(self.remote)
 
 
 def select_any(entry: Vm, vms: tuple[Vm, ...], unreachable: frozenset[str]) -> frozenset[str]:
@@ -89,59 +117,34 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-def _covers(entry: Vm, agent: Vm, fleet: Fleet, settings: SelectionSettings) -> bool:
+def _covers(entry: Vm, agent: Vm, rivals: list[str], covers: int) -> bool:
     own = rendezvous_weight(agent.name, entry.name)
     above = 0
-    for other in fleet.entries:
-        if other.failure_domain.region != entry.failure_domain.region:
-            continue
-        above += rendezvous_weight(agent.name, other.name) > own
-        if above >= settings.cover_entries:
+    for rival in rivals:
+        above += rendezvous_weight(agent.name, rival) > own
+        if above >= covers:
             return False
     return True
 
 
-def _pick_pool(
-    entry: Vm,
-    agents: list[Vm],
-    fleet: Fleet,
-    covered: frozenset[str],
-    room: int,
-    settings: SelectionSettings,
-) -> set[str]:
-    region = entry.failure_domain.region
-    local = [vm for vm in agents if vm.failure_domain.region == region]
-    remote = [vm for vm in agents if vm.failure_domain.region != region]
-    share = settings.max_agent_sessions * len(agents) // max(1, len(fleet.entries))
-    total = max(MIN_PICKS, min(settings.local_picks + settings.remote_picks, room, share))
-    remote_picks = min(settings.remote_picks, total // 3) if local else total
-    chosen = _pick_spread(entry, remote, remote_picks, fleet, covered)
-    chosen |= _pick_spread(entry, local, total - remote_picks, fleet, covered)
-    return chosen
-
-
 def _pick_spread(
-    entry: Vm, agents: list[Vm], picks: int, fleet: Fleet, covered: frozenset[str]
+    agents: list[Vm], picks: int, covered: frozenset[str], unreachable: frozenset[str]
 ) -> set[str]:
-    """Pick agents by weight, each from the failure domain with the fewest so far."""
-    ranked = sorted(
-        (vm for vm in agents if vm.name not in covered),
-        key=lambda vm: rendezvous_weight(entry.name, vm.name),
-    )
+    """Pick agents in order, each from the failure domain with the fewest so far."""
+    held = [vm for vm in agents if vm.name in covered and vm.name not in unreachable]
+    if picks <= len(held):
+        return set()
+    ranked = [vm for vm in agents if vm.name not in covered]
     # Behind a broken link all of them look unreachable; trying one after the other is no help.
-    preferred = ranked[: 2 * picks + MIN_PICKS]
-    ranked = sorted(preferred, key=lambda vm: vm.name in fleet.unreachable)
-    held = [vm for vm in agents if vm.name in covered and vm.name not in fleet.unreachable]
+    ranked = ranked[: 2 * picks + MIN_PICKS]
     per_domain = Counter(vm.failure_domain.name for vm in held)
     chosen: set[str] = set()
     for _ in range(min(picks - len(held), len(ranked))):
         best = min(
-            (vm for vm in ranked if vm.name not in chosen),
-            key=lambda vm: (
-                vm.name in fleet.unreachable,
-                per_domain[vm.failure_domain.name],
-            ),
+            ranked,
+            key=lambda vm: (vm.name in unreachable, per_domain[vm.failure_domain.name]),
         )
+        ranked.remove(best)
         chosen.add(best.name)
         per_domain[best.failure_domain.name] += 1
     return chosen
--- a/pumicedeck/experiment_stores.py
+++ b/pumicedeck/experiment_stores.py
@@ -17,9 +17,11 @@
     StoreKey,
     TableStore,
     Transaction,
+    VmList,
 )
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_tables import TableData
+from pumicedeck.world import Vm
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +109,9 @@
         self._service.timers.call_later(delay, self._run)
 
     def _run(self) -> None:
+        if self._service.down or not self._reachable():
+            self._report(Err(Failure(self._lost, "request lost")))
+            return
         result = self._work()
         if self._strikes(self._service.faults.lost_reply) or not self._reachable():
             result = Err(Failure(self._lost, "reply lost"))
@@ -195,3 +200,28 @@
         self._service.call(
             self._service.writes, self._reachable, work, ResultCode.STORE_OUTCOME_UNKNOWN, done
         )
+
+
+class ExperimentVmList(VmList):
+    """One client's view of the list of VMs; readings count as the store's reads."""
+
+    def __init__(
+        self,
+        service: StoreService,
+        listed: Callable[[], tuple[Vm, ...]],
+        reachable: Callable[[], bool] = _always,
+    ) -> None:
+        """Show what `listed` returns while `reachable` says so."""
+        self._service = service
+        self._listed = listed
+        self._reachable = reachable
+
+    def list(self, done: Done[tuple[Vm, ...]]) -> None:
+        """Read the list as the platform shows it now."""
+        self._service.call(
+            self._service.reads,
+            self._reachable,
+            lambda: Ok(self._listed()),
+            ResultCode.STORE_UNAVAILABLE,
+            done,
+        )
--- a/pumicedeck/memberships.py
+++ b/pumicedeck/memberships.py
@@ -5,14 +5,7 @@
 
 from result import Err, Result
 
-from pumicedeck.agent_selections import (
-    Fleet,
-    SelectionSettings,
-    covered_agents,
-    fleet_of,
-    select_agents,
-    select_any,
-)
+from pumicedeck.agent_selections import AgentRanking, SelectionSettings, select_any
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.results import Failure
 from pumicedeck.store_budgets import (
@@ -43,7 +36,7 @@
 
     selection: SelectionSettings = SelectionSettings()
     min_poll: float = 3.0
-    poll_per_vm: float = 0.03
+    poll_per_vm: float = 0.06
     start_jitter: float = 4.0
     list_timeout: float = 3.0
     absent_grace: float = 60.0
@@ -102,6 +95,10 @@
     surplus_at: float = NEVER
     redial: CircuitBreaker | None = None
 
+    @property
+    def is_held(self) -> bool:
+        return self.up or self.opening
+
 
 class Membership:
     """The agents of one entry; every method returns what is to be done."""
@@ -118,9 +115,9 @@
         self._absent_since: dict[str, float] = {}
         self._peers: dict[str, _Peer] = {}
         self._wanted: frozenset[str] = frozenset()
-        self._covered: frozenset[str] = frozenset()
-        self._covered_for: tuple[tuple[Vm, ...], ...] = ()
+        self._ranking: AgentRanking | None = None
         self._stale = True
+        self._touched = False
         self._distrusted = 0
         self._calls = 0
         self._call: int | None = None
@@ -157,8 +154,10 @@
     def catalogue_installed(self, now: float, catalogue: Catalogue) -> list[MembershipAction]:
         """Take the pools that the catalogue's entries name."""
         pools = frozenset(pool for entry in catalogue.entries for pool in entry.pools)
-        self._stale = self._stale or pools != self._pools
-        self._pools = pools
+        if pools != self._pools:
+            self._pools = pools
+            self._ranking = None
+            self._stale = True
         return self._advance(now)
 
     def vms_listed(
@@ -176,7 +175,8 @@
     def session_up(self, now: float, vm: str) -> list[MembershipAction]:
         """Count an agent whose session opened."""
         peer = self._peer(vm)
-        self._stale = self._stale or self._is_unreachable(now, peer)
+        self._stale = self._stale or self._is_unreachable(peer)
+        self._touched = True
         peer.up = True
         peer.opening = False
         peer.leaving = False
@@ -188,6 +188,8 @@
     def session_lost(self, now: float, vm: str) -> list[MembershipAction]:
         """Count an agent whose session ended or could not be opened."""
         peer = self._peer(vm)
+        self._touched = True
+        reachable = not self._is_unreachable(peer)
         peer.up = False
         peer.opening = False
         peer.told = False
@@ -196,7 +198,7 @@
         if peer.redial is None:
             peer.redial = CircuitBreaker(self._settings.redial, self._rng)
         peer.redial.failed(now)
-        self._stale = True
+        self._stale = self._stale or reachable
         return self._advance(now)
 
     def agent_leaving(self, now: float, vm: str) -> list[MembershipAction]:
@@ -215,9 +217,12 @@
         return self._advance(now)
 
     def _peer(self, vm: str) -> _Peer:
-        return self._peers.setdefault(vm, _Peer())
+        peer = self._peers.get(vm)
+        if peer is None:
+            peer = self._peers[vm] = _Peer()
+        return peer
 
-    def _is_unreachable(self, now: float, peer: _Peer) -> bool:
+    def _is_unreachable(self, peer: _Peer) -> bool:
         lost = peer.redial is not None and peer.redial.failures > 0 and not peer.up
         return lost or not peer.accepting
 
@@ -240,12 +245,13 @@
         self._absent_since = {
             name: since for name, since in self._absent_since.items() if name in listed
         }
-        self._stale = self._stale or listed != self._vms or self._forgive(now)
-        self._vms = listed
+        self._stale = self._forgive(now) or self._stale
+        if listed != self._vms:
+            self._vms = listed
+            self._ranking = None
+            self._stale = True
         self._peers = {
-            name: peer
-            for name, peer in self._peers.items()
-            if name in listed or peer.up or peer.opening
+            name: peer for name, peer in self._peers.items() if name in listed or peer.is_held
         }
 
     def _forgive(self, now: float) -> bool:
@@ -274,6 +280,9 @@
         actions = self._read_list(now)
         if self._stale:
             self._select(now)
+        if not self._touched and min(self._dial_at, self._close_at) > now:
+            return actions
+        self._touched = False
         return actions + self._open(now) + self._close(now)
 
     def _read_list(self, now: float) -> list[MembershipAction]:
@@ -301,34 +310,31 @@
 
     def _select(self, now: float) -> None:
         self._stale = False
-        leaving = {name for name, peer in self._peers.items() if peer.leaving}
+        self._touched = True
+        leaving = frozenset(name for name, peer in self._peers.items() if peer.leaving)
         unreachable = frozenset(
-            name for name, peer in self._peers.items() if self._is_unreachable(now, peer)
+            name for name, peer in self._peers.items() if self._is_unreachable(peer)
         )
-        vms = tuple(vm for name, vm in sorted(self._vms.items()) if name not in leaving)
-        if self._own.name not in self._vms:
-            vms = (*vms, self._own)
         if self._pools is None:
+            vms = tuple(vm for name, vm in self._vms.items() if name not in leaving)
             self._wanted = select_any(self._own, vms, unreachable)
             return
-        fleet = fleet_of(vms, self._pools, unreachable)
-        covered = self._cover(fleet)
-        self._wanted = select_agents(self._own, fleet, self._settings.selection, covered)
+        if self._ranking is None:
+            self._ranking = self._rank(self._pools)
+        self._wanted = self._ranking.select(unreachable, leaving)
 
-    def _cover(self, fleet: Fleet) -> frozenset[str]:
-        vms = (fleet.entries, fleet.agents)
-        if self._covered_for != vms:
-            self._covered_for = vms
-            self._covered = covered_agents(self._own, fleet, self._settings.selection)
-        return self._covered
+    def _rank(self, pools: frozenset[str]) -> AgentRanking:
+        vms = tuple(self._vms.values())
+        if self._own.name not in self._vms:
+            vms = (*vms, self._own)
+        return AgentRanking(self._own, vms, pools, self._settings.selection)
 
     def _open(self, now: float) -> list[MembershipAction]:
         self._dial_at = NEVER
         actions: list[MembershipAction] = []
-        for name in sorted(self._wanted):
+        missing = [name for name in self._wanted if not self._peer(name).is_held]
+        for name in sorted(missing):
             peer = self._peer(name)
-            if peer.up or peer.opening:
-                continue
             due = now if peer.redial is None else peer.redial.retry_at
             if due <= now and not self._opens.take(now):
                 due = max(self._opens.available_at(now), now + MIN_WAIT_SECONDS)
--- /dev/null
+++ b/pumicedeck/scale_processes.py
@@ -0,0 +1,277 @@
+"""Processes, sessions and links in virtual time around the real catalogue and membership logic."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from time import process_time
+
+from pumicedeck.catalogue_entries import Catalogue
+from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.codecs import LENGTH_BYTES, decode, encode
+from pumicedeck.experiment_stores import (
+    ExperimentObjectStore,
+    ExperimentTableStore,
+    ExperimentVmList,
+    StoreService,
+)
+from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
+from pumicedeck.messages import Heartbeat, LoadReport, Message
+from pumicedeck.sessions import SessionSettings
+from pumicedeck.spreads import NO_REVISION
+from pumicedeck.world import Vm, VmRole
+
+SEGMENT_OVERHEAD_BYTES = 52
+LOCAL_DELAY_SECONDS = 0.0015
+REMOTE_DELAY_SECONDS = 0.030
+DIAL_TIMEOUT_SECONDS = 5.0
+TIMED_HEARTBEATS = 2000
+
+_SESSION = SessionSettings()
+_LOAD = LoadReport(12, 8, 8, 4000, 3000, 2500.0, 777, True)
+
+
+def message_bytes(message: Message) -> int:
+    """Return what a message and its acknowledgement take on the wire."""
+    return len(encode(message)) + 2 * SEGMENT_OVERHEAD_BYTES
+
+
+def heartbeat_processor_seconds() -> float:
+    """Measure the processor time to encode one heartbeat and to decode another."""
+    beat = Heartbeat(100_000, 190_000, load=_LOAD)
+    began = process_time()
+    for _ in range(TIMED_HEARTBEATS):
+        decode(encode(beat)[LENGTH_BYTES:])
+    return (process_time() - began) / TIMED_HEARTBEATS
+
+
+def session_bytes_per_second(heartbeat_seconds: float) -> float:
+    """Return what the heartbeats of one session cost each of its two nodes."""
+    entry = message_bytes(Heartbeat(100_000, 190_000, floor=100_000))
+    agent = message_bytes(Heartbeat(100_000, 190_000, load=_LOAD))
+    return (entry + agent) / heartbeat_seconds
+
+
+@dataclass(slots=True)
+class Links:
+    """Which regions cannot reach each other."""
+
+    cut: set[frozenset[str]] = field(default_factory=set)
+
+    def joined(self, first: str, second: str) -> bool:
+        """Say whether packets pass between two regions."""
+        return frozenset((first, second)) not in self.cut
+
+
+@dataclass(frozen=True, slots=True)
+class Installation:
+    """A process put a revision in force at `time`."""
+
+    time: float
+    revision: int
+
+
+class ScaleProcess:
+    """One run of one entry or agent process; sessions are kept at both ends."""
+
+    def __init__(self, cluster: "ScaleCluster", vm: Vm, rng: Random) -> None:
+        """Build the process of `vm`."""
+        self.vm = vm
+        self.alive = True
+        self.ready_at: float | None = None
+        self.ready_revision = NO_REVISION
+        self.installations: list[Installation] = []
+        self.sessions: dict[str, ScaleProcess] = {}
+        self.bytes = 0
+        self._cluster = cluster
+        self._time = cluster.time
+        hooks = FollowerHooks(self._send, self._installed, self._announce, self._report_ready)
+        table = ExperimentTableStore(cluster.service, self._reaches_store)
+        objects = ExperimentObjectStore(cluster.service, self._reaches_store)
+        self.follower = CatalogueFollower(table, objects, self._time, rng, hooks)
+        self.membership: MembershipDriver | None = None
+        if vm.role is VmRole.ENTRY:
+            vm_list = ExperimentVmList(cluster.service, cluster.listed, self._reaches_store)
+            dials = MembershipHooks(self._dial, self._hang_up, lambda name: None)
+            self.membership = MembershipDriver(vm, vm_list, self._time, rng, dials)
+
+    @property
+    def region(self) -> str:
+        """Return the region of the VM."""
+        return self.vm.failure_domain.region
+
+    def start(self) -> None:
+        """Start the process."""
+        self.follower.start()
+        if self.membership is not None:
+            self.membership.start()
+
+    def kill(self) -> None:
+        """End the process without a word to its peers."""
+        self.alive = False
+        self.follower.close()
+        if self.membership is not None:
+            self.membership.close()
+        for peer in list(self.sessions.values()):
+            self._time.call_later(_SESSION.silence, lambda peer=peer: peer.lose(self))
+
+    def lose(self, peer: "ScaleProcess") -> None:
+        """Give up the session to a silent peer."""
+        if self.sessions.get(peer.vm.name) is not peer:
+            return
+        del self.sessions[peer.vm.name]
+        if not self.alive:
+            return
+        self.follower.peer_lost(peer.vm.name)
+        if self.membership is not None:
+            self.membership.session_lost(peer.vm.name)
+
+    def reaches(self, peer: "ScaleProcess") -> bool:
+        """Say whether a packet to `peer` would arrive."""
+        return peer.alive and self._cluster.links.joined(self.region, peer.region)
+
+    def _reaches_store(self) -> bool:
+        return self._cluster.links.joined(self.region, self._cluster.store_region)
+
+    def _dial(self, vm: Vm) -> None:
+        peer = self._cluster.processes.get(vm.name)
+        if peer is None or not self.reaches(peer):
+            self._time.call_later(DIAL_TIMEOUT_SECONDS, lambda: self._dial_failed(vm.name))
+            return
+        self._time.call_later(2 * self._delay(peer), lambda: self._dialed(peer))
+
+    def _dial_failed(self, name: str) -> None:
+        if self.alive and self.membership is not None:
+            self.membership.session_lost(name)
+
+    def _dialed(self, peer: "ScaleProcess") -> None:
+        if not self.alive or not self.reaches(peer):
+            self._dial_failed(peer.vm.name)
+            return
+        self.sessions[peer.vm.name] = peer
+        peer.sessions[self.vm.name] = self
+        for one, other in ((self, peer), (peer, self)):
+            one.follower.peer_up(other.vm.name)
+            one.beat(other)
+        if self.membership is not None:
+            self.membership.session_up(peer.vm.name)
+
+    def _hang_up(self, name: str) -> None:
+        peer = self.sessions.get(name)
+        if peer is not None:
+            self.lose(peer)
+            self._time.call_later(self._delay(peer), lambda: peer.lose(self))
+
+    def beat(self, peer: "ScaleProcess") -> None:
+        """Send a heartbeat ahead of its time."""
+        if self.follower.revision >= 0:
+            self._send(peer.vm.name, Heartbeat(0, self.follower.revision))
+
+    def _announce(self, revision: int) -> None:
+        for peer in list(self.sessions.values()):
+            self.beat(peer)
+
+    def _send(self, name: str, message: Message) -> None:
+        peer = self.sessions.get(name)
+        if peer is None:
+            return
+        size = message_bytes(message)
+        self.bytes += size
+        if self.reaches(peer):
+            peer.bytes += size
+            self._time.call_later(self._delay(peer), lambda: peer.receive(self, message))
+
+    def receive(self, peer: "ScaleProcess", message: Message) -> None:
+        """Take a message from a session."""
+        if not self.alive or self.sessions.get(peer.vm.name) is not peer:
+            return
+        if isinstance(message, Heartbeat):
+            self.follower.peer_revision(peer.vm.name, message.revision)
+        else:
+            self.follower.message(peer.vm.name, message)
+
+    def _installed(self, catalogue: Catalogue) -> None:
+        self.installations.append(Installation(self._time.now(), catalogue.revision))
+        if self.membership is not None:
+            self.membership.catalogue_installed(catalogue)
+
+    def _report_ready(self) -> None:
+        self.ready_at = self._time.now()
+        self.ready_revision = self.follower.revision
+
+    def _delay(self, peer: "ScaleProcess") -> float:
+        return LOCAL_DELAY_SECONDS if peer.region == self.region else REMOTE_DELAY_SECONDS
+
+
+class ScaleCluster:
+    """All processes, the store and the list of VMs."""
+
+    def __init__(
+        self,
+        time: VirtualTime,
+        rng: Random,
+        service: StoreService,
+        vms: tuple[Vm, ...],
+        listed: Callable[[], tuple[Vm, ...]],
+    ) -> None:
+        """Build a process for each VM; `listed` is what the platform's list shows."""
+        self.time = time
+        self.service = service
+        self.listed = listed
+        self.links = Links()
+        self.store_region = vms[0].failure_domain.region
+        self.ended: list[ScaleProcess] = []
+        self._rng = rng
+        self.processes = {vm.name: self._process(vm) for vm in vms}
+
+    def start(self) -> None:
+        """Start every process at once."""
+        for process in self.processes.values():
+            process.start()
+
+    def live(self) -> list[ScaleProcess]:
+        """Return the processes that run."""
+        return [each for each in self.processes.values() if each.alive]
+
+    def kill(self, doomed: list[ScaleProcess]) -> None:
+        """End processes at once."""
+        for process in doomed:
+            process.kill()
+            self.ended.append(process)
+
+    def restart(self, ended: list[ScaleProcess]) -> None:
+        """Start new processes on the VMs of ended ones."""
+        for process in ended:
+            fresh = self._process(process.vm)
+            self.processes[process.vm.name] = fresh
+            fresh.start()
+
+    def split(self, first: str, second: str) -> None:
+        """Cut two regions off from each other."""
+        self.links.cut.add(frozenset((first, second)))
+        for process in self.live():
+            for peer in list(process.sessions.values()):
+                if not process.reaches(peer):
+                    self.time.call_later(
+                        _SESSION.silence, lambda one=process, other=peer: _give_up(one, other)
+                    )
+
+    def join(self) -> None:
+        """Let all regions reach each other."""
+        self.links.cut.clear()
+
+    def session_counts(self) -> Counter[VmRole]:
+        """Return the largest number of sessions of a process of each role."""
+        counts: Counter[VmRole] = Counter()
+        for process in self.live():
+            counts[process.vm.role] = max(counts[process.vm.role], len(process.sessions))
+        return counts
+
+    def _process(self, vm: Vm) -> ScaleProcess:
+        return ScaleProcess(self, vm, Random(self._rng.random()))
+
+
+def _give_up(process: ScaleProcess, peer: ScaleProcess) -> None:
+    if not process.reaches(peer):
+        process.lose(peer)
--- /dev/null
+++ b/pumicedeck/scale_worlds.py
@@ -0,0 +1,163 @@
+"""A whole deployment in virtual time with an operator who edits the catalogue."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from result import Err, Ok, Result
+
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_entries import CatalogueEntry, Pool, RequestClass
+from pumicedeck.catalogue_rows import RowValue, StoredCatalogue
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.edits import EditAccepted, make_edit, new_change_id
+from pumicedeck.experiment_stores import (
+    ExperimentObjectStore,
+    ExperimentTableStore,
+    StoreFaults,
+    StoreService,
+)
+from pumicedeck.results import Failure
+from pumicedeck.scale_processes import ScaleCluster, ScaleProcess
+from pumicedeck.world import (
+    Address,
+    Endpoint,
+    EndpointKind,
+    FailureDomain,
+    Vm,
+    VmRole,
+)
+
+REGIONS = ("south", "north")
+FAILURE_DOMAINS = 6
+AGENTS_PER_POOL = 50
+ENTRIES_PER_POOL = 10
+FIRST_PORT = 7000
+EDIT_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ScaleSize:
+    """How many entry VMs and agents a deployment has."""
+
+    entries: int
+    agents: int
+
+    @property
+    def pools(self) -> int:
+        """Return how many pools the agents make up."""
+        return max(2, self.agents // AGENTS_PER_POOL)
+
+    @property
+    def processes(self) -> int:
+        """Return how many processes run."""
+        return self.entries + self.agents
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """A change that the operator was told is accepted at `time`."""
+
+    revision: int
+    time: float
+
+
+def vms_of(size: ScaleSize) -> tuple[Vm, ...]:
+    """Return the VMs of a deployment, spread evenly over the failure domains."""
+    domains = [
+        FailureDomain(f"{REGIONS[index % 2]}-{index}", REGIONS[index % 2])
+        for index in range(FAILURE_DOMAINS)
+    ]
+    vms = []
+    for index in range(size.entries):
+        address = Address(f"10.0.{index // 250}.{index % 250}", FIRST_PORT)
+        domain = domains[index % FAILURE_DOMAINS]
+        vms.append(Vm(f"entry-{index:04d}", VmRole.ENTRY, domain, address))
+    for index in range(size.agents):
+        address = Address(f"10.1.{index // 250}.{index % 250}", FIRST_PORT)
+        endpoint = Endpoint(f"e{index}", f"pool-{index % size.pools}", EndpointKind.MODEL)
+        domain = domains[index // size.pools % FAILURE_DOMAINS]
+        name = f"agent-{index:04d}"
+        vms.append(Vm(name, VmRole.AGENT, domain, address, endpoint=endpoint))
+    return tuple(vms)
+
+
+def first_rows(size: ScaleSize) -> tuple[RowValue, ...]:
+    """Return the pools and entries of a deployment."""
+    pools = [
+        Pool(f"pool-{index}", EndpointKind.MODEL, models=("base",)) for index in range(size.pools)
+    ]
+    entries = [
+        CatalogueEntry(
+            f"entry-{index}",
+            f"firm-{index % size.pools}",
+            RequestClass.INTERACTIVE,
+            (f"pool-{index % size.pools}",),
+            model="base",
+        )
+        for index in range(ENTRIES_PER_POOL * size.pools)
+    ]
+    return (*pools, *entries)
+
+
+class ScaleWorld:
+    """A cluster, its store and an operator."""
+
+    def __init__(self, size: ScaleSize, seed: int) -> None:
+        """Build the deployment with all processes down."""
+        self.size = size
+        self.time = VirtualTime()
+        self.rng = Random(seed)
+        self.service = StoreService(self.time, self.rng, StoreFaults())
+        self.vms = vms_of(size)
+        self.commits: list[Commit] = []
+        table = ExperimentTableStore(self.service)
+        objects = ExperimentObjectStore(self.service)
+        self._editor = CatalogueEditor(table, objects, self.time, self.rng)
+        self._edits = 0
+        self._submit(first_rows(size))
+        self.run(5.0)
+        self.cluster = ScaleCluster(self.time, self.rng, self.service, self.vms, lambda: self.vms)
+
+    @property
+    def head(self) -> int:
+        """Return the newest accepted revision."""
+        return self.commits[-1].revision
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.time.run_until(self.time.now() + seconds)
+
+    def run_with_edits(self, seconds: float, every: float) -> None:
+        """Let virtual time pass while the operator edits every so often."""
+        end = self.time.now() + seconds
+        while self.time.now() + every <= end:
+            self.edit()
+            self.run(every)
+        self.run(max(0.0, end - self.time.now()))
+
+    def edit(self) -> None:
+        """Change one entry of the catalogue."""
+        entries = [each for each in first_rows(self.size) if isinstance(each, CatalogueEntry)]
+        entry = self.rng.choice(entries)
+        concurrency = self.rng.randrange(1, 100_000)
+        self._submit((replace(entry, limits=replace(entry.limits, concurrency=concurrency)),))
+
+    def _submit(self, puts: tuple[RowValue, ...]) -> None:
+        def read(result: Result[StoredCatalogue, Failure]) -> None:
+            if isinstance(result, Err):
+                self.time.call_later(EDIT_RETRY_SECONDS, lambda: self._submit(puts))
+                return
+            self._edits += 1
+            change_id = new_change_id(result.ok_value.revision, f"{self._edits:08d}")
+            edit = make_edit(result.ok_value, change_id, "operator", "", puts)
+            self._editor.submit(edit, accepted)
+
+        def accepted(answer: Result[EditAccepted, Failure]) -> None:
+            if isinstance(answer, Ok):
+                self.commits.append(Commit(answer.ok_value.revision, self.time.now()))
+
+        self._editor.read(read)
+
+    def processes(self) -> list[ScaleProcess]:
+        """Return all runs of processes, ended ones too."""
+        return [*self.cluster.ended, *self.cluster.processes.values()]
