Let agents order the swaps of their engines

Cause: after new weights every draft was over its bound and drawn again without end (553 drafts executed for 32 delivered). Change: the weight follower runs in each agent beside an engine, with its place among its like, the catalogue's fencing flag, and the drafts under way.

--- a/pumicedeck/agent_daemons.py
+++ b/pumicedeck/agent_daemons.py
@@ -13,6 +13,7 @@
 from pumicedeck.catalogue_followers import CatalogueFollower
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.endpoint_watches import EndpointWatch
+from pumicedeck.engine_weights import EngineWeights
 from pumicedeck.executions import Executions
 from pumicedeck.handshakes import Hello
 from pumicedeck.messages import (
@@ -26,8 +27,8 @@
 )
 from pumicedeck.peers import Peers
 from pumicedeck.results import Failure
+from pumicedeck.swaps import RunningDraft
 from pumicedeck.wakeups import Wakeup
-from pumicedeck.weight_feeds import WeightFeed
 
 _log = logger.bind(module="agent")
 
@@ -56,7 +57,7 @@
         self._executions: Executions | None = None
         self._follower: CatalogueFollower | None = None
         self._watch: EndpointWatch | None = None
-        self._weights: WeightFeed | None = None
+        self._weights: EngineWeights | None = None
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
 
     @property
@@ -69,6 +70,11 @@
         """Return the request state machine."""
         return self._requests
 
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the catalogue in force, an empty one at first."""
+        return self._follower.catalogue or Catalogue()
+
     @property
     def revision(self) -> int:
         """Return the catalogue revision in force, -1 if none."""
@@ -84,7 +90,7 @@
         executions: Executions,
         follower: CatalogueFollower,
         watch: EndpointWatch,
-        weights: WeightFeed | None,
+        weights: EngineWeights | None,
     ) -> None:
         """Complete the wiring; `weights` is None beside a plain service."""
         self._executions = executions
@@ -120,6 +126,10 @@
             self._weights.configure(catalogue)
         self._perform(self._requests.configure(self._timers.now(), catalogue))
 
+    def running_drafts(self) -> list[RunningDraft]:
+        """Return the drafts under way at the engine."""
+        return self._executions.running_drafts(self.catalogue)
+
     def announce(self, revision: int) -> None:
         """Tell every entry at once which catalogue revision is in force here."""
         self._peers.send_to_all(self.heartbeat())
--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -16,6 +16,7 @@
 
 app = typer.Typer(
     help="A rollout service for reinforcement learning: daemons and the operators' client.",
+    pretty_exceptions_enable=False,
     no_args_is_help=True,
 )
 app.add_typer(catalogue_app, name="catalogue")
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -13,7 +13,6 @@
 from pumicedeck.agent_dialers import AgentDialer
 from pumicedeck.agent_requests import AgentRequests
 from pumicedeck.agent_selections import SelectionSettings
-from pumicedeck.attributions import Attributions
 from pumicedeck.caller_api import CallerApi
 from pumicedeck.catalogue_editors import CatalogueEditor
 from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
@@ -23,6 +22,7 @@
 from pumicedeck.draw_sessions import DrawSessions
 from pumicedeck.draws import DrawCoordinator
 from pumicedeck.endpoint_watches import EngineWatch, ServiceWatch
+from pumicedeck.engine_weights import EngineWeights
 from pumicedeck.entry_daemons import EntryDaemon, EntryParts
 from pumicedeck.entry_requests import EntryRequests
 from pumicedeck.executions import EngineExecutions, ServiceExecutions
@@ -38,7 +38,6 @@
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
 from pumicedeck.platforms import (
-    EngineState,
     ModelEngine,
     ObjectStore,
     PlainService,
@@ -52,7 +51,9 @@
 from pumicedeck.routers import ROUTERS
 from pumicedeck.sessions import SessionSettings
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
+from pumicedeck.swaps import SwapSettings
 from pumicedeck.tokens import TokenChecker
+from pumicedeck.weight_followers import FollowerPorts, FollowerSettings, WeightFollower
 from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, Vm, VmRole
 
 
@@ -196,16 +197,13 @@
         FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
     )
     if isinstance(endpoint, ModelEngine):
-        attributions = Attributions()
-        executions = EngineExecutions(incarnation, daemon, endpoint, attributions, host.timers)
-        watch = EngineWatch(
-            host.timers, daemon.drain, endpoint, lambda state: _observe(attributions, host, state)
-        )
-        weights = None
+        weights = _engine_weights(settings, incarnation, host, platform, endpoint, daemon, rng)
+        executions = EngineExecutions(incarnation, daemon, endpoint, weights.follower, host.timers)
+        watch = EngineWatch(host.timers, daemon.drain, endpoint)
     else:
+        weights = None
         executions = ServiceExecutions(incarnation, daemon, endpoint)
         watch = ServiceWatch(host.timers, daemon.drain, endpoint)
-        weights = None
     daemon.bind(executions, follower, watch, weights)
     operators = _serve_operators(
         settings, host, AgentStatus(incarnation, daemon, connections), None, None
@@ -213,10 +211,33 @@
     return Running(daemon.start, daemon.drain, daemon.close, None, operators, connections, daemon)
 
 
-def _observe(attributions: Attributions, host: Host, state: EngineState) -> None:
-    now = host.timers.now()
-    for loaded in state.models:
-        attributions.record(now, loaded.model).reported(now, loaded.version)
+def _engine_weights(
+    settings: AgentSettings,
+    incarnation: str,
+    host: Host,
+    platform: Platform,
+    engine: ModelEngine,
+    daemon: AgentDaemon,
+    rng: Random,
+) -> EngineWeights:
+    follower = WeightFollower(
+        settings.endpoint.name,
+        incarnation,
+        FollowerPorts(host.timers, platform.table, platform.weights, engine),
+        False,
+        rng,
+        FollowerSettings(swaps=SwapSettings(store_rate=float(settings.platform.weight_store.rate))),
+        daemon.running_drafts,
+    )
+    return EngineWeights(
+        settings.vm,
+        settings.region,
+        settings.endpoint.pool,
+        follower,
+        platform.vms,
+        host.timers,
+        rng,
+    )
 
 
 def _serve_operators(settings, host, status, editor, tokens) -> HttpServer:
--- a/pumicedeck/endpoint_watches.py
+++ b/pumicedeck/endpoint_watches.py
@@ -64,17 +64,13 @@
         timers: TimerQueue,
         leaving: Callable[[], None],
         engine: ModelEngine,
-        observed: Callable[[EngineState], None],
     ) -> None:
-        """Ask `engine` for its state and pass each answer to `observed`."""
+        """Ask `engine` for its state."""
         super().__init__(timers, leaving)
         self._engine = engine
-        self._observed = observed
 
     def _ask(self, number: int) -> None:
         def answered(state: Result[EngineState, Failure]) -> None:
-            if isinstance(state, Ok):
-                self._observed(state.ok_value)
             self._answered(number, isinstance(state, Ok) and state.ok_value.leaving)
 
         self._engine.state(answered)
--- a/pumicedeck/executions.py
+++ b/pumicedeck/executions.py
@@ -7,7 +7,8 @@
 from result import Err, Ok, Result
 
 from pumicedeck.attempts import ExecutionEnd
-from pumicedeck.attributions import Attribution, Attributions
+from pumicedeck.attributions import Attribution
+from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.messages import AttemptId, Dispatch
 from pumicedeck.platforms import (
@@ -20,6 +21,8 @@
     TokenChunk,
 )
 from pumicedeck.results import Execution, Failure, ResultCode
+from pumicedeck.swaps import RunningDraft
+from pumicedeck.weight_followers import WeightFollower
 
 
 class ExecutionListener(Protocol):
@@ -52,6 +55,10 @@
     def cancel(self, attempt: AttemptId) -> None:
         """Cancel an execution where the endpoint can."""
 
+    def running_drafts(self, catalogue: Catalogue) -> list[RunningDraft]:
+        """Return the drafts under way; none at a plain service."""
+        return []
+
     def _handle(self, attempt: AttemptId) -> str:
         return f"{self._incarnation}:{attempt.entry}:{attempt.sequence}"
 
@@ -87,8 +94,17 @@
     """A generation under way; `output` is what the engine produced so far."""
 
     dispatch: Dispatch
+    started: float
     output: bytearray = field(default_factory=bytearray)
     resumes: int = 0
+    tokens: int = 0
+    oldest_version: int = -1
+
+    def saw(self, chunk: TokenChunk) -> None:
+        """Count the tokens of a chunk and remember the oldest version among them."""
+        self.tokens = chunk.tokens + (self.tokens if chunk.offset else 0)
+        if chunk.versions and (self.oldest_version < 0 or not chunk.offset):
+            self.oldest_version = min(chunk.versions)
 
 
 class EngineExecutions(Executions):
@@ -104,13 +120,14 @@
         incarnation: str,
         listener: ExecutionListener,
         engine: ModelEngine,
-        attributions: Attributions,
+        weights: WeightFollower,
         timers: TimerQueue,
     ) -> None:
-        """Generate with `engine`; `attributions` names the versions of drafts."""
+        """Generate with `engine`; the attributions of `weights` name the versions of drafts."""
         super().__init__(incarnation, listener)
         self._engine = engine
-        self._attributions = attributions
+        self._weights = weights
+        self._attributions = weights.attributions
         self._timers = timers
         self._running: dict[AttemptId, _Generation] = {}
 
@@ -118,18 +135,36 @@
         """Start the generation, unless a draft could not be attributed."""
         attempt = dispatch.attempt
         if dispatch.draft is not None:
-            admitted = self._attributions.admit(self._timers.now(), dispatch.model)
+            admitted = self._weights.admit(dispatch.model)
             if isinstance(admitted, Err):
                 self._listener.execution_finished(attempt, admitted)
                 return
-            self._attributions.started(self._timers.now(), attempt, dispatch.model)
-        self._running[attempt] = _Generation(dispatch)
+            handle = self._handle(attempt)
+            self._attributions.started(self._timers.now(), handle, dispatch.model)
+        self._running[attempt] = _Generation(dispatch, self._timers.now())
         self._generate(dispatch, 0)
 
     def cancel(self, attempt: AttemptId) -> None:
         """Stop the generation."""
         self._engine.cancel(self._handle(attempt))
 
+    def running_drafts(self, catalogue: Catalogue) -> list[RunningDraft]:
+        """Return the drafts under way, whose owners' weights steer a swap."""
+        now = self._timers.now()
+        drafts = []
+        for running in self._running.values():
+            entry = catalogue.entry(running.dispatch.entry_name)
+            if running.dispatch.draft is None or entry is None:
+                continue
+            elapsed = now - running.started
+            left = max(0, running.dispatch.expected_tokens - running.tokens)
+            remaining = elapsed * left / running.tokens if running.tokens else elapsed
+            version = running.oldest_version
+            if version < 0:
+                version = self._weights.version(entry.model)
+            drafts.append(RunningDraft(entry, elapsed, remaining, version))
+        return drafts
+
     def _generate(self, dispatch: Dispatch, resume_offset: int) -> None:
         attempt = dispatch.attempt
         generation = Generation(
@@ -164,7 +199,8 @@
         del running.output[chunk.offset :]
         running.output += chunk.data
         if running.dispatch.draft is not None:
-            self._attributions.chunk(attempt, chunk)
+            self._attributions.chunk(self._handle(attempt), chunk)
+            running.saw(chunk)
         if running.dispatch.streamed:
             self._listener.execution_chunk(attempt, chunk.data[repeated:], chunk.tokens)
 
@@ -184,7 +220,8 @@
             return
         attribution = Attribution(())
         if running.dispatch.draft is not None:
-            named = self._attributions.finished(self._timers.now(), attempt, end.tokens)
+            handle = self._handle(attempt)
+            named = self._attributions.finished(self._timers.now(), handle, end.tokens)
             if isinstance(named, Err):
                 self._fail(attempt, named.err_value.detail)
                 return
@@ -209,7 +246,7 @@
             self._generate(running.dispatch, len(running.output))
             return
         del self._running[attempt]
-        self._attributions.dropped(attempt)
+        self._attributions.dropped(self._handle(attempt))
         started = len(running.output) > 0 or running.resumes > 0
         if started and failure.execution is Execution.NOT_RUN:
             failure = Failure(ResultCode.ENDPOINT_FAILED, failure.detail)
@@ -217,7 +254,7 @@
 
     def _fail(self, attempt: AttemptId, detail: str) -> None:
         del self._running[attempt]
-        self._attributions.dropped(attempt)
+        self._attributions.dropped(self._handle(attempt))
         self._engine.cancel(self._handle(attempt))
         failure = Failure(ResultCode.ENDPOINT_FAILED, detail)
         self._listener.execution_finished(attempt, Err(failure))
--- a/pumicedeck/orders.py
+++ b/pumicedeck/orders.py
@@ -111,6 +111,10 @@
         """Tell whether the effect of an order is not known."""
         return self._sent is not None and self._sent.lost
 
+    def fence(self, checks_fencing: bool) -> None:
+        """Take in from the catalogue whether the engine refuses old numbers."""
+        self._checks_fencing = checks_fencing
+
     def submit(self, now: float, order: EngineOrder) -> list[OrderAction]:
         """Queue an order; a newer version of a model replaces a waiting older one."""
         self._queue = [each for each in self._queue if not _replaces(order, each.order)]
--- a/pumicedeck/weight_followers.py
+++ b/pumicedeck/weight_followers.py
@@ -174,6 +174,10 @@
         """Take in this agent's rank among those of its region that swap the same models."""
         self._place = place
 
+    def fence(self, checks_fencing: bool) -> None:
+        """Take in from the catalogue whether the engine refuses old numbers."""
+        self._desk.fence(checks_fencing)
+
     def close(self) -> None:
         """Stop polling and give the lease up."""
         self._closed = True
