Show the change of others for a fresh change id and apply a firm's rows alone

Cause: the client makes its change id from the newest revision, so a refused edit showed only the row and not who changed it; and a file that held only a new firm's entries failed because its pools were not in the same file.

Change: the conflict reads the log from the last change of each row in question; parse_fragment parses rows that make up no whole catalogue, and the client uses it, while the editor still checks the merged whole. row_document stands once for rows, copies and diffs.

Conclusion: a firm joins by a file with its own entries.

--- a/pumicedeck/catalogue_commands.py
+++ b/pumicedeck/catalogue_commands.py
@@ -11,7 +11,7 @@
 import typer
 from result import Err, Ok, Result
 
-from pumicedeck.catalogue_documents import parse_catalogue, render_yaml
+from pumicedeck.catalogue_documents import parse_catalogue, parse_fragment, render_yaml
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.catalogue_rows import RowKind, RowName
 from pumicedeck.cli_outputs import JsonOption, TokenOption, UrlOption, finish, print_table
@@ -145,7 +145,7 @@
     except (OSError, UnicodeDecodeError) as error:
         return Err(Failure(ResultCode.BAD_CATALOGUE, f"{file}: {error}"))
     names = _row_names(deletes)
-    wanted = parse_catalogue(text)
+    wanted = parse_fragment(text)
     stored = client.get("/v1/catalogue")
     for outcome in (names, wanted, stored):
         if isinstance(outcome, Err):
--- a/pumicedeck/catalogue_diffs.py
+++ b/pumicedeck/catalogue_diffs.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from pumicedeck.catalogue_documents import entry_document, pool_document
-from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry
+from pumicedeck.catalogue_documents import row_document
+from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.catalogue_rows import (
     CatalogueChange,
     RowChange,
@@ -52,7 +52,7 @@
     elif row.after is None and row.before is not None:
         yield f"- {path}: {_shown(row.before)}"
     elif row.before is not None and row.after is not None:
-        yield from _key_lines(path, _document(row.before), _document(row.after))
+        yield from _key_lines(path, row_document(row.before), row_document(row.after))
 
 
 def _key_lines(path: str, before: Any, after: Any) -> Iterator[str]:
@@ -65,11 +65,5 @@
         yield from _key_lines(f"{path}.{key}", before.get(key), after.get(key))
 
 
-def _document(value: RowValue) -> dict[str, Any]:
-    if isinstance(value, CatalogueEntry):
-        return entry_document(value)
-    return pool_document(value)
-
-
 def _shown(value: RowValue) -> str:
-    return ", ".join(f"{key}={each}" for key, each in _document(value).items())
+    return ", ".join(f"{key}={each}" for key, each in row_document(value).items())
--- a/pumicedeck/catalogue_documents.py
+++ b/pumicedeck/catalogue_documents.py
@@ -115,10 +115,14 @@
 
 def parse_catalogue(text: str | bytes, revision: int = 0) -> Result[Catalogue, Failure]:
     """Parse and check a whole catalogue document in JSON or YAML."""
-    parsed = _load(text)
-    if isinstance(parsed, Err):
-        return parsed
-    checked = _validate(CatalogueDocument, parsed.ok_value, "")
+    parsed = parse_fragment(text, revision)
+    problems = parsed.map(check_catalogue).unwrap_or([])
+    return Err(failure_of(problems)) if problems else parsed
+
+
+def parse_fragment(text: str | bytes, revision: int = 0) -> Result[Catalogue, Failure]:
+    """Parse entries and pools that need not make up a whole catalogue."""
+    checked = _load(text).and_then(lambda data: _validate(CatalogueDocument, data, ""))
     if isinstance(checked, Err):
         return checked
     document = checked.ok_value
@@ -129,13 +133,9 @@
     ]
     if misplaced:
         return Err(failure_of(misplaced))
-    catalogue = Catalogue(
-        revision,
-        tuple(_entry_of(name, each) for name, each in sorted(document.entries.items())),
-        tuple(_pool_of(name, each) for name, each in sorted(document.pools.items())),
-    )
-    problems = check_catalogue(catalogue)
-    return Err(failure_of(problems)) if problems else Ok(catalogue)
+    entries = tuple(_entry_of(name, each) for name, each in sorted(document.entries.items()))
+    pools = tuple(_pool_of(name, each) for name, each in sorted(document.pools.items()))
+    return Ok(Catalogue(revision, entries, pools))
 
 
 def parse_entry(name: str, text: str | bytes) -> Result[CatalogueEntry, Failure]:
@@ -175,6 +175,13 @@
     return json.loads(json.dumps(document))
 
 
+def row_document(value: CatalogueEntry | Pool) -> dict[str, Any]:
+    """Return the plain document of an entry or pool, without its name."""
+    if isinstance(value, CatalogueEntry):
+        return entry_document(value)
+    return pool_document(value)
+
+
 def catalogue_document(catalogue: Catalogue) -> dict[str, Any]:
     """Return the plain document of a whole catalogue."""
     return {
--- a/pumicedeck/catalogue_editors.py
+++ b/pumicedeck/catalogue_editors.py
@@ -272,7 +272,9 @@
         done(Err(conflict_failure(stored, names, changes)))
 
     base = base_revision(edit.change_id).unwrap_or(0)
-    store.read_changes(base, stored.revision, shown)
+    rows = [row for name in names if (row := stored.row(name))]
+    since = min([base, *(row.revision - 1 for row in rows)])
+    store.read_changes(since, stored.revision, shown)
 
 
 def _record_key(change_id: str) -> StoreKey:
--- a/pumicedeck/catalogue_rows.py
+++ b/pumicedeck/catalogue_rows.py
@@ -13,12 +13,11 @@
 from pumicedeck.catalogue_documents import (
     MAX_DOCUMENT_BYTES,
     catalogue_document,
-    entry_document,
     parse_catalogue,
     parse_entry,
     parse_pool,
-    pool_document,
     render_json,
+    row_document,
 )
 from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool
 from pumicedeck.results import Failure, ResultCode
@@ -158,7 +157,7 @@
 
 def encode_row(row: CatalogueRow) -> bytes:
     """Encode an entry or pool row."""
-    document = {"revision": row.revision, "document": _value_document(row.value)}
+    document = {"revision": row.revision, "document": row_document(row.value)}
     return render_json(document).encode()
 
 
@@ -172,8 +171,8 @@
     rows = [
         {
             "key": row.name.key,
-            "before": None if row.before is None else _value_document(row.before),
-            "after": None if row.after is None else _value_document(row.after),
+            "before": None if row.before is None else row_document(row.before),
+            "after": None if row.after is None else row_document(row.after),
         }
         for row in change.rows
     ]
@@ -213,12 +212,6 @@
     return parse_catalogue(text, revision)
 
 
-def _value_document(value: RowValue) -> dict[str, Any]:
-    if isinstance(value, CatalogueEntry):
-        return entry_document(value)
-    return pool_document(value)
-
-
 def _name_of_key(key: str) -> RowName:
     kind, _, name = key.partition("/")
     return RowName(RowKind(kind), name)
--- a/pumicedeck/tests/test_catalogue_documents.py
+++ b/pumicedeck/tests/test_catalogue_documents.py
@@ -5,6 +5,7 @@
 from pumicedeck.catalogue_documents import (
     catalogue_document,
     parse_catalogue,
+    parse_fragment,
     render_json,
     render_yaml,
 )
@@ -86,6 +87,13 @@
     assert expected in line
 
 
+def test_a_fragment_may_name_pools_that_it_does_not_hold() -> None:
+    entries = "entries:" + GOOD.partition("entries:")[2]
+    assert len(parse_fragment(entries).unwrap().entries) == 2
+    assert "a pool of the catalogue" in parse_catalogue(entries).unwrap_err().detail
+    assert parse_fragment(entries.replace("2", "-2")).is_err()
+
+
 def test_a_firm_with_too_small_a_share_is_refused() -> None:
     entries = GOOD.replace("idempotent: false", "idempotent: false\n    share: 0.01")
     entries = entries.replace("staleness_bound: 2", "share: 0.01")
--- a/pumicedeck/tests/test_edits.py
+++ b/pumicedeck/tests/test_edits.py
@@ -79,8 +79,13 @@
     desk.submit(TOOLS, CHECK)
     late = desk.edit(replace(CHECK, share=3.0))
     desk.submit(replace(CHECK, share=2.0))
-    for method in (desk.editor.submit, desk.editor.dry_run):
-        failure = desk.call(method, late).unwrap_err()
+    fresh = replace(late, change_id=new_change_id(2, "f" * 8))
+    for method, edit in (
+        (desk.editor.submit, late),
+        (desk.editor.dry_run, late),
+        (desk.editor.submit, fresh),
+    ):
+        failure = desk.call(method, edit).unwrap_err()
         assert failure.code is ResultCode.EDIT_CONFLICT
         assert "entries.check.share: 1.0 -> 2.0" in failure.detail
 
