--- a/pumicedeck/tests/test_http_guards.py
+++ b/pumicedeck/tests/test_http_guards.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from dataclasses import replace
 
 import pytest
 
@@ -128,6 +129,23 @@
     assert not bench.is_closed(sock)
 
 
+TARGETS = {
+    200: "/ /a /a/ /a%20b /a+b /a~b(c)!*' /a:b@c /a|b /%E4%B8%AD /%e4%b8%ad /a?b=%zz /a?b=../c;d",
+    400: "//x /a//b /a/../b /a/./b /a/.. /. /%2e%2e/x /a%2Fb /a;p=1 /a%ffb /a#b * a http://h/a",
+}
+
+
+@pytest.mark.parametrize(
+    "target, status", [(item, code) for code, items in TARGETS.items() for item in items.split()]
+)
+def test_target_with_more_than_one_reading_is_refused_as_json(bench, target, status):
+    answer = bench.exchange(post(b"abc").replace(b"/a", target.encode()))
+    assert int(answer.split()[1]) == status
+    assert answer.endswith(b"<abc>") == (status == 200)
+    if status == 400:
+        assert error(answer)[1]["code"] == int(ResultCode.BAD_REQUEST)
+
+
 REFUSED = {
     "length and transfer coding": (
         HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -253,6 +271,26 @@
     assert bench.guards[0].open_connections == 0
 
 
+def test_connections_are_bounded_and_places_come_back(bench):
+    bench.guards[0]._settings = replace(SETTINGS, connections=2)
+    socks = [bench.connect() for _ in range(3)]
+    status, document = error(received(socks[2]))
+    assert (status, document["code"]) == (503, int(ResultCode.OVERLOADED))
+    assert bench.is_closed(socks[2])
+    socks[0].close()
+    bench.loop.settle()
+    assert bench.exchange(post(b"abc")).endswith(b"<abc>")
+
+
+def test_kernel_watches_callers_connections(bench):
+    bench.holding = True
+    bench.exchange(post(b"abc"))
+    sock = bench.held[0].sock
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+    timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert timeout == 1000 * SETTINGS.acknowledge_seconds
+
+
 def test_caller_that_leaves_half_way_leaves_nothing_behind(bench):
     sock = bench.connect()
     bench.exchange(post(b"abc")[:-1], sock=sock)
