--- a/pumicedeck/catalogue_checks.py
+++ b/pumicedeck/catalogue_checks.py
@@ -106,15 +106,14 @@
 
 
 def _check_shares(catalogue: Catalogue) -> Iterator[Problem]:
-    shares: dict[str, float] = {}
+    """Check firms against each other by their greatest share, and entries inside a firm."""
+    firms: dict[str, dict[str, float]] = {}
     for entry in catalogue.entries:
-        if shares.setdefault(entry.firm, entry.share) != entry.share:
+        firms.setdefault(entry.firm, {})[f"entry {entry.name!r}"] = entry.share
+    greatest = {f"firm {name!r}": max(shares.values()) for name, shares in firms.items()}
+    for shares in (greatest, *firms.values()):
+        smallest = min(shares, key=lambda name: shares[name], default="")
+        if shares and max(shares.values()) > MAX_SHARE_RATIO * shares[smallest]:
             yield Problem(
-                f"entries.{entry.name}.share",
-                f"the same share in all entries of firm {entry.firm!r}",
+                "entries", f"{smallest} to hold at least 1/{MAX_SHARE_RATIO:.0f} of any share"
             )
-    if shares and max(shares.values()) > MAX_SHARE_RATIO * min(shares.values()):
-        smallest = min(shares, key=lambda firm: shares[firm])
-        yield Problem(
-            "entries", f"firm {smallest!r} to hold at least 1/{MAX_SHARE_RATIO:.0f} of any share"
-        )
