Let no raising callback stall the stand-in engine

Cause: in the demo a consumer of an in-process engine raised in its callback; the batch then never began another step and could record a generation twice.

Change: chunks and ends are reported from timers of their own.

Figures: one test more, in which two callbacks raise and the other four generations end; it passes.

Conclusion: a fault of a consumer stays with that consumer.

--- a/pumicedeck/standin_engines.py
+++ b/pumicedeck/standin_engines.py
@@ -226,7 +226,8 @@
             return
         chunk = sequence.chunk(listener.offset, self._settings.reports_versions)
         listener.offset += len(chunk.data)
-        listener.chunk(chunk)
+        # A callback that raises must not stop the batch, so each has a timer of its own.
+        self._timers.call_later(0.0, lambda: listener.chunk(chunk))
         if listener.plan.fault is Fault.LOSE_REPLY:
             self._end_call(sequence.generation.handle, Err(_LOST))
 
@@ -257,7 +258,7 @@
     def _end_call(self, handle: str, outcome: Result[GenerationEnd, Failure]) -> None:
         listener = self._listeners.pop(handle, None)
         if listener is not None:
-            self._reply(listener.plan, listener.done, outcome)
+            self._timers.call_later(0.0, lambda: self._reply(listener.plan, listener.done, outcome))
 
     def _stop(self, handle: str, outcome: str) -> Sequence | None:
         sequence = self._sequences.pop(handle, None)
--- a/pumicedeck/tests/test_standin_engines.py
+++ b/pumicedeck/tests/test_standin_engines.py
@@ -205,3 +205,21 @@
     assert refused.outcome.unwrap_err().code is ResultCode.ENDPOINT_LEAVING
     assert refused.outcome.unwrap_err().proven_not_run
     assert call.outcome.is_ok()
+
+
+def test_raising_callback_stalls_nobody():
+    timers, standin = engine()
+    first = start(standin, "h1", body("a"))
+    first.chunk = first.done = lambda _: [][0]
+    generation = Generation("h1", "base", "/v1/generate", body("a"))
+    standin.generate(generation, first.chunk, first.done)
+    others = [start(standin, f"h{i}", body(f"p{i}")) for i in range(2, 6)]
+    raised = 0
+    for _ in range(20):
+        try:
+            timers.run_until(10.0)
+        except IndexError:
+            raised += 1
+    assert raised == 2
+    assert all(call.outcome.is_ok() for call in others)
+    assert len(standin.ledger) == 5
