--- a/pumicedeck/entry_requests.py
+++ b/pumicedeck/entry_requests.py
@@ -54,6 +54,7 @@
         self._attempts = RequestAttempts(self._pending, router, self._settings, self._counters)
         self._late_claims: OrderedDict[str, CallerRequest] = OrderedDict()
         self._leaving: set[str] = set()
+        self._agents: dict[str, str] = {}
         self._closed_at: float | None = None
         self._drained = False
 
@@ -134,10 +135,16 @@
     def session_up(
         self, now: float, agent: str, candidate: Candidate | None = None
     ) -> list[Action]:
-        """Take an agent into the choice and settle what was outstanding there."""
+        """Take an agent into the choice and settle what was outstanding there.
+
+        An older incarnation on the same VM is gone for good: there is one agent a VM.
+        """
+        vm = agent.partition("/")[0]
+        former = self._agents.get(vm, agent)
+        self._agents[vm] = agent
+        actions = self.agent_replaced(now, former) if former != agent else []
         if candidate and agent not in self._leaving:
             self._router.add(now, candidate)
-        actions: list[Action] = []
         for pending in self._pending.at_agent(agent):
             actions += self._attempts.resume(now, pending)
         return actions + self._attempts.cancel_orphans(agent)
@@ -153,6 +160,9 @@
         """Settle what was outstanding at an incarnation that is gone for good."""
         self._router.remove(now, agent)
         self._leaving.discard(agent)
+        vm = agent.partition("/")[0]
+        if self._agents.get(vm) == agent:
+            del self._agents[vm]
         actions: list[Action] = []
         for pending in self._pending.at_agent(agent):
             actions += self._attempts.outcome_unknown(now, pending, "the agent is gone")
