--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -12,7 +12,7 @@
 from pumicedeck.agent_daemons import AgentDaemon, AgentParts
 from pumicedeck.agent_dialers import AgentDialer
 from pumicedeck.agent_requests import AgentRequests
-from pumicedeck.attributions import Attributions
+from pumicedeck.agent_selections import SelectionSettings
 from pumicedeck.caller_api import CallerApi
 from pumicedeck.catalogue_editors import CatalogueEditor
 from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
@@ -22,6 +22,7 @@
 from pumicedeck.draw_sessions import DrawSessions
 from pumicedeck.draws import DrawCoordinator
 from pumicedeck.endpoint_watches import EngineWatch, ServiceWatch
+from pumicedeck.engine_weights import EngineWeights
 from pumicedeck.entry_daemons import EntryDaemon, EntryParts
 from pumicedeck.entry_requests import EntryRequests
 from pumicedeck.executions import EngineExecutions, ServiceExecutions
@@ -32,10 +33,11 @@
 from pumicedeck.http_messages import HttpClientSettings
 from pumicedeck.http_servers import HttpServer
 from pumicedeck.limiters import EntryLimiter
+from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
+from pumicedeck.memberships import MembershipSettings
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
 from pumicedeck.platforms import (
-    EngineState,
     ModelEngine,
     ObjectStore,
     PlainService,
@@ -49,9 +51,10 @@
 from pumicedeck.routers import ROUTERS
 from pumicedeck.sessions import SessionSettings
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
+from pumicedeck.swaps import SwapSettings
 from pumicedeck.tokens import TokenChecker
-from pumicedeck.vm_watches import VmWatch
-from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, VmRole
+from pumicedeck.weight_followers import FollowerPorts, FollowerSettings, WeightFollower
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, Vm, VmRole
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +86,8 @@
     operators: HttpServer
     connections: Connections
     daemon: EntryDaemon | AgentDaemon
+    editor: CatalogueEditor | None = None
+    histograms: Histograms | None = None
 
 
 def connect_platform(settings: ProcessSettings, host: Host) -> Platform:
@@ -192,38 +197,47 @@
         FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
     )
     if isinstance(endpoint, ModelEngine):
-        attributions = Attributions()
-        executions = EngineExecutions(incarnation, daemon, endpoint, attributions, host.timers)
-        watch = EngineWatch(
-            host.timers, daemon.drain, endpoint, lambda state: _observe(attributions, host, state)
-        )
-        weights = None
+        weights = _engine_weights(settings, incarnation, host, platform, endpoint, daemon, rng)
+        executions = EngineExecutions(incarnation, daemon, endpoint, weights.follower, host.timers)
+        watch = EngineWatch(host.timers, daemon.drain, endpoint)
     else:
+        weights = None
         executions = ServiceExecutions(incarnation, daemon, endpoint)
         watch = ServiceWatch(host.timers, daemon.drain, endpoint)
-        weights = None
     daemon.bind(executions, follower, watch, weights)
-    vm_watch = VmWatch(platform.vms, host.timers, rng)
-    vm_watch.on_leaving(settings.vm, daemon.drain)
     operators = _serve_operators(
         settings, host, AgentStatus(incarnation, daemon, connections), None, None
     )
+    return Running(daemon.start, daemon.drain, daemon.close, None, operators, connections, daemon)
 
-    def start() -> None:
-        daemon.start()
-        vm_watch.start()
 
-    def close() -> None:
-        vm_watch.close()
-        daemon.close()
-
-    return Running(start, daemon.drain, close, None, operators, connections, daemon)
-
-
-def _observe(attributions: Attributions, host: Host, state: EngineState) -> None:
-    now = host.timers.now()
-    for loaded in state.models:
-        attributions.record(now, loaded.model).reported(now, loaded.version)
+def _engine_weights(
+    settings: AgentSettings,
+    incarnation: str,
+    host: Host,
+    platform: Platform,
+    engine: ModelEngine,
+    daemon: AgentDaemon,
+    rng: Random,
+) -> EngineWeights:
+    follower = WeightFollower(
+        settings.endpoint.name,
+        incarnation,
+        FollowerPorts(host.timers, platform.table, platform.weights, engine),
+        False,
+        rng,
+        FollowerSettings(swaps=SwapSettings(store_rate=float(settings.platform.weight_store.rate))),
+        daemon.running_drafts,
+    )
+    return EngineWeights(
+        settings.vm,
+        settings.region,
+        settings.endpoint.pool,
+        follower,
+        platform.vms,
+        host.timers,
+        rng,
+    )
 
 
 def _serve_operators(settings, host, status, editor, tokens) -> HttpServer:
@@ -250,9 +264,11 @@
     )
     daemon = EntryDaemon(
         EntryParts(
+            settings.vm,
             incarnation,
             host.timers,
             requests,
+            router,
             limiter,
             histograms,
             stopped,
@@ -274,19 +290,24 @@
         rng,
         FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
     )
-    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, rng)
-    vm_watch = VmWatch(platform.vms, host.timers, rng)
+    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, daemon.outstanding)
+    membership = MembershipDriver(
+        Vm(settings.vm, VmRole.ENTRY, home, settings.callers),
+        platform.vms,
+        host.timers,
+        rng,
+        MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
+        MembershipSettings(SelectionSettings(max_entry_sessions=settings.max_sessions)),
+    )
     claims = Claims(
         incarnation,
         platform.table,
         host.timers,
         daemon.claim_answered,
-        vm_watch.is_live,
+        daemon.is_live,
         time.time,
     )
-    daemon.bind(follower, dialer, claims)
-    vm_watch.on_leaving(settings.vm, daemon.drain)
-    vm_watch.on_change(daemon.vms_changed)
+    daemon.bind(follower, dialer, claims, membership)
     draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
     newest = NewestVersionPoll(
         host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
@@ -303,14 +324,22 @@
 
     def start() -> None:
         daemon.start()
-        vm_watch.start()
         newest.start()
 
     def close() -> None:
         newest.close()
-        vm_watch.close()
         draws.close()
         claims.close()
         daemon.close()
 
-    return Running(start, daemon.drain, close, callers, operators, connections, daemon)
+    return Running(
+        start,
+        daemon.drain,
+        close,
+        callers,
+        operators,
+        connections,
+        daemon,
+        editor,
+        histograms,
+    )
--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from circuits import BaseComponent, handler
-from circuits.net.events import close, read, write
+from circuits.net.events import close, write
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_documents import JSON_TYPE, write_failure
@@ -14,6 +14,7 @@
 from pumicedeck.http_messages import KIB, MIB
 from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.socket_options import detect_silence
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _PIPELINED = Failure(
@@ -21,6 +22,9 @@
     "one request at a time on a connection; bytes followed an unanswered request",
     proven_not_run=True,
 )
+_TOO_MANY = Failure(
+    ResultCode.OVERLOADED, "too many connections", retry_after=1.0, proven_not_run=True
+)
 _TOO_SLOW = Failure(
     ResultCode.REQUEST_TIMEOUT, "the request was not whole in time", proven_not_run=True
 )
@@ -31,7 +35,8 @@
     """Bounds of callers' requests; times are in seconds.
 
     `request_seconds` is how long a request may take to arrive, `idle_seconds` how long a
-    connection may stay without one, `linger_seconds` how long a refused one is still read from.
+    connection may stay without one, `linger_seconds` how long a refused one is still read from,
+    `acknowledge_seconds` how long a caller's kernel may acknowledge nothing.
     """
 
     header_bytes: int = 16 * KIB
@@ -39,6 +44,8 @@
     request_seconds: float = 10.0
     idle_seconds: float = 75.0
     linger_seconds: float = 1.0
+    acknowledge_seconds: float = 30.0
+    connections: int = 8192
 
 
 @dataclass(slots=True)
@@ -67,12 +74,6 @@
     continued: bool = field(default=False)
 
 
-class _CheckedRead(read):
-    """Hands a whole request on to circuits.web."""
-
-    name = "read"
-
-
 class HttpGuard(BaseComponent):
     """Filters the `read` events of one server channel.
 
@@ -103,9 +104,13 @@
 
     @handler("connect")
     def _on_connect(self, sock, *_) -> None:
+        detect_silence(sock, self._settings.acknowledge_seconds)
         deadline = MovingDeadline(self._timers, self._expiry(sock))
         deadline.set(self._settings.request_seconds)
-        self._callers[sock] = _Caller(RequestReader(self._bounds), deadline)
+        caller = _Caller(RequestReader(self._bounds), deadline)
+        self._callers[sock] = caller
+        if len(self._callers) > self._settings.connections:
+            self._refuse(sock, caller, _TOO_MANY)
 
     @handler("disconnect")
     def _on_disconnect(self, sock) -> None:
@@ -115,16 +120,12 @@
 
     @handler("read", priority=10)
     def _on_read(self, event, sock, data) -> None:
-        if isinstance(event, _CheckedRead):
-            return
-        event.stop()
-        caller = self._callers.get(sock)
-        if caller is None or caller.phase is _Phase.REFUSED:
-            return
-        if caller.phase is _Phase.ANSWERING:
-            caller.pipelined = True
+        whole = self._take(sock, data)
+        if whole is None:
+            event.stop()
             return
-        self._receive(sock, caller, data)
+        # circuits.web sees the canonical message in the same event, which saves a loop turn.
+        event.args[1] = whole.data
 
     @handler("response", "stream", priority=-100)
     def _on_answered(self, reply, *_) -> None:
@@ -140,26 +141,35 @@
         caller.phase = _Phase.RECEIVING
         caller.deadline.set(self._settings.idle_seconds)
 
-    def _receive(self, sock: socket.socket, caller: _Caller, data: bytes) -> None:
+    def _take(self, sock: socket.socket, data: bytes) -> WholeRequest | None:
+        caller = self._callers.get(sock)
+        if caller is None or caller.phase is _Phase.REFUSED:
+            return None
+        if caller.phase is _Phase.ANSWERING:
+            caller.pipelined = True
+            return None
+        return self._receive(sock, caller, data)
+
+    def _receive(self, sock: socket.socket, caller: _Caller, data: bytes) -> WholeRequest | None:
         if not caller.reader.began:
             caller.deadline.set(self._settings.request_seconds)
         outcome = caller.reader.feed(data)
         if outcome.is_err():
             self._refuse(sock, caller, outcome.unwrap_err())
-            return
+            return None
         whole = outcome.unwrap()
         if whole is not None:
-            self._pass_on(sock, caller, whole)
+            self._begin_answer(caller, whole)
         elif caller.reader.wants_continue and not caller.continued:
             caller.continued = True
             self.fire(write(sock, _CONTINUE))
+        return whole
 
-    def _pass_on(self, sock: socket.socket, caller: _Caller, whole: WholeRequest) -> None:
+    def _begin_answer(self, caller: _Caller, whole: WholeRequest) -> None:
         caller.phase = _Phase.ANSWERING
         caller.pipelined = bool(whole.rest)
         caller.deadline.clear()
         self._stats.passed += 1
-        self.fire(_CheckedRead(sock, whole.data))
 
     def _refuse(self, sock: socket.socket, caller: _Caller, failure: Failure) -> None:
         self._stats.refused += 1
--- a/pumicedeck/orders.py
+++ b/pumicedeck/orders.py
@@ -99,6 +99,7 @@
         self._not_before = 0.0
         self._trusted_fencing = -1
         self._engine = ""
+        self._advanced_at = float("-inf")
 
     @property
     def idle(self) -> bool:
@@ -110,6 +111,10 @@
         """Tell whether the effect of an order is not known."""
         return self._sent is not None and self._sent.lost
 
+    def fence(self, checks_fencing: bool) -> None:
+        """Take in from the catalogue whether the engine refuses old numbers."""
+        self._checks_fencing = checks_fencing
+
     def submit(self, now: float, order: EngineOrder) -> list[OrderAction]:
         """Queue an order; a newer version of a model replaces a waiting older one."""
         self._queue = [each for each in self._queue if not _replaces(order, each.order)]
@@ -165,7 +170,10 @@
         if self._reading.due is not None and not self._reading.active:
             times.append(self._reading.due)
         if self._queue and self._sent is None:
-            times.append(max(self._not_before, self._queue[0].not_before))
+            due = max(self._not_before, self._queue[0].not_before)
+            # What is due already waits for the lease or a reply, not for time.
+            if due > self._advanced_at:
+                times.append(due)
         return min(times, default=None)
 
     def refresh(self, now: float) -> list[OrderAction]:
@@ -175,6 +183,7 @@
         return []
 
     def _advance(self, now: float) -> list[OrderAction]:
+        self._advanced_at = now
         if self._reading.active:
             return []
         if self._reading.due is not None and now >= self._reading.due:
