Describe the catalogue for operators

Cause: operators drive the system by the catalogue alone and need its format, its answers and how a new firm joins.

Change: docs/CATALOGUE.md; a test parses its examples and the example file.

Conclusion: the page matches the code as tested.

--- a/pumicedeck/tests/test_catalogue_documents.py
+++ b/pumicedeck/tests/test_catalogue_documents.py
@@ -105,8 +105,12 @@
 
 
 def test_the_example_for_operators_is_valid() -> None:
-    example = Path(__file__).parents[2] / "examples" / "catalogue.yaml"
-    assert len(parse_catalogue(example.read_bytes()).unwrap().pools) == 4
+    root = Path(__file__).parents[2]
+    example = (root / "examples" / "catalogue.yaml").read_bytes()
+    assert len(parse_catalogue(example).unwrap().pools) == 4
+    page = (root / "docs" / "CATALOGUE.md").read_text()
+    blocks = [block.partition("```")[0] for block in page.split("```yaml")[1:]]
+    assert [len(parse_catalogue(block).unwrap().entries) for block in blocks] == [3, 3]
 
 
 def test_a_firm_with_too_small_a_share_is_refused() -> None:
