--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -59,6 +59,22 @@
     raise typer.Exit(run_demo(seconds))
 
 
+@app.command("local-files")
+def local_files(
+    folder: Annotated[Path, typer.Argument(help="Where the files are written.")],
+    agents: Annotated[
+        list[str], typer.Option("--agents", help="POOL=COUNT, of the demo's pools.")
+    ] = ("booking-app=1", "tuner-gen=1", "redator=1", "balcao=1"),
+    entries: Annotated[int, typer.Option(help="How many entries.")] = 1,
+    base_port: Annotated[int, typer.Option(help="The first of 400 ports.")] = 18000,
+    log_level: Annotated[str, typer.Option(help="DEBUG, INFO, WARNING or ERROR.")] = "INFO",
+) -> None:
+    """Write settings files of a deployment with stand-ins on this machine."""
+    from pumicedeck.local_files import write_local_files
+
+    finish(write_local_files(folder, tuple(agents), entries, base_port, log_level))
+
+
 @app.command()
 def status(url: UrlOption = "http://127.0.0.1:8081", as_json: JsonOption = False) -> None:
     """Show a process's state, its catalogue revision and which agents lag behind."""
--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -1,13 +1,19 @@
 """Commands that measure the decisions in process and under virtual time."""
 
+import json
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
+from pumicedeck.fault_matrices import write_matrix
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.scale_experiments import render_scale, run_scale
+from pumicedeck.trials import Trial, TrialPlan
 from pumicedeck.world import Address
 
 OPERATOR_URLS = ("http://127.0.0.1:18081", "http://127.0.0.1:19201")
@@ -90,3 +96,61 @@
     return [
         1000.0 * (late.cpu_seconds - early.cpu_seconds) / max(1, requests) for early, late in pairs
     ]
+
+
+@experiment_app.command("trial")
+def trial(
+    entries: Annotated[
+        list[str], typer.Option("--entry", help="Callers' addresses of the entries.")
+    ],
+    control: Annotated[str, typer.Option(help="The stand-ins' control address, as a URL.")],
+    weight_store: Annotated[str, typer.Option(help="The weight store's address.")],
+    services: Annotated[
+        list[str], typer.Option("--service", help="Stand-in services whose ledgers count.")
+    ],
+    seconds: Annotated[float, typer.Option(help="How long the load lasts.")] = 300.0,
+    seed: SeedOption = 1,
+) -> None:
+    """Put a mixed load on running daemons and check it against the stand-ins' ledgers."""
+    plan = TrialPlan(
+        tuple(_address(each) for each in entries),
+        control,
+        _address(weight_store),
+        tuple(services),
+        seconds,
+        seed,
+    )
+    report = Trial(plan).run()
+    typer.echo(json.dumps(asdict(report), indent=2))
+    raise typer.Exit(int(any(report.violations.values())))
+
+
+@experiment_app.command("matrix")
+def matrix(
+    output: Annotated[Path, typer.Option("--output", help="The page to write.")] = Path(
+        "docs/FAULT-MATRIX.md"
+    ),
+    seed: SeedOption = 1,
+    pairs: Annotated[int, typer.Option(help="Pairs of faults in the seeded sample.")] = 3000,
+) -> None:
+    """Run every fault at every step, and pairs of faults, and write the page."""
+    violations = write_matrix(output, seed, pairs)
+    typer.echo(f"{violations} violations, written to {output}")
+    raise typer.Exit(int(violations > 0))
+
+
+@experiment_app.command("scale")
+def scale(
+    seed: SeedOption = 1,
+) -> None:
+    """Measure spread and membership with many process cores at several sizes."""
+    typer.echo(render_scale(run_scale(seed=seed)))
+
+
+@experiment_app.command("races")
+def races(
+    schedules: Annotated[int, typer.Option(help="How many seeded schedules.")] = 3000,
+    seed: SeedOption = 1,
+) -> None:
+    """Race catalogue edits of 8 clients with lost replies."""
+    typer.echo(str(run_edit_races(schedules, seed)))
--- /dev/null
+++ b/pumicedeck/trial_callers.py
@@ -0,0 +1,240 @@
+"""Callers of a trial: they repeat a request with its id until its outcome is final."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from hashlib import sha256
+from random import Random
+
+from result import Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.world import Address
+
+HTTP_OK = 200
+MAX_TRIES = 8
+MIN_RETRY_SECONDS = 0.5
+SILENCE_SECONDS = 20.0
+_OPEN_CODES = (ResultCode.IN_PROGRESS,)
+
+
+class Told(StrEnum):
+    """What a caller was told about one try."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    NOTHING = "nothing"
+
+
+@dataclass(slots=True)
+class TrialRequest:
+    """One request with everything that was told about it."""
+
+    request_id: str
+    body: bytes
+    told: list[Told] = field(default_factory=list)
+    codes: list[int] = field(default_factory=list)
+    wrong_answer: bool = False
+    final: bool = False
+
+    @property
+    def is_told_not_run(self) -> bool:
+        """Return whether every try was told to be proven not run."""
+        return bool(self.told) and all(each is Told.NOT_RUN for each in self.told)
+
+
+class TrialCaller:
+    """Calls a plain service at a rate and repeats what has no final outcome."""
+
+    def __init__(
+        self,
+        entry_name: str,
+        token: str,
+        rate: float,
+        client: HttpClient,
+        targets: tuple[Address, ...],
+        timers: TimerQueue,
+        rng: Random,
+    ) -> None:
+        """Call `entry_name` through any of `targets`, as behind a balancer."""
+        self._entry_name = entry_name
+        self._token = token
+        self._rate = rate
+        self._client = client
+        self._targets = targets
+        self._timers = timers
+        self._rng = rng
+        self._stopped = False
+        self.requests: list[TrialRequest] = []
+
+    @property
+    def name(self) -> str:
+        """Return the catalogue entry that is called."""
+        return self._entry_name
+
+    @property
+    def open_count(self) -> int:
+        """Return how many requests have no final outcome."""
+        return sum(not each.final for each in self.requests)
+
+    def start(self) -> None:
+        """Begin to call."""
+        if not self._stopped:
+            self._timers.call_later(self._rng.expovariate(self._rate), self._begin)
+
+    def stop(self) -> None:
+        """Begin no more requests."""
+        self._stopped = True
+
+    def _begin(self) -> None:
+        self.start()
+        number = len(self.requests)
+        request_id = f"{self._entry_name}-{self._rng.getrandbits(64):016x}"
+        request = TrialRequest(request_id, json.dumps({"number": number}).encode())
+        self.requests.append(request)
+        self._try(request)
+
+    def _try(self, request: TrialRequest) -> None:
+        headers = (
+            ("Authorization", f"Bearer {self._token}"),
+            ("X-Request-Id", request.request_id),
+            ("X-Budget-Ms", "10000"),
+        )
+        call = HttpRequest(
+            "POST",
+            self._rng.choice(self._targets),
+            f"/v1/entries/{self._entry_name}/call/act",
+            headers,
+            request.body,
+        )
+        self._client.send(
+            call,
+            lambda outcome: self._answered(request, outcome),
+            silence_seconds=SILENCE_SECONDS,
+        )
+
+    def _answered(self, request: TrialRequest, outcome: Result[HttpResponse, Failure]) -> None:
+        if not isinstance(outcome, Ok):
+            refused = outcome.err_value.proven_not_run
+            self._note(request, Told.NOT_RUN if refused else Told.NOTHING, 0)
+        elif outcome.ok_value.status == HTTP_OK:
+            self._check(request, outcome.ok_value)
+            self._note(request, Told.ANSWERED, int(ResultCode.OK))
+        else:
+            document = json.loads(outcome.ok_value.body)
+            not_run = document["execution"] == "not_run"
+            told = Told.NOT_RUN if not_run else Told.MAY_HAVE_RUN
+            self._note(request, told, document["code"])
+
+    def _check(self, request: TrialRequest, answer: HttpResponse) -> None:
+        document = json.loads(answer.body)
+        whole = int(answer.header("x-answer-length")) == len(answer.body)
+        whole = whole and answer.header("x-answer-digest") == sha256(answer.body).hexdigest()
+        own = document["request_id"] == request.request_id
+        own = own and document["body_sha256"] == sha256(request.body).hexdigest()
+        request.wrong_answer |= not (whole and own)
+
+    def _note(self, request: TrialRequest, told: Told, code: int) -> None:
+        request.told.append(told)
+        request.codes.append(code)
+        is_open = told in (Told.NOT_RUN, Told.NOTHING) or code in _OPEN_CODES
+        if not is_open or len(request.told) >= MAX_TRIES:
+            request.final = True
+            return
+        delay = MIN_RETRY_SECONDS * (1.0 + self._rng.random())
+        self._timers.call_later(delay, lambda: self._try(request))
+
+
+@dataclass(slots=True)
+class StreamCounts:
+    """Outcomes of streamed requests."""
+
+    sent: int = 0
+    whole: int = 0
+    failed: int = 0
+    truncated: int = 0
+    swapped: int = 0
+
+
+class StreamCaller:
+    """Streams completions and checks that a clean end means the whole and own answer."""
+
+    def __init__(
+        self,
+        entry_name: str,
+        token: str,
+        rate: float,
+        client: HttpClient,
+        target: Callable[[], Address],
+        timers: TimerQueue,
+        rng: Random,
+    ) -> None:
+        """Stream from `entry_name` through `target()`."""
+        self._entry_name = entry_name
+        self._token = token
+        self._rate = rate
+        self._client = client
+        self._target = target
+        self._timers = timers
+        self._rng = rng
+        self._stopped = False
+        self.counts = StreamCounts()
+
+    @property
+    def open_count(self) -> int:
+        """Return how many streams have not ended."""
+        return self.counts.sent - self.counts.whole - self.counts.failed - self.counts.truncated
+
+    def start(self) -> None:
+        """Begin to call."""
+        if not self._stopped:
+            self._timers.call_later(self._rng.expovariate(self._rate), self._begin)
+
+    def stop(self) -> None:
+        """Begin no more requests."""
+        self._stopped = True
+
+    def _begin(self) -> None:
+        self.start()
+        self.counts.sent += 1
+        prompt = f"hall {self._rng.getrandbits(64):016x}"
+        body = json.dumps({"prompt": prompt, "max_tokens": 200}).encode()
+        call = HttpRequest(
+            "POST",
+            self._target(),
+            f"/v1/entries/{self._entry_name}/call/v1/generate",
+            (("Authorization", f"Bearer {self._token}"), ("X-Stream", "true")),
+            body,
+        )
+        received: list[bytes] = []
+        self._client.send(
+            call,
+            lambda outcome: self._ended(body, received, outcome),
+            received.append,
+            SILENCE_SECONDS,
+        )
+
+    def _ended(
+        self, body: bytes, received: list[bytes], outcome: Result[HttpResponse, Failure]
+    ) -> None:
+        if not isinstance(outcome, Ok) or outcome.ok_value.status != HTTP_OK:
+            self.counts.failed += 1
+            return
+        lines = [json.loads(line) for line in b"".join(received).splitlines()]
+        text = "".join(line.get("text", "") for line in lines).encode()
+        end = lines[-1].get("end") if lines else None
+        if end is None or end["length"] != len(text) or end["digest"] != _digest(text):
+            self.counts.truncated += 1
+            return
+        own = sha256(body).hexdigest()[:8].encode()
+        self.counts.swapped += not all(word.startswith(own) for word in text.split())
+        self.counts.whole += 1
+
+
+def _digest(data: bytes) -> str:
+    return sha256(data).hexdigest()
