Leave no socket behind when a caller resets its connection

Cause: circuits' server keeps a closed socket in its list of sockets to close and makes a write buffer for it anew; a write that was queued before the reset raises in the poller, which then keeps the socket too.

Change: the guard drops writes to closed sockets and clears what the server kept once the connection is gone.

Conclusion: callers that leave early cost no memory.

--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -6,7 +6,9 @@
 from enum import StrEnum
 
 from circuits import BaseComponent, handler
+from circuits.core.utils import findcmp
 from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_documents import JSON_TYPE, write_failure
@@ -117,6 +119,7 @@
         caller = self._callers.pop(sock, None)
         if caller is not None:
             caller.deadline.close()
+        self._forget(sock)
 
     @handler("read", priority=10)
     def _on_read(self, event, sock, data) -> None:
@@ -127,6 +130,12 @@
         # circuits.web sees the canonical message in the same event, which saves a loop turn.
         event.args[1] = whole.data
 
+    @handler("write", priority=10)
+    def _on_write(self, event, sock, _) -> None:
+        # The poller would raise on a socket that was closed before the event came up.
+        if sock.fileno() < 0:
+            event.stop()
+
     @handler("response", "stream", priority=-100)
     def _on_answered(self, reply, *_) -> None:
         sock = reply.request.sock
@@ -171,6 +180,15 @@
         caller.deadline.clear()
         self._stats.passed += 1
 
+    def _forget(self, sock: socket.socket) -> None:
+        # The server keeps a socket that broke while an answer to it was still to be written.
+        server = findcmp(self.parent, TCPServer)
+        if server is None:
+            return
+        server._buffers.pop(sock, None)
+        if sock in server._closeq:
+            server._closeq.remove(sock)
+
     def _refuse(self, sock: socket.socket, caller: _Caller, failure: Failure) -> None:
         self._stats.refused += 1
         caller.phase = _Phase.REFUSED
--- a/pumicedeck/tests/test_http_guards.py
+++ b/pumicedeck/tests/test_http_guards.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import struct
 from dataclasses import replace
 
 import pytest
@@ -291,6 +292,41 @@
     assert timeout == 1000 * SETTINGS.acknowledge_seconds
 
 
+@pytest.mark.parametrize("from_timer", [False, True])
+@pytest.mark.parametrize("moment", ["before the answer", "within it", "at its end"])
+def test_caller_that_resets_its_connection_leaves_no_socket_behind(
+    bench, moment, from_timer, capsys
+):
+    bench.holding = True
+    web = bench.server._web.server
+    for _ in range(5):
+        sock = bench.connect()
+        bench.exchange(post(b"abc", b"Connection: close\r\n"), sock=sock)
+        exchange = bench.held.pop()
+        if moment != "before the answer":
+            exchange.begin_stream()
+            bench.loop.settle()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        count = 1 if moment == "at its end" else 20
+
+        def write(exchange=exchange, count=count):
+            for _ in range(count):
+                exchange.write(b"x" * 100_000)
+            exchange.end_stream()
+
+        if from_timer:
+            bench.loop.timers.call_later(0.0, write)
+        else:
+            write()
+        bench.loop.settle()
+    poller = bench.loop.poller
+    watched = [*web._buffers, *web._clients, *web._closeq, *poller._read, *poller._write]
+    assert [each for each in watched if not isinstance(each, int) and each.fileno() < 0] == []
+    assert bench.guards[0].open_connections == 0
+    assert "ERROR" not in capsys.readouterr().err
+
+
 def test_caller_that_leaves_half_way_leaves_nothing_behind(bench):
     sock = bench.connect()
     bench.exchange(post(b"abc")[:-1], sock=sock)
