--- a/pumicedeck/draw_groups.py
+++ b/pumicedeck/draw_groups.py
@@ -40,6 +40,7 @@
     flights: dict[int, list[Flight]] = field(default_factory=dict)
     done: dict[int, Draft] = field(default_factory=dict)
     tries: dict[int, int] = field(default_factory=dict)
+    reproducible: bool = True
     redrawn: bool = False
     delivered: bool = False
     released: float = 0.0
@@ -57,8 +58,8 @@
     @property
     def outlook(self) -> GroupOutlook:
         """Return what the order of groups depends on."""
-        seen = [each.answer.tokens for each in self.done.values()]
-        mean = sum(seen) / len(seen) if seen else 0.0
+        total = sum(each.answer.tokens for each in self.done.values())
+        mean = total / len(self.done) if self.done else 0.0
         tokens = max(float(self.request.expected_tokens), mean)
         started = bool(self.done or self.flights)
         return GroupOutlook(self.key.step, self.redrawn, tokens, started, self.position)
@@ -74,12 +75,6 @@
         """Return the first sample that may be submitted now."""
         return next((each for each in self.waiting if each.not_before <= now), None)
 
-    def mature(self, now: float) -> None:
-        """Clear the delay of samples that may be submitted now."""
-        for each in self.waiting:
-            if each.not_before <= now:
-                each.not_before = 0.0
-
     def take_off(self, flight: Flight) -> None:
         """Count a request as in flight."""
         self.waiting = [each for each in self.waiting if each.index != flight.index]
--- a/pumicedeck/draws.py
+++ b/pumicedeck/draws.py
@@ -4,6 +4,7 @@
 reaches its trainer exactly once without a write in the data path.
 """
 
+import heapq
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -98,6 +99,7 @@
         self._groups: dict[GroupKey, GroupProgress] = {}
         self._flights: dict[str, Flight] = {}
         self._lanes: dict[str, _Lane] = {}
+        self._retries: list[float] = []
         self._submitted = 0
         self._counts = DrawCounts()
 
@@ -184,6 +186,8 @@
         for draw in list(self._draws.values()):
             self._end_if_late(now, draw, actions)
         self._forget(now, actions)
+        while self._retries and self._retries[0] <= now:
+            heapq.heappop(self._retries)
         for name in list(self._lanes):
             self._pump(now, name, actions)
         return actions
@@ -197,8 +201,7 @@
         for progress in self._groups.values():
             if not progress.owner:
                 times.append(progress.released + self._settings.kept_seconds)
-                continue
-            times.extend(each.not_before for each in progress.waiting if each.not_before)
+        times.extend(self._retries[:1])
         times.extend(self._hedge_times())
         return min(times, default=None)
 
@@ -231,6 +234,7 @@
             progress = None
         if progress is None:
             progress = GroupProgress(key, group, request.entry, position, request.handle)
+            progress.reproducible = seeded_body(group.body, key.draft(0)) is not None
             self._groups[key] = progress
         progress.owner = request.handle
         progress.entry = request.entry
@@ -347,7 +351,9 @@
         tries = progress.tries.get(flight.index, 0) + 1
         progress.tries[flight.index] = tries
         self._counts.retried += 1
-        progress.retry(flight.index, now + self._retry_delay(tries, failure))
+        due = now + self._retry_delay(tries, failure)
+        heapq.heappush(self._retries, due)
+        progress.retry(flight.index, due)
 
     def _retry_delay(self, tries: int, failure: Failure) -> float:
         delay = self._settings.retry_seconds * 2.0 ** min(tries - 1, 16)
@@ -367,27 +373,27 @@
         return sorted(found, key=lambda each: each.position)
 
     def _owned(self, entry_name: str) -> list[GroupProgress]:
-        owned = [
+        return [
             each
             for each in self._groups.values()
             if each.owner and each.key.entry_name == entry_name
         ]
-        return sorted(owned, key=lambda each: critical_path_key(each.outlook))
 
     def _pump(self, now: float, entry_name: str, actions: list[DrawAction]) -> None:
+        waiting = [each for each in self._owned(entry_name) if each.waiting]
+        if not waiting:
+            self._hedge(now, entry_name, actions)
+            return
         lane = self._lane(entry_name)
-        waiting = False
-        for progress in self._owned(entry_name):
-            progress.mature(now)
-            limit = min(lane.window.size, progress.entry.limits.concurrency)
+        limit = min(lane.window.size, waiting[0].entry.limits.concurrency)
+        if lane.in_flight >= limit:
+            return
+        for progress in sorted(waiting, key=lambda each: critical_path_key(each.outlook)):
             while lane.in_flight < limit:
                 sample = progress.next_waiting(now)
                 if sample is None:
                     break
                 self._submit(now, progress, sample, actions)
-            waiting = waiting or bool(progress.waiting)
-        if not waiting:
-            self._hedge(now, entry_name, actions)
 
     def _submit(
         self,
@@ -442,6 +448,8 @@
             handle: policy.budget(draw.samples) - draw.hedges
             for handle, draw in self._draws.items()
         }
+        if policy.threshold is None or not any(each > 0 for each in left.values()):
+            return found
         for flight in self._single_flights(entry_name):
             owner = self._groups[flight.key].owner
             due = policy.due_at(flight.started)
@@ -453,9 +461,8 @@
     def _single_flights(self, entry_name: str) -> list[Flight]:
         singles: list[Flight] = []
         for progress in self._owned(entry_name):
-            if seeded_body(progress.request.body, progress.key.draft(0)) is None:
-                continue
-            singles.extend(each[0] for each in progress.flights.values() if len(each) == 1)
+            if progress.reproducible:
+                singles.extend(each[0] for each in progress.flights.values() if len(each) == 1)
         return sorted(singles, key=lambda each: each.started)
 
     def _hedge_times(self) -> list[float]:
--- a/pumicedeck/stragglers.py
+++ b/pumicedeck/stragglers.py
@@ -15,7 +15,7 @@
 
     window: int = 64
     window_minimum: int = 4
-    target_wait: float = 1.0
+    target_wait: float = 4.0
     spread: int = 4
     hedge_share: float = 0.02
     hedge_factor: float = 3.0
@@ -41,7 +41,7 @@
         """Grow after a short wait and shrink after a long one, at most once a window."""
         self._answers_to_skip = max(0, self._answers_to_skip - 1)
         if queue_wait > self._settings.target_wait:
-            self._shrink(0.9)
+            self._shrink(0.95)
         elif self._probing:
             self._size += 1.0
         else:
