Pace heartbeats by the number of sessions of a node

Cause: at 380 entries an agent of a pool of three holds about 250 sessions; at a heartbeat a second that is 73 KB/s of the 18 KB/s that control may take.

Change: a heartbeat names the interval that its sender wants, worked out from its open sessions and the measured size of a round; both sides take the longer one and stretch their silence limit in proportion. Additive: an interval of 0 leaves things as they were. The scale experiment counts paced heartbeats, and reads that a store that is down refuses.

--- a/pumicedeck/gen/wire/ttypes.py
+++ b/pumicedeck/gen/wire/ttypes.py
@@ -1574,6 +1574,7 @@
      - revision
      - floor
      - load
+     - interval
 
     """
 
@@ -1582,14 +1583,16 @@
         'revision',
         'floor',
         'load',
+        'interval',
     )
 
 
-    def __init__(self, sequence=None, revision=None, floor=None, load=None,):
+    def __init__(self, sequence=None, revision=None, floor=None, load=None, interval=None,):
         self.sequence = sequence
         self.revision = revision
         self.floor = floor
         self.load = load
+        self.interval = interval
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1621,6 +1624,11 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.interval = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1647,6 +1655,10 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 4)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.interval is not None:
+            oprot.writeFieldBegin('interval', TType.DOUBLE, 5)
+            oprot.writeDouble(self.interval)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2637,6 +2649,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I64, 'floor', None, None, ),  # 3
     (4, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 4
+    (5, TType.DOUBLE, 'interval', None, None, ),  # 5
 )
 all_structs.append(Leaving)
 Leaving.thrift_spec = (
--- a/pumicedeck/messages.py
+++ b/pumicedeck/messages.py
@@ -182,12 +182,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Both ways: liveness, installed catalogue revision and, from agents, load."""
+    """Both ways: liveness, installed catalogue revision and, from agents, load.
+
+    `interval` is how many seconds the sender wants between heartbeats; 0 leaves it as it was.
+    """
 
     sequence: int
     revision: int
     floor: int = 0
     load: LoadReport | None = None
+    interval: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/peers.py
+++ b/pumicedeck/peers.py
@@ -1,12 +1,13 @@
 """Maps the incarnations of peers to their open connections."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from loguru import logger
 
 from pumicedeck.connections import SessionEvents
 from pumicedeck.handshakes import Hello
+from pumicedeck.heartbeat_paces import heartbeat_interval
 from pumicedeck.messages import Heartbeat, Message
 from pumicedeck.results import Failure
 
@@ -107,5 +108,6 @@
         self._listener.dial_ended(connection)
 
     def heartbeat(self) -> Heartbeat:
-        """Return the listener's heartbeat."""
-        return self._listener.heartbeat()
+        """Return the listener's heartbeat with the interval that so many sessions need."""
+        interval = heartbeat_interval(len(self._open))
+        return replace(self._listener.heartbeat(), interval=interval)
--- a/pumicedeck/scale_experiments.py
+++ b/pumicedeck/scale_experiments.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass
 from itertools import pairwise
 
+from pumicedeck.heartbeat_paces import heartbeat_interval
 from pumicedeck.memberships import MembershipSettings
 from pumicedeck.scale_processes import (
     ScaleProcess,
@@ -45,8 +46,9 @@
     """What one scenario showed.
 
     `slowest` is the longest time in seconds from an accepted change to its being in force in a
-    process that could learn of it; `missed` counts processes in which it never was. Bytes are a
-    second and a node, on the wire both ways; `processor` is the share of one core a node.
+    process that could learn of it; `missed` counts processes in which it never was. Reads include
+    those that a store that is down refuses. Bytes are a second and a node, on the wire both ways;
+    `processor` is the share of one core a node.
     """
 
     size: ScaleSize
@@ -216,6 +218,7 @@
         service = world.service
         service.reads.clear()
         service.writes.clear()
+        service.refused.clear()
         began = world.time.now()
         changes = len(world.commits)
         sent = {name: each.bytes for name, each in self._cluster.processes.items()}
@@ -224,8 +227,11 @@
         processor = wall.process_time() - processor
         seconds = world.time.now() - began
         counts = self._cluster.session_counts()
-        calls = service.reads.total() / self._size.processes / seconds
-        beats = max(counts.values()) / SessionSettings().heartbeat * self._beat_processor
+        attempts = service.reads + service.refused
+        calls = attempts.total() / self._size.processes / seconds
+        beats = max(
+            count / _beat_seconds(count) * self._beat_processor for count in counts.values()
+        )
         known = [delay for delay in delays if delay != float("inf")]
         return ScaleFigures(
             size=self._size,
@@ -234,8 +240,8 @@
             slowest=max(known, default=0.0),
             missed=len(delays) - len(known),
             reverts=count_reverts(world.processes()),
-            reads_mean=service.reads.total() / seconds,
-            reads_peak=max(service.reads.values(), default=0),
+            reads_mean=attempts.total() / seconds,
+            reads_peak=max(attempts.values(), default=0),
             writes_peak=max(service.writes.values(), default=0),
             entry_sessions=counts[VmRole.ENTRY],
             agent_sessions=counts[VmRole.AGENT],
@@ -258,7 +264,7 @@
             for name, each in self._cluster.processes.items()
             if each.vm.role is role
         )
-        beats = counts[role] * session_bytes_per_second(SessionSettings().heartbeat)
+        beats = counts[role] * session_bytes_per_second(_beat_seconds(counts[role]))
         lists = self._list_bytes() if role is VmRole.ENTRY else 0.0
         return messages + beats + calls * STORE_CALL_BYTES + lists
 
@@ -282,6 +288,10 @@
     return reverts
 
 
+def _beat_seconds(sessions: int) -> float:
+    return max(SessionSettings().heartbeat, heartbeat_interval(sessions))
+
+
 def _delay(process: ScaleProcess, commit: Commit) -> float:
     for installation in process.installations:
         if installation.revision >= commit.revision:
--- a/pumicedeck/sessions.py
+++ b/pumicedeck/sessions.py
@@ -8,13 +8,17 @@
 
 from pumicedeck.codecs import Frame
 from pumicedeck.handshakes import PROTOCOL_VERSION, Hello, Proof, prove, verify
+from pumicedeck.heartbeat_paces import MAX_INTERVAL_SECONDS
 from pumicedeck.messages import Heartbeat, Message
 from pumicedeck.results import Failure, ResultCode
 
 
 @dataclass(frozen=True, slots=True)
 class SessionSettings:
-    """Times in seconds; a session silent for `silence` is given up."""
+    """Times in seconds; a session silent for `silence` is given up.
+
+    Where a side wants a longer interval than `heartbeat`, both times grow in proportion.
+    """
 
     heartbeat: float = 1.0
     silence: float = 3.5
@@ -82,6 +86,18 @@
         self._opened_at = now
         self._heard = now
         self._sent = now
+        self._own_interval = 0.0
+        self._peer_interval = 0.0
+
+    @property
+    def interval(self) -> float:
+        """Return the seconds between heartbeats: the longest that either side wants."""
+        return max(self._settings.heartbeat, self._own_interval, self._peer_interval)
+
+    @property
+    def silence(self) -> float:
+        """Return after how many silent seconds the session is given up."""
+        return self._settings.silence * self.interval / self._settings.heartbeat
 
     @property
     def is_open(self) -> bool:
@@ -128,12 +144,14 @@
             return []
         if not self.is_open:
             return self._check_handshake(now)
-        if now - self._heard >= self._settings.silence:
+        if now - self._heard >= self.silence:
             return self._close(Failure(ResultCode.SESSION_LOST, "the peer is silent"))
-        if now - self._sent < self._settings.heartbeat:
+        if now - self._sent < self.interval:
             return []
         self._sent = now
-        return [Transmit(beat())]
+        heartbeat = beat()
+        self._own_interval = heartbeat.interval
+        return [Transmit(heartbeat)]
 
     def _check_handshake(self, now: float) -> list[SessionAction]:
         if now - self._opened_at < self._settings.handshake:
@@ -181,4 +199,6 @@
     def _delivered(self, message: Message) -> list[SessionAction]:
         if not self.is_open:
             return self._reject("a message before the handshake")
+        if isinstance(message, Heartbeat) and message.interval > 0.0:
+            self._peer_interval = min(message.interval, MAX_INTERVAL_SECONDS)
         return [Delivered(message)]
--- a/pumicedeck/tests/test_sessions.py
+++ b/pumicedeck/tests/test_sessions.py
@@ -118,3 +118,28 @@
         assert frames == [Ok(Heartbeat(1, 2)), Ok(Cancel(AttemptId("a", 3)))]
     (refused,) = FrameBuffer(limit=10).feed(b"\x00\x00\x00\x0b")
     assert isinstance(refused, Err)
+
+
+def test_both_sides_beat_at_the_longest_interval_that_either_wants() -> None:
+    dialer, acceptor = _pair()
+    _exchange(0.0, dialer, acceptor)
+    paced = Heartbeat(1, 1, interval=4.0)
+    sent = {"dialer": 0, "acceptor": 0}
+    for step in range(1, 241):
+        now = step / 4.0
+        for side, other, beat in (
+            (acceptor, dialer, paced),
+            (dialer, acceptor, Heartbeat(1, 1)),
+        ):
+            for action in side.on_time(now, lambda beat=beat: beat):
+                assert isinstance(action, Transmit)
+                sent["dialer" if side is dialer else "acceptor"] += 1
+                other.received(now, Ok(action.frame))
+    assert sent["acceptor"] <= 2 + 60 / 4
+    assert sent["dialer"] <= 3 + 60 / 4
+    assert dialer.silence == acceptor.silence == 4.0 * SETTINGS.silence
+    dialer.received(60.0, Ok(paced))
+    assert dialer.on_time(60.0 + 3.9 * SETTINGS.silence, lambda: paced) != []
+    assert dialer.is_open
+    dialer.on_time(60.0 + 4.0 * SETTINGS.silence, lambda: paced)
+    assert not dialer.is_open
--- a/pumicedeck/wire.thrift
+++ b/pumicedeck/wire.thrift
@@ -79,7 +79,8 @@
 }
 
 struct Heartbeat {
-  1: i64 sequence, 2: i64 revision, 3: i64 floor, 4: optional LoadReport load
+  1: i64 sequence, 2: i64 revision, 3: i64 floor, 4: optional LoadReport load,
+  5: double interval
 }
 
 struct Leaving { 1: string reason, 2: double grace }
