--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -12,7 +12,7 @@
 from pumicedeck.cli_outputs import JsonOption, UrlOption, finish, print_table
 from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.operator_clients import OperatorClient
-from pumicedeck.results import Failure
+from pumicedeck.results import Failure, result_code_table
 
 app = typer.Typer(
     help="A rollout service for reinforcement learning: daemons and the operators' client.",
@@ -97,6 +97,12 @@
     print_table(columns, [[each[name] for name in columns] for each in document["series"]])
 
 
+@app.command("result-codes")
+def result_codes() -> None:
+    """Print the table of result codes."""
+    typer.echo(result_code_table())
+
+
 def _read(url: str, path: str) -> Any:
     client = OperatorClient(url)
     read: Result[Any, Failure] = client.get(path)
--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -1,5 +1,6 @@
 """Runs one daemon as a process."""
 
+from collections.abc import Callable
 from pathlib import Path
 
 from loguru import logger
@@ -15,7 +16,7 @@
 )
 from pumicedeck.logs import set_up_logs
 from pumicedeck.processes import Process
-from pumicedeck.results import Failure
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings, load_settings
 from pumicedeck.standin_hosts import StandinApplication
 from pumicedeck.standin_settings import TABLE_NAME, load_seed, load_standin_settings
@@ -30,7 +31,7 @@
         return settings
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
-    return _run(process, build_entry(settings.ok_value, host, platform, process.finish))
+    return _run(process, lambda: build_entry(settings.ok_value, host, platform, process.finish))
 
 
 def run_agent(path: Path) -> Result[None, Failure]:
@@ -41,8 +42,9 @@
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
     endpoint = connect_endpoint(settings.ok_value, host)
-    agent = build_agent(settings.ok_value, host, platform, endpoint, process.finish)
-    return _run(process, agent)
+    return _run(
+        process, lambda: build_agent(settings.ok_value, host, platform, endpoint, process.finish)
+    )
 
 
 def run_standin_servers(path: Path) -> Result[None, Failure]:
@@ -54,7 +56,10 @@
     if isinstance(seed, Err):
         return seed
     set_up_logs("standins", "INFO", "text")
-    application = StandinApplication(settings.ok_value.host())
+    try:
+        application = StandinApplication(settings.ok_value.host())
+    except OSError as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"cannot listen: {error}"))
     application.host.find(TABLE_NAME).commit(seed.ok_value, lambda _: None)
     for bound in application.host.bound:
         _log.info("listening", name=bound.name, address=str(bound.address))
@@ -68,7 +73,11 @@
     return process, Host(process, process.timers)
 
 
-def _run(process: Process, running: Running) -> Result[None, Failure]:
+def _run(process: Process, build: Callable[[], Running]) -> Result[None, Failure]:
+    try:
+        running = build()
+    except OSError as error:
+        return Err(Failure(ResultCode.BAD_SETTINGS, f"cannot listen: {error}"))
     process.on_signal(running.drain)
     process.timers.call_later(0.0, running.start)
     process.run()
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -163,3 +163,23 @@
         if self.proven_not_run:
             return Execution.NOT_RUN
         return self.code.info.execution
+
+
+def result_code_table() -> str:
+    """Return the table of all result codes in Markdown."""
+    lines = [
+        "| number | name | execution | HTTP status | exit status | meaning |",
+        "|---|---|---|---|---|---|",
+    ]
+    for code in ResultCode:
+        info = code.info
+        cells = (
+            str(int(code)),
+            code.name,
+            str(info.execution),
+            str(info.http_status),
+            str(info.exit_status),
+            info.meaning,
+        )
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
