--- /dev/null
+++ b/pumicedeck/settings_tables.py
@@ -0,0 +1,68 @@
+"""Describes every setting as a table for the docs."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, get_args
+
+from pydantic.fields import FieldInfo
+
+from pumicedeck.settings import Section
+from pumicedeck.world import Address
+
+
+@dataclass(frozen=True, slots=True)
+class SettingRow:
+    """A setting's path, kind and default."""
+
+    path: str
+    kind: str
+    default: str
+
+
+def setting_rows(cls: type[Section], prefix: str = "") -> Iterator[SettingRow]:
+    """Yield a row for each setting of a section and the sections in it."""
+    for name, info in cls.model_fields.items():
+        path = f"{prefix}{name}"
+        if isinstance(info.annotation, type) and issubclass(info.annotation, Section):
+            yield from setting_rows(info.annotation, f"{path}.")
+        else:
+            yield SettingRow(path, _kind(info), _default(info))
+
+
+def settings_table(cls: type[Section]) -> str:
+    """Return the table in Markdown."""
+    lines = ["| setting | kind | default |", "|---|---|---|"]
+    lines += [f"| `{row.path}` | {row.kind} | {row.default} |" for row in setting_rows(cls)]
+    return "\n".join(lines)
+
+
+def _kind(info: FieldInfo) -> str:
+    validators = [getattr(each, "func", None) for each in info.metadata]
+    names = [getattr(each, "__name__", "") for each in validators if each is not None]
+    if "_duration" in names:
+        return "duration with unit"
+    if "_size" in names:
+        return "size with unit"
+    annotation = info.annotation
+    if annotation is Address:
+        return "IP number and port"
+    if isinstance(annotation, type) and issubclass(annotation, Enum):
+        return "one of " + ", ".join(str(each.value) for each in annotation)
+    if get_args(annotation):
+        return "list of texts"
+    return {str: "text", int: "number", float: "number"}.get(annotation, "text")
+
+
+def _default(info: FieldInfo) -> str:
+    if info.is_required():
+        return "required"
+    return _shown(info.default, _kind(info))
+
+
+def _shown(value: Any, kind: str) -> str:
+    if kind == "duration with unit":
+        return f"{value:g}s"
+    if kind == "size with unit":
+        return f"{value}B"
+    return str(value)
