Test the HTTP client against a server that fails at random

Cause: the promises on "not run", on at most one execution and on whose answer is whose must hold for every mix of faults, not only for one at a time.

Change: 60 requests a run against a server that answers, delays, breaks off, goes silent or answers twice, and an address that refuses, with cancellations.

--- a/pumicedeck/tests/test_http_clients.py
+++ b/pumicedeck/tests/test_http_clients.py
@@ -1,8 +1,12 @@
 """Contract of the HTTP client against a server that misbehaves on purpose."""
 
+import re
 import socket
+from collections import Counter
+from random import Random
 
 import pytest
+from circuits import handler
 
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest
@@ -237,3 +241,69 @@
     assert sent[0].unwrap_err().code is ResultCode.ENDPOINT_FAILED
     assert waiting[-1][0].unwrap_err().proven_not_run
     assert late.unwrap_err().proven_not_run
+
+
+class UnreliableServer(RawServer):
+    """Answers, delays, breaks off, resets or forgets requests at random."""
+
+    def __init__(self, name, timers, random):
+        super().__init__(name)
+        self.timers = timers
+        self.random = random
+        self.seen = Counter()
+
+    @handler("read", priority=1)
+    def _on_request(self, sock, data):
+        number = re.search(rb"/request/(\d+) ", data)
+        if number is None:
+            return
+        self.seen[int(number[1])] += 1
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(number[1]) + number[1]
+        kind = self.random.choice(["answer"] * 4 + ["late", "close", "half", "silent", "twice"])
+        delay = self.random.uniform(0.0, 2 * SETTINGS.silence_seconds) if kind == "late" else 0.0
+        if kind in ("half", "twice"):
+            answer = answer[: len(answer) // 2] if kind == "half" else answer * 2
+        self.timers.call_later(delay, lambda: self.act(kind, sock, answer))
+
+    def act(self, kind, sock, answer):
+        if sock.fileno() < 0 or kind == "silent":
+            return
+        if kind != "close":
+            self.send(sock, answer)
+        if kind in ("close", "half"):
+            self.hang_up(sock)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_nobody_gets_anothers_answer_and_not_run_is_true(bench, seed):
+    random = Random(seed)
+    server = UnreliableServer("unreliable", bench.loop.timers, random).register(bench.loop)
+    bench.loop.settle()
+    addresses = [server.address] * 9 + [refused_address()]
+    outcomes, idempotent = {}, set()
+    for number in range(60):
+        address = random.choice(addresses)
+        if random.random() < 0.5:
+            idempotent.add(number)
+        request = HttpRequest(
+            "POST", address, f"/request/{number}", idempotent=number in idempotent
+        )
+        exchange = bench.client.send(
+            request, lambda o, n=number: outcomes.setdefault(n, []).append(o)
+        )
+        if random.random() < 0.1:
+            bench.loop.timers.call_later(random.random(), exchange.cancel)
+            outcomes.setdefault(number, []).append(None)
+    bench.loop.advance(100 * SETTINGS.silence_seconds)
+    assert len(outcomes) == 60
+    for number, reported in outcomes.items():
+        ends = [outcome for outcome in reported if outcome is not None]
+        assert server.seen[number] <= (2 if number in idempotent else 1)
+        assert len(ends) <= 1 and (ends or reported == [None])
+        for outcome in ends:
+            if outcome.is_ok():
+                assert outcome.unwrap().body == b"%d" % number
+            elif outcome.unwrap_err().execution is Execution.NOT_RUN:
+                assert server.seen[number] == 0
+    assert bench.client.stats.silenced > 0 and bench.client.stats.broken > 0
+    assert bench.client.open_connections == 0
