--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -1,12 +1,23 @@
 """Commands that measure the decisions in process and under virtual time."""
 
+import json
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from pumicedeck.cli_outputs import finish
+from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
+from pumicedeck.fault_matrices import write_matrix
+from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.scale_experiments import render_scale, run_scale
+from pumicedeck.trials import Trial, TrialPlan
+from pumicedeck.world import Address
+
+OPERATOR_URLS = ("http://127.0.0.1:18081", "http://127.0.0.1:19201")
+CALLERS = (1, 32, 256)
 
 experiment_app = typer.Typer(
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
@@ -29,3 +40,117 @@
     typer.echo(report.ok_value.text())
     if plot is not None:
         plot.write_text(report.ok_value.svg(), encoding="utf-8")
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.partition(":")
+    return Address(host, int(port))
+
+
+@experiment_app.command("path")
+def path(
+    entry: Annotated[str, typer.Option(help="The callers' address.")] = "127.0.0.1:18080",
+    direct: Annotated[str, typer.Option(help="The endpoint's address.")] = "127.0.0.1:19301",
+    operators: Annotated[
+        list[str], typer.Option(help="Operators' addresses whose processor time counts.")
+    ] = OPERATOR_URLS,
+    name: Annotated[str, typer.Option(help="The catalogue entry called.")] = "stock-checks",
+    token: Annotated[str, typer.Option(help="The caller's token.")] = "desk-token",
+    callers: Annotated[list[int], typer.Option(help="Numbers of callers.")] = CALLERS,
+    rate: Annotated[
+        float, typer.Option(help="Requests a second together, 0 for a closed loop.")
+    ] = 0.0,
+    seconds: Annotated[float, typer.Option(help="How long each load is recorded.")] = 5.0,
+) -> None:
+    """Measure the path through running daemons against calling the endpoint directly."""
+    through = PathTarget(
+        _address(entry),
+        f"/v1/entries/{name}/call/stock",
+        (("Authorization", f"Bearer {token}"),),
+    )
+    plain = PathTarget(_address(direct), "/stock", (("X-Request-Id", "direct"),))
+    rows = []
+    for label, target in (("direct", plain), ("through", through)):
+        for number in callers:
+            before = [read_use(url) for url in operators]
+            figures = ClosedLoop(target, number, rate).run(seconds)
+            after = [read_use(url) for url in operators]
+            rows.append(
+                [
+                    label,
+                    number,
+                    round(figures.rate),
+                    figures.failed,
+                    figures.p50 * 1000.0,
+                    figures.p99 * 1000.0,
+                    *_used(before, after, figures.requests),
+                ]
+            )
+    columns = ("call", "callers", "requests/s", "failed", "p50 ms", "p99 ms")
+    used = [f"cpu ms/request {index}" for index in range(len(operators))]
+    print_table((*columns, *used), rows)
+
+
+def _used(before: list[ProcessUse], after: list[ProcessUse], requests: int) -> list[float]:
+    pairs = zip(before, after, strict=True)
+    return [
+        1000.0 * (late.cpu_seconds - early.cpu_seconds) / max(1, requests) for early, late in pairs
+    ]
+
+
+@experiment_app.command("trial")
+def trial(
+    entries: Annotated[
+        list[str], typer.Option("--entry", help="Callers' addresses of the entries.")
+    ],
+    control: Annotated[str, typer.Option(help="The stand-ins' control address, as a URL.")],
+    weight_store: Annotated[str, typer.Option(help="The weight store's address.")],
+    services: Annotated[
+        list[str], typer.Option("--service", help="Stand-in services whose ledgers count.")
+    ],
+    seconds: Annotated[float, typer.Option(help="How long the load lasts.")] = 300.0,
+    seed: SeedOption = 1,
+) -> None:
+    """Put a mixed load on running daemons and check it against the stand-ins' ledgers."""
+    plan = TrialPlan(
+        tuple(_address(each) for each in entries),
+        control,
+        _address(weight_store),
+        tuple(services),
+        seconds,
+        seed,
+    )
+    report = Trial(plan).run()
+    typer.echo(json.dumps(asdict(report), indent=2))
+    raise typer.Exit(int(any(report.violations.values())))
+
+
+@experiment_app.command("matrix")
+def matrix(
+    output: Annotated[Path, typer.Option("--output", help="The page to write.")] = Path(
+        "docs/FAULT-MATRIX.md"
+    ),
+    seed: SeedOption = 1,
+    pairs: Annotated[int, typer.Option(help="Pairs of faults in the seeded sample.")] = 3000,
+) -> None:
+    """Run every fault at every step, and pairs of faults, and write the page."""
+    violations = write_matrix(output, seed, pairs)
+    typer.echo(f"{violations} violations, written to {output}")
+    raise typer.Exit(int(violations > 0))
+
+
+@experiment_app.command("scale")
+def scale(
+    seed: SeedOption = 1,
+) -> None:
+    """Measure spread and membership with many process cores at several sizes."""
+    typer.echo(render_scale(run_scale(seed=seed)))
+
+
+@experiment_app.command("races")
+def races(
+    schedules: Annotated[int, typer.Option(help="How many seeded schedules.")] = 3000,
+    seed: SeedOption = 1,
+) -> None:
+    """Race catalogue edits of 8 clients with lost replies."""
+    typer.echo(str(run_edit_races(schedules, seed)))
