Refuse a content coding that a second header hides

Cause: of two Content-Encoding headers only the last was looked at, so "gzip" before "identity" passed and circuits.web would unpack the body.

Change: every such header counts; the headers that state the body are checked in one place.

Figures: one test more, which fails without the change and passes with it.

--- a/pumicedeck/http_framings.py
+++ b/pumicedeck/http_framings.py
@@ -10,9 +10,14 @@
 from pumicedeck.http_messages import KIB, MIB
 from pumicedeck.results import Failure, ResultCode
 
-_FRAMING_HEADERS = (b"content-length", b"transfer-encoding", b"connection", b"expect")
+_CONTENT_LENGTH = b"content-length"
+_CONTENT_ENCODING = b"content-encoding"
+_TRANSFER_ENCODING = b"transfer-encoding"
+_BODY_HEADERS = (_CONTENT_LENGTH, _TRANSFER_ENCODING, _CONTENT_ENCODING)
+_REWRITTEN_HEADERS = (*_BODY_HEADERS, b"connection", b"expect")
 _HEADER_OVERHEAD_BYTES = 4
 _METHODS = (b"GET", b"HEAD", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS")
+_SIMPLE_TARGET = re.compile(rb"(?:/[A-Za-z0-9_~-][A-Za-z0-9_~.-]*)+/?")
 _ESCAPE = re.compile(rb"%[0-9A-Fa-f]{2}")
 _TOO_LARGE_STATUSES = (413, 431)
 
@@ -41,6 +46,7 @@
         self._bounds = bounds
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.header_bytes)
         self._head: h11.Request | None = None
+        self._target = b""
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._began = False
@@ -69,7 +75,7 @@
     def _read_events(self) -> Result[WholeRequest | None, Failure]:
         while True:
             event = self._parser.next_event()
-            if event in (h11.NEED_DATA, h11.PAUSED):
+            if event is h11.NEED_DATA or event is h11.PAUSED:
                 return Ok(None)
             if isinstance(event, h11.Request):
                 wrong = self._check_head(event)
@@ -84,21 +90,28 @@
 
     def _check_head(self, head: h11.Request) -> Err[Failure] | None:
         self._head = head
-        size = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
+        self._target = _upper_escapes(head.target)
+        headers = list(head.headers)
+        size = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in headers)
         if size + len(head.target) > self._bounds.header_bytes:
             return _wrong(ResultCode.TOO_LARGE, "header")
         if head.method not in _METHODS:
             return _wrong(ResultCode.BAD_REQUEST, "unknown method")
-        if not is_plain_target(_upper_escapes(head.target)):
+        if not is_plain_target(self._target):
             return _wrong(ResultCode.BAD_REQUEST, "only plain paths are served")
-        if dict(head.headers).get(b"content-encoding", b"identity") != b"identity":
+        return self._check_framing([item for item in headers if item[0] in _BODY_HEADERS])
+
+    def _check_framing(self, headers: list[tuple[bytes, bytes]]) -> Err[Failure] | None:
+        lengths = [item for item in headers if item[0] != _CONTENT_ENCODING]
+        if any(
+            value.lower() != b"identity" for name, value in headers if name == _CONTENT_ENCODING
+        ):
             # circuits.web would unpack the body to any size.
             return _wrong(ResultCode.BAD_REQUEST, "content codings are not supported")
-        framing = [name for name, _ in head.headers if name in _FRAMING_HEADERS[:2]]
-        if len(framing) > 1:
+        if len(lengths) > 1:
             return _wrong(ResultCode.BAD_FRAMING, "more than one statement of the body's length")
-        declared = dict(head.headers).get(b"content-length", b"0")
-        if int(declared) > self._bounds.body_bytes:
+        declared = next((int(value) for name, value in lengths if name == _CONTENT_LENGTH), 0)
+        if declared > self._bounds.body_bytes:
             return _wrong(ResultCode.TOO_LARGE, "body")
         return None
 
@@ -112,10 +125,9 @@
     def _canonical(self) -> bytes:
         """Write the request anew with one plain statement of its length."""
         head = self._head
-        target = _upper_escapes(head.target)
-        lines = [b"%s %s HTTP/%s" % (head.method, target, head.http_version)]
+        lines = [b"%s %s HTTP/%s" % (head.method, self._target, head.http_version)]
         for name, value in head.headers.raw_items():
-            if name.lower() not in _FRAMING_HEADERS:
+            if name.lower() not in _REWRITTEN_HEADERS:
                 # circuits.web decodes escape sequences in headers.
                 lines.append(b"%s: %s" % (name, value.replace(b"\\", b"\\\\")))
         lines.append(b"Connection: %s" % (b"keep-alive" if self._keeps_alive() else b"close"))
@@ -130,6 +142,8 @@
 
 def is_plain_target(target: bytes) -> bool:
     """Tell whether a target is a path, with a query or not, that has only one reading."""
+    if _SIMPLE_TARGET.fullmatch(target):
+        return True
     path = target.decode("latin-1").partition("?")[0]
     if not path.startswith("/") or b"#" in target or b"\\" in target or ";" in path:
         return False
--- a/pumicedeck/tests/test_http_framings.py
+++ b/pumicedeck/tests/test_http_framings.py
@@ -94,6 +94,7 @@
     [
         (b"POST /a HTTP/1.1", b"Content-Encoding: gzip"),
         (b"POST /a HTTP/1.1", b"Content-Encoding: deflate"),
+        (b"POST /a HTTP/1.1", b"Content-Encoding: gzip\r\nContent-Encoding: identity"),
         (b"POST /a\\x HTTP/1.1", b"X: y"),
         (b"POST /a?\\n HTTP/1.1", b"X: y"),
         (b"BREW /a HTTP/1.1", b"X: y"),
