Expose the scale and edit experiments as commands

Cause: the slopes at four sizes and the races have to be run by a command.

Change: `pumicedeck experiment scale` and `pumicedeck experiment edits`.

Figures: none; a test runs both at small size.

--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -6,12 +6,16 @@
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.scale_experiments import ScaleDurations, render_scale, run_scale
+from pumicedeck.scale_worlds import ScaleSize
 from pumicedeck.world import Address
 
 OPERATOR_URLS = ("http://127.0.0.1:18081", "http://127.0.0.1:19201")
 CALLERS = (1, 32, 256)
+SCALE_SIZES = ("95x150", "190x300", "285x450", "380x600")
 
 experiment_app = typer.Typer(
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
@@ -85,6 +89,36 @@
     print_table((*columns, *used), rows)
 
 
+@experiment_app.command("scale")
+def scale(
+    size: Annotated[
+        list[str],
+        typer.Option(help="Entries and agents, such as 380x600; may be repeated."),
+    ] = SCALE_SIZES,
+    seed: SeedOption = 1,
+    hour: Annotated[float, typer.Option(help="Seconds of the outage and of the split.")] = 3600.0,
+) -> None:
+    """Measure how the catalogue spreads in virtual time and print a table."""
+    sizes = tuple(ScaleSize(*map(int, each.split("x"))) for each in size)
+    durations = ScaleDurations(outage=hour, split=hour)
+    for each in sizes:
+        typer.echo(render_scale(run_scale((each,), seed, durations)))
+
+
+@experiment_app.command("edits")
+def edits(
+    schedules: Annotated[int, typer.Option(help="How many seeded races to run.")] = 3000,
+    seed: SeedOption = 1,
+) -> None:
+    """Race eight editors over a faulty store and check what each was told."""
+    report = run_edit_races(schedules, seed)
+    columns = ("schedules", "accepted", "conflicts", "refused", "asked again", "faults")
+    counts = (report.accepted, report.conflicts, report.refused, report.asked_again)
+    print_table(columns, [[report.schedules, *counts, len(report.faults)]])
+    for fault in report.faults:
+        typer.echo(fault)
+
+
 def _used(before: list[ProcessUse], after: list[ProcessUse], requests: int) -> list[float]:
     pairs = zip(before, after, strict=True)
     return [
--- a/pumicedeck/tests/test_scale_experiments.py
+++ b/pumicedeck/tests/test_scale_experiments.py
@@ -1,7 +1,9 @@
 """Tests of the whole spread and membership with many processes in virtual time."""
 
 import pytest
+from typer.testing import CliRunner
 
+from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.scale_experiments import (
     TARGET_SECONDS,
     ScaleDurations,
@@ -54,3 +56,11 @@
     process = next(iter(world.cluster.processes.values()))
     process.installations += [Installation(1.0, 5), Installation(2.0, 4), Installation(3.0, 6)]
     assert count_reverts(world.processes()) == 1
+
+
+def test_the_commands_print_their_tables() -> None:
+    runner = CliRunner()
+    scale = runner.invoke(experiment_app, ["scale", "--size", "2x3", "--hour", "60"])
+    assert (scale.exit_code, scale.output.count("\n| 2 | 3 |")) == (0, 6)
+    edits = runner.invoke(experiment_app, ["edits", "--schedules", "1"])
+    assert (edits.exit_code, "asked again" in edits.output) == (0, True)
