Measure the memory of an entry's membership

Cause: a node may take 256 MB for control, and the state grows with the fleet.

Change: scale_memories traces the list of VMs, the catalogue and a membership with its sessions; the scale command prints it.

--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -10,6 +10,7 @@
 from pumicedeck.experiments import run_experiment
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
 from pumicedeck.scale_experiments import ScaleDurations, render_scale, run_scale
+from pumicedeck.scale_memories import membership_memory
 from pumicedeck.scale_worlds import ScaleSize
 from pumicedeck.world import Address
 
@@ -103,6 +104,7 @@
     durations = ScaleDurations(outage=hour, split=hour)
     for each in sizes:
         typer.echo(render_scale(run_scale((each,), seed, durations)))
+        typer.echo(f"memory of an entry's membership: {membership_memory(each)} bytes")
 
 
 @experiment_app.command("edits")
--- /dev/null
+++ b/pumicedeck/scale_memories.py
@@ -0,0 +1,35 @@
+"""Measures the memory that the catalogue and the membership take in one entry process."""
+
+import pickle
+import tracemalloc
+from random import Random
+
+from result import Ok
+
+from pumicedeck.catalogue_rows import catalogue_of, decode_copy, encode_copy
+from pumicedeck.memberships import ListVms, Membership, OpenSession
+from pumicedeck.scale_worlds import ScaleSize, first_rows, vms_of
+
+STEPS = 120
+
+
+def membership_memory(size: ScaleSize) -> int:
+    """Return the peak bytes of a list of VMs, a catalogue and a membership with its sessions."""
+    vms = vms_of(size)
+    listed = pickle.dumps(vms)
+    copy = encode_copy(catalogue_of(1, first_rows(size)))
+    tracemalloc.start()
+    membership = Membership(vms[0], Random(1))
+    actions = membership.catalogue_installed(0.0, decode_copy(copy).unwrap())
+    actions += membership.start(0.0)
+    for step in range(STEPS):
+        while actions:
+            match actions.pop():
+                case ListVms(call):
+                    actions += membership.vms_listed(step, call, Ok(pickle.loads(listed)))
+                case OpenSession(vm):
+                    actions += membership.session_up(step, vm.name)
+        actions = membership.on_time(step + 1.0)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak
--- a/pumicedeck/tests/test_scale_experiments.py
+++ b/pumicedeck/tests/test_scale_experiments.py
@@ -12,12 +12,14 @@
     render_scale,
     run_scale,
 )
+from pumicedeck.scale_memories import membership_memory
 from pumicedeck.scale_processes import Installation
 from pumicedeck.scale_worlds import ScaleSize, ScaleWorld
 
 STORE_READS_PER_SECOND = 2000
 STORE_WRITES_PER_SECOND = 300
 NODE_BYTES_PER_SECOND = 18_000
+NODE_MEMORY_BYTES = 256_000_000
 TARGET_PROCESSES = 980
 SIZE = ScaleSize(18, 30)
 
@@ -58,6 +60,10 @@
     assert count_reverts(world.processes()) == 1
 
 
+def test_the_membership_takes_a_small_part_of_the_memory_of_a_node() -> None:
+    assert 0 < membership_memory(ScaleSize(95, 150)) < NODE_MEMORY_BYTES / 4
+
+
 def test_the_commands_print_their_tables() -> None:
     runner = CliRunner()
     scale = runner.invoke(experiment_app, ["scale", "--size", "2x3", "--hour", "60"])
