Exchange demands between entry VMs so that limits follow them

Cause: limits were split equally and nothing carried the demands; the first test showed that mere answers kept each other alive, so rows never went; and a trainer, which draws through one VM, would have got one part in 380 of its entry's limits. Change: every entry VM writes its rows and reads the others' every 4 to 5 s; only a VM that asks for more is answered; rows of VMs that are gone are deleted; rollout entries are not split.

--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -19,6 +19,7 @@
 from pumicedeck.claims import Claims
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.connections import Connections
+from pumicedeck.demand_exchanges import DemandExchange
 from pumicedeck.draw_sessions import DrawSessions
 from pumicedeck.draws import DrawCoordinator
 from pumicedeck.endpoint_watches import EngineWatch, ServiceWatch
@@ -312,6 +313,7 @@
     newest = NewestVersionPoll(
         host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
     )
+    demands = DemandExchange(settings.vm, limiter, platform.table, host.timers, rng)
     tokens = TokenChecker(platform.table, host.timers)
     numbers = iter(range(1, 2**62))
     api = CallerApi(daemon, tokens, draws, lambda: f"{incarnation}-{next(numbers)}")
@@ -325,8 +327,10 @@
     def start() -> None:
         daemon.start()
         newest.start()
+        demands.start()
 
     def close() -> None:
+        demands.close()
         newest.close()
         draws.close()
         claims.close()
--- /dev/null
+++ b/pumicedeck/demand_exchanges.py
@@ -0,0 +1,120 @@
+"""Exchanges the demands of entry VMs through the table service, so that limits follow demand."""
+
+import json
+from random import Random
+
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.limit_shares import Demand
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.platforms import Committed, Row, TableStore, Transaction, Write
+from pumicedeck.results import Failure
+from pumicedeck.timeouts import TimedTableStore
+
+DEMAND_TABLE = "demands"
+EXCHANGE_SECONDS = 4.0
+JITTER_SECONDS = 1.0
+CALL_SECONDS = 2.0
+MAX_ROWS = 10_000
+MAX_DOUBLINGS = 3
+ABANDONED_SECONDS = 60.0
+
+
+class DemandExchange:
+    """Writes this VM's rows and reads those of the others every few seconds."""
+
+    def __init__(
+        self, vm: str, limiter: EntryLimiter, table: TableStore, timers: TimerQueue, rng: Random
+    ) -> None:
+        """Exchange on behalf of the entry VM `vm`."""
+        self._vm = vm
+        self._limiter = limiter
+        self._table = TimedTableStore(table, timers, CALL_SECONDS)
+        self._timers = timers
+        self._rng = rng
+        self._timer: Timer | None = None
+        self._failures = 0
+        self._written: set[str] = set()
+        self._revisions: dict[str, int] = {}
+        self._changed_at: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begin after a random part of the interval."""
+        delay = self._rng.uniform(0.0, EXCHANGE_SECONDS)
+        self._timer = self._timers.call_later(delay, self._exchange)
+
+    def close(self) -> None:
+        """Stop exchanging."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _exchange(self) -> None:
+        longest = EXCHANGE_SECONDS * 2 ** min(self._failures, MAX_DOUBLINGS)
+        delay = longest + self._rng.uniform(0.0, JITTER_SECONDS)
+        self._timer = self._timers.call_later(delay, self._exchange)
+        writes = self._writes()
+        if writes:
+            self._table.commit(Transaction((), writes), self._committed)
+        self._table.scan(DEMAND_TABLE, "", MAX_ROWS, self._scanned)
+
+    def _writes(self) -> tuple[Write, ...]:
+        now = self._timers.now()
+        demands = self._limiter.publish(now)
+        current = {_key(each): each for each in demands}
+        cooled = self._written - current.keys()
+        self._written = set(current)
+        puts = [Write(DEMAND_TABLE, key, _encode(each)) for key, each in current.items()]
+        deletes = [Write(DEMAND_TABLE, key, None) for key in (*cooled, *self._abandoned(now))]
+        return tuple(puts + deletes)
+
+    def _abandoned(self, now: float) -> list[str]:
+        """Return rows of VMs that are gone, if this VM is the one to delete them."""
+        members = self._limiter.members
+        if self._vm != min(members):
+            return []
+        return [
+            key
+            for key, changed in self._changed_at.items()
+            if now - changed > ABANDONED_SECONDS and key.rpartition("/")[2] not in members
+        ]
+
+    def _committed(self, outcome: Result[Committed, Failure]) -> None:
+        self._count(outcome.is_ok())
+
+    def _scanned(self, read: Result[tuple[Row, ...], Failure]) -> None:
+        self._count(read.is_ok())
+        if isinstance(read, Err):
+            self._limiter.on_time(self._timers.now())
+            return
+        now = self._timers.now()
+        rows = {row.key: row for row in read.ok_value}
+        # A row that was not written again says nothing about now.
+        fresh = [row for row in rows.values() if self._revisions.get(row.key) != row.revision]
+        for row in fresh:
+            self._changed_at[row.key] = now
+        self._revisions = {key: row.revision for key, row in rows.items()}
+        self._changed_at = {key: at for key, at in self._changed_at.items() if key in rows}
+        decoded = [_decode(row) for row in fresh]
+        self._limiter.learn(now, [each.ok_value for each in decoded if isinstance(each, Ok)])
+
+    def _count(self, succeeded: bool) -> None:
+        self._failures = 0 if succeeded else self._failures + 1
+
+
+def _key(demand: Demand) -> str:
+    return f"{demand.entry_name}/{demand.vm}"
+
+
+def _encode(demand: Demand) -> bytes:
+    numbers = (demand.concurrency, demand.requests_per_second, demand.tokens_per_second)
+    return json.dumps([round(each, 2) for each in numbers]).encode()
+
+
+def _decode(row: Row) -> Result[Demand, str]:
+    name, _, vm = row.key.rpartition("/")
+    try:
+        concurrency, requests, tokens = (float(each) for each in json.loads(row.value))
+    except (ValueError, TypeError):
+        return Err(row.key)
+    return Ok(Demand(name, vm, concurrency, requests, tokens))
--- a/pumicedeck/limit_shares.py
+++ b/pumicedeck/limit_shares.py
@@ -9,7 +9,7 @@
 
 from pumicedeck.catalogue_entries import Limits
 
-DEMAND_LIFETIME_SECONDS = 6.0
+DEMAND_LIFETIME_SECONDS = 12.0
 DEMAND_HEADROOM = 1.25
 HOT_FRACTION = 0.8
 
--- a/pumicedeck/limiters.py
+++ b/pumicedeck/limiters.py
@@ -2,7 +2,8 @@
 
 Only entries near their equal part are exchanged: a VM publishes one row per such entry, and the
 others, who poll the rows, answer with their own demand. Without fresh rows of all members every
-VM keeps to the equal part, whose sum never exceeds the limit.
+VM keeps to the equal part, whose sum never exceeds the limit. A rollout entry is not split: a
+trainer draws a step through one VM, which would starve on an equal part.
 """
 
 import math
@@ -11,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Limits
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Limits, RequestClass
 from pumicedeck.limit_shares import (
     DEMAND_LIFETIME_SECONDS,
     Demand,
@@ -86,6 +87,7 @@
     part: LimitPart
     requests: TokenBucket
     tokens: TokenBucket
+    is_split: bool = True
     running: int = 0
     request_rate: _FadingRate = field(default_factory=_FadingRate)
     token_rate: _FadingRate = field(default_factory=_FadingRate)
@@ -94,6 +96,10 @@
     heard: dict[str, float] = field(default_factory=dict)
 
 
+def _is_split(entry: CatalogueEntry) -> bool:
+    return entry.request_class is not RequestClass.ROLLOUT
+
+
 class EntryLimiter:
     """Admits requests on one entry VM under its part of each catalogue entry's limits."""
 
@@ -103,12 +109,19 @@
         self._members: frozenset[str] = frozenset({vm})
         self._states: dict[str, _EntryState] = {}
 
+    @property
+    def members(self) -> frozenset[str]:
+        """Return the names of the live entry VMs."""
+        return self._members
+
     def configure(self, now: float, catalogue: Catalogue) -> None:
         """Install the limits of a catalogue revision at once."""
         names = {each.name for each in catalogue.entries}
         self._states = {name: state for name, state in self._states.items() if name in names}
         for entry in catalogue.entries:
-            self._state(entry).limits = entry.limits
+            state = self._state(entry)
+            state.limits = entry.limits
+            state.is_split = _is_split(entry)
         self._resplit(now)
 
     def set_members(self, now: float, vms: Iterable[str]) -> None:
@@ -150,9 +163,8 @@
         rows = []
         for name, state in self._states.items():
             demand = self._demand(now, name, state)
-            hot = is_hot(demand, equal_part(state.limits, len(self._members)))
-            others = any(vm != self._vm for vm in self._fresh(now, state))
-            if hot or others:
+            hot = state.is_split and is_hot(demand, self._equal_part(state))
+            if hot or self._is_hot_elsewhere(now, state):
                 state.demands[self._vm] = demand
                 state.heard[self._vm] = now
                 rows.append(demand)
@@ -174,15 +186,26 @@
 
     def _state(self, entry: CatalogueEntry) -> _EntryState:
         if entry.name not in self._states:
-            part = equal_part(entry.limits, len(self._members))
+            is_split = _is_split(entry)
+            part = equal_part(entry.limits, len(self._members) if is_split else 1)
             self._states[entry.name] = _EntryState(
                 entry.limits,
                 part,
                 TokenBucket(part.requests_per_second),
                 TokenBucket(part.tokens_per_second),
+                is_split,
             )
         return self._states[entry.name]
 
+    def _is_hot_elsewhere(self, now: float, state: _EntryState) -> bool:
+        """Tell whether a VM asks for more; mere answers must not keep each other alive."""
+        part = self._equal_part(state)
+        others = self._fresh(now, state) - {self._vm}
+        return any(is_hot(state.demands[vm], part) for vm in others)
+
+    def _equal_part(self, state: _EntryState) -> LimitPart:
+        return equal_part(state.limits, len(self._members) if state.is_split else 1)
+
     def _demand(self, now: float, name: str, state: _EntryState) -> Demand:
         refused = state.refused_rate.read(now)
         return Demand(
@@ -200,7 +223,7 @@
 
     def _resplit(self, now: float) -> None:
         for state in self._states.values():
-            part = equal_part(state.limits, len(self._members))
+            part = self._equal_part(state)
             if len(self._members) > 1 and self._fresh(now, state) == self._members:
                 known = {vm: state.demands[vm] for vm in self._members}
                 part = part_by_demand(state.limits, self._vm, known)
