Measure what requests and claims cost; scan for settled attempts less often

Cause: cost of the request path was unknown; each dispatch made the agent scan all its attempts for those below the floor.

Change: request_costs measures processor time in both state machines and store calls of claims in virtual time; dispatches raise the floor without a scan, heartbeats still cancel what is settled; answers are built once.

--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -130,7 +130,7 @@
             case Acknowledge(attempt):
                 actions = self._acknowledge(now, attempt)
             case Heartbeat():
-                actions = self._raise_floor(now, entry, message.floor)
+                actions = self._cancel_settled(now, entry, message.floor)
             case _:
                 actions = []
         return actions + self._advance(now)
@@ -222,17 +222,17 @@
             self._counters.misaddressed += 1
             code = int(ResultCode.NOT_READY)
             return [SendMessage(entry, Refused(attempt, code, "addressed to another process"))]
-        actions = self._raise_floor(now, entry, dispatch.floor)
+        self._tombstones.raise_floor(entry, dispatch.floor)
         if self._is_known(attempt):
             self._counters.repeated += 1
-            return actions + self._resend(now, entry, attempt, 0)
+            return self._resend(now, entry, attempt, 0)
         self._counters.dispatched += 1
         refusal = self._admit(now, dispatch)
         if refusal:
-            return actions + self._refuse(now, attempt, refusal)
+            return self._refuse(now, attempt, refusal)
         self._attempts[attempt] = Attempt(dispatch, now)
         self._deadlines.set(attempt, now + min(dispatch.queue_budget, dispatch.budget))
-        return actions
+        return []
 
     def _admit(self, now: float, dispatch: Dispatch) -> Failure | None:
         if self.draining:
@@ -315,7 +315,7 @@
             self._bury(now, attempt, Tombstone(Verdict.EXECUTED))
         return []
 
-    def _raise_floor(self, now: float, entry: str, floor: int) -> list[Action]:
+    def _cancel_settled(self, now: float, entry: str, floor: int) -> list[Action]:
         if not self._tombstones.admits(entry):
             return []
         self._tombstones.raise_floor(entry, floor)
--- a/pumicedeck/attempts.py
+++ b/pumicedeck/attempts.py
@@ -1,7 +1,7 @@
 """What the agent keeps of an attempt between its dispatch and the end of its answer."""
 
 import hashlib
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any
 
@@ -24,6 +24,9 @@
     bracketed: bool = False
 
 
+_NO_END = ExecutionEnd(0, "")
+
+
 class AttemptPhase(IntEnum):
     """Where an attempt stands at the agent."""
 
@@ -93,29 +96,23 @@
         return failure.proven_not_run or failure.code is ResultCode.ENDPOINT_UNREACHABLE
 
     def _build_answer(self, now: float, outcome: Result[ExecutionEnd, Failure]) -> Answer:
-        answer = Answer(
+        failure = outcome.err_value if isinstance(outcome, Err) else None
+        end = _NO_END if failure else outcome.ok_value
+        has_body = failure is None and not self.dispatch.streamed
+        return Answer(
             attempt=self.dispatch.attempt,
-            code=int(ResultCode.OK),
-            status=0,
-            content_type="",
-            body=b"",
-            length=len(self.output),
-            digest=self.digest.hexdigest(),
-            queue_wait=self.queue_wait,
-            service_time=now - self.started,
-        )
-        if isinstance(outcome, Err):
-            failure = outcome.err_value
-            return replace(answer, code=int(_end_code(failure)), detail=failure.detail)
-        end = outcome.ok_value
-        return replace(
-            answer,
+            code=int(_end_code(failure) if failure else ResultCode.OK),
             status=end.status,
             content_type=end.content_type,
-            body=b"" if self.dispatch.streamed else bytes(self.output),
+            body=bytes(self.output) if has_body else b"",
+            length=len(self.output),
+            digest=self.digest.hexdigest(),
+            detail=failure.detail if failure else "",
             tokens=end.tokens,
             versions=end.versions,
             bracketed=end.bracketed,
+            queue_wait=self.queue_wait,
+            service_time=now - self.started,
         )
 
 
--- a/pumicedeck/request_attempts.py
+++ b/pumicedeck/request_attempts.py
@@ -76,7 +76,9 @@
 
     def route(self, now: float, pending: PendingRequest) -> list[Action]:
         """Send the request to an agent, or let it wait for one if it was sent before."""
-        query = replace(pending.query, excluded=pending.excluded)
+        query = pending.query
+        if pending.excluded:
+            query = replace(query, excluded=pending.excluded)
         choice = self._router.choose(now, query)
         if isinstance(choice, Err) and pending.attempts == 0:
             return self.fail(now, pending, choice.err_value)
--- /dev/null
+++ b/pumicedeck/request_costs.py
@@ -0,0 +1,195 @@
+"""Measures what the request state machines and the claims cost."""
+
+import json
+from collections import deque
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from random import Random
+from time import perf_counter
+from typing import TypeVar
+
+from result import Ok
+
+from pumicedeck.actions import (
+    Action,
+    CallerAnswer,
+    CallerRequest,
+    RecordOutcome,
+    SendMessage,
+    WriteClaim,
+)
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.attempts import ExecutionEnd
+from pumicedeck.catalogue_entries import CatalogueEntry, Limits, RequestClass
+from pumicedeck.claims import Claims, ClaimSettings
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.messages import Dispatch, Message
+from pumicedeck.queues import FirstInFirstOutQueue
+from pumicedeck.results import ResultCode
+from pumicedeck.routers import Candidate, RoundRobinRouter
+from pumicedeck.standin_tables import StandinTableStore, StoreLimits, TableData
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain
+
+T = TypeVar("T")
+
+MICROSECONDS = 1e6
+IN_FLIGHT = 200
+BODY_BYTES = 2048
+STORE_SECONDS = 0.002
+SERVICE_SECONDS = 0.5
+
+_AGENT = "agent/1"
+_ENTRY = "entry/1"
+_DOMAIN = FailureDomain("a", "r")
+_ROW = CatalogueEntry("call", "firm", RequestClass.INTERACTIVE, ("pool",), Limits())
+
+
+@dataclass(frozen=True, slots=True)
+class MachineCosts:
+    """Processor time a request, in microseconds, and messages a request."""
+
+    requests: int
+    entry_microseconds: float
+    agent_microseconds: float
+    messages: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimCosts:
+    """Store calls and processor time a non-idempotent request, and store calls a second.
+
+    `claim_microseconds` holds the stand-in of the table service, too.
+    """
+
+    entries: int
+    requests_per_second: float
+    outcome_seconds: float
+    transactions: float
+    rows: float
+    reads: float
+    transactions_per_second: float
+    claim_microseconds: float
+
+
+class MachineMeter:
+    """Carries requests between the two state machines and sums the time spent in each."""
+
+    def __init__(self) -> None:
+        """Connect one entry with one agent."""
+        self._entry = EntryRequests(_ENTRY, RoundRobinRouter(_DOMAIN))
+        self._agent = AgentRequests(_AGENT, FirstInFirstOutQueue(), IN_FLIGHT)
+        endpoint = Endpoint(_AGENT, "pool", EndpointKind.SERVICE, IN_FLIGHT)
+        self._entry.session_up(0.0, _AGENT, Candidate(_AGENT, endpoint, _DOMAIN))
+        self._agent.session_up(0.0, _ENTRY)
+        self._entry_seconds = 0.0
+        self._agent_seconds = 0.0
+        self._messages = 0
+        self._running: deque[Dispatch] = deque()
+
+    def measure(self, requests: int) -> MachineCosts:
+        """Run `requests` requests, some of them in flight at a time."""
+        body = Random(1).randbytes(BODY_BYTES)
+        for number in range(requests):
+            now = number * 0.001
+            handle = f"h{number}"
+            request = CallerRequest(handle, handle, _ROW, "/run", body, True, False, 30.0)
+            self._to_agent(now, self._at_entry(self._entry.submit, now, request))
+            if len(self._running) >= IN_FLIGHT:
+                self._finish(now, self._running.popleft(), body)
+        finished = requests - len(self._running)
+        return MachineCosts(
+            requests,
+            self._entry_seconds / finished * MICROSECONDS,
+            self._agent_seconds / finished * MICROSECONDS,
+            self._messages / finished,
+        )
+
+    def _finish(self, now: float, dispatch: Dispatch, body: bytes) -> None:
+        attempt = dispatch.attempt
+        end = Ok(ExecutionEnd(200, "text/plain", 64, (1,)))
+        self._at_agent(self._agent.execution_chunk, now, attempt, body)
+        self._to_entry(now, self._at_agent(self._agent.execution_finished, now, attempt, end))
+
+    def _to_agent(self, now: float, actions: list[Action]) -> None:
+        for message in self._sent(actions):
+            if isinstance(message, Dispatch):
+                self._running.append(message)
+            self._to_entry(now, self._at_agent(self._agent.message, now, _ENTRY, message))
+
+    def _to_entry(self, now: float, actions: list[Action]) -> None:
+        for message in self._sent(actions):
+            self._to_agent(now, self._at_entry(self._entry.message, now, _AGENT, message))
+
+    def _sent(self, actions: list[Action]) -> list[Message]:
+        messages = [each.message for each in actions if isinstance(each, SendMessage)]
+        self._messages += len(messages)
+        return messages
+
+    def _at_entry(self, call: Callable[..., T], *arguments: object) -> T:
+        started = perf_counter()
+        result = call(*arguments)
+        self._entry.next_wakeup()
+        self._entry_seconds += perf_counter() - started
+        return result
+
+    def _at_agent(self, call: Callable[..., T], *arguments: object) -> T:
+        started = perf_counter()
+        result = call(*arguments)
+        self._agent.next_wakeup()
+        self._agent_seconds += perf_counter() - started
+        return result
+
+
+def measure_claims(
+    entries: int, requests_per_second: float, outcome_seconds: float, seconds: float, seed: int
+) -> ClaimCosts:
+    """Let callers of many entries claim at random moments of virtual time."""
+    time = VirtualTime()
+    store = StandinTableStore(time, None, TableData(), StoreLimits(latency=STORE_SECONDS))
+    settings = ClaimSettings(outcome_seconds=outcome_seconds)
+    answer = CallerAnswer(200, "text/plain", bytes(256), 256, "")
+    claims: list[Claims] = []
+
+    def granted(number: int, request_id: str) -> None:
+        record = RecordOutcome("firm", request_id, int(ResultCode.OK), answer)
+        time.call_later(SERVICE_SECONDS, lambda: claims[number].record(record))
+
+    for number in range(entries):
+
+        def answered(handle: str, outcome: object, number: int = number) -> None:
+            granted(number, handle)
+
+        name = f"entry{number}/1"
+        made = Claims(name, store, time, answered, lambda holder: True, time.now, settings)
+        claims.append(made)
+    random = Random(seed)
+    total = int(requests_per_second * seconds)
+    for number in range(total):
+        claimer = claims[random.randrange(entries)]
+        write = WriteClaim(f"r{number}", "firm", f"r{number}", "0" * 64)
+        time.call_at(random.uniform(0.0, seconds), lambda c=claimer, write=write: c.claim(write))
+    started = perf_counter()
+    time.run_until(seconds + outcome_seconds + SERVICE_SECONDS + 1.0)
+    spent = perf_counter() - started
+    counters = [each.counters for each in claims]
+    transactions = sum(each.transactions for each in counters)
+    return ClaimCosts(
+        entries,
+        requests_per_second,
+        outcome_seconds,
+        transactions / total,
+        sum(each.rows_written for each in counters) / total,
+        sum(each.reads for each in counters) / total,
+        transactions / seconds,
+        spent / total * MICROSECONDS,
+    )
+
+
+def request_costs_report(requests: int = 50_000, seconds: float = 60.0, seed: int = 1) -> str:
+    """Measure both and return one JSON document a line."""
+    lines: list[MachineCosts | ClaimCosts] = [MachineMeter().measure(requests)]
+    for entries, rate in ((4, 20.0), (40, 240.0), (380, 240.0)):
+        for outcome_seconds in (0.5, 2.0, 5.0):
+            lines.append(measure_claims(entries, rate, outcome_seconds, seconds, seed))
+    return "\n".join(json.dumps(asdict(each)) for each in lines)
