--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -1,17 +1,26 @@
 """Commands that measure the decisions in process and under virtual time."""
 
+import json
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
+from pumicedeck.fault_matrices import write_matrix
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.scale_experiments import ScaleDurations, render_scale, run_scale
+from pumicedeck.scale_memories import membership_memory
+from pumicedeck.scale_worlds import ScaleSize
+from pumicedeck.trials import Trial, TrialPlan
 from pumicedeck.world import Address
 
 OPERATOR_URLS = ("http://127.0.0.1:18081", "http://127.0.0.1:19201")
 CALLERS = (1, 32, 256)
+SCALE_SIZES = ("95x150", "190x300", "285x450", "380x600")
 
 experiment_app = typer.Typer(
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
@@ -85,8 +94,80 @@
     print_table((*columns, *used), rows)
 
 
+@experiment_app.command("scale")
+def scale(
+    size: Annotated[
+        list[str],
+        typer.Option(help="Entries and agents, such as 380x600; may be repeated."),
+    ] = SCALE_SIZES,
+    seed: SeedOption = 1,
+    hour: Annotated[float, typer.Option(help="Seconds of the outage and of the split.")] = 3600.0,
+) -> None:
+    """Measure how the catalogue spreads in virtual time and print a table."""
+    sizes = tuple(ScaleSize(*map(int, each.split("x"))) for each in size)
+    durations = ScaleDurations(outage=hour, split=hour)
+    for each in sizes:
+        typer.echo(render_scale(run_scale((each,), seed, durations)))
+        typer.echo(f"memory of an entry's membership: {membership_memory(each)} bytes")
+
+
+@experiment_app.command("edits")
+def edits(
+    schedules: Annotated[int, typer.Option(help="How many seeded races to run.")] = 3000,
+    seed: SeedOption = 1,
+) -> None:
+    """Race eight editors over a faulty store and check what each was told."""
+    report = run_edit_races(schedules, seed)
+    columns = ("schedules", "accepted", "conflicts", "refused", "asked again", "faults")
+    counts = (report.accepted, report.conflicts, report.refused, report.asked_again)
+    print_table(columns, [[report.schedules, *counts, len(report.faults)]])
+    for fault in report.faults:
+        typer.echo(fault)
+
+
 def _used(before: list[ProcessUse], after: list[ProcessUse], requests: int) -> list[float]:
     pairs = zip(before, after, strict=True)
     return [
         1000.0 * (late.cpu_seconds - early.cpu_seconds) / max(1, requests) for early, late in pairs
     ]
+
+
+@experiment_app.command("trial")
+def trial(
+    entries: Annotated[
+        list[str], typer.Option("--entry", help="Callers' addresses of the entries.")
+    ],
+    control: Annotated[str, typer.Option(help="The stand-ins' control address, as a URL.")],
+    weight_store: Annotated[str, typer.Option(help="The weight store's address.")],
+    services: Annotated[
+        list[str], typer.Option("--service", help="Stand-in services whose ledgers count.")
+    ],
+    seconds: Annotated[float, typer.Option(help="How long the load lasts.")] = 300.0,
+    seed: SeedOption = 1,
+) -> None:
+    """Put a mixed load on running daemons and check it against the stand-ins' ledgers."""
+    plan = TrialPlan(
+        tuple(_address(each) for each in entries),
+        control,
+        _address(weight_store),
+        tuple(services),
+        seconds,
+        seed,
+    )
+    report = Trial(plan).run()
+    typer.echo(json.dumps(asdict(report), indent=2))
+    raise typer.Exit(int(any(report.violations.values())))
+
+
+@experiment_app.command("matrix")
+def matrix(
+    output: Annotated[Path, typer.Option("--output", help="The page to write.")] = Path(
+        "docs/FAULT-MATRIX.md"
+    ),
+    seed: SeedOption = 1,
+    pairs: Annotated[int, typer.Option(help="Pairs of faults in the seeded sample.")] = 3000,
+) -> None:
+    """Run every fault at every step, and pairs of faults, and write the page."""
+    violations = write_matrix(output, seed, pairs)
+    typer.echo(f"{violations} violations, written to {output}")
+    raise typer.Exit(int(violations > 0))
