Let a leaving entry wait until its outcomes are recorded

Cause: the entry stopped its loop in the moment it asked for the flush, so outcomes that waited for company were lost and a repetition of the request would have been told that the outcome is unknown.

Change: Claims.flush takes what to do once all is recorded, at the latest after 5 s; the entry daemon passes its own end.

Figures: with the store up the flush ends within the store's latency and one check of 50 ms; with the store down after the 4 s that the test sets.

Conclusion: a drain loses no recorded outcome unless the store is down.

--- a/pumicedeck/claims.py
+++ b/pumicedeck/claims.py
@@ -36,6 +36,8 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.timeouts import TimedTableStore
 
+FLUSH_CHECK_SECONDS = 0.05
+
 Answered = Callable[[str, ClaimOutcome], None]
 
 _IN_DOUBT = (ResultCode.STORE_CONFLICT, ResultCode.STORE_OUTCOME_UNKNOWN)
@@ -57,6 +59,7 @@
     retry_seconds: float = 1.0
     refuse_seconds: float = 0.5
     doubt_seconds: float = 30.0
+    leave_seconds: float = 5.0
     max_ahead_seconds: float = 86_400.0
 
 
@@ -183,9 +186,20 @@
         self._outcomes.append(claim)
         self._flush_within(self._settings.outcome_seconds)
 
-    def flush(self) -> None:
-        """Write what waits for company now, because the process is leaving."""
+    def flush(self, done: Callable[[], None] | None = None) -> None:
+        """Write what waits for company now, because the process is leaving.
+
+        `done` is called once all is recorded, at the latest after `leave_seconds`.
+        """
         self._flush_within(0.0)
+        if done:
+            self._done_when_recorded(done, self._timers.now() + self._settings.leave_seconds)
+
+    def _done_when_recorded(self, done: Callable[[], None], latest: float) -> None:
+        if not self._held or self._timers.now() >= latest:
+            done()
+            return
+        self._timers.call_later(FLUSH_CHECK_SECONDS, lambda: self._done_when_recorded(done, latest))
 
     def _answer_from_memory(self, write: WriteClaim) -> bool:
         """Answer a repetition of what this entry works on or has not recorded yet."""
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -67,7 +67,7 @@
     def record(self, outcome: RecordOutcome) -> None:
         """Write the outcome into a claim row."""
 
-    def flush(self) -> None:
+    def flush(self, done: Callable[[], None]) -> None:
         """Write now what waits for company."""
 
 
@@ -313,8 +313,7 @@
                     self._claims.record(action)
                 case Drained():
                     _log.info("drained")
-                    self._claims.flush()
-                    self._parts.drained()
+                    self._claims.flush(self._parts.drained)
         self._wakeup.refresh()
 
     def _deliver_chunk(self, handle: str, data: bytes) -> None:
--- a/pumicedeck/simulations.py
+++ b/pumicedeck/simulations.py
@@ -40,7 +40,6 @@
 LIST_LAG_SECONDS = 10.0
 REPEAT_SECONDS = 0.5
 LATE_SECONDS = 7.0
-RECORD_SECONDS = 5.0
 MAX_REPEATS = 3
 HORIZON_SECONDS = 120.0
 SETTLE_SECONDS = 15.0
@@ -361,14 +360,7 @@
         """Let a drained entry exit."""
         for handle in self.callers.open_at(entry):
             self.oracle.cut_off(f"{handle} was open at {entry.incarnation}")
-        entry.claims.flush()
-        self._end_when_recorded(entry, self.time.now() + RECORD_SECONDS)
-
-    def _end_when_recorded(self, entry: EntryProcess, latest: float) -> None:
-        if entry.claims.unrecorded and self.time.now() < latest:
-            self.time.call_later(0.1, lambda: self._end_when_recorded(entry, latest))
-            return
-        self.time.call_later(0.0, lambda: self.end_entry(entry))
+        entry.claims.flush(lambda: self.time.call_later(0.0, lambda: self.end_entry(entry)))
 
     def agent_drained(self, agent: AgentProcess) -> None:
         """Let a drained agent exit and its VM be replaced."""
--- a/pumicedeck/tests/test_claims.py
+++ b/pumicedeck/tests/test_claims.py
@@ -187,3 +187,18 @@
 def test_ids_without_a_time_are_kept_apart_from_those_that_are_swept() -> None:
     assert claim_key("f", "booking-7").startswith("o/")
     assert claim_key("f", uuid7(7200.0)).startswith("t/0000000002/")
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+def test_a_leaving_entry_waits_a_bounded_time_for_its_outcomes(is_down: bool) -> None:
+    world = World()
+    first = world.entry("a/1", leave_seconds=4.0)
+    world.claim(first, "h1")
+    first.record(RecordOutcome("f", "r", int(ResultCode.OK), BOOKED))
+    world.stores["a/1"].faults.down = is_down
+    left_at: list[float] = []
+    started_at = world.time.now()
+    first.flush(lambda: left_at.append(world.time.now() - started_at))
+    world.run(5.0)
+    assert first.unrecorded == int(is_down)
+    assert len(left_at) == 1 and (left_at[0] >= 4.0) == is_down
