--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -12,7 +12,7 @@
 from pumicedeck.cli_outputs import JsonOption, UrlOption, finish, print_table
 from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.operator_clients import OperatorClient
-from pumicedeck.results import Failure
+from pumicedeck.results import Failure, result_code_table
 
 app = typer.Typer(
     help="A rollout service for reinforcement learning: daemons and the operators' client.",
@@ -59,6 +59,22 @@
     raise typer.Exit(run_demo(seconds))
 
 
+@app.command("local-files")
+def local_files(
+    folder: Annotated[Path, typer.Argument(help="Where the files are written.")],
+    agents: Annotated[
+        list[str], typer.Option("--agents", help="POOL=COUNT, of the demo's pools.")
+    ] = ("booking-app=1", "tuner-gen=1", "redator=1", "balcao=1"),
+    entries: Annotated[int, typer.Option(help="How many entries.")] = 1,
+    base_port: Annotated[int, typer.Option(help="The first of 400 ports.")] = 18000,
+    log_level: Annotated[str, typer.Option(help="DEBUG, INFO, WARNING or ERROR.")] = "INFO",
+) -> None:
+    """Write settings files of a deployment with stand-ins on this machine."""
+    from pumicedeck.local_files import write_local_files
+
+    finish(write_local_files(folder, tuple(agents), entries, base_port, log_level))
+
+
 @app.command()
 def status(url: UrlOption = "http://127.0.0.1:8081", as_json: JsonOption = False) -> None:
     """Show a process's state, its catalogue revision and which agents lag behind."""
@@ -81,6 +97,12 @@
     print_table(columns, [[each[name] for name in columns] for each in document["series"]])
 
 
+@app.command("result-codes")
+def result_codes() -> None:
+    """Print the table of result codes."""
+    typer.echo(result_code_table())
+
+
 def _read(url: str, path: str) -> Any:
     client = OperatorClient(url)
     read: Result[Any, Failure] = client.get(path)
--- a/pumicedeck/operator_clients.py
+++ b/pumicedeck/operator_clients.py
@@ -43,9 +43,14 @@
     def submit(self, change_id: str, document: Any) -> Result[Any, Failure]:
         """Submit an edit; if the reply is lost, ask what became of its change id."""
         outcome = self.post("/v1/catalogue/edits", document)
-        if isinstance(outcome, Err) and outcome.err_value.code is ResultCode.EDIT_UNKNOWN:
-            return self.get(f"/v1/catalogue/changes?id={change_id}")
-        return outcome
+        if not isinstance(outcome, Err) or outcome.err_value.code is not ResultCode.EDIT_UNKNOWN:
+            return outcome
+        resolved = self.get(f"/v1/catalogue/changes?id={change_id}")
+        # Only the change log can say "refused"; any other failure leaves the outcome unknown.
+        if isinstance(resolved, Err) and resolved.err_value.code is not ResultCode.EDIT_CONFLICT:
+            detail = f"unknown; ask again with change id {change_id}"
+            return Err(Failure(ResultCode.EDIT_UNKNOWN, detail))
+        return resolved
 
     def _send(self, method: str, path: str, document: Any) -> Result[Any, Failure]:
         try:
--- a/pumicedeck/tests/test_edits.py
+++ b/pumicedeck/tests/test_edits.py
@@ -5,10 +5,11 @@
 from typing import Any
 
 import pytest
+from result import Err
 
 from pumicedeck import catalogue_upkeep, edits
 from pumicedeck.catalogue_documents import parse_catalogue
-from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_editors import EDIT_BURST, CatalogueEditor
 from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool, RequestClass
 from pumicedeck.catalogue_rows import (
     CATALOGUE_TABLE,
@@ -27,7 +28,8 @@
     StoreFaults,
     StoreService,
 )
-from pumicedeck.results import ResultCode
+from pumicedeck.operator_clients import OperatorClient
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tests.test_catalogue_documents import GOOD
 from pumicedeck.world import EndpointKind
 
@@ -175,6 +177,56 @@
     assert desk.call(desk.editor.submit, edit).unwrap_err().code is ResultCode.BAD_REQUEST
 
 
+def test_a_flood_of_edits_is_refused_beyond_the_budget_of_writes() -> None:
+    desk = Desk()
+    edits_made = [desk.edit(Pool(f"p{number}", EndpointKind.SERVICE)) for number in range(60)]
+    answers: list[Any] = []
+    for edit in edits_made:
+        desk.editor.submit(edit, answers.append)
+    desk.time.run_until(desk.time.now() + 120.0)
+    refused = [each.unwrap_err() for each in answers if each.is_err()]
+    assert len(answers) == 60
+    assert 0 < len(answers) - len(refused) <= EDIT_BURST
+    limited = [each for each in refused if each.code is ResultCode.RATE_LIMITED]
+    assert len(limited) == 60 - EDIT_BURST
+    assert desk.call(desk.editor.read).unwrap().revision == len(answers) - len(refused)
+
+
+def test_the_budget_never_turns_an_accepted_change_into_a_refusal() -> None:
+    desk = Desk()
+    edit = desk.edit(TOOLS)
+    desk.call(desk.editor.submit, edit).unwrap()
+    answers: list[Any] = []
+    for _ in range(60):
+        desk.editor.resolve(edit.change_id, answers.append)
+    desk.time.run_until(desk.time.now() + 60.0)
+    codes = {None if each.is_ok() else each.unwrap_err().code for each in answers}
+    assert codes == {None, ResultCode.EDIT_UNKNOWN}
+
+
+@pytest.mark.parametrize(
+    ("found", "told"),
+    [
+        (ResultCode.NOT_READY, ResultCode.EDIT_UNKNOWN),
+        (ResultCode.STORE_UNAVAILABLE, ResultCode.EDIT_UNKNOWN),
+        (ResultCode.EDIT_CONFLICT, ResultCode.EDIT_CONFLICT),
+    ],
+)
+def test_the_client_says_refused_only_if_the_change_log_does(
+    found: ResultCode, told: ResultCode
+) -> None:
+    class Client(OperatorClient):
+        def post(self, path: str, document: Any) -> Any:
+            return Err(Failure(ResultCode.EDIT_UNKNOWN))
+
+        def get(self, path: str) -> Any:
+            return Err(Failure(found))
+
+    client = Client("http://127.0.0.1:1")
+    assert client.submit("x", {}).unwrap_err().code is told
+    client.close()
+
+
 def test_racing_editors_with_lost_replies_are_told_the_truth() -> None:
     report = run_edit_races(schedules=40, seed=7)
     assert report.faults == ()
