--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -8,9 +8,13 @@
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
 from pumicedeck.fault_matrices import write_matrix
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.scale_experiments import ScaleDurations, render_scale, run_scale
+from pumicedeck.scale_memories import membership_memory
+from pumicedeck.scale_worlds import ScaleSize
 from pumicedeck.trials import Trial, TrialPlan
 from pumicedeck.world import Address
 
@@ -136,3 +140,29 @@
     violations = write_matrix(output, seed, pairs)
     typer.echo(f"{violations} violations, written to {output}")
     raise typer.Exit(int(violations > 0))
+
+
+@experiment_app.command("scale")
+def scale(
+    size: Annotated[
+        list[str],
+        typer.Option(help="Entries and agents, such as 380x600; may be repeated."),
+    ] = SCALE_SIZES,
+    seed: SeedOption = 1,
+    hour: Annotated[float, typer.Option(help="Seconds of the outage and of the split.")] = 3600.0,
+) -> None:
+    """Measure how the catalogue spreads in virtual time and print a table."""
+    sizes = tuple(ScaleSize(*map(int, each.split("x"))) for each in size)
+    durations = ScaleDurations(outage=hour, split=hour)
+    for each in sizes:
+        typer.echo(render_scale(run_scale((each,), seed, durations)))
+        typer.echo(f"memory of an entry's membership: {membership_memory(each)} bytes")
+
+
+@experiment_app.command("races")
+def races(
+    schedules: Annotated[int, typer.Option(help="How many seeded schedules.")] = 3000,
+    seed: SeedOption = 1,
+) -> None:
+    """Race catalogue edits of 8 clients with lost replies."""
+    typer.echo(str(run_edit_races(schedules, seed)))
