--- a/pumicedeck/caller_api.py
+++ b/pumicedeck/caller_api.py
@@ -123,7 +123,8 @@
             exchange.fail(Failure(ResultCode.BAD_REQUEST, f"{entry.name} is not a rollout entry"))
             return
         handle = self._make_id()
-        request = parse_draw(handle, entry, exchange.body)
+        scorer = self._daemon.catalogue.entry(entry.scorer) if entry.scorer else None
+        request = parse_draw(handle, entry, exchange.body, scorer)
         if isinstance(request, Err):
             exchange.fail(request.err_value)
             return
--- a/pumicedeck/drafts.py
+++ b/pumicedeck/drafts.py
@@ -30,6 +30,7 @@
 
     `held` are the groups of the step that the trainer already holds; `newest_version` is the
     newest weight version that the trainer knows, -1 if it names none; `budget` is in seconds.
+    `scorer` is the entry of the service that scores the samples.
     """
 
     handle: str
@@ -40,6 +41,7 @@
     held: tuple[int, ...] = ()
     newest_version: int = -1
     budget: float = 960.0
+    scorer: CatalogueEntry | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,12 +58,25 @@
         return DraftId(self.entry_name, self.trainer, self.step, self.group, index)
 
 
+@dataclass(frozen=True, slots=True)
+class Score:
+    """What the scoring service answered for one draft."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Draft:
-    """A finished draft with its answer, which names the weight versions."""
+    """A finished draft with its answer, which names the weight versions.
+
+    `score` is the scorer's answer, or why there is none; None if the entry has no scorer.
+    """
 
     draft_id: DraftId
     answer: CallerAnswer
+    score: Score | Failure | None = None
 
     @property
     def oldest_version(self) -> int:
--- a/pumicedeck/draw_documents.py
+++ b/pumicedeck/draw_documents.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.catalogue_entries import CatalogueEntry
-from pumicedeck.drafts import Draft, DrawRequest, GroupRequest
+from pumicedeck.drafts import Draft, DrawRequest, GroupRequest, Score
 from pumicedeck.results import Failure, ResultCode
 
 MAX_GROUPS = 4096
@@ -44,8 +44,10 @@
     budget_seconds: float = Field(960.0, gt=0.0, le=MAX_BUDGET_SECONDS)
 
 
-def parse_draw(handle: str, entry: CatalogueEntry, body: bytes) -> Result[DrawRequest, Failure]:
-    """Check the body of a draw."""
+def parse_draw(
+    handle: str, entry: CatalogueEntry, body: bytes, scorer: CatalogueEntry | None = None
+) -> Result[DrawRequest, Failure]:
+    """Check the body of a draw whose samples `scorer` scores."""
     try:
         document = DrawDocument.model_validate_json(body)
     except ValidationError as error:
@@ -65,6 +67,7 @@
             held=tuple(document.held),
             newest_version=document.newest_version,
             budget=document.budget_seconds,
+            scorer=scorer,
         )
     )
 
@@ -97,4 +100,16 @@
         "tokens": draft.answer.tokens,
         "digest": draft.answer.digest,
         **payload_document(draft.answer.body),
+        **_score_document(draft.score),
     }
+
+
+def _score_document(score: Score | Failure | None) -> dict[str, Any]:
+    match score:
+        case None:
+            return {}
+        case Failure(code, detail):
+            return {"score_error": {"code": int(code), "detail": detail}}
+        case Score(status, content_type, body):
+            found = {"status": status, "content_type": content_type, **payload_document(body)}
+            return {"score": found}
--- a/pumicedeck/draw_groups.py
+++ b/pumicedeck/draw_groups.py
@@ -1,9 +1,11 @@
 """Progress of one group of a step: what waits, what is in flight, what is done; free of I/O."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pumicedeck.catalogue_entries import CatalogueEntry
-from pumicedeck.drafts import Draft, GroupKey, GroupRequest
+from pumicedeck.drafts import Draft, DrawRequest, GroupKey, GroupRequest, Score
+from pumicedeck.results import Failure
+from pumicedeck.staleness import KnownVersion
 from pumicedeck.stragglers import GroupOutlook, critical_path_key
 
 
@@ -18,6 +20,19 @@
     hedge: bool = False
 
 
+@dataclass(slots=True)
+class OpenDraw:
+    """A draw that has not ended; `named` is the newest version that its trainer named."""
+
+    request: DrawRequest
+    named: KnownVersion | None
+    deadline: float
+    open_groups: set[GroupKey] = field(default_factory=set)
+    samples: int = 0
+    hedges: int = 0
+    blocked_since: float | None = None
+
+
 @dataclass(slots=True)
 class WaitingSample:
     """A sample to be submitted, not before `not_before`; `tries` counts failed requests."""
@@ -40,6 +55,8 @@
     flights: dict[int, list[Flight]] = field(default_factory=dict)
     done: dict[int, Draft] = field(default_factory=dict)
     tries: dict[int, int] = field(default_factory=dict)
+    scorer: CatalogueEntry | None = None
+    scoring: dict[int, str] = field(default_factory=dict)
     reproducible: bool = True
     redrawn: bool = False
     delivered: bool = False
@@ -48,8 +65,8 @@
 
     @property
     def whole(self) -> bool:
-        """Tell whether every sample is done."""
-        return len(self.done) == self.request.samples
+        """Tell whether every sample is done and scored."""
+        return len(self.done) == self.request.samples and not self.scoring
 
     @property
     def size(self) -> int:
@@ -75,10 +92,16 @@
         self.done[index] = draft
         self._order = None
 
-    def claim(self, owner: str, entry: CatalogueEntry, position: int) -> None:
+    def settle_score(self, index: int, outcome: Score | Failure) -> None:
+        """Keep the score of a finished draft, or why there is none."""
+        del self.scoring[index]
+        self.done[index] = replace(self.done[index], score=outcome)
+
+    def claim(self, draw: DrawRequest, position: int) -> None:
         """Let a draw own the group, with every sample waiting that is not done or in flight."""
-        self.owner = owner
-        self.entry = entry
+        self.owner = draw.handle
+        self.entry = draw.entry
+        self.scorer = draw.scorer
         self.position = position
         self.delivered = False
         self._order = None
@@ -121,6 +144,7 @@
         """Forget a finished draft and draw it again."""
         self._order = None
         del self.done[index]
+        self.scoring.pop(index, None)
         self.redrawn = True
         self.retry(index, 0.0)
 
