Let the draft experiment have a slow sampler

Cause: copies of late drafts help against slow engines, which the undisturbed scene does not have.

Change: a workload may slow its first sampler; policies without copies and with moves of long drafts stand beside the others.

--- a/pumicedeck/draft_experiments.py
+++ b/pumicedeck/draft_experiments.py
@@ -2,7 +2,7 @@
 
 import statistics
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from pumicedeck.actions import CallerAnswer, CallerRequest
@@ -45,12 +45,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """One trainer with its samplers; `booking_rate` is in requests per second."""
+    """One trainer with its samplers; `booking_rate` is in requests per second.
+
+    The first sampler takes `slow_factor` times as long for each token.
+    """
 
     entry: CatalogueEntry
     samplers: int
     groups: int
     booking_rate: float
+    slow_factor: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +141,14 @@
     DraftPolicy("pumicedeck, moves", DrawSettings(), False, AHEAD_SHARE, True, True),
 )
 
+UNHEDGED_POLICY = DraftPolicy(
+    "pumicedeck, no copies",
+    DrawSettings(stragglers=StragglerSettings(hedge_share=0.0)),
+    ahead_share=AHEAD_SHARE,
+    weighs_swaps=True,
+)
+SLOW_WORKLOADS = tuple(replace(each, slow_factor=5.0) for each in WORKLOADS)
+
 
 def sample_tokens(seed: int, draft_id: DraftId) -> float:
     """Return the length of a sample, which depends on its place alone."""
@@ -158,7 +170,10 @@
         self._rng = rng
         self._seed = seed
         self.speed = SamplerSpeed()
-        self.samplers = [FakeSampler(time, self.speed) for _ in range(workload.samplers)]
+        slow = replace(self.speed, token_seconds=self.speed.token_seconds * workload.slow_factor)
+        self.samplers = [
+            FakeSampler(time, self.speed if rank else slow) for rank in range(workload.samplers)
+        ]
         self._placed: dict[str, FakeSampler] = {}
         self._turn = 0
         self.booking_tokens = 0.0
