Add the commands experiment drafts and experiment swaps

Cause: the measurements of draws and swaps could be run from Python only.

Change: two commands with scenes, seeds, sizes and the search for the lowest weight-store rate; wrong arguments end with exit status 2.

--- a/pumicedeck/draft_experiments.py
+++ b/pumicedeck/draft_experiments.py
@@ -148,6 +148,11 @@
     weighs_swaps=True,
 )
 SLOW_WORKLOADS = tuple(replace(each, slow_factor=5.0) for each in WORKLOADS)
+SCENES = {
+    "undisturbed": (WORKLOADS, POLICIES),
+    "slow": (SLOW_WORKLOADS, (*POLICIES, UNHEDGED_POLICY)),
+    "moves": (WORKLOADS, (*POLICIES[-2:], *MOVE_POLICIES)),
+}
 
 
 def sample_tokens(seed: int, draft_id: DraftId) -> float:
--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -8,9 +8,11 @@
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
+from pumicedeck.draft_experiments import SCENES, STEPS, draft_table, measure_drafts
 from pumicedeck.experiments import run_experiment
 from pumicedeck.fault_matrices import write_matrix
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.swap_experiments import SwapScene, lowest_rate, measure_swaps, swap_table
 from pumicedeck.trials import Trial, TrialPlan
 from pumicedeck.world import Address
 
@@ -136,3 +138,31 @@
     violations = write_matrix(output, seed, pairs)
     typer.echo(f"{violations} violations, written to {output}")
     raise typer.Exit(int(violations > 0))
+
+
+@experiment_app.command("drafts")
+def drafts(
+    scene: Annotated[str, typer.Option(help=f"One of: {', '.join(SCENES)}.")] = "undisturbed",
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 10,
+    steps: Annotated[int, typer.Option(min=2, help="Steps that the trainer trains on.")] = STEPS,
+) -> None:
+    """Measure trainer idle time and staleness of each policy."""
+    if scene not in SCENES:
+        raise typer.BadParameter(f"one of {', '.join(SCENES)}", param_hint="--scene")
+    workloads, policies = SCENES[scene]
+    typer.echo(draft_table(measure_drafts(seeds, steps, workloads, policies)))
+
+
+@experiment_app.command("swaps")
+def swaps(
+    samplers: Annotated[int, typer.Option(min=1, help="How many samplers.")] = 600,
+    size: Annotated[int, typer.Option(help="Bytes of the weights.")] = 10**9,
+    rate: Annotated[float, typer.Option(help="Weight store, bytes per second.")] = 60e9,
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds.")] = 3,
+    lowest: Annotated[bool, typer.Option(help="Also search the lowest rate that holds.")] = False,
+) -> None:
+    """Measure how long new weights take to be in force on all samplers."""
+    scene = SwapScene(samplers=samplers, size=size, rate=rate)
+    typer.echo(swap_table(scene, measure_swaps(scene, seeds)))
+    if lowest:
+        typer.echo(f"lowest rate found: {lowest_rate(scene):.3g} bytes/s")
--- a/pumicedeck/tests/test_draft_experiments.py
+++ b/pumicedeck/tests/test_draft_experiments.py
@@ -1,6 +1,7 @@
 """Tests of the experiments: the promises hold in them and the targets of the issue are met."""
 
 import pytest
+from typer.testing import CliRunner
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.draft_experiments import (
@@ -10,6 +11,7 @@
     DraftRun,
     sample_tokens,
 )
+from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.experiment_samplers import FakeSampler, SamplerSequence, SamplerSpeed
 from pumicedeck.messages import DraftId
 from pumicedeck.swap_experiments import TARGET_SECONDS, SwapScene, measure_swaps
@@ -59,3 +61,17 @@
     (figures,) = measure_swaps(SwapScene(), seeds=1)
     assert figures.failed_orders > 0
     assert figures.all_seconds <= TARGET_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status"),
+    [
+        (["swaps", "--samplers", "6", "--seeds", "1"], 0),
+        (["drafts", "--scene", "unknown"], 2),
+        (["drafts", "--steps", "1"], 2),
+    ],
+)
+def test_the_commands_check_their_arguments_and_print_a_table(arguments, status) -> None:
+    result = CliRunner().invoke(experiment_app, arguments)
+    assert result.exit_code == status
+    assert ("all_seconds" in result.output) is (status == 0)
