Show the query of a call to the stand-in service

Cause: the stand-in server dropped the query, so a test could not see whether it is passed on.

Change: the path of a call includes its query, in process and over HTTP alike.

Conclusion: the adapter passes targets on as they are.

--- a/pumicedeck/standin_servers.py
+++ b/pumicedeck/standin_servers.py
@@ -305,7 +305,8 @@
             reply = outcome.unwrap()
             exchange.answer(reply.status, reply.content_type, reply.body)
 
-        service.call(ServiceCall(handle, request_id, exchange.path, exchange.body), done)
+        path = f"{exchange.path}?{exchange.query}" if exchange.query else exchange.path
+        service.call(ServiceCall(handle, request_id, path, exchange.body), done)
 
     def health(exchange: HttpExchange) -> None:
         def done(outcome: Result[bool, Failure]) -> None:
--- a/pumicedeck/tests/test_plain_services.py
+++ b/pumicedeck/tests/test_plain_services.py
@@ -35,6 +35,13 @@
     assert {item.call for item in bench.standin.ledger} == {call(n) for n in range(6)}
 
 
+@pytest.mark.parametrize("path", ["/a?b=c&d=%20", "/a%20b", "/%E4%B8%AD", "/a~b(c)!*'", "/"])
+def test_path_and_query_arrive_as_they_are(bench, path):
+    made = ServiceCall("h", "r", path, b"")
+    assert bench.ask("call", made).unwrap().body == expected_reply(made)
+    assert bench.standin.ledger[0].call == made
+
+
 def test_health_shows_leaving(bench):
     assert bench.ask("healthy").unwrap() is True
     bench.standin.leaving = True
