Give the stand-in engine's orders a module of their own

Change: EngineOrders holds versions, role and fencing and carries out orders in steps; pauses of the batch are counted.

Conclusion: same contract, shorter steps.

--- a/pumicedeck/standin_batches.py
+++ b/pumicedeck/standin_batches.py
@@ -163,7 +163,7 @@
         self._running: list[Sequence] = []
         self._waiting: list[tuple[int, int, Sequence]] = []
         self._count = 0
-        self._paused = False
+        self._pauses = 0
         self._timer: Timer | None = None
 
     @property
@@ -196,18 +196,18 @@
         removed = self._running + [item[2] for item in self._waiting]
         self._running = []
         self._waiting = []
-        self._paused = False
+        self._pauses = 0
         self._cancel_step()
         return removed
 
     def pause(self) -> None:
-        """Stop producing tokens."""
-        self._paused = True
+        """Stop producing tokens; pauses may overlap."""
+        self._pauses += 1
         self._cancel_step()
 
     def resume(self) -> None:
-        """Produce tokens again."""
-        self._paused = False
+        """End one pause and, if it was the last, produce tokens again."""
+        self._pauses -= 1
         self._begin_step()
 
     def _cancel_step(self) -> None:
@@ -216,7 +216,7 @@
             self._timer = None
 
     def _begin_step(self) -> None:
-        if self._paused or self._timer is not None:
+        if self._pauses > 0 or self._timer is not None:
             return
         prefill = self._admit()
         if not self._running:
--- a/pumicedeck/standin_engines.py
+++ b/pumicedeck/standin_engines.py
@@ -18,7 +18,6 @@
     GenerationEnd,
     LoadedModel,
     ModelEngine,
-    OrderKind,
     TokenChunk,
     adapter,
 )
@@ -38,16 +37,19 @@
     ExecutedOrder,
     LaggedLoad,
 )
-
-WeightSource = Callable[[str, int, Done[None]], None]
+from pumicedeck.standin_orders import (
+    ORDER_LOST,
+    UNKNOWN_VERSION,
+    EngineOrders,
+    OrderHooks,
+    WeightSource,
+)
 
 _REFUSED = Failure(ResultCode.ENDPOINT_UNREACHABLE, "connection refused", proven_not_run=True)
 _LOST = Failure(ResultCode.ENDPOINT_FAILED, "the connection to the engine broke")
-_ORDER_LOST = Failure(ResultCode.ORDER_UNKNOWN, "the reply to an order was lost")
 _CANCELLED = Failure(ResultCode.CANCELLED, "the generation was stopped")
 _LEAVING = Failure(ResultCode.ENDPOINT_LEAVING, "the engine is leaving", proven_not_run=True)
 _LEDGER_ITEMS = 1_000_000
-_UNKNOWN_VERSION = -1
 
 
 @dataclass(slots=True, eq=False)
@@ -91,12 +93,9 @@
 
     def _boot(self) -> None:
         settings = self._settings
-        self._versions = {loaded.model: loaded.version for loaded in settings.models}
-        self._role = settings.role
-        self._highest_fencing = 0
-        self._finished_orders: set[str] = set()
-        self._last_order = ""
         self._batch = Batch(self._timers, settings.batch, self._on_admitted, self._on_stepped)
+        hooks = OrderHooks(self._batch.pause, self._batch.resume, self._on_swapped, self.crash)
+        self._orders = EngineOrders(self._timers, settings, self._weights, hooks, self.orders)
         self.cache = PrefixCache(settings.cache, self._random)
         self._sequences: dict[str, Sequence] = {}
         self._kept: OrderedDict[str, Sequence] = OrderedDict()
@@ -190,13 +189,14 @@
         prompt = read_prompt(generation.body)
         if prompt is None:
             return Err(Failure(ResultCode.BAD_REQUEST, "body", proven_not_run=True))
-        if generation.model and generation.model not in self._versions:
+        if generation.model and generation.model not in self._orders.versions:
             return Err(Failure(ResultCode.NOT_FOUND, generation.model, proven_not_run=True))
         return Ok(prompt)
 
     def _version(self, sequence: Sequence) -> int:
-        model = sequence.generation.model or next(iter(self._versions), "")
-        return self._versions.get(model, _UNKNOWN_VERSION)
+        versions = self._orders.versions
+        model = sequence.generation.model or next(iter(versions), "")
+        return versions.get(model, UNKNOWN_VERSION)
 
     def _on_admitted(self, sequence: Sequence) -> float:
         now = self._timers.now()
@@ -290,79 +290,24 @@
         plan = self.faults.plan("order")
         crashes = self._crashes
 
-        def reply(outcome: Result[EngineState, Failure]) -> None:
+        def reply(outcome: Result[None, Failure]) -> None:
+            settled = outcome.map(lambda _: self._state())
             if plan.fault in (Fault.LOSE_REPLY, Fault.LOSE_REQUEST):
-                outcome = Err(_ORDER_LOST)
-            self._reply(plan, done, outcome)
+                settled = Err(ORDER_LOST)
+            self._reply(plan, done, settled)
 
         def begin() -> None:
             if crashes != self._crashes or plan.fault is Fault.LOSE_REQUEST:
-                reply(Err(_ORDER_LOST))
-            elif order.order_id in self._finished_orders:
-                reply(Ok(self._state()))
-            elif self._is_fenced(order):
-                reply(Err(self._fenced()))
+                reply(Err(ORDER_LOST))
             else:
-                self._highest_fencing = max(self._highest_fencing, order.fencing)
-                self._carry_out(order, plan, crashes, reply)
+                self._orders.take(order, plan, reply)
 
         if plan.fault is Fault.DOWN:
             self._timers.call_later(plan.delay, lambda: done(Err(_REFUSED)))
             return
         self._timers.call_later(plan.delay, begin)
 
-    def _is_fenced(self, order: EngineOrder) -> bool:
-        return self._settings.checks_fencing and order.fencing < self._highest_fencing
-
-    def _fenced(self) -> Failure:
-        return Failure(ResultCode.FENCED, f"highest is {self._highest_fencing}")
-
-    def _carry_out(self, order, plan: CallPlan, crashes: int, reply: Done[EngineState]) -> None:
-        if order.kind is OrderKind.CHANGE_ROLE:
-            self._role = order.role
-            self._end_order(order, reply)
-            return
-
-        def on_fetched(outcome: Result[None, Failure]) -> None:
-            if crashes != self._crashes:
-                reply(Err(_ORDER_LOST))
-            elif outcome.is_err():
-                reply(Err(Failure(ResultCode.SWAP_FAILED, "the weights did not arrive")))
-            elif self._is_fenced(order):
-                reply(Err(self._fenced()))
-            else:
-                self._batch.pause()
-                install = self._settings.install_seconds
-                self._timers.call_later(install, lambda: on_installed())
-
-        def on_installed() -> None:
-            if crashes != self._crashes:
-                reply(Err(_ORDER_LOST))
-                return
-            self._batch.resume()
-            if plan.fault is Fault.CRASH:
-                self.crash()
-                reply(Err(_ORDER_LOST))
-            elif plan.fault is Fault.PARTIAL_SWAP:
-                self._versions[order.model] = _UNKNOWN_VERSION
-                self.orders.append(ExecutedOrder(order, self._timers.now(), True))
-                reply(Err(Failure(ResultCode.SWAP_FAILED, "the swap failed partway")))
-            else:
-                self._install(order)
-                self._end_order(order, reply)
-
-        self._fetch(order, on_fetched)
-
-    def _fetch(self, order: EngineOrder, done: Done[None]) -> None:
-        if self._weights is not None:
-            self._weights(order.model, order.version, done)
-            return
-        self._timers.call_later(self._settings.fetch_seconds, lambda: done(Ok(None)))
-
-    def _install(self, order: EngineOrder) -> None:
-        self._versions[order.model] = order.version
-        if order.kind is not OrderKind.SWAP_VERSION:
-            return
+    def _on_swapped(self, order: EngineOrder) -> None:
         self.cache.clear(self._timers.now())
         if order.restart_running:
             self._restart_running(order.model)
@@ -376,12 +321,6 @@
             if listener is not None:
                 listener.offset = 0
 
-    def _end_order(self, order: EngineOrder, reply: Done[EngineState]) -> None:
-        self._finished_orders.add(order.order_id)
-        self._last_order = order.order_id
-        self.orders.append(ExecutedOrder(order, self._timers.now(), False))
-        reply(Ok(self._state()))
-
     # State
 
     def state(self, done: Done[EngineState]) -> None:
@@ -390,15 +329,16 @@
 
     def _state(self) -> EngineState:
         running, queued = self._load.report(self._timers.now())
-        models = tuple(LoadedModel(model, number) for model, number in self._versions.items())
+        orders = self._orders
+        models = tuple(LoadedModel(model, number) for model, number in orders.versions.items())
         checks = self._settings.checks_fencing
         return EngineState(
             models=models,
-            role=self._role,
+            role=orders.role,
             running=running,
             queued=queued,
-            highest_fencing=self._highest_fencing if checks else 0,
-            last_order=self._last_order,
+            highest_fencing=orders.highest_fencing if checks else 0,
+            last_order=orders.last_order,
             leaving=self.leaving,
             incarnation=self.incarnation,
         )
@@ -458,6 +398,7 @@
             if sequence.started_at >= 0:
                 self._record(sequence, "crashed")
         super().crash()
+        self._orders.close()
         for handle in tuple(self._listeners):
             self._end_call(handle, Err(_LOST))
 
--- a/pumicedeck/tests/test_standin_engines.py
+++ b/pumicedeck/tests/test_standin_engines.py
@@ -223,3 +223,18 @@
     assert raised == 2
     assert all(call.outcome.is_ok() for call in others)
     assert len(standin.ledger) == 5
+
+
+def test_no_token_is_made_while_any_of_two_installs_runs():
+    timers, standin = engine(install_seconds=1.0)
+    call = start(standin, "h", body(tokens=20), streamed=True)
+    timers.run_until(0.25)
+    before = len(call.versions)
+    swap(standin, "a", 1, 1)
+    timers.run_until(0.75)
+    swap(standin, "b", 1, 2)
+    timers.run_until(1.7)
+    assert len(call.versions) == before
+    timers.run_until(9.0)
+    assert set(call.versions) == {0, 2}
+    assert call.outcome.is_ok()
