Bound callers' connections by the process's descriptors

Cause: with no free descriptor circuits' server fails to accept in every turn of the loop, so 1,024 connections could occupy a core and stop all dialing.

Change: the guard serves at most a quarter of the descriptors, tells as many again that it is overloaded and closes the rest at once.

Figures: the test of the bound covers both steps; it passes.

Conclusion: a flood of connections leaves descriptors for sessions and dials.

--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -1,5 +1,6 @@
 """Stands before circuits.web and lets through only whole, well-framed requests, one at a time."""
 
+import resource
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.socket_options import detect_silence
 
+_DESCRIPTORS_PER_CONNECTION = 4
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _PIPELINED = Failure(
     ResultCode.BAD_FRAMING,
@@ -38,7 +40,8 @@
 
     `request_seconds` is how long a request may take to arrive, `idle_seconds` how long a
     connection may stay without one, `linger_seconds` how long a refused one is still read from,
-    `acknowledge_seconds` how long a caller's kernel may acknowledge nothing.
+    `acknowledge_seconds` how long a caller's kernel may acknowledge nothing. `connections` bounds
+    those that are served; as many again are told so, and the rest are closed.
     """
 
     header_bytes: int = 16 * KIB
@@ -92,6 +95,9 @@
         self._settings = settings or HttpGuardSettings()
         self._bounds = RequestBounds(self._settings.header_bytes, self._settings.body_bytes)
         self._callers: dict[socket.socket, _Caller] = {}
+        # Without a free descriptor the server would try to accept in every turn of the loop.
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._most = min(self._settings.connections, descriptors // _DESCRIPTORS_PER_CONNECTION)
         self._stats = HttpGuardStats()
 
     @property
@@ -111,7 +117,9 @@
         deadline.set(self._settings.request_seconds)
         caller = _Caller(RequestReader(self._bounds), deadline)
         self._callers[sock] = caller
-        if len(self._callers) > self._settings.connections:
+        if len(self._callers) > 2 * self._most:
+            self.fire(close(sock))
+        elif len(self._callers) > self._most:
             self._refuse(sock, caller, _TOO_MANY)
 
     @handler("disconnect")
--- a/pumicedeck/tests/test_http_guards.py
+++ b/pumicedeck/tests/test_http_guards.py
@@ -1,9 +1,9 @@
 """Contract of the HTTP boundary, with raw sockets."""
 
 import json
+import resource
 import socket
 import struct
-from dataclasses import replace
 
 import pytest
 
@@ -272,15 +272,22 @@
     assert bench.guards[0].open_connections == 0
 
 
-def test_connections_are_bounded_and_places_come_back(bench):
-    bench.guards[0]._settings = replace(SETTINGS, connections=2)
-    socks = [bench.connect() for _ in range(3)]
-    status, document = error(received(socks[2]))
-    assert (status, document["code"]) == (503, int(ResultCode.OVERLOADED))
-    assert bench.is_closed(socks[2])
+def test_connections_are_bounded_and_places_come_back(monkeypatch):
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (8, 8))
+    bench = Bench()
+    socks = [bench.connect() for _ in range(5)]
+    for sock in socks[2:4]:
+        status, document = error(received(sock))
+        assert (status, document["code"]) == (503, int(ResultCode.OVERLOADED))
+    assert received(socks[4]) == b"" and bench.guards[0].open_connections == 4
+    bench.loop.advance(SETTINGS.linger_seconds)
+    assert bench.guards[0].open_connections == 2
     socks[0].close()
     bench.loop.settle()
     assert bench.exchange(post(b"abc")).endswith(b"<abc>")
+    for sock in bench.open_sockets:
+        sock.close()
+    bench.loop.shut()
 
 
 def test_kernel_watches_callers_connections(bench):
