--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -16,6 +16,7 @@
 from pumicedeck.caller_api import CallerApi
 from pumicedeck.catalogue_editors import CatalogueEditor
 from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
+from pumicedeck.claim_sweeps import ClaimSweeps
 from pumicedeck.claims import Claims
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.connections import Connections
@@ -307,6 +308,7 @@
         daemon.is_live,
         time.time,
     )
+    sweeps = ClaimSweeps(platform.table, host.timers, time.time, rng)
     daemon.bind(follower, dialer, claims, membership)
     draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
     newest = NewestVersionPoll(
@@ -325,10 +327,12 @@
     def start() -> None:
         daemon.start()
         newest.start()
+        sweeps.start()
 
     def close() -> None:
         newest.close()
         draws.close()
+        sweeps.close()
         claims.close()
         daemon.close()
 
--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -12,6 +12,7 @@
 from pumicedeck.experiments import run_experiment
 from pumicedeck.fault_matrices import write_matrix
 from pumicedeck.path_benchmarks import ClosedLoop, PathTarget, ProcessUse, read_use
+from pumicedeck.request_costs import request_costs_report
 from pumicedeck.scale_experiments import ScaleDurations, render_scale, run_scale
 from pumicedeck.scale_memories import membership_memory
 from pumicedeck.scale_worlds import ScaleSize
@@ -171,3 +172,13 @@
     violations = write_matrix(output, seed, pairs)
     typer.echo(f"{violations} violations, written to {output}")
     raise typer.Exit(int(violations > 0))
+
+
+@experiment_app.command("request-costs")
+def request_costs(
+    requests: Annotated[int, typer.Option(help="Requests through both machines.")] = 50_000,
+    seconds: Annotated[float, typer.Option(help="Virtual seconds of claims.")] = 60.0,
+    seed: SeedOption = 1,
+) -> None:
+    """Measure processor time, store calls and memory of the request life cycle."""
+    typer.echo(request_costs_report(requests, seconds, seed))
