Record short streams; look for what is left behind in the matrix

Cause: a repetition of a streamed non-idempotent request was told that its answer had expired (found by a new kind of the matrix); nothing checked that slots and requests come free.

Change: the entry keeps a claimed stream up to 16 KiB and records it; a repetition gets it as a chunk and an end. The oracle checks at the end of each run that live processes hold no running, queued or pending work. A control with an agent that drops finished answers at once breaks no promise.

--- a/pumicedeck/entry_requests.py
+++ b/pumicedeck/entry_requests.py
@@ -10,8 +10,10 @@
 
 from pumicedeck.actions import (
     Action,
+    CallerAnswer,
     CallerRequest,
     DeliverAnswer,
+    DeliverChunk,
     DeliverFailure,
     Drained,
     RecordOutcome,
@@ -130,7 +132,7 @@
         elif isinstance(outcome.ok_value, RecordedAnswer):
             self._pending.remove(pending)
             self._counters.answered += 1
-            actions = [DeliverAnswer(handle, outcome.ok_value.answer)]
+            actions = _deliver_recorded(pending.request, outcome.ok_value.answer)
         else:
             pending.claimed = True
             actions = self._attempts.route(now, pending)
@@ -264,6 +266,13 @@
         return [Drained()]
 
 
+def _deliver_recorded(request: CallerRequest, answer: CallerAnswer) -> list[Action]:
+    if not request.streamed or not answer.body:
+        return [DeliverAnswer(request.handle, answer)]
+    chunk = DeliverChunk(request.handle, answer.body)
+    return [chunk, DeliverAnswer(request.handle, replace(answer, body=b""))]
+
+
 def _release(request: CallerRequest, outcome: ClaimOutcome) -> list[Action]:
     if isinstance(outcome, Err) or isinstance(outcome.ok_value, RecordedAnswer):
         return []
--- a/pumicedeck/oracles.py
+++ b/pumicedeck/oracles.py
@@ -26,6 +26,7 @@
     IN_TIME = "the final answer comes within the time budget"
     NO_NEW_WORK = "a leaving endpoint gets no new work after 3 seconds"
     NOTHING_CUT_OFF = "a drain cuts off nothing in flight"
+    NOTHING_LEFT = "slots, queues and pending requests come free"
     TRUE_VERSIONS = "an answer names the weight versions that produced it"
 
 
@@ -82,6 +83,7 @@
         self._damaged: set[str] = set()
         self._drains: dict[str, float] = {}
         self._cut_off: list[str] = []
+        self._left: list[str] = []
 
     def called(self, call: ExpectedCall) -> None:
         """Take note of a call."""
@@ -122,6 +124,10 @@
         """Take note of work that a process left behind when it said it was drained."""
         self._cut_off.append(detail)
 
+    def left(self, detail: str) -> None:
+        """Take note of what a process still holds when all should be over."""
+        self._left.append(detail)
+
     def final(self, handle: str) -> CallerAnswer | Failure | None:
         """Return what a caller was told in the end."""
         finals = self._told[handle].finals
@@ -131,6 +137,7 @@
         """Judge all that was seen; without a fault every call must succeed."""
         found = self._duplicates() + self._late_work()
         found += [Violation(Promise.NOTHING_CUT_OFF, detail) for detail in self._cut_off]
+        found += [Violation(Promise.NOTHING_LEFT, detail) for detail in self._left]
         for handle, call in self._calls.items():
             found += self._judge_call(call, self._told[handle])
             if all_must_succeed and not self._has_succeeded(call):
--- a/pumicedeck/pending_requests.py
+++ b/pumicedeck/pending_requests.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from typing import Any
 
@@ -12,6 +12,8 @@
 from pumicedeck.results import Execution, Failure, ResultCode
 from pumicedeck.routers import RouteQuery
 
+MAX_KEPT_STREAM_BYTES = 16 * 1024
+
 
 class RequestPhase(IntEnum):
     """Where a request stands at the entry."""
@@ -50,6 +52,7 @@
     delivered: int = 0
     digest: Any = field(default_factory=hashlib.sha256)
     last_failure: Failure | None = None
+    kept: bytearray = field(default_factory=bytearray)
 
     @property
     def is_repeatable(self) -> bool:
@@ -104,6 +107,8 @@
         fresh = data[self.delivered - offset :]
         self.delivered += len(fresh)
         self.digest.update(fresh)
+        if self.claimed and self.delivered <= MAX_KEPT_STREAM_BYTES:
+            self.kept += fresh
         return fresh
 
     def is_whole(self, answer: Answer) -> bool:
@@ -128,6 +133,12 @@
             agent=self.agent,
         )
 
+    def recorded_answer(self, answer: CallerAnswer) -> CallerAnswer:
+        """Return what a repetition gets: a short stream whole, a long one without its bytes."""
+        if self.request.streamed and len(self.kept) == answer.length:
+            return replace(answer, body=bytes(self.kept))
+        return answer
+
     def final_failure(self, failure: Failure) -> Failure:
         """Return a failure that is true of all attempts, not only of the last one."""
         if self.delivered:
--- a/pumicedeck/request_attempts.py
+++ b/pumicedeck/request_attempts.py
@@ -273,7 +273,8 @@
         if not pending.abandoned:
             actions.append(DeliverAnswer(pending.request.handle, whole))
         if pending.claimed:
-            actions.append(_record(pending.request, ResultCode.OK, whole))
+            recorded = pending.recorded_answer(whole)
+            actions.append(_record(pending.request, ResultCode.OK, recorded))
         return actions
 
     def _not_whole(self, now: float, pending: PendingRequest) -> list[Action]:
--- a/pumicedeck/simulations.py
+++ b/pumicedeck/simulations.py
@@ -42,7 +42,7 @@
 LATE_SECONDS = 7.0
 MAX_REPEATS = 3
 HORIZON_SECONDS = 120.0
-SETTLE_SECONDS = 15.0
+SETTLE_SECONDS = 12.0
 GRACE_SECONDS = 30.0
 
 
@@ -52,6 +52,7 @@
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
     STREAMED = "streamed"
+    STREAMED_ONCE = "streamed, non-idempotent"
     DRAFT = "draft"
     DRAIN = "drain"
 
@@ -93,12 +94,12 @@
     @property
     def idempotent(self) -> bool:
         """Return whether the request may run twice."""
-        return self.kind is not RequestKind.NON_IDEMPOTENT
+        return self.kind not in (RequestKind.NON_IDEMPOTENT, RequestKind.STREAMED_ONCE)
 
     @property
     def streamed(self) -> bool:
         """Return whether the answer comes in chunks."""
-        return self.kind is RequestKind.STREAMED
+        return self.kind in (RequestKind.STREAMED, RequestKind.STREAMED_ONCE)
 
     @property
     def entry(self) -> CatalogueEntry:
@@ -301,11 +302,21 @@
         while not self.callers.is_settled and self.time.now() < HORIZON_SECONDS:
             self.time.run_until(self.time.now() + 1.0)
         self.time.run_until(self.time.now() + SETTLE_SECONDS)
+        self._note_what_is_left()
         reached = tuple(each.is_done for each in self._injections)
         violations = self.oracle.violations(self._must_succeed)
         first = self.callers.first_handle(TARGET)
         return Outcome(reached, violations, _execution(self.oracle.final(first)))
 
+    def _note_what_is_left(self) -> None:
+        for agent in self.agents:
+            load = agent.requests.load()
+            if agent.is_alive and not agent.is_paused and load.running + load.queued:
+                self.oracle.left(f"{load.running} run and {load.queued} wait at {agent.vm}")
+        for entry in self.entries:
+            if entry.is_alive and not entry.is_paused and entry.requests.pending:
+                self.oracle.left(f"{entry.requests.pending} pending at {entry.vm}")
+
     def add_agent(self, vm: str, number: int) -> AgentProcess:
         """Start an agent beside the endpoint of a VM and connect it to all entries."""
         if vm not in self.endpoints:
--- a/pumicedeck/tests/test_fault_matrices.py
+++ b/pumicedeck/tests/test_fault_matrices.py
@@ -72,6 +72,11 @@
         return []
 
 
+class WithoutTimeLimits(AgentRequests):
+    def _attempt_due(self, now: float, attempt: object) -> list:
+        return []
+
+
 class WithHastyDrain(AgentRequests):
     def begin_drain(self, now: float, grace: float) -> list:
         return [*super().begin_drain(now, grace), Drained()]
@@ -187,6 +192,11 @@
     "drain ignored": Mutation(
         Promise.NO_NEW_WORK, Factories(agent=WithoutDrain), ("agent drains",)
     ),
+    "slots kept by silent endpoints": Mutation(
+        Promise.NOTHING_LEFT,
+        Factories(agent=WithoutTimeLimits),
+        ("endpoint connections go silent",),
+    ),
     "drain too hasty": Mutation(
         Promise.NOTHING_CUT_OFF, Factories(agent=WithHastyDrain), ("agent drains",)
     ),
@@ -253,6 +263,16 @@
     assert violated([run_cell(cell, factories) for cell in cells]) == []
 
 
+def test_dropping_kept_answers_at_once_breaks_no_promise() -> None:
+    settings = AgentRequestSettings(kept_bytes=1, kept_seconds=0.0)
+    factories = Factories(agent=lambda *args: AgentRequests(*args, settings))
+    faults = (*LOST, "session reset", "agent stopped for 20 s")
+    kinds = (RequestKind.NON_IDEMPOTENT, RequestKind.STREAMED)
+    cells = [each for each in single_cells() if each.strikes[0].fault in faults]
+    cells = [each for each in cells if each.kind in kinds]
+    assert violated([run_cell(cell, factories) for cell in cells]) == []
+
+
 def test_the_page_has_a_row_a_fault_and_a_column_a_step(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
