--- a/pumicedeck/catalogue_editors.py
+++ b/pumicedeck/catalogue_editors.py
@@ -24,6 +24,7 @@
 )
 from pumicedeck.platforms import Committed, Done, ObjectStore, Row, StoreKey, TableStore
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.store_budgets import TokenBucket
 from pumicedeck.timeouts import TimedObjectStore, TimedTableStore
 
 STORE_TIMEOUT_SECONDS = 3.0
@@ -32,6 +33,8 @@
 MIN_BACKOFF_SECONDS = 0.02
 MAX_BACKOFF_SECONDS = 2.0
 RETRY_SECONDS = 5.0
+EDITS_PER_SECOND = 2.0
+EDIT_BURST = 20.0
 
 _WITHOUT_EFFECT = (ResultCode.STORE_CONFLICT, ResultCode.STORE_UNAVAILABLE)
 
@@ -50,6 +53,7 @@
         )
         self._timers = timers
         self._rng = rng
+        self._edits = TokenBucket(EDITS_PER_SECOND, EDIT_BURST)
 
     @property
     def busy(self) -> bool:
@@ -74,7 +78,7 @@
 
     def submit(self, edit: Edit, done: Done[EditAccepted]) -> None:
         """Commit an edit; EDIT_UNKNOWN asks the operator to `resolve` its change id."""
-        checked = check_edit(edit)
+        checked = check_edit(edit).and_then(lambda _: self._admit())
         if isinstance(checked, Err):
             done(checked)
             return
@@ -87,8 +91,18 @@
         if isinstance(checked, Err):
             done(checked)
             return
+        if isinstance(self._admit(), Err):
+            done(Err(_unknown(change_id)))
+            return
         _Resolution(self._table, change_id, self._retries(), done).start()
 
+    def _admit(self) -> Result[None, Failure]:
+        now = self._timers.now()
+        if self._edits.take(now):
+            return Ok(None)
+        wait = self._edits.available_at(now) - now
+        return Err(Failure(ResultCode.RATE_LIMITED, "not tried; too many edits", wait))
+
     def _retries(self) -> "_Retries":
         return _Retries(self._timers, self._rng)
 
@@ -164,7 +178,7 @@
 
     def _again(self) -> None:
         failure = Failure(
-            ResultCode.STORE_UNAVAILABLE, "refused; nothing was written", RETRY_SECONDS
+            ResultCode.STORE_UNAVAILABLE, "refused; this attempt wrote nothing", RETRY_SECONDS
         )
         self._retries.again(self._attempt, lambda: self._refuse(failure))
 
--- a/pumicedeck/catalogue_followers.py
+++ b/pumicedeck/catalogue_followers.py
@@ -14,7 +14,7 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.messages import CatalogueCopy, CatalogueRequest, Message
 from pumicedeck.platforms import ObjectStore, TableStore
-from pumicedeck.results import Failure
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.spread_actions import (
     AnnounceRevision,
     AskPeer,
@@ -168,8 +168,11 @@
         call: int,
         read: Result[object, Failure],
     ) -> None:
-        if self._running:
-            self._run(event(self._timers.now(), call, read))
+        if not self._running:
+            return
+        if read.is_err() and read.unwrap_err().code is ResultCode.BAD_CATALOGUE:
+            _log.error("revision {} stays in force: {}", self.revision, read.unwrap_err().detail)
+        self._run(event(self._timers.now(), call, read))
 
     def _copy_of(self, catalogue: Catalogue) -> CatalogueCopy:
         if self._copy is None or self._copy.revision != catalogue.revision:
--- a/pumicedeck/draw_groups.py
+++ b/pumicedeck/draw_groups.py
@@ -1,10 +1,12 @@
 """Progress of one group of a step: what waits, what is in flight, what is done; free of I/O."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pumicedeck.catalogue_entries import CatalogueEntry
-from pumicedeck.drafts import Draft, GroupKey, GroupRequest
-from pumicedeck.stragglers import GroupOutlook
+from pumicedeck.drafts import Draft, DrawRequest, GroupKey, GroupRequest, Score
+from pumicedeck.results import Failure
+from pumicedeck.staleness import KnownVersion
+from pumicedeck.stragglers import GroupOutlook, critical_path_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +20,19 @@
     hedge: bool = False
 
 
+@dataclass(slots=True)
+class OpenDraw:
+    """A draw that has not ended; `named` is the newest version that its trainer named."""
+
+    request: DrawRequest
+    named: KnownVersion | None
+    deadline: float
+    open_groups: set[GroupKey] = field(default_factory=set)
+    samples: int = 0
+    hedges: int = 0
+    blocked_since: float | None = None
+
+
 @dataclass(slots=True)
 class WaitingSample:
     """A sample to be submitted, not before `not_before`; `tries` counts failed requests."""
@@ -40,15 +55,18 @@
     flights: dict[int, list[Flight]] = field(default_factory=dict)
     done: dict[int, Draft] = field(default_factory=dict)
     tries: dict[int, int] = field(default_factory=dict)
+    scorer: CatalogueEntry | None = None
+    scoring: dict[int, str] = field(default_factory=dict)
     reproducible: bool = True
     redrawn: bool = False
     delivered: bool = False
     released: float = 0.0
+    _order: tuple[int, bool, float, bool, int] | None = None
 
     @property
     def whole(self) -> bool:
-        """Tell whether every sample is done."""
-        return len(self.done) == self.request.samples
+        """Tell whether every sample is done and scored."""
+        return len(self.done) == self.request.samples and not self.scoring
 
     @property
     def size(self) -> int:
@@ -56,16 +74,40 @@
         return sum(len(each.answer.body) for each in self.done.values())
 
     @property
-    def outlook(self) -> GroupOutlook:
-        """Return what the order of groups depends on."""
+    def order(self) -> tuple[int, bool, float, bool, int]:
+        """Return the sort key of the group among those that have waiting samples."""
+        if self._order is None:
+            self._order = critical_path_key(self._outlook())
+        return self._order
+
+    def _outlook(self) -> GroupOutlook:
         total = sum(each.answer.tokens for each in self.done.values())
         mean = total / len(self.done) if self.done else 0.0
         tokens = max(float(self.request.expected_tokens), mean)
         started = bool(self.done or self.flights)
         return GroupOutlook(self.key.step, self.redrawn, tokens, started, self.position)
 
-    def fill(self) -> None:
-        """Let every sample wait that is neither done, in flight nor waiting."""
+    def finish(self, index: int, draft: Draft) -> None:
+        """Keep a finished draft."""
+        self.done[index] = draft
+        self._order = None
+
+    def settle_score(self, index: int, outcome: Score | Failure) -> None:
+        """Keep the score of a finished draft, or why there is none."""
+        del self.scoring[index]
+        self.done[index] = replace(self.done[index], score=outcome)
+
+    def claim(self, draw: DrawRequest, position: int) -> None:
+        """Let a draw own the group, with every sample waiting that is not done or in flight."""
+        self.owner = draw.handle
+        self.entry = draw.entry
+        self.scorer = draw.scorer
+        self.position = position
+        self.delivered = False
+        self._order = None
+        self._fill()
+
+    def _fill(self) -> None:
         waiting = {each.index for each in self.waiting}
         for index in range(self.request.samples):
             if index not in self.done and index not in self.flights and index not in waiting:
@@ -77,11 +119,13 @@
 
     def take_off(self, flight: Flight) -> None:
         """Count a request as in flight."""
+        self._order = None
         self.waiting = [each for each in self.waiting if each.index != flight.index]
         self.flights.setdefault(flight.index, []).append(flight)
 
     def land(self, flight: Flight) -> None:
         """Count a request as ended."""
+        self._order = None
         left = [each for each in self.flights.get(flight.index, []) if each is not flight]
         if left:
             self.flights[flight.index] = left
@@ -98,7 +142,9 @@
 
     def discard(self, index: int) -> None:
         """Forget a finished draft and draw it again."""
+        self._order = None
         del self.done[index]
+        self.scoring.pop(index, None)
         self.redrawn = True
         self.retry(index, 0.0)
 
