Give up on a claim's holder that never records an outcome

Cause: the VM list names VMs, not incarnations: a holder that restarted under the same VM name counted as live, so a repetition was told "in progress" for good.

Change: a former incarnation on the entry's own VM is gone; any other holder counts as gone 150 s of the observer's own clock after its row was first seen without outcome. Both give "outcome unknown", which is true in any case.

Conclusion: no call waits for ever for a claim.

--- a/pumicedeck/claims.py
+++ b/pumicedeck/claims.py
@@ -5,7 +5,7 @@
 watermark has lost its row and is refused.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -60,6 +60,7 @@
     refuse_seconds: float = 0.5
     doubt_seconds: float = 30.0
     leave_seconds: float = 5.0
+    in_progress_seconds: float = 150.0
     max_ahead_seconds: float = 86_400.0
 
 
@@ -127,6 +128,7 @@
         self._held: dict[str, _Claim] = {}
         self._claims: deque[_Claim] = deque()
         self._outcomes: deque[_Claim] = deque()
+        self._seen: OrderedDict[tuple[str, int], float] = OrderedDict()
         self._doubts: dict[str, tuple[float, _Claim]] = {}
         self._watermark = 0
         self._watermark_revision = 0
@@ -214,7 +216,7 @@
         """Return what a claim row says to a repetition that may not be granted."""
         if row.digest != digest:
             return Err(Failure(ResultCode.REQUEST_ID_REUSED, "claimed with another body"))
-        if row.code is None and not self._is_live(row.holder):
+        if row.code is None and not self._may_still_work(row):
             return Err(Failure(ResultCode.OUTCOME_UNKNOWN, f"{row.holder} is gone"))
         if row.code is None or row.is_proven_not_run:
             return Err(Failure(ResultCode.IN_PROGRESS, f"held by {row.holder}", 1.0))
@@ -224,6 +226,18 @@
             return Err(Failure(ResultCode.ANSWER_EXPIRED, "the answer was not kept"))
         return Ok(RecordedAnswer(row.answer))
 
+    def _may_still_work(self, row: ClaimRow) -> bool:
+        """Tell whether the holder may still record an outcome, as far as one can know."""
+        if row.holder == self._incarnation:
+            return True
+        if _vm_of(row.holder) == _vm_of(self._incarnation) or not self._is_live(row.holder):
+            return False
+        now = self._timers.now()
+        seen_at = self._seen.setdefault((row.holder, row.nonce), now)
+        while len(self._seen) > self._settings.max_held:
+            self._seen.popitem(last=False)
+        return now - seen_at < self._settings.in_progress_seconds
+
     def _refusal(self, write: WriteClaim) -> Failure | None:
         second = request_second(write.request_id)
         if second is not None and second < self._watermark:
@@ -416,3 +430,7 @@
             self._outcomes.append(claim)
             self._flush_within(self._settings.group_seconds)
         self._check_doubts_later()
+
+
+def _vm_of(incarnation: str) -> str:
+    return incarnation.partition("/")[0]
--- a/pumicedeck/tests/test_claims.py
+++ b/pumicedeck/tests/test_claims.py
@@ -202,3 +202,15 @@
     world.run(5.0)
     assert first.unrecorded == int(is_down)
     assert len(left_at) == 1 and (left_at[0] >= 4.0) == is_down
+
+
+def test_a_holder_that_is_listed_but_never_records_is_given_up() -> None:
+    world = World()
+    world.claim(world.entry("a/1"), "h1")
+    other = world.entry("b/1", in_progress_seconds=60.0)
+    assert world.claim(other, "h2") is ResultCode.IN_PROGRESS
+    world.run(50.0)
+    assert world.claim(other, "h3") is ResultCode.IN_PROGRESS
+    world.run(10.0)
+    assert world.claim(other, "h4") is ResultCode.OUTCOME_UNKNOWN
+    assert world.claim(world.entry("a/2"), "h5") is ResultCode.OUTCOME_UNKNOWN
