--- a/pumicedeck/draft_experiments.py
+++ b/pumicedeck/draft_experiments.py
@@ -147,10 +147,15 @@
     ahead_share=AHEAD_SHARE,
     weighs_swaps=True,
 )
+SPAN_POLICIES = (
+    DraftPolicy("late binding, span", DrawSettings()),
+    DraftPolicy("pumicedeck, span", DrawSettings(), ahead_share=AHEAD_SHARE),
+)
 SLOW_WORKLOADS = tuple(replace(each, slow_factor=5.0) for each in WORKLOADS)
 SCENES = {
     "undisturbed": (WORKLOADS, POLICIES),
     "slow": (SLOW_WORKLOADS, (*POLICIES, UNHEDGED_POLICY)),
+    "span": (WORKLOADS, (*POLICIES[-2:], *SPAN_POLICIES)),
     "moves": (WORKLOADS, (*POLICIES[-2:], *MOVE_POLICIES)),
 }
 
