Split the draft experiment and let a repeated draw name the version of the moment

A draw that the client repeated named the newest version of its first try, which the entry takes as a fresh confirmation: with the weight store out of reach, a draft over its bound could have been handed over.

Change: policies and workloads in `draft_policies`, the samplers' surroundings in `experiment_pools`. `Client.draw` also takes a callable for the newest version and asks it at each repetition.

Conclusion: a trainer that publishes during a draw is checked against what it published.

--- a/pumicedeck/clients.py
+++ b/pumicedeck/clients.py
@@ -133,21 +133,23 @@
         trainer: str,
         step: int,
         groups: Iterable[WantedGroup],
-        newest_version: int = -1,
+        newest_version: int | Callable[[], int] = -1,
         held: Iterable[int] = (),
         budget: float = 960.0,
     ) -> Iterator[SampleGroup]:
         """Yield each group of a step once, as it completes.
 
         A draw that breaks is repeated through the next entry and names what is held. `DrawError`
-        is raised when a failure is final or nothing came for several draws.
+        is raised when a failure is final or nothing came for several draws. A callable
+        `newest_version` is asked at each repetition, so that a version published meanwhile counts.
         """
         wanted = {each.group: each for each in groups}
         have = set(held)
         idle = 0
         while missing := [each for number, each in wanted.items() if number not in have]:
             before = len(have)
-            draw = _draw_document(trainer, step, missing, have, newest_version, budget)
+            named = newest_version() if callable(newest_version) else newest_version
+            draw = _draw_document(trainer, step, missing, have, named, budget)
             failure = None
             for line in self._draw_lines(entry, draw, budget):
                 if isinstance(line, Failure):
--- a/pumicedeck/draft_experiments.py
+++ b/pumicedeck/draft_experiments.py
@@ -2,12 +2,12 @@
 
 import statistics
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 
 from pumicedeck.actions import CallerAnswer, CallerRequest
-from pumicedeck.catalogue_entries import CatalogueEntry, Limits, RequestClass, SwapPolicy
 from pumicedeck.clocks import VirtualTime
+from pumicedeck.draft_policies import POLICIES, WORKLOADS, DraftPolicy, Workload
 from pumicedeck.drafts import (
     CancelDraft,
     DeliverGroup,
@@ -17,60 +17,15 @@
     GroupRequest,
     SubmitDraft,
 )
-from pumicedeck.draws import DrawCoordinator, DrawSettings
-from pumicedeck.experiment_samplers import FakeSampler, SampleEnd, SamplerSequence, SamplerSpeed
-from pumicedeck.messages import DraftId
-from pumicedeck.stragglers import StragglerSettings
-from pumicedeck.swaps import RunningDraft, SwapSettings, choose_policy
-from pumicedeck.trainer_steps import AHEAD_SHARE
+from pumicedeck.draws import DrawCoordinator
+from pumicedeck.experiment_pools import POLL_SECONDS, SamplerPool, sample_tokens
+from pumicedeck.experiment_samplers import SampleEnd
 from pumicedeck.wakeups import Wakeup
 
 TRAIN_SECONDS = 300.0
-MEAN_TOKENS = 400.0
-STRAGGLER_SHARE = 0.01
-STRAGGLER_FACTOR = 10.0
 GROUP_SAMPLES = 8
-BOOKING_TOKENS = 60.0
-SWAP_SPREAD_SECONDS = 20.0
-POLL_SECONDS = 4.0
 STEPS = 8
 SEEDS = 10
-UNBOUNDED = 1_000_000
-KV_BYTES_PER_TOKEN = 131_072
-KV_BYTES_PER_SECOND = 1e9
-MOVE_EVERY_SECONDS = 5.0
-MOVE_AFTER_SECONDS = 20.0
-MOVE_DIFFERENCE = 2
-
-
-@dataclass(frozen=True, slots=True)
-class Workload:
-    """One trainer with its samplers; `booking_rate` is in requests per second.
-
-    The first sampler takes `slow_factor` times as long for each token.
-    """
-
-    entry: CatalogueEntry
-    samplers: int
-    groups: int
-    booking_rate: float
-    slow_factor: float = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class DraftPolicy:
-    """What is compared: window, router, copies, drawing ahead and the choice at a swap.
-
-    The next step is drawn ahead once at most `ahead_share` of the groups are missing. `moves`
-    takes long drafts by export and import of their KV cache to emptier samplers.
-    """
-
-    name: str
-    settings: DrawSettings
-    round_robin: bool = False
-    ahead_share: float = 0.0
-    weighs_swaps: bool = False
-    moves: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,182 +58,6 @@
     figures: dict[str, FigureSummary]
 
 
-def _entry(name: str, firm: str, idle: float, stale: float) -> CatalogueEntry:
-    return CatalogueEntry(
-        name,
-        firm,
-        RequestClass.ROLLOUT,
-        (name,),
-        limits=Limits(concurrency=UNBOUNDED),
-        model=name,
-        staleness_bound=1,
-        idle_time_weight=idle,
-        staleness_weight=stale,
-    )
-
-
-WORKLOADS = (
-    Workload(_entry("tuner-gen", "tainan", 3.0, 1.0), 6, 128, 2.0),
-    Workload(_entry("redator", "quintela", 1.0, 3.0), 4, 85, 1.3),
-)
-
-
-def _baseline(window: int = UNBOUNDED) -> DrawSettings:
-    return DrawSettings(
-        stragglers=StragglerSettings(window=window, target_wait=float("inf"), hedge_share=0.0)
-    )
-
-
-POLICIES = (
-    DraftPolicy("round robin", _baseline(), round_robin=True),
-    DraftPolicy("least outstanding", _baseline()),
-    DraftPolicy("least outst. ahead", _baseline(), ahead_share=AHEAD_SHARE),
-    DraftPolicy("late binding", DrawSettings(), weighs_swaps=True),
-    DraftPolicy("pumicedeck", DrawSettings(), ahead_share=AHEAD_SHARE, weighs_swaps=True),
-)
-MOVE_POLICIES = (
-    DraftPolicy("late binding, moves", DrawSettings(), weighs_swaps=True, moves=True),
-    DraftPolicy("pumicedeck, moves", DrawSettings(), False, AHEAD_SHARE, True, True),
-)
-
-UNHEDGED_POLICY = DraftPolicy(
-    "pumicedeck, no copies",
-    DrawSettings(stragglers=StragglerSettings(hedge_share=0.0)),
-    ahead_share=AHEAD_SHARE,
-    weighs_swaps=True,
-)
-SPAN_POLICIES = (
-    DraftPolicy("late binding, span", DrawSettings()),
-    DraftPolicy("pumicedeck, span", DrawSettings(), ahead_share=AHEAD_SHARE),
-)
-SLOW_WORKLOADS = tuple(replace(each, slow_factor=5.0) for each in WORKLOADS)
-SCENES = {
-    "undisturbed": (WORKLOADS, POLICIES),
-    "slow": (SLOW_WORKLOADS, (*POLICIES, UNHEDGED_POLICY)),
-    "span": (WORKLOADS, (*POLICIES[-2:], *SPAN_POLICIES)),
-    "moves": (WORKLOADS, (*POLICIES[-2:], *MOVE_POLICIES)),
-}
-
-
-def sample_tokens(seed: int, draft_id: DraftId) -> float:
-    """Return the length of a sample, which depends on its place alone."""
-    place = f"{seed}/{draft_id.step}/{draft_id.group}/{draft_id.index}"
-    rng = Random(place)
-    tokens = MEAN_TOKENS * rng.uniform(0.5, 1.5)
-    return tokens * (STRAGGLER_FACTOR if rng.random() < STRAGGLER_SHARE else 1.0)
-
-
-class _Pool:
-    """The samplers with a router, booking load and swaps."""
-
-    def __init__(
-        self, time: VirtualTime, workload: Workload, policy: DraftPolicy, rng: Random, seed: int
-    ) -> None:
-        self._time = time
-        self._workload = workload
-        self._policy = policy
-        self._rng = rng
-        self._seed = seed
-        self.speed = SamplerSpeed()
-        slow = replace(self.speed, token_seconds=self.speed.token_seconds * workload.slow_factor)
-        self.samplers = [
-            FakeSampler(time, self.speed if rank else slow) for rank in range(workload.samplers)
-        ]
-        self._placed: dict[str, FakeSampler] = {}
-        self._turn = 0
-        self.booking_tokens = 0.0
-        time.call_later(self._booking_gap(), self._book)
-        if policy.moves:
-            time.call_later(MOVE_EVERY_SECONDS, self._move_one)
-
-    def submit(self, request: CallerRequest, done: Callable[[SampleEnd], None]) -> None:
-        sampler = self._choose()
-        self._placed[request.handle] = sampler
-        tokens = sample_tokens(self._seed, request.draft)
-
-        def ended(end: SampleEnd) -> None:
-            del self._placed[request.handle]
-            done(end)
-
-        sampler.submit(SamplerSequence(request.handle, tokens, ended, self._time.now()))
-
-    def cancel(self, handle: str) -> None:
-        sampler = self._placed.pop(handle, None)
-        if sampler is not None:
-            sampler.cancel(handle)
-
-    def _move_one(self) -> None:
-        self._time.call_later(MOVE_EVERY_SECONDS, self._move_one)
-        source = max(self.samplers, key=lambda each: each.outstanding)
-        target = min(self.samplers, key=lambda each: each.outstanding)
-        late = [each for each in source.running if self._is_late(each)]
-        if not late or source.outstanding - target.outstanding < MOVE_DIFFERENCE:
-            return
-        longest = min(late, key=lambda each: each.started)
-        left = source.left(longest)
-        source.cancel(longest.handle)
-        moved = SamplerSequence(longest.handle, left, longest.done, longest.arrived)
-        moved.versions = longest.versions
-        done_tokens = (self._time.now() - longest.started) * self.speed.token_rate(1)
-        cost = 2 * done_tokens * KV_BYTES_PER_TOKEN / KV_BYTES_PER_SECOND
-        self._placed[moved.handle] = target
-        self._time.call_later(cost, lambda: self._import(target, moved))
-
-    def _import(self, target: FakeSampler, moved: SamplerSequence) -> None:
-        if self._placed.get(moved.handle) is target:
-            target.submit(moved)
-
-    def _is_late(self, sequence: SamplerSequence) -> bool:
-        running = self._time.now() - sequence.started
-        return not sequence.interactive and running > MOVE_AFTER_SECONDS
-
-    def publish(self, version: int) -> None:
-        """Swap each sampler in its slot after the poll."""
-        for rank, sampler in enumerate(self.samplers):
-            slot = SWAP_SPREAD_SECONDS * rank / len(self.samplers)
-            delay = self._rng.uniform(0.0, POLL_SECONDS) + slot
-            self._time.call_later(delay, lambda each=sampler: self._swap(each, version))
-
-    def _swap(self, sampler: FakeSampler, version: int) -> None:
-        restart = False
-        if self._policy.weighs_swaps:
-            drafts = [self._running(sampler, each) for each in sampler.running]
-            drafts = [each for each in drafts if each is not None]
-            chosen = choose_policy(drafts, version, SwapSettings())
-            restart = chosen is SwapPolicy.RESTART
-        sampler.swap(version, restart)
-
-    def _running(self, sampler: FakeSampler, sequence: SamplerSequence) -> RunningDraft | None:
-        if sequence.interactive:
-            return None
-        elapsed = self._time.now() - sequence.started
-        # The agent does not know the length; it expects the mean and then as long again.
-        expected = MEAN_TOKENS / self.speed.token_rate(self.speed.slots)
-        remaining = expected - elapsed if elapsed < expected else elapsed
-        return RunningDraft(self._workload.entry, elapsed, remaining, min(sequence.versions))
-
-    def _choose(self) -> FakeSampler:
-        if self._policy.round_robin:
-            self._turn += 1
-            return self.samplers[self._turn % len(self.samplers)]
-        return min(self.samplers, key=lambda each: each.outstanding)
-
-    def _booking_gap(self) -> float:
-        surge = 2.0 if int(self._time.now() / 60.0) % 3 == 0 else 0.5
-        return self._rng.expovariate(self._workload.booking_rate * surge)
-
-    def _book(self) -> None:
-        self._turn += 1
-        tokens = BOOKING_TOKENS * self._rng.uniform(0.5, 1.5)
-        self.booking_tokens += tokens
-        handle = f"booking/{self._turn}/{self._time.now()}"
-        sequence = SamplerSequence(
-            handle, tokens, lambda end: None, self._time.now(), interactive=True
-        )
-        min(self.samplers, key=lambda each: each.outstanding).submit(sequence)
-        self._time.call_later(self._booking_gap(), self._book)
-
-
 @dataclass(slots=True)
 class _Observed:
     lags: list[int] = field(default_factory=list)
@@ -300,7 +79,7 @@
         self._seed = seed
         self._steps = steps
         rng = Random(f"{workload.entry.name}/{seed}")
-        self._pool = _Pool(self._time, workload, policy, rng, seed)
+        self._pool = SamplerPool(self._time, workload, policy, rng, seed)
         self._coordinator = DrawCoordinator(policy.settings)
         self._wakeup = Wakeup(
             self._time,
@@ -473,6 +252,3 @@
         ]
         lines.append("  ".join([each.workload.ljust(10), each.policy.ljust(18), *cells]))
     return "\n".join(lines)
-
-
-__all__ = ["DraftFigures", "DraftRun", "draft_table", "measure_drafts"]
--- /dev/null
+++ b/pumicedeck/draft_policies.py
@@ -0,0 +1,97 @@
+"""Workloads and policies of the draft experiments."""
+
+from dataclasses import dataclass, replace
+
+from pumicedeck.catalogue_entries import CatalogueEntry, Limits, RequestClass
+from pumicedeck.draws import DrawSettings
+from pumicedeck.stragglers import StragglerSettings
+from pumicedeck.trainer_steps import AHEAD_SHARE
+
+UNBOUNDED = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """One trainer with its samplers; `booking_rate` is in requests per second.
+
+    The first sampler takes `slow_factor` times as long for each token.
+    """
+
+    entry: CatalogueEntry
+    samplers: int
+    groups: int
+    booking_rate: float
+    slow_factor: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class DraftPolicy:
+    """What is compared: window, router, copies, drawing ahead and the choice at a swap.
+
+    The next step is drawn ahead once at most `ahead_share` of the groups are missing. `moves`
+    takes long drafts by export and import of their KV cache to emptier samplers.
+    """
+
+    name: str
+    settings: DrawSettings
+    round_robin: bool = False
+    ahead_share: float = 0.0
+    weighs_swaps: bool = False
+    moves: bool = False
+
+
+def _entry(name: str, firm: str, idle: float, stale: float) -> CatalogueEntry:
+    return CatalogueEntry(
+        name,
+        firm,
+        RequestClass.ROLLOUT,
+        (name,),
+        limits=Limits(concurrency=UNBOUNDED),
+        model=name,
+        staleness_bound=1,
+        idle_time_weight=idle,
+        staleness_weight=stale,
+    )
+
+
+WORKLOADS = (
+    Workload(_entry("tuner-gen", "tainan", 3.0, 1.0), 6, 128, 2.0),
+    Workload(_entry("redator", "quintela", 1.0, 3.0), 4, 85, 1.3),
+)
+
+
+def _baseline(window: int = UNBOUNDED) -> DrawSettings:
+    return DrawSettings(
+        stragglers=StragglerSettings(window=window, target_wait=float("inf"), hedge_share=0.0)
+    )
+
+
+POLICIES = (
+    DraftPolicy("round robin", _baseline(), round_robin=True),
+    DraftPolicy("least outstanding", _baseline()),
+    DraftPolicy("least outst. ahead", _baseline(), ahead_share=AHEAD_SHARE),
+    DraftPolicy("late binding", DrawSettings(), weighs_swaps=True),
+    DraftPolicy("pumicedeck", DrawSettings(), ahead_share=AHEAD_SHARE, weighs_swaps=True),
+)
+MOVE_POLICIES = (
+    DraftPolicy("late binding, moves", DrawSettings(), weighs_swaps=True, moves=True),
+    DraftPolicy("pumicedeck, moves", DrawSettings(), False, AHEAD_SHARE, True, True),
+)
+
+UNHEDGED_POLICY = DraftPolicy(
+    "pumicedeck, no copies",
+    DrawSettings(stragglers=StragglerSettings(hedge_share=0.0)),
+    ahead_share=AHEAD_SHARE,
+    weighs_swaps=True,
+)
+SPAN_POLICIES = (
+    DraftPolicy("late binding, span", DrawSettings()),
+    DraftPolicy("pumicedeck, span", DrawSettings(), ahead_share=AHEAD_SHARE),
+)
+SLOW_WORKLOADS = tuple(replace(each, slow_factor=5.0) for each in WORKLOADS)
+SCENES = {
+    "undisturbed": (WORKLOADS, POLICIES),
+    "slow": (SLOW_WORKLOADS, (*POLICIES, UNHEDGED_POLICY)),
+    "span": (WORKLOADS, (*POLICIES[-2:], *SPAN_POLICIES)),
+    "moves": (WORKLOADS, (*POLICIES[-2:], *MOVE_POLICIES)),
+}
--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -8,7 +8,8 @@
 import typer
 
 from pumicedeck.cli_outputs import finish, print_table
-from pumicedeck.draft_experiments import SCENES, STEPS, draft_table, measure_drafts
+from pumicedeck.draft_experiments import STEPS, draft_table, measure_drafts
+from pumicedeck.draft_policies import SCENES
 from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.experiments import run_experiment
 from pumicedeck.fault_matrices import write_matrix
--- a/pumicedeck/tests/test_clients.py
+++ b/pumicedeck/tests/test_clients.py
@@ -116,3 +116,11 @@
     script = _Script(_lines(_group(0), {"error": taken}))
     with pytest.raises(DrawError, match="DRAW_TAKEN_OVER"):
         list(script.client.draw("rig-presets", "t", 7, GROUPS))
+
+
+def test_a_repeated_draw_names_the_version_that_is_newest_by_then() -> None:
+    script = _Script(_lines(_group(1)), _lines(_group(0), _group(2), {"end": {}}))
+    published = iter((4, 5))
+    list(script.client.draw("rig-presets", "t", 7, GROUPS, lambda: next(published)))
+    named = [json.loads(each.content)["newest_version"] for each in script.requests]
+    assert named == [4, 5]
--- a/pumicedeck/tests/test_draft_experiments.py
+++ b/pumicedeck/tests/test_draft_experiments.py
@@ -4,14 +4,10 @@
 from typer.testing import CliRunner
 
 from pumicedeck.clocks import VirtualTime
-from pumicedeck.draft_experiments import (
-    GROUP_SAMPLES,
-    POLICIES,
-    WORKLOADS,
-    DraftRun,
-    sample_tokens,
-)
+from pumicedeck.draft_experiments import GROUP_SAMPLES, DraftRun
+from pumicedeck.draft_policies import POLICIES, WORKLOADS
 from pumicedeck.experiment_commands import experiment_app
+from pumicedeck.experiment_pools import sample_tokens
 from pumicedeck.experiment_samplers import FakeSampler, SamplerSequence, SamplerSpeed
 from pumicedeck.messages import DraftId
 from pumicedeck.swap_experiments import TARGET_SECONDS, SwapScene, measure_swaps
