Back off from a failing store more slowly

Cause: when the store went down right after a commit, all processes retried within half a second, although a failed fetch already goes to a peer.

--- a/pumicedeck/store_budgets.py
+++ b/pumicedeck/store_budgets.py
@@ -37,7 +37,7 @@
 class BreakerSettings:
     """The backoff doubles from `min_backoff` to `max_backoff`, in seconds, with full jitter."""
 
-    min_backoff: float = 0.5
+    min_backoff: float = 2.0
     max_backoff: float = 12.0
 
 
