Reach a pool elsewhere when its near agents are lost, and come back

Cause: found while checking small pools: an entry with two picks took both from its own region, so a pool with one near agent had no second one, and with the near agents lost no far one was tried. And an agent that failed once and was replaced was never dialed again by that entry unless it covered it.

Change: a pool keeps at least one far pick, what the near agents cannot give is picked far away, and an agent counts as unreachable only until its backoff has run out; then it is tried in its old place, its replacement staying meanwhile.

--- a/pumicedeck/agent_selections.py
+++ b/pumicedeck/agent_selections.py
@@ -74,12 +74,17 @@
         settings = self._settings
         share = settings.max_agent_sessions * group.size // self._entries
         total = max(MIN_PICKS, min(settings.local_picks + settings.remote_picks, room, share))
-        remote_picks = min(settings.remote_picks, total // 3) if group.local else total
-        local_picks = total - remote_picks
         local = [vm for vm in group.local if vm.name not in leaving]
         remote = [vm for vm in group.remote if vm.name not in leaving]
-        chosen = _pick_spread(remote, remote_picks, self._covered, unreachable)
-        return chosen | _pick_spread(local, local_picks, self._covered, unreachable)
+        remote_picks = min(settings.remote_picks, max(1, total // 3), len(remote))
+        local_picks = total - remote_picks
+        chosen = _pick_spread(local, local_picks, self._covered, unreachable)
+        near = sum(
+            vm.name not in unreachable and (vm.name in chosen or vm.name in self._covered)
+            for vm in local
+        )
+        remote_picks = total - min(near, local_picks)
+        return chosen | _pick_spread(remote, remote_picks, self._covered, unreachable)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/memberships.py
+++ b/pumicedeck/memberships.py
@@ -20,6 +20,7 @@
 NEVER = float("inf")
 POLL_JITTER = 0.25
 MIN_WAIT_SECONDS = 0.01
+MIN_RESELECT_SECONDS = 1.0
 MIN_KEPT_FRACTION = 0.5
 MAX_DISTRUSTED_LISTS = 3
 
@@ -125,6 +126,7 @@
         self._list_at = NEVER
         self._dial_at = NEVER
         self._close_at = NEVER
+        self._reselect_at = NEVER
 
     @property
     def wanted(self) -> frozenset[str]:
@@ -149,6 +151,7 @@
     def next_wakeup(self) -> float | None:
         """Return the second at which `on_time` is wanted."""
         due = min(self._call_deadline_at, self._list_at, self._dial_at, self._close_at)
+        due = min(due, self._reselect_at)
         return None if due == NEVER else due
 
     def catalogue_installed(self, now: float, catalogue: Catalogue) -> list[MembershipAction]:
@@ -175,7 +178,7 @@
     def session_up(self, now: float, vm: str) -> list[MembershipAction]:
         """Count an agent whose session opened."""
         peer = self._peer(vm)
-        self._stale = self._stale or self._is_unreachable(peer)
+        self._stale = self._stale or self._is_unreachable(now, peer)
         self._touched = True
         peer.up = True
         peer.opening = False
@@ -189,7 +192,7 @@
         """Count an agent whose session ended or could not be opened."""
         peer = self._peer(vm)
         self._touched = True
-        reachable = not self._is_unreachable(peer)
+        reachable = not self._is_unreachable(now, peer)
         peer.up = False
         peer.opening = False
         peer.told = False
@@ -222,9 +225,11 @@
             peer = self._peers[vm] = _Peer()
         return peer
 
-    def _is_unreachable(self, peer: _Peer) -> bool:
-        lost = peer.redial is not None and peer.redial.failures > 0 and not peer.up
-        return lost or not peer.accepting
+    def _is_unreachable(self, now: float, peer: _Peer) -> bool:
+        """Count an agent as unreachable until it may be dialed again."""
+        if not peer.accepting:
+            return True
+        return not peer.is_held and peer.redial is not None and not peer.redial.allows(now)
 
     def _is_trusted(self, vms: tuple[Vm, ...]) -> bool:
         """Distrust a list that lost most VMs at once, a few times."""
@@ -278,7 +283,7 @@
         if self._call is not None and self._call_deadline_at <= now:
             self._end_call(now, False)
         actions = self._read_list(now)
-        if self._stale:
+        if self._stale or self._reselect_at <= now:
             self._select(now)
         if not self._touched and min(self._dial_at, self._close_at) > now:
             return actions
@@ -313,8 +318,9 @@
         self._touched = True
         leaving = frozenset(name for name, peer in self._peers.items() if peer.leaving)
         unreachable = frozenset(
-            name for name, peer in self._peers.items() if self._is_unreachable(peer)
+            name for name, peer in self._peers.items() if self._is_unreachable(now, peer)
         )
+        self._reselect_at = self._next_redial(now)
         if self._pools is None:
             vms = tuple(vm for name, vm in self._vms.items() if name not in leaving)
             self._wanted = select_any(self._own, vms, unreachable)
@@ -323,6 +329,15 @@
             self._ranking = self._rank(self._pools)
         self._wanted = self._ranking.select(unreachable, leaving)
 
+    def _next_redial(self, now: float) -> float:
+        """Return when the next unreachable agent may be dialed, a second away at least."""
+        due = [
+            peer.redial.retry_at
+            for peer in self._peers.values()
+            if peer.redial is not None and not peer.is_held and peer.redial.retry_at > now
+        ]
+        return max(min(due), now + MIN_RESELECT_SECONDS) if due else NEVER
+
     def _rank(self, pools: frozenset[str]) -> AgentRanking:
         vms = tuple(self._vms.values())
         if self._own.name not in self._vms:
--- a/pumicedeck/tests/test_memberships.py
+++ b/pumicedeck/tests/test_memberships.py
@@ -63,7 +63,9 @@
     }
 
 
-@pytest.mark.parametrize(("entries", "agents", "pools"), [(6, 21, 4), (95, 150, 10), (30, 6, 6)])
+@pytest.mark.parametrize(
+    ("entries", "agents", "pools"), [(6, 21, 4), (95, 150, 10), (30, 6, 6), (95, 12, 4)]
+)
 def test_agents_are_covered_pools_are_reachable_and_sessions_bounded(
     entries: int, agents: int, pools: int
 ) -> None:
@@ -93,6 +95,17 @@
     assert 0 < moved <= 4 * holders
 
 
+@pytest.mark.parametrize("pools", [4, 30])
+def test_a_pool_whose_near_agents_are_lost_is_reached_elsewhere(pools: int) -> None:
+    vms = _vms(95, 90, pools)
+    names = frozenset(f"p{index}" for index in range(pools))
+    own = vms[0]
+    lost = frozenset(vm.name for vm in vms if vm.endpoint and vm.failure_domain.region == "r0")
+    selected = AgentRanking(own, vms, names, SETTINGS).select(unreachable=lost)
+    reached = {vm.endpoint.pool for vm in vms if vm.name in selected - lost}
+    assert reached == names
+
+
 def test_selection_does_not_depend_on_the_order_of_the_list() -> None:
     vms = _vms(12, 40, 3)
     assert _selections(vms) == _selections(tuple(reversed(vms)))
@@ -249,6 +262,23 @@
     assert len(entry.open) > FIRST_PICKS
 
 
+def test_an_agent_that_was_replaced_is_taken_back_once_it_answers() -> None:
+    entry = Entry(_vms(95, 150, 10), 10)
+    entry.run(60.0)
+    held = entry.membership.wanted
+    pools = frozenset(f"p{index}" for index in range(10))
+    covered = AgentRanking(entry.vms[0], entry.vms, pools, SETTINGS).covered
+    agent = sorted(held - covered)[0]
+    entry.broken = {agent}
+    entry.lose({agent})
+    assert agent not in entry.membership.wanted
+    entry.run(600.0)
+    assert entry.open >= held - {agent}
+    entry.broken = set()
+    entry.run(60.0)
+    assert entry.open == held
+
+
 def test_a_list_that_is_down_is_asked_with_backoff_and_nothing_is_dropped() -> None:
     entry = Entry(_vms(6, 60, 2), 2)
     entry.run(30.0)
