Take failed dials together before selecting again

Change: only the loss of an open session selects at once; failed dials and run out backoffs are taken together every 2 s.

--- a/pumicedeck/memberships.py
+++ b/pumicedeck/memberships.py
@@ -20,7 +20,7 @@
 NEVER = float("inf")
 POLL_JITTER = 0.25
 MIN_WAIT_SECONDS = 0.01
-MIN_RESELECT_SECONDS = 1.0
+MIN_RESELECT_SECONDS = 2.0
 MIN_KEPT_FRACTION = 0.5
 MAX_DISTRUSTED_LISTS = 3
 
@@ -192,7 +192,7 @@
         """Count an agent whose session ended or could not be opened."""
         peer = self._peer(vm)
         self._touched = True
-        reachable = not self._is_unreachable(now, peer)
+        self._stale = self._stale or peer.up
         peer.up = False
         peer.opening = False
         peer.told = False
@@ -201,7 +201,7 @@
         if peer.redial is None:
             peer.redial = CircuitBreaker(self._settings.redial, self._rng)
         peer.redial.failed(now)
-        self._stale = self._stale or reachable
+        self._reselect_at = min(self._reselect_at, now + MIN_RESELECT_SECONDS)
         return self._advance(now)
 
     def agent_leaving(self, now: float, vm: str) -> list[MembershipAction]:
@@ -330,7 +330,7 @@
         self._wanted = self._ranking.select(unreachable, leaving)
 
     def _next_redial(self, now: float) -> float:
-        """Return when the next unreachable agent may be dialed, a second away at least."""
+        """Return when the next unreachable agent may be dialed; several are taken together."""
         due = [
             peer.redial.retry_at
             for peer in self._peers.values()
