Measure the service rate by busy slot time

Cause: the rate was tokens over the durations of ended dispatches times the number running. Paused dispatches don't end, so a loaded agent looked up to twice as fast and drew more work: queues of 20 at one agent while another stood idle. Change: tokens over the time integral of busy slots, with a fading memory of 30 s.

--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -17,7 +17,7 @@
 FIRM_QUEUE_BYTES = 8 * 1024 * 1024
 DEFAULT_SLOTS = 8
 INITIAL_SLOT_RATE = 50.0
-RATE_MEMORY_SECONDS = 15.0
+RATE_MEMORY_SECONDS = 30.0
 EXPRESS_FRACTION = 1.0
 BULK_EXPRESS_FRACTION = 0.75
 CREDIT_SECONDS = 1.0
@@ -35,22 +35,30 @@
 
 
 class _RateEstimate:
-    """Tokens a second of one running dispatch, over a fading memory of ended ones."""
+    """Tokens a second of one busy slot, over a fading memory of tokens and of busy time."""
 
-    def __init__(self, initial: float) -> None:
-        self._tokens = initial
-        self._seconds = 1.0
+    def __init__(self, initial: float, slots: int) -> None:
+        self._slots = slots
+        self._tokens = initial * slots * RATE_MEMORY_SECONDS / 4
+        self._busy_seconds = slots * RATE_MEMORY_SECONDS / 4
         self._updated = 0.0
 
     @property
     def rate(self) -> float:
-        return self._tokens / self._seconds
+        return self._tokens / self._busy_seconds
 
-    def add(self, now: float, tokens: int, seconds: float) -> None:
-        keep = math.exp((self._updated - now) / RATE_MEMORY_SECONDS)
+    def advance(self, now: float, running: int) -> None:
+        elapsed = now - self._updated
+        if elapsed <= 0.0 or running == 0:
+            self._updated = now
+            return
+        keep = math.exp(-elapsed / RATE_MEMORY_SECONDS)
+        self._tokens *= keep
+        self._busy_seconds = self._busy_seconds * keep + elapsed * min(running, self._slots)
         self._updated = now
-        self._tokens = self._tokens * keep + tokens
-        self._seconds = self._seconds * keep + max(seconds, 1e-6)
+
+    def add(self, tokens: int) -> None:
+        self._tokens += tokens
 
 
 @queue("fair")
@@ -79,7 +87,7 @@
         self._order = 0
         self._tokens = 0
         self._now = 0.0
-        self._estimate = _RateEstimate(INITIAL_SLOT_RATE)
+        self._estimate = _RateEstimate(INITIAL_SLOT_RATE, slots)
 
     @property
     def queued_tokens(self) -> int:
@@ -101,7 +109,7 @@
     @property
     def service_rate(self) -> float:
         """Return the tokens a second of the endpoint, lowered if most of what runs is overdue."""
-        return self._slot_rate() * max(self._slots, len(self._running))
+        return self._slot_rate() * self._slots
 
     @property
     def express_slots(self) -> int:
@@ -177,6 +185,7 @@
 
     def finished(self, now: float, dispatch: Dispatch, tokens: int) -> None:
         """Free the slot and correct the firm's account by the true tokens."""
+        self._estimate.advance(now, len(self._running))
         run = self._running.pop(dispatch.attempt, None)
         if run is None:
             return
@@ -184,8 +193,7 @@
         interactive = dispatch.request_class is RequestClass.INTERACTIVE
         self._count_running(firm, interactive, -1)
         firm.correct(run.dispatch, tokens)
-        if tokens:
-            self._estimate.add(now, tokens, now - run.started)
+        self._estimate.add(tokens)
 
     def configure(self, now: float, catalogue: Catalogue) -> list[Dispatch]:
         """Apply new shares and limits to what is queued; return what they now refuse."""
@@ -252,6 +260,7 @@
         interactive = dispatch.request_class is RequestClass.INTERACTIVE
         within = (firm.interactive if interactive else firm.running) < self._slot_share(firm)
         self._count_running(firm, interactive, 1)
+        self._estimate.advance(now, len(self._running))
         started = replace(dispatch, priority=engine_priority(dispatch.request_class, within))
         self._running[dispatch.attempt] = _Running(started, now)
         return started
