Record trainer idle time and test operators' API, edits and drains on the path

Cause: the trainer's wait had no histogram, and nothing tested the operators' API through HTTP. Change: a draw that ends whole records its time; three tests of the whole path.

--- a/pumicedeck/draw_sessions.py
+++ b/pumicedeck/draw_sessions.py
@@ -1,6 +1,7 @@
 """Carries draws between trainers' connections, the coordinator and the entry's requests."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from pumicedeck.actions import CallerAnswer
 from pumicedeck.clocks import TimerQueue
@@ -22,6 +23,13 @@
 from pumicedeck.wakeups import Wakeup
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenDraw:
+    request: DrawRequest
+    exchange: HttpExchange
+    started: float
+
+
 class _DraftSink:
     """Reports the outcome of one draft to the coordinator."""
 
@@ -58,8 +66,7 @@
         self._timers = timers
         self._histograms = histograms
         self._ask_newest = ask_newest
-        self._exchanges: dict[str, HttpExchange] = {}
-        self._requests: dict[str, DrawRequest] = {}
+        self._open: dict[str, _OpenDraw] = {}
         self._wakeup = Wakeup(timers, coordinator.next_wakeup, self._on_time)
 
     @property
@@ -70,7 +77,7 @@
     @property
     def models(self) -> tuple[str, ...]:
         """Return the models that open draws use."""
-        return tuple({each.entry.model for each in self._requests.values()})
+        return tuple({each.request.entry.model for each in self._open.values()})
 
     def close(self) -> None:
         """Cancel the timer."""
@@ -78,15 +85,14 @@
 
     def start(self, request: DrawRequest, exchange: HttpExchange) -> None:
         """Begin a draw whose groups go to `exchange`."""
-        self._exchanges[request.handle] = exchange
-        self._requests[request.handle] = request
+        self._open[request.handle] = _OpenDraw(request, exchange, self._timers.now())
         exchange.begin_stream()
         self._perform(self._coordinator.start(self._timers.now(), request))
         self._ask_newest()
 
     def caller_gone(self, handle: str) -> None:
         """Drop a draw whose trainer went away."""
-        self._forget(handle)
+        self._open.pop(handle, None)
         self._perform(self._coordinator.caller_gone(self._timers.now(), handle))
 
     def newest_known(self, model: str, version: int) -> None:
@@ -121,27 +127,25 @@
         self._wakeup.refresh()
 
     def _deliver(self, handle: str, group: int, drafts: tuple[Draft, ...], newest: int) -> None:
-        exchange = self._exchanges.get(handle)
-        if exchange is None:
+        draw = self._open.get(handle)
+        if draw is None:
             return
-        entry = self._requests[handle].entry
+        entry = draw.request.entry
         series = Series(entry.firm, entry.request_class, Measure.STALENESS)
         for draft in drafts:
             self._histograms.record(series, max(0, newest - draft.oldest_version))
         documents = [draft_document(each) for each in drafts]
-        exchange.write_line({"group": group, "newest": newest, "drafts": documents})
+        draw.exchange.write_line({"group": group, "newest": newest, "drafts": documents})
 
     def _end(self, handle: str, failure: Failure | None) -> None:
-        exchange = self._exchanges.get(handle)
-        self._forget(handle)
-        if exchange is None:
+        draw = self._open.pop(handle, None)
+        if draw is None:
             return
         if failure is not None:
-            exchange.fail(failure)
+            draw.exchange.fail(failure)
             return
-        exchange.write_line({"end": {}})
-        exchange.end_stream()
-
-    def _forget(self, handle: str) -> None:
-        self._exchanges.pop(handle, None)
-        self._requests.pop(handle, None)
+        entry = draw.request.entry
+        series = Series(entry.firm, entry.request_class, Measure.TRAINER_IDLE)
+        self._histograms.record(series, self._timers.now() - draw.started)
+        draw.exchange.write_line({"end": {}})
+        draw.exchange.end_stream()
--- a/pumicedeck/histograms.py
+++ b/pumicedeck/histograms.py
@@ -13,7 +13,10 @@
 
 
 class Measure(StrEnum):
-    """What is recorded; seconds, except staleness in weight versions."""
+    """What is recorded; seconds, except staleness in weight versions.
+
+    `TRAINER_IDLE` is the time from a draw to its last group, while its trainer has nothing to do.
+    """
 
     QUEUE_WAIT = "queue_wait"
     FIRST_TOKEN = "first_token"
--- a/pumicedeck/tests/test_standin_fleets.py
+++ b/pumicedeck/tests/test_standin_fleets.py
@@ -156,3 +156,54 @@
     assert outcomes[0].is_err()
     (line,) = [json.loads(each) for each in b"".join(chunks).splitlines()]
     assert (line["error"]["code"], line["error"]["execution"]) == (701, "not_run")
+
+
+def test_status_and_histograms_tell_what_the_entry_did(path: _Path) -> None:
+    def read(target: str):
+        address = path.entry.operators.address
+        outcomes = []
+        path.client.send(HttpRequest("GET", address, target), outcomes.append)
+        path.until(lambda: outcomes)
+        return json.loads(outcomes[0].unwrap().body)
+
+    path.ask("/v1/entries/bookings/call/book", b'{"rig": 9}', X_Request_Id="booking-9")
+    status = read("/v1/status")
+    assert status["ready"] and status["behind"] == []
+    assert status["claims"]["granted"] >= 1
+    series = {(each["request_class"], each["measure"]) for each in read("/v1/histograms")["series"]}
+    assert {("interactive", "whole_answer"), ("rollout", "trainer_idle")} <= series
+    assert read("/ready") == {"ready": True}
+
+
+def test_an_edit_through_the_operators_api_is_in_force_in_every_process(path: _Path) -> None:
+    row = {"kind": "entry", "name": "previews", "seen": 1, "document": None}
+    body = json.dumps({"change_id": "000000000001-abcdefgh", "rows": [row]}).encode()
+
+    def edit(token: str) -> HttpResponse:
+        address = path.entry.operators.address
+        headers = (("Authorization", f"Bearer {token}"),)
+        outcomes = []
+        request = HttpRequest("POST", address, "/v1/catalogue/edits", headers, body)
+        path.client.send(request, outcomes.append)
+        path.until(lambda: outcomes)
+        return outcomes[0].unwrap()
+
+    assert json.loads(edit("desk").body)["code"] == 402
+    assert json.loads(edit("operator").body)["revision"] == 2
+    running = [each.running for each in path.fleet.agents] + path.fleet.entries
+    path.until(lambda: all(each.daemon.revision == 2 for each in running))
+    answer = path.ask("/v1/entries/previews/call/preview", b"{}", token="portal")
+    assert json.loads(answer.body)["code"] == 403
+
+
+def test_an_agent_that_drains_gets_no_new_work_and_others_answer(path: _Path) -> None:
+    services = [each for each in path.fleet.agents if each.vm.endpoint.pool == "booking-app"]
+    leaving = services[0]
+    leaving.running.drain()
+    path.until(lambda: leaving.running.daemon.requests.draining)
+    path.loop.advance(1.0)
+    before = len(leaving.endpoint.ledger)
+    for number in range(30):
+        answer = path.ask("/v1/entries/bookings/call/book", b"{}", X_Request_Id=f"drain-{number}")
+        assert answer.status == 200
+    assert len(leaving.endpoint.ledger) == before
