Find a socket among many by its hash

Cause: circuits keeps sockets in lists and walks through them for each event, so idle connections of callers make every request dearer.

Change: a poller and a server whose lists of sockets are hashed sets; all processes and the tests use them.

--- a/pumicedeck/http_experiments.py
+++ b/pumicedeck/http_experiments.py
@@ -9,7 +9,6 @@
 
 from circuits import BaseComponent
 from circuits.core.events import started
-from circuits.core.pollers import EPoll
 from result import Result
 
 from pumicedeck.http_clients import HttpClient
@@ -17,6 +16,7 @@
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
 from pumicedeck.http_servers import HttpExchange, HttpServer
 from pumicedeck.loops import LoopTimers
+from pumicedeck.pollers import ManySocketsPoller
 from pumicedeck.results import Failure
 from pumicedeck.world import Address
 
@@ -47,7 +47,7 @@
         self._guarded = guarded
         self._concurrency = concurrency
         self._root = BaseComponent()
-        EPoll().register(self._root)
+        ManySocketsPoller().register(self._root)
         timers = LoopTimers().register(self._root).timers
         settings = HttpClientSettings(connections_per_address=concurrency)
         self._client = HttpClient(timers, settings).register(self._root)
--- a/pumicedeck/http_servers.py
+++ b/pumicedeck/http_servers.py
@@ -11,6 +11,7 @@
 from circuits.web.servers import BaseServer
 from circuits.web.wrappers import Request, Response
 
+from pumicedeck.pollers import expect_many_callers
 from pumicedeck.results import Failure
 from pumicedeck.world import Address
 
@@ -188,6 +189,7 @@
         self._handle = handle
         self._open: dict[socket.socket, HttpExchange] = {}
         self._web = _QuietServer((listen.host, listen.port), channel=channel).register(self)
+        expect_many_callers(self._web.server)
         if guard is not None:
             guard(channel).register(self)
 
--- a/pumicedeck/processes.py
+++ b/pumicedeck/processes.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 from circuits import Component, handler
-from circuits.core.pollers import EPoll
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.loops import LoopTimers
+from pumicedeck.pollers import ManySocketsPoller
 
 STOP_SECONDS = 0.2
 
@@ -21,7 +21,7 @@
         """Make a loop with a poller that has no bound on descriptors."""
         super().__init__()
         # The first poller that is registered is the one that sockets use.
-        EPoll().register(self)
+        ManySocketsPoller().register(self)
         self._timers = LoopTimers().register(self).timers
         self._drain: Callable[[], None] = self.finish
 
--- a/pumicedeck/standin_hosts.py
+++ b/pumicedeck/standin_hosts.py
@@ -10,7 +10,6 @@
 from urllib.parse import parse_qs
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import FaultSettings, FaultSwitches, StandIn
@@ -18,6 +17,7 @@
 from pumicedeck.http_guards import HttpGuard
 from pumicedeck.http_servers import HttpExchange, HttpServer
 from pumicedeck.loops import LoopTimers
+from pumicedeck.pollers import ManySocketsPoller
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_engines import StandinEngine
 from pumicedeck.standin_ledgers import EngineSettings, ExecutedGeneration
@@ -256,7 +256,7 @@
     def __init__(self, settings: StandinHostSettings) -> None:
         """Listen at once; `run` serves until a signal."""
         super().__init__()
-        EPoll().register(self)
+        ManySocketsPoller().register(self)
         self._timers = LoopTimers().register(self)
         self._host = StandinHost(settings, self._timers.timers).register(self)
 
--- a/pumicedeck/tests/loop_harnesses.py
+++ b/pumicedeck/tests/loop_harnesses.py
@@ -2,19 +2,19 @@
 
 from circuits import BaseComponent, handler
 from circuits.core.events import started
-from circuits.core.pollers import EPoll
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.loops import LoopTimers
+from pumicedeck.pollers import ManySocketsPoller
 from pumicedeck.world import Address
 
 _POLL_SECONDS = 0.001
 _IDLE_TURNS = 3
 
 
-class CountingPoller(EPoll):
+class CountingPoller(ManySocketsPoller):
     """Counts the events of sockets so that the loop knows when it is idle."""
 
     count = 0
--- /dev/null
+++ b/pumicedeck/tests/test_pollers.py
@@ -0,0 +1,39 @@
+"""Tests of the poller for many sockets; the contract tests over HTTP run on it too."""
+
+from pumicedeck.http_servers import HttpServer
+from pumicedeck.pollers import SocketSet
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.world import Address
+
+
+class Member:
+    """Counts how often it is compared."""
+
+    compared = 0
+
+    def __eq__(self, other):
+        Member.compared += 1
+        return self is other
+
+    __hash__ = object.__hash__
+
+
+def test_finding_one_of_many_compares_few():
+    members = [Member() for _ in range(1000)]
+    many = SocketSet(members)
+    Member.compared = 0
+    assert members[-1] in many and Member() not in many
+    many.remove(members[500])
+    many.append(members[500])
+    many.append(members[500])
+    assert Member.compared < 10
+    assert len(many) == 1000 and many[:][-1] is members[500]
+
+
+def test_process_has_no_list_of_sockets_to_walk_through():
+    loop = Loop()
+    server = HttpServer(Address("127.0.0.1", 0), "web", lambda exchange: None).register(loop)
+    loop.settle()
+    found = [loop.poller._read, loop.poller._write, server._web.server._clients]
+    assert {type(each) for each in found} == {SocketSet}
+    loop.shut()
