Close two gaps of attribution for engines that cannot name versions

Cause: breaking the code on purpose showed that dropping the spoiling of open spans turned no test red, and looking for the reason showed a fault: a draft that ended while the reply to a swap was still missing was bracketed by the old and the new version, although the swap may have failed partway by then. And a draft could start on a restarted engine before its state was read.

Change: a bracket needs a settled record at the end of the draft; a failed call to the engine stops draft work until the state was read. The spoiling was redundant and is gone: what ran through an unknown span is refused by that span. The trainer's side of a step gets a test of its own, since accepting a group twice turned nothing red either.

Conclusion: an engine that cannot say never names too few versions in the cases tested.

--- a/pumicedeck/attributions.py
+++ b/pumicedeck/attributions.py
@@ -88,10 +88,10 @@
         self._forget(now, running.model)
         if possible is None:
             return Err(_unattributed("the version was unknown while it ran"))
-        return self._compare(running, possible, tokens)
+        return self._compare(running, possible, tokens, record.settled)
 
     def _compare(
-        self, running: _Running, possible: frozenset[int], tokens: int | None
+        self, running: _Running, possible: frozenset[int], tokens: int | None, settled: bool
     ) -> Result[Attribution, Failure]:
         reported = _reported_versions(running)
         if any(version < 0 for version in reported):
@@ -99,6 +99,9 @@
         complete = bool(reported) and _is_complete(running, tokens)
         if complete and reported <= possible:
             return Ok(Attribution(tuple(sorted(reported | running.carried))))
+        if not settled:
+            # The order under way may have failed partway already.
+            return Err(_unattributed("an order is not settled and the report is not whole"))
         if not reported <= possible:
             self._mismatches += 1
         versions = tuple(sorted(possible | reported | running.carried))
--- a/pumicedeck/executions.py
+++ b/pumicedeck/executions.py
@@ -38,6 +38,7 @@
 
 
 MAX_RESUMES = 3
+_CONTACT_LOST = (ResultCode.ENDPOINT_FAILED, ResultCode.ENDPOINT_UNREACHABLE)
 
 
 class Executions(ABC):
@@ -247,6 +248,8 @@
             return
         del self._running[attempt]
         self._attributions.dropped(self._handle(attempt))
+        if failure.code in _CONTACT_LOST:
+            self._weights.engine_failed()
         started = len(running.output) > 0 or running.resumes > 0
         if started and failure.execution is Execution.NOT_RUN:
             failure = Failure(ResultCode.ENDPOINT_FAILED, failure.detail)
--- a/pumicedeck/tests/test_attributions.py
+++ b/pumicedeck/tests/test_attributions.py
@@ -86,6 +86,19 @@
     assert (got.versions, got.bracketed) == ((3, 4), True)
 
 
+@pytest.mark.parametrize("lost", [True, False])
+def test_a_draft_that_ends_before_an_order_is_settled_needs_a_whole_report(lost) -> None:
+    for versions in ((), (3, 4)):
+        found = _attributions()
+        found.started(1.0, DRAFT, "m")
+        record = found.record(2.0, "m")
+        record.swap_began(2.0, 4)
+        if lost:
+            record.reply_lost(3.0)
+        found.chunk(DRAFT, _chunk(0, versions, tokens=2))
+        assert found.finished(4.0, DRAFT, 2).is_ok() is bool(versions)
+
+
 def test_a_swap_by_somebody_else_is_covered_since_the_last_confirmation() -> None:
     found = _attributions()
     found.started(1.0, DRAFT, "m")
@@ -111,6 +124,7 @@
     found.started(3.0, DRAFT, "m")
     found.record(4.0, "m").swap_began(4.0, 5)
     found.chunk(DRAFT, _chunk(4, (5, 5)))
+    found.record(4.5, "m").swap_ended(4.5, 5)
     got = found.finished(5.0, DRAFT).unwrap()
     assert (got.versions, got.bracketed) == ((4, 5), True)
 
--- a/pumicedeck/tests/test_draws.py
+++ b/pumicedeck/tests/test_draws.py
@@ -7,6 +7,7 @@
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.drafts import DeliverGroup, EndDraw, draft_seed
 from pumicedeck.draws import DrawCoordinator, DrawSettings
+from pumicedeck.messages import DraftId
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.stragglers import StragglerSettings
 from pumicedeck.tests.draw_fixtures import (
@@ -182,6 +183,20 @@
     assert [draft_seed(each) for each in ids[:8]] == [draft_seed(each) for each in ids[8:]]
 
 
+def test_the_trainers_side_takes_a_group_once_and_only_whole() -> None:
+    step = TrainerStep("tuner-gen", "t", 7, {0: 2, 1: 2})
+    whole = tuple(
+        ReceivedDraft(DraftId("tuner-gen", "t", 7, 0, index), (5,), b"") for index in range(2)
+    )
+    assert not step.accept(0, whole[:1])
+    assert not step.accept(1, whole)
+    assert step.accept(0, whole)
+    assert not step.accept(0, whole)
+    assert (step.held, step.missing, step.duplicates) == ((0,), (1,), 1)
+    assert not step.ahead_due(0.25)
+    assert step.ahead_due(0.5)
+
+
 class _Trainer:
     """Draws a step through any entry until it is whole; checks every hand-over."""
 
--- a/pumicedeck/tests/test_weight_followers.py
+++ b/pumicedeck/tests/test_weight_followers.py
@@ -205,3 +205,14 @@
             assert truth[handle] <= set(versions)
             assert bracketed or truth[handle] == set(versions)
     assert checked > 50
+
+
+def test_after_a_failed_call_no_draft_starts_before_the_state_was_read() -> None:
+    time, _, (agent,) = _world(reports_versions=False)
+    time.run_until(5.0)
+    agent.engine.crash()
+    agent.engine.restart()
+    agent.follower.engine_failed()
+    assert not agent.draft("d1", 8)
+    time.run_until(5.5)
+    assert agent.draft("d2", 8)
--- a/pumicedeck/version_records.py
+++ b/pumicedeck/version_records.py
@@ -41,6 +41,11 @@
         """Tell whether a draft that starts now can be attributed."""
         return self._spans[-1].certainty in (Certainty.KNOWN, Certainty.SWAPPING)
 
+    @property
+    def settled(self) -> bool:
+        """Tell whether no order is under way or without a known end."""
+        return self._spans[-1].certainty is Certainty.KNOWN
+
     def swap_began(self, now: float, version: int) -> None:
         """Record that an order to swap was sent."""
         span = self._spans[-1]
@@ -54,8 +59,7 @@
         self._confirmed = now
 
     def swap_failed(self, now: float) -> None:
-        """Record that a swap failed partway, also for the span in which it ran."""
-        self._spoil_open_spans()
+        """Record that a swap failed partway."""
         self._append(VersionSpan(now, Certainty.UNKNOWN, frozenset()))
 
     def swap_refused(self, now: float) -> None:
@@ -109,13 +113,6 @@
     def _append(self, span: VersionSpan) -> None:
         self._spans.append(span)
 
-    def _spoil_open_spans(self) -> None:
-        for position in range(len(self._spans) - 1, -1, -1):
-            span = self._spans[position]
-            if span.certainty not in (Certainty.SWAPPING, Certainty.UNSETTLED):
-                return
-            self._spans[position] = VersionSpan(span.began, Certainty.UNKNOWN, frozenset())
-
     def _widen_unseen(self, now: float, version: int) -> None:
         # The engine was swapped or restarted at some moment since the last confirmation.
         known = self._spans[-1].versions
--- a/pumicedeck/weight_followers.py
+++ b/pumicedeck/weight_followers.py
@@ -201,6 +201,11 @@
             return Err(Failure(ResultCode.VERSION_UNKNOWN, detail, wait, proven_not_run=True))
         return self._attributions.admit(now, model)
 
+    def engine_failed(self) -> None:
+        """Refuse drafts until the engine's state is read, since it may have been restarted."""
+        self._contact_lost()
+        self._carry_out(self._desk.refresh(self._ports.timers.now()))
+
     def change_role(self, role: str) -> None:
         """Order the engine to change its role."""
         self._submit(OrderKind.CHANGE_ROLE, "", role=role)
@@ -314,11 +319,13 @@
         self._ports.engine.state(done)
 
     def _state_read(self, outcome: Result[EngineState, Failure]) -> None:
-        now = self._ports.timers.now()
         if outcome.is_err():
-            for model in self._attributions.models:
-                self._record(model).contact_lost(now)
-        self._carry_out(self._desk.state_read(now, outcome))
+            self._contact_lost()
+        self._carry_out(self._desk.state_read(self._ports.timers.now(), outcome))
+
+    def _contact_lost(self) -> None:
+        for model in self._attributions.models:
+            self._record(model).contact_lost(self._ports.timers.now())
 
     def _believe(self, state: EngineState) -> None:
         now = self._ports.timers.now()
