Test that copies carry their seed and that a body without one is never copied

Cause: two more mutations (no seed in the body; copies of bodies that take none) turned no test red.

Change: tests for both.

--- a/pumicedeck/tests/test_draws.py
+++ b/pumicedeck/tests/test_draws.py
@@ -1,6 +1,8 @@
 """Tests of the draw coordinator: exactly once, whole groups, no stale draft handed over."""
 
+import json
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -53,6 +55,7 @@
     assert coordinator.next_wakeup() == 3.0
     copies = submitted(coordinator.on_time(3.0))
     assert [each.draft for each in copies] == [requests[3].draft]
+    assert json.loads(copies[0].body)["seed"] == draft_seed(requests[3].draft)
     assert copies[0].body == requests[3].body
     actions = coordinator.draft_finished(4.0, copies[0].handle, answer((5,), 11))
     assert delivered(actions)[0].drafts[3].answer.tokens == 11
@@ -61,6 +64,16 @@
     assert coordinator.counts.duplicates == 1
 
 
+def test_a_body_that_takes_no_seed_is_never_copied() -> None:
+    settings = DrawSettings(stragglers=StragglerSettings(hedge_observations=2, hedge_share=0.5))
+    coordinator = DrawCoordinator(settings)
+    plain = tuple(replace(each, body=b"plain text") for each in groups(1))
+    requests = submitted(coordinator.start(0.0, draw(groups=plain)))
+    for request in requests[:3]:
+        coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert submitted(coordinator.on_time(100.0)) == []
+
+
 def test_a_later_draw_takes_over_and_what_was_done_is_handed_on() -> None:
     coordinator = DrawCoordinator()
     requests = submitted(coordinator.start(0.0, draw("early", count=1)))
