--- a/pumicedeck/clocks.py
+++ b/pumicedeck/clocks.py
@@ -2,17 +2,23 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
-@dataclass(order=True, slots=True)
+@dataclass(eq=False, slots=True)
 class Timer:
     """A pending callback; `due` is in seconds of monotonic time."""
 
     due: float
     order: int
-    callback: Callable[[], None] = field(compare=False)
-    cancelled: bool = field(default=False, compare=False)
+    callback: Callable[[], None]
+    cancelled: bool = False
+
+    def __lt__(self, other: "Timer") -> bool:
+        """Order by time, then by creation."""
+        if self.due != other.due:
+            return self.due < other.due
+        return self.order < other.order
 
     def cancel(self) -> None:
         """Prevent the callback from running."""
--- a/pumicedeck/experiments.py
+++ b/pumicedeck/experiments.py
@@ -10,6 +10,9 @@
 from pumicedeck.queues import QUEUES
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.routers import ROUTERS
+from pumicedeck.virtual_count_routers import VirtualCountRouter
+
+TRIAL_ROUTERS = (VirtualCountRouter,)
 
 
 def run_experiment(path: Path) -> Result[ExperimentReport, Failure]:
--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -35,12 +35,18 @@
 
 
 class _RateEstimate:
-    """Tokens a second of one busy slot, over a fading memory of tokens and of busy time."""
+    """Tokens a second of one busy slot, over a fading memory of tokens and of busy time.
+
+    While the endpoint is idle the estimate returns to the initial one, so that an endpoint that
+    was slow is tried again.
+    """
 
     def __init__(self, initial: float, slots: int) -> None:
         self._slots = slots
-        self._tokens = initial * slots * RATE_MEMORY_SECONDS / 4
-        self._busy_seconds = slots * RATE_MEMORY_SECONDS / 4
+        self._initial = initial
+        self._prior_seconds = slots * RATE_MEMORY_SECONDS / 4
+        self._tokens = initial * self._prior_seconds
+        self._busy_seconds = self._prior_seconds
         self._updated = 0.0
 
     @property
@@ -48,13 +54,13 @@
         return self._tokens / self._busy_seconds
 
     def advance(self, now: float, running: int) -> None:
-        elapsed = now - self._updated
-        if elapsed <= 0.0 or running == 0:
-            self._updated = now
-            return
+        elapsed = max(0.0, now - self._updated)
         keep = math.exp(-elapsed / RATE_MEMORY_SECONDS)
         self._tokens *= keep
         self._busy_seconds = self._busy_seconds * keep + elapsed * min(running, self._slots)
+        if running == 0:
+            self._busy_seconds += self._prior_seconds * (1 - keep)
+            self._tokens += self._initial * self._prior_seconds * (1 - keep)
         self._updated = now
 
     def add(self, tokens: int) -> None:
@@ -151,6 +157,7 @@
     def pop(self, now: float) -> Dispatch | None:
         """Take the dispatch to run next; None if no slot is open to what waits."""
         self._now = now
+        self._estimate.advance(now, len(self._running))
         free = self._slots - len(self._running)
         if free > 0:
             classes = CLASS_ORDER if self._bulk_open() else _INTERACTIVE_ONLY
@@ -175,6 +182,7 @@
     def expire(self, now: float) -> list[Dispatch]:
         """Take out every dispatch whose queue time has run out."""
         self._now = now
+        self._estimate.advance(now, len(self._running))
         late = []
         while self._due and self._due[0][0] <= now:
             _, order, attempt = heapq.heappop(self._due)
--- a/pumicedeck/load_routers.py
+++ b/pumicedeck/load_routers.py
@@ -173,11 +173,14 @@
         if not loads:
             return None
         compared = self._sample(loads, RANDOM_CHOICES)
-        preferred = self._affinity.preferred(query.prefix, loads)
+        preferred = self._preferred(query, loads)
         if preferred is not None and preferred not in compared:
             compared = [*compared, preferred]
         return min(compared, key=lambda each: self._cost(each, query, each is preferred))
 
+    def _preferred(self, query: RouteQuery, loads: list[AgentLoad]) -> AgentLoad | None:
+        return self._affinity.preferred(query.prefix, loads)
+
     def _cost(self, load: AgentLoad, query: RouteQuery, preferred: bool) -> float:
         network = self._costs.cost(load.candidate.failure_domain, query)
         cost = load.expected_time(query) + network.delay + network.paid
