Measure processor time and memory slopes of the decision objects

Change: capacity_slopes.measure_capacity times the real entry and agent machines, the limiter and the heartbeat encoding at four sizes each. FairQueue sums the shares once for each pop.

--- /dev/null
+++ b/pumicedeck/capacity_slopes.py
@@ -0,0 +1,249 @@
+"""Processor time and memory of the decision objects at four sizes each."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Ok
+
+from pumicedeck.actions import CallerRequest, StartExecution
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.attempts import ExecutionEnd
+from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, RequestClass
+from pumicedeck.codecs import encode
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.fair_queues import FairQueue
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.load_routers import ExpectedWaitRouter
+from pumicedeck.messages import Acknowledge, Answer, AttemptId, Dispatch, Heartbeat, LoadReport
+from pumicedeck.routers import Candidate
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain
+
+MICROSECONDS = 1_000_000
+AGENT_SIZES = (8, 16, 32, 64)
+PENDING_SIZES = (500, 1000, 2000, 4000)
+QUEUE_SIZES = (100, 200, 400, 800)
+ENTRY_SIZES = (125, 250, 500, 1000)
+REQUESTS_TIMED = 2000
+BODY = b"x" * 1000
+_DOMAIN = FailureDomain("a", "south")
+_ENTRY = CatalogueEntry("drafts", "firm", RequestClass.ROLLOUT, ("p",))
+_EMPTY_DIGEST = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One figure at several sizes; `per_item` is the slope of a straight line through them."""
+
+    name: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+
+    @property
+    def per_item(self) -> float:
+        """Return the least-squares slope."""
+        centre = sum(self.sizes) / len(self.sizes)
+        mean = sum(self.values) / len(self.values)
+        pairs = zip(self.sizes, self.values, strict=True)
+        above = sum((size - centre) * (value - mean) for size, value in pairs)
+        return above / sum((size - centre) ** 2 for size in self.sizes)
+
+    def text(self) -> str:
+        """Return the figure as one line."""
+        pairs = zip(self.sizes, self.values, strict=True)
+        values = ", ".join(f"{size}: {value:.1f}" for size, value in pairs)
+        return f"{self.name} [{self.unit}]: {values}; slope {self.per_item:.3f} a piece"
+
+
+def measure_capacity() -> tuple[Slope, ...]:
+    """Measure all slopes; takes about half a minute."""
+    return (
+        _slope("entry: request over sessions", "µs", AGENT_SIZES, _entry_request),
+        _slope("entry: load report over sessions", "µs", AGENT_SIZES, _load_report),
+        _slope("entry: memory over pending requests", "KiB", PENDING_SIZES, _entry_memory),
+        _slope("entry: limit exchange over catalogue entries", "µs", ENTRY_SIZES, _limit_exchange),
+        _slope("agent: dispatch over queued dispatches", "µs", QUEUE_SIZES, _agent_dispatch),
+        _slope("agent: memory over queued dispatches", "KiB", QUEUE_SIZES, _agent_memory),
+        _slope("agent: new catalogue over entries", "µs", ENTRY_SIZES, _agent_configure),
+        _slope("session: bytes of heartbeats over sessions", "B", AGENT_SIZES, _heartbeat_bytes),
+    )
+
+
+def _slope(name: str, unit: str, sizes: tuple[int, ...], measure: Callable[[int], float]) -> Slope:
+    return Slope(name, unit, sizes, tuple(measure(size) for size in sizes))
+
+
+def _timed(count: int, run: Callable[[int], None]) -> float:
+    gc.collect()
+    start = time.process_time()
+    for number in range(count):
+        run(number)
+    return (time.process_time() - start) / count * MICROSECONDS
+
+
+def _memory(build: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    return used / 1024
+
+
+def _agent_name(number: int) -> str:
+    return f"g{number}/1"
+
+
+def _router(agents: int) -> ExpectedWaitRouter:
+    made = ExpectedWaitRouter(_DOMAIN, 1)
+    for number in range(agents):
+        endpoint = Endpoint(f"g{number}", "p", EndpointKind.MODEL, 8)
+        made.add(0.0, Candidate(_agent_name(number), endpoint, _DOMAIN))
+    return made
+
+
+def _entry(agents: int) -> EntryRequests:
+    return EntryRequests("e/1", _router(agents))
+
+
+def _request(number: int) -> CallerRequest:
+    return CallerRequest(
+        handle=str(number),
+        request_id=str(number),
+        entry=_ENTRY,
+        path="/",
+        body=BODY,
+        idempotent=True,
+        streamed=False,
+        budget=60.0,
+        expected_tokens=100,
+        prefix=f"prefix-{number % 50}",
+    )
+
+
+def _entry_request(agents: int) -> float:
+    requests = _entry(agents)
+
+    def run(number: int) -> None:
+        sent = requests.submit(number / 100, _request(number))[0]
+        answer = Answer(sent.message.attempt, 100, 200, "", b"", 0, _EMPTY_DIGEST)
+        requests.message(number / 100, sent.peer, answer)
+
+    return _timed(REQUESTS_TIMED, run)
+
+
+def _load_report(agents: int) -> float:
+    router = _router(agents)
+    report = LoadReport(3, 8, 8, 300, 800, 400.0)
+
+    def run(number: int) -> None:
+        router.reported(number / 10, _agent_name(number % agents), report)
+
+    return _timed(REQUESTS_TIMED, run)
+
+
+def _entry_memory(pending: int) -> float:
+    def build() -> EntryRequests:
+        requests = _entry(24)
+        for number in range(pending):
+            requests.submit(0.0, _request(number))
+        return requests
+
+    return _memory(build)
+
+
+def _catalogue(entries: int) -> Catalogue:
+    return Catalogue(
+        1,
+        tuple(
+            CatalogueEntry(f"entry-{number}", f"firm-{number % 20}", RequestClass.BATCH, ("p",))
+            for number in range(entries)
+        ),
+    )
+
+
+def _limit_exchange(entries: int) -> float:
+    limiter = EntryLimiter("e")
+    catalogue = _catalogue(entries)
+    limiter.configure(0.0, catalogue)
+    limiter.set_members(0.0, [f"e{number}" for number in range(12)])
+    for entry in catalogue.entries:
+        limiter.admit(0.0, entry, 10)
+
+    def run(number: int) -> None:
+        limiter.publish(float(number))
+
+    return _timed(50, run)
+
+
+def _dispatch(number: int) -> Dispatch:
+    return Dispatch(
+        attempt=AttemptId("e/1", number),
+        agent="g/1",
+        request_id=str(number),
+        entry_name=f"entry-{number % 40}",
+        firm=f"firm-{number % 20}",
+        request_class=RequestClass.ROLLOUT,
+        idempotent=True,
+        streamed=False,
+        path="/",
+        body=bytes(BODY),
+        budget=600.0,
+        queue_budget=600.0,
+        expected_tokens=100,
+        floor=max(0, number - 5000),
+    )
+
+
+def _agent(queued: int) -> AgentRequests:
+    requests = AgentRequests("g/1", FairQueue(8, express=8), 8)
+    requests.session_up(0.0, "e/1")
+    for number in range(queued):
+        requests.message(0.0, "e/1", _dispatch(number))
+    return requests
+
+
+def _agent_dispatch(queued: int) -> float:
+    requests = AgentRequests("g/1", FairQueue(8, express=8), 8)
+    requests.session_up(0.0, "e/1")
+    running: list[AttemptId] = []
+
+    def feed(number: int) -> None:
+        actions = requests.message(number / 100, "e/1", _dispatch(number))
+        running.extend(
+            each.dispatch.attempt for each in actions if isinstance(each, StartExecution)
+        )
+
+    def run(number: int) -> None:
+        feed(queued + number)
+        attempt = running.pop(0)
+        now = (queued + number) / 100
+        requests.execution_chunk(now, attempt, b"answer", 100)
+        actions = requests.execution_finished(now, attempt, Ok(ExecutionEnd(200, "", 100)))
+        running.extend(
+            each.dispatch.attempt for each in actions if isinstance(each, StartExecution)
+        )
+        requests.message(now, "e/1", Acknowledge(attempt))
+
+    for number in range(queued):
+        feed(number)
+    return _timed(REQUESTS_TIMED, run)
+
+
+def _agent_memory(queued: int) -> float:
+    return _memory(lambda: _agent(queued))
+
+
+def _agent_configure(entries: int) -> float:
+    requests = AgentRequests("g/1", FairQueue(8, express=8), 8)
+    catalogue = _catalogue(entries)
+    return _timed(50, lambda number: requests.configure(float(number), catalogue) and None)
+
+
+def _heartbeat_bytes(sessions: int) -> float:
+    load = LoadReport(12, 8, 8, 3600, 2400, 400.0, 7, True, 300)
+    return float(sessions * len(encode(Heartbeat(100_000, 100_000, 1_000_000, load))))
--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -167,7 +167,9 @@
         classes = _INTERACTIVE_ONLY
         if -free < self._express * BULK_EXPRESS_FRACTION:
             classes = CLASS_ORDER
-        within = [each for each in self._firms.values() if self._within_share(each)]
+        shares = self._active_shares()
+        firms = self._firms.values()
+        within = [each for each in firms if each.running < self._slot_share(each, shares)]
         return self._pop_from(now, within, classes) or self._pop_interactive(now)
 
     def remove(self, now: float, attempt: AttemptId) -> Dispatch | None:
@@ -239,16 +241,16 @@
     def _bulk_open(self) -> bool:
         return self._bulk_running < self._slots - self._reserved
 
-    def _within_share(self, firm: FirmNode) -> bool:
-        return firm.running < self._slot_share(firm)
-
     def _pop_interactive(self, now: float) -> Dispatch | None:
+        shares = self._active_shares()
         firms = self._firms.values()
-        within = [each for each in firms if each.interactive < self._slot_share(each)]
+        within = [each for each in firms if each.interactive < self._slot_share(each, shares)]
         return self._pop_from(now, within, _INTERACTIVE_ONLY)
 
-    def _slot_share(self, firm: FirmNode) -> int:
-        shares = sum(each.share for each in self._firms.values() if each.count or each.running)
+    def _active_shares(self) -> float:
+        return sum(each.share for each in self._firms.values() if each.count or each.running)
+
+    def _slot_share(self, firm: FirmNode, shares: float) -> int:
         return max(1, math.ceil(self._slots * firm.share / max(shares, firm.share)))
 
     def _pop_from(
@@ -266,7 +268,9 @@
 
     def _start(self, now: float, firm: FirmNode, dispatch: Dispatch) -> Dispatch:
         interactive = dispatch.request_class is RequestClass.INTERACTIVE
-        within = (firm.interactive if interactive else firm.running) < self._slot_share(firm)
+        within = (firm.interactive if interactive else firm.running) < self._slot_share(
+            firm, self._active_shares()
+        )
         self._count_running(firm, interactive, 1)
         self._estimate.advance(now, len(self._running))
         started = replace(dispatch, priority=engine_priority(dispatch.request_class, within))
