--- a/pumicedeck/experiment_runs.py
+++ b/pumicedeck/experiment_runs.py
@@ -173,7 +173,7 @@
             prefix_hit_rate=sum(each.hits for each in caches) / max(1, looked_up),
             paid_bytes=sum(sum(each.paid_bytes.values()) for each in routers),
             utilization=sum(goodput) / sum(capacity),
-            recovery_seconds=recorder.recovery_seconds(),
+            recovery_seconds=recorder.recovery_seconds(capacity),
             goodput=goodput,
             capacity=capacity,
         )
--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -14,7 +14,7 @@
 from pumicedeck.world import Endpoint, EndpointKind
 
 FIRM_QUEUE_LENGTH = 1024
-FIRM_QUEUE_BYTES = 8 * 1024 * 1024
+FIRM_QUEUE_BYTES = 4 * 1024 * 1024
 DEFAULT_SLOTS = 8
 INITIAL_SLOT_RATE = 50.0
 RATE_MEMORY_SECONDS = 30.0
