--- a/pumicedeck/agent_requests.py
+++ b/pumicedeck/agent_requests.py
@@ -36,7 +36,8 @@
 from pumicedeck.tombstones import Tombstone, Tombstones, Verdict
 from pumicedeck.world import Incarnation
 
-_DRAIN = "drain"
+_NOTICE = "end of notice"
+_DRAIN = "end of grace"
 
 
 class AgentRequests:
@@ -67,6 +68,7 @@
         self._deadlines: Deadlines[AttemptId | str] = Deadlines()
         self._counters = AgentRequestCounters()
         self._leaving: Leaving | None = None
+        self._leave_at = 0.0
         self._drained = False
 
     @property
@@ -128,7 +130,7 @@
             case Acknowledge(attempt):
                 actions = self._acknowledge(now, attempt)
             case Heartbeat():
-                actions = self._raise_floor(now, entry, message.floor)
+                actions = self._cancel_settled(now, entry, message.floor)
             case _:
                 actions = []
         return actions + self._advance(now)
@@ -182,10 +184,15 @@
         return actions + self._advance(now)
 
     def begin_drain(self, now: float, grace: float) -> list[Action]:
-        """Refuse new work, hand back what waits and let what runs finish within `grace`."""
+        """Refuse new work, hand back what waits and let what runs finish within `grace`.
+
+        The process stays for a notice time in any case, to refuse what was already on its way.
+        """
         if self._leaving:
             return []
         self._leaving = Leaving("draining", grace)
+        self._leave_at = now + min(grace, self._settings.drain_notice_seconds)
+        self._deadlines.set(_NOTICE, self._leave_at)
         self._deadlines.set(_DRAIN, now + grace)
         actions: list[Action] = [SendMessage(each, self._leaving) for each in self._sessions]
         for attempt in self._in_phase(AttemptPhase.QUEUED):
@@ -203,7 +210,7 @@
                 actions += self._attempt_due(now, key)
             elif key == _DRAIN:
                 actions += self._end_grace(now)
-            else:
+            elif key != _NOTICE:
                 actions += self._abandon_entry(now, key)
         for attempt in self._kept.expire(now):
             self._drop_answer(now, attempt)
@@ -215,17 +222,17 @@
             self._counters.misaddressed += 1
             code = int(ResultCode.NOT_READY)
             return [SendMessage(entry, Refused(attempt, code, "addressed to another process"))]
-        actions = self._raise_floor(now, entry, dispatch.floor)
+        self._tombstones.raise_floor(entry, dispatch.floor)
         if self._is_known(attempt):
             self._counters.repeated += 1
-            return actions + self._resend(now, entry, attempt, 0)
+            return self._resend(now, entry, attempt, 0)
         self._counters.dispatched += 1
         refusal = self._admit(now, dispatch)
         if refusal:
-            return actions + self._refuse(now, attempt, refusal)
+            return self._refuse(now, attempt, refusal)
         self._attempts[attempt] = Attempt(dispatch, now)
         self._deadlines.set(attempt, now + min(dispatch.queue_budget, dispatch.budget))
-        return actions
+        return []
 
     def _admit(self, now: float, dispatch: Dispatch) -> Failure | None:
         if self.draining:
@@ -308,7 +315,7 @@
             self._bury(now, attempt, Tombstone(Verdict.EXECUTED))
         return []
 
-    def _raise_floor(self, now: float, entry: str, floor: int) -> list[Action]:
+    def _cancel_settled(self, now: float, entry: str, floor: int) -> list[Action]:
         if not self._tombstones.admits(entry):
             return []
         self._tombstones.raise_floor(entry, floor)
@@ -361,7 +368,7 @@
             if dispatch is None:
                 break
             actions += self._start(now, dispatch)
-        if self.draining and not self._attempts and not self._drained:
+        if self.draining and not self._attempts and not self._drained and now >= self._leave_at:
             self._drained = True
             actions.append(Drained())
         return actions
--- /dev/null
+++ b/pumicedeck/agent_selections.py
@@ -0,0 +1,155 @@
+"""Selects the agents that an entry keeps sessions to; deterministic and free of I/O."""
+
+from collections import Counter
+from dataclasses import dataclass
+from functools import lru_cache
+from hashlib import blake2b
+
+from pumicedeck.world import Vm, VmRole, VmState
+
+_MASK = (1 << 64) - 1
+_MULTIPLIERS = (0xBF58476D1CE4E5B9, 0x94D049BB133111EB)
+MIN_PICKS = 2
+FIRST_PICKS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionSettings:
+    """Bounds of the sessions of one entry and of one agent.
+
+    Every agent is covered by `cover_entries` entries of each region. Each entry picks up to
+    `local_picks` agents of a pool in its own region and `remote_picks` elsewhere.
+    """
+
+    cover_entries: int = 3
+    local_picks: int = 12
+    remote_picks: int = 4
+    max_entry_sessions: int = 45
+    max_agent_sessions: int = 60
+
+
+class AgentRanking:
+    """The order in which one entry prefers agents; worked out once for each set of VMs."""
+
+    def __init__(
+        self, entry: Vm, vms: tuple[Vm, ...], pools: frozenset[str], settings: SelectionSettings
+    ) -> None:
+        """Rank the live agents of `pools` for `entry`."""
+        live = [vm for vm in vms if vm.state is VmState.LIVE]
+        agents = [vm for vm in live if vm.endpoint is not None and vm.endpoint.pool in pools]
+        entries = [vm for vm in live if vm.role is VmRole.ENTRY]
+        region = entry.failure_domain.region
+        rivals = [vm.name for vm in entries if vm.failure_domain.region == region]
+        self._settings = settings
+        self._entries = max(1, len(entries))
+        self._covered = frozenset(
+            vm.name for vm in agents if _covers(entry, vm, rivals, settings.cover_entries)
+        )
+        agents.sort(key=lambda vm: rendezvous_weight(entry.name, vm.name))
+        self._groups: dict[str, _Group] = {}
+        for vm in agents:
+            group = self._groups.setdefault(vm.endpoint.pool, _Group([], []))
+            side = group.local if vm.failure_domain.region == region else group.remote
+            side.append(vm)
+
+    @property
+    def covered(self) -> frozenset[str]:
+        """Return the agents that the entry has to cover, whether or not they are reachable."""
+        return self._covered
+
+    def select(
+        self, unreachable: frozenset[str] = frozenset(), leaving: frozenset[str] = frozenset()
+    ) -> frozenset[str]:
+        """Return the names of the agents that the entry keeps sessions to."""
+        free = max(0, self._settings.max_entry_sessions - len(self._covered))
+        room = free // max(1, len(self._groups))
+        chosen = set(self._covered - leaving)
+        for group in self._groups.values():
+            chosen |= self._pick(group, room, unreachable, leaving)
+        return frozenset(chosen)
+
+    def _pick(
+        self, group: "_Group", room: int, unreachable: frozenset[str], leaving: frozenset[str]
+    ) -> set[str]:
+        settings = self._settings
+        share = settings.max_agent_sessions * group.size // self._entries
+        total = max(MIN_PICKS, min(settings.local_picks + settings.remote_picks, room, share))
+        local = [vm for vm in group.local if vm.name not in leaving]
+        remote = [vm for vm in group.remote if vm.name not in leaving]
+        remote_picks = min(settings.remote_picks, max(1, total // 3), len(remote))
+        local_picks = total - remote_picks
+        chosen = _pick_spread(local, local_picks, self._covered, unreachable)
+        near = sum(
+            vm.name not in unreachable and (vm.name in chosen or vm.name in self._covered)
+            for vm in local
+        )
+        remote_picks = total - min(near, local_picks)
+        return chosen | _pick_spread(remote, remote_picks, self._covered, unreachable)
+
+
+@dataclass(frozen=True, slots=True)
+class _Group:
+    """The agents of one pool in order of preference, by region."""
+
+    local: list[Vm]
+    remote: list[Vm]
+
+    @property
+    def size(self) -> int:
+        return len(self.local) + len(self.remote)
+
+
+def select_any(entry: Vm, vms: tuple[Vm, ...], unreachable: frozenset[str]) -> frozenset[str]:
+    """Return agents from which an entry without a catalogue can fetch one."""
+    live = [vm for vm in vms if vm.state is VmState.LIVE and vm.role is VmRole.AGENT]
+    ranked = sorted(
+        live,
+        key=lambda vm: (vm.name in unreachable, rendezvous_weight(entry.name, vm.name)),
+    )
+    return frozenset(vm.name for vm in ranked[:FIRST_PICKS])
+
+
+def rendezvous_weight(first: str, second: str) -> int:
+    """Return a pseudo-random weight of a pair of names, the same in every process."""
+    value = (_digest(first) + 3 * _digest(second)) & _MASK
+    value = ((value ^ (value >> 30)) * _MULTIPLIERS[0]) & _MASK
+    value = ((value ^ (value >> 27)) * _MULTIPLIERS[1]) & _MASK
+    return value ^ (value >> 31)
+
+
+@lru_cache(maxsize=8192)
+def _digest(name: str) -> int:
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def _covers(entry: Vm, agent: Vm, rivals: list[str], covers: int) -> bool:
+    own = rendezvous_weight(agent.name, entry.name)
+    above = 0
+    for rival in rivals:
+        above += rendezvous_weight(agent.name, rival) > own
+        if above >= covers:
+            return False
+    return True
+
+
+def _pick_spread(
+    agents: list[Vm], picks: int, covered: frozenset[str], unreachable: frozenset[str]
+) -> set[str]:
+    """Pick agents in order, each from the failure domain with the fewest so far."""
+    held = [vm for vm in agents if vm.name in covered and vm.name not in unreachable]
+    if picks <= len(held):
+        return set()
+    ranked = [vm for vm in agents if vm.name not in covered]
+    # Behind a broken link all of them look unreachable; trying one after the other is no help.
+    ranked = ranked[: 2 * picks + MIN_PICKS]
+    per_domain = Counter(vm.failure_domain.name for vm in held)
+    chosen: set[str] = set()
+    for _ in range(min(picks - len(held), len(ranked))):
+        best = min(
+            ranked,
+            key=lambda vm: (vm.name in unreachable, per_domain[vm.failure_domain.name]),
+        )
+        ranked.remove(best)
+        chosen.add(best.name)
+        per_domain[best.failure_domain.name] += 1
+    return chosen
--- /dev/null
+++ b/pumicedeck/composition.py
@@ -0,0 +1,353 @@
+"""The composition root: the only module that knows every part and wires them."""
+
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+from circuits import Component
+
+from pumicedeck.agent_daemons import AgentDaemon, AgentParts
+from pumicedeck.agent_dialers import AgentDialer
+from pumicedeck.agent_requests import AgentRequests
+from pumicedeck.agent_selections import SelectionSettings
+from pumicedeck.caller_api import CallerApi
+from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_followers import CatalogueFollower, FollowerHooks
+from pumicedeck.claim_sweeps import ClaimSweeps
+from pumicedeck.claims import Claims
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.connections import Connections
+from pumicedeck.demand_exchanges import DemandExchange
+from pumicedeck.draw_sessions import DrawSessions
+from pumicedeck.draws import DrawCoordinator
+from pumicedeck.endpoint_watches import EngineWatch, ServiceWatch
+from pumicedeck.engine_weights import EngineWeights
+from pumicedeck.entry_daemons import EntryDaemon, EntryParts
+from pumicedeck.entry_requests import EntryRequests
+from pumicedeck.executions import EngineExecutions, ServiceExecutions
+from pumicedeck.handshakes import NONCE_BYTES, PROTOCOL_VERSION, Hello
+from pumicedeck.histograms import Histograms
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_guards import HttpGuard, HttpGuardSettings
+from pumicedeck.http_messages import HttpClientSettings
+from pumicedeck.http_servers import HttpServer
+from pumicedeck.limiters import EntryLimiter
+from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
+from pumicedeck.memberships import MembershipSettings
+from pumicedeck.newest_versions import NewestVersionPoll
+from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
+from pumicedeck.platforms import (
+    ModelEngine,
+    ObjectStore,
+    PlainService,
+    TableStore,
+    VmList,
+    WeightStore,
+    find_adapter,
+)
+from pumicedeck.registries import express_slots, make_queue
+from pumicedeck.request_settings import AgentRequestSettings, EntryRequestSettings
+from pumicedeck.routers import ROUTERS
+from pumicedeck.sessions import SessionSettings
+from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
+from pumicedeck.swaps import SwapSettings
+from pumicedeck.tokens import TokenChecker
+from pumicedeck.weight_followers import FollowerPorts, FollowerSettings, WeightFollower
+from pumicedeck.world import Endpoint, EndpointKind, FailureDomain, Incarnation, Vm, VmRole
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform as one process sees it."""
+
+    table: TableStore
+    objects: ObjectStore
+    weights: WeightStore
+    vms: VmList
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """The loop and timers that the parts of one or more daemons share."""
+
+    root: Component
+    timers: TimerQueue
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A wired daemon with its addresses; `close` undoes `start`."""
+
+    start: Callable[[], None]
+    drain: Callable[[], None]
+    close: Callable[[], None]
+    callers: HttpServer | None
+    operators: HttpServer
+    connections: Connections
+    daemon: EntryDaemon | AgentDaemon
+    editor: CatalogueEditor | None = None
+    histograms: Histograms | None = None
+
+
+def connect_platform(settings: ProcessSettings, host: Host) -> Platform:
+    """Make the adapters that the settings name."""
+    client = HttpClient(host.timers).register(host.root)
+    chosen = settings.platform
+
+    def make(interface: str, section) -> object:
+        return find_adapter(interface, section.adapter)(client, section.address, section.timeout)
+
+    return Platform(
+        make("TableStore", chosen.table_store),
+        make("ObjectStore", chosen.object_store),
+        make("WeightStore", chosen.weight_store),
+        make("VmList", chosen.vm_list),
+    )
+
+
+def connect_endpoint(settings: AgentSettings, host: Host) -> ModelEngine | PlainService:
+    """Make the adapter of the endpoint beside an agent."""
+    endpoint = settings.endpoint
+    interface = "ModelEngine" if endpoint.kind is EndpointKind.MODEL else "PlainService"
+    client = HttpClient(host.timers, HttpClientSettings(silence_seconds=endpoint.timeout)).register(
+        host.root
+    )
+    return find_adapter(interface, endpoint.adapter)(client, endpoint.address, endpoint.timeout)
+
+
+def _incarnation(settings: ProcessSettings) -> str:
+    return str(Incarnation(settings.vm, uuid4().hex[:12]))
+
+
+def _hello(settings: ProcessSettings, role: VmRole, incarnation: str) -> Hello:
+    endpoint = settings.endpoint if isinstance(settings, AgentSettings) else None
+    return Hello(
+        protocol=PROTOCOL_VERSION,
+        incarnation=incarnation,
+        role=role,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        nonce=os.urandom(NONCE_BYTES),
+        endpoint=endpoint.name if endpoint else "",
+        pool=endpoint.pool if endpoint else "",
+        kind=endpoint.kind if endpoint else "",
+        slots=endpoint.slots if endpoint else 0,
+    )
+
+
+def _session_settings(settings: ProcessSettings) -> SessionSettings:
+    times = settings.times
+    return SessionSettings(heartbeat=times.heartbeat, silence=times.session_silence)
+
+
+def _secrets(settings: ProcessSettings) -> tuple[bytes, ...]:
+    return tuple(each.encode() for each in settings.secrets)
+
+
+def _guard(settings: ProcessSettings, host: Host) -> Callable[[str], HttpGuard]:
+    bounds = HttpGuardSettings(
+        header_bytes=settings.bounds.header,
+        body_bytes=settings.bounds.body,
+        request_seconds=settings.bounds.request_time,
+    )
+    return lambda channel: HttpGuard(channel, host.timers, bounds)
+
+
+def build_agent(
+    settings: AgentSettings,
+    host: Host,
+    platform: Platform,
+    endpoint: ModelEngine | PlainService,
+    stopped: Callable[[], None],
+) -> Running:
+    """Wire an agent; nothing runs before `start`."""
+    incarnation = _incarnation(settings)
+    rng = Random(f"{settings.seed}:{incarnation}")
+    site = Endpoint(
+        settings.endpoint.name,
+        settings.endpoint.pool,
+        settings.endpoint.kind,
+        settings.endpoint.slots,
+    )
+    requests = AgentRequests(
+        incarnation,
+        make_queue(settings.queue, site),
+        site.slots + express_slots(site),
+        AgentRequestSettings(
+            kept_seconds=settings.bounds.kept_answer_time, kept_bytes=settings.bounds.kept_answers
+        ),
+    )
+    parts = AgentParts(incarnation, host.timers, requests, settings.times.drain_grace, stopped)
+    daemon = AgentDaemon(parts)
+    connections = Connections(
+        lambda: _hello(settings, VmRole.AGENT, incarnation),
+        _secrets(settings),
+        daemon.peers,
+        host.timers,
+        _session_settings(settings),
+        settings.sessions,
+    ).register(host.root)
+    daemon.peers.bind(connections)
+    follower = CatalogueFollower(
+        platform.table,
+        platform.objects,
+        host.timers,
+        rng,
+        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
+    )
+    if isinstance(endpoint, ModelEngine):
+        weights = _engine_weights(settings, incarnation, host, platform, endpoint, daemon, rng)
+        executions = EngineExecutions(incarnation, daemon, endpoint, weights.follower, host.timers)
+        watch = EngineWatch(host.timers, daemon.drain, endpoint)
+    else:
+        weights = None
+        executions = ServiceExecutions(incarnation, daemon, endpoint)
+        watch = ServiceWatch(host.timers, daemon.drain, endpoint)
+    daemon.bind(executions, follower, watch, weights)
+    operators = _serve_operators(
+        settings, host, AgentStatus(incarnation, daemon, connections), None, None
+    )
+    return Running(daemon.start, daemon.drain, daemon.close, None, operators, connections, daemon)
+
+
+def _engine_weights(
+    settings: AgentSettings,
+    incarnation: str,
+    host: Host,
+    platform: Platform,
+    engine: ModelEngine,
+    daemon: AgentDaemon,
+    rng: Random,
+) -> EngineWeights:
+    follower = WeightFollower(
+        settings.endpoint.name,
+        incarnation,
+        FollowerPorts(host.timers, platform.table, platform.weights, engine),
+        False,
+        rng,
+        FollowerSettings(swaps=SwapSettings(store_rate=float(settings.platform.weight_store.rate))),
+        daemon.running_drafts,
+    )
+    return EngineWeights(
+        settings.vm,
+        settings.region,
+        settings.endpoint.pool,
+        follower,
+        platform.vms,
+        host.timers,
+        rng,
+    )
+
+
+def _serve_operators(settings, host, status, editor, tokens) -> HttpServer:
+    api = OperatorApi(status, editor, tokens, host.timers)
+    return HttpServer(
+        settings.operators, f"operators_{settings.vm}", api.handle, _guard(settings, host)
+    ).register(host.root)
+
+
+def build_entry(
+    settings: EntrySettings, host: Host, platform: Platform, stopped: Callable[[], None]
+) -> Running:
+    """Wire an entry; nothing runs before `start`."""
+    incarnation = _incarnation(settings)
+    rng = Random(f"{settings.seed}:{incarnation}")
+    home = FailureDomain(settings.failure_domain, settings.region)
+    router = ROUTERS[settings.router](home, settings.seed)
+    histograms = Histograms()
+    limiter = EntryLimiter(settings.vm)
+    requests = EntryRequests(
+        incarnation,
+        router,
+        EntryRequestSettings(notice_seconds=settings.times.balancer_notice),
+    )
+    daemon = EntryDaemon(
+        EntryParts(
+            settings.vm,
+            incarnation,
+            host.timers,
+            requests,
+            router,
+            limiter,
+            histograms,
+            stopped,
+            lambda: getattr(router, "paid_bytes", {}),
+        )
+    )
+    connections = Connections(
+        lambda: _hello(settings, VmRole.ENTRY, incarnation),
+        _secrets(settings),
+        daemon.peers,
+        host.timers,
+        _session_settings(settings),
+    ).register(host.root)
+    daemon.peers.bind(connections)
+    follower = CatalogueFollower(
+        platform.table,
+        platform.objects,
+        host.timers,
+        rng,
+        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
+    )
+    dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, daemon.outstanding)
+    membership = MembershipDriver(
+        Vm(settings.vm, VmRole.ENTRY, home, settings.callers),
+        platform.vms,
+        host.timers,
+        rng,
+        MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
+        MembershipSettings(SelectionSettings(max_entry_sessions=settings.max_sessions)),
+    )
+    claims = Claims(
+        incarnation,
+        platform.table,
+        host.timers,
+        daemon.claim_answered,
+        daemon.is_live,
+        time.time,
+    )
+    sweeps = ClaimSweeps(platform.table, host.timers, time.time, rng)
+    daemon.bind(follower, dialer, claims, membership)
+    draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
+    newest = NewestVersionPoll(
+        host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
+    )
+    demands = DemandExchange(settings.vm, limiter, platform.table, host.timers, rng)
+    tokens = TokenChecker(platform.table, host.timers)
+    numbers = iter(range(1, 2**62))
+    api = CallerApi(daemon, tokens, draws, lambda: f"{incarnation}-{next(numbers)}")
+    callers = HttpServer(
+        settings.callers, f"callers_{settings.vm}", api.handle, _guard(settings, host)
+    ).register(host.root)
+    editor = CatalogueEditor(platform.table, platform.objects, host.timers, rng)
+    status = EntryStatus(incarnation, daemon, connections, histograms, draws, limiter, claims)
+    operators = _serve_operators(settings, host, status, editor, tokens)
+
+    def start() -> None:
+        daemon.start()
+        newest.start()
+        sweeps.start()
+        demands.start()
+
+    def close() -> None:
+        demands.close()
+        newest.close()
+        draws.close()
+        sweeps.close()
+        claims.close()
+        daemon.close()
+
+    return Running(
+        start,
+        daemon.drain,
+        close,
+        callers,
+        operators,
+        connections,
+        daemon,
+        editor,
+        histograms,
+    )
--- a/pumicedeck/connections.py
+++ b/pumicedeck/connections.py
@@ -1,6 +1,7 @@
 """TCP connections that carry sessions, on circuits' loop."""
 
 import errno
+import itertools
 import socket
 from collections.abc import Callable
 
@@ -20,6 +21,8 @@
 
 _log = logger.bind(module="connections")
 
+_CHANNEL_NUMBERS = itertools.count(1)
+
 MAX_UNSENT_BYTES = 64 * 1024 * 1024
 TICK_SECONDS = 0.25
 
@@ -59,8 +62,6 @@
     writability instead.
     """
 
-    channel = "sessions"
-
     def __init__(
         self,
         hello: Callable[[], Hello],
@@ -72,7 +73,10 @@
     ) -> None:
         """Introduce this process with `hello()`; `listen` is None in a process that only dials."""
         self._listens = listen is not None
-        super().__init__((listen.host, listen.port) if listen else None, channel=self.channel)
+        super().__init__(
+            (listen.host, listen.port) if listen else None,
+            channel=f"sessions_{next(_CHANNEL_NUMBERS)}",
+        )
         self._hello = hello
         self._secrets = secrets
         self._events = events
@@ -85,6 +89,11 @@
         self._rejected = 0
         timers.call_later(TICK_SECONDS, self._tick)
 
+    @property
+    def address(self) -> Address:
+        """Return the bound address of a process that listens."""
+        return Address(self.host, self.port)
+
     @property
     def rejected(self) -> int:
         """Return how many connections ended before a session opened."""
@@ -214,6 +223,9 @@
 
     def _transmit(self, connection: _Connection, data: bytes) -> None:
         sock = connection.sock
+        if sock.fileno() < 0:
+            # It broke in this turn of the loop; its `disconnect` event is on the way.
+            return
         waiting = self._buffers.get(sock)
         if waiting and sum(map(len, waiting)) > MAX_UNSENT_BYTES:
             self._end(connection, Failure(ResultCode.SESSION_LOST, "the peer does not read"))
@@ -231,6 +243,8 @@
             return 0
 
     def _end(self, connection: _Connection, failure: Failure) -> None:
+        # The server makes a buffer anew after it closed a socket in a failed write.
+        self._buffers.pop(connection.sock, None)
         if self._by_sock.pop(connection.sock, None) is None:
             return
         del self._by_number[connection.number]
--- /dev/null
+++ b/pumicedeck/draft_experiments.py
@@ -0,0 +1,254 @@
+"""Measures trainer idle time and staleness of draws in virtual time against two baselines."""
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from pumicedeck.actions import CallerAnswer, CallerRequest
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.draft_policies import POLICIES, WORKLOADS, DraftPolicy, Workload
+from pumicedeck.drafts import (
+    CancelDraft,
+    DeliverGroup,
+    DrawAction,
+    DrawRequest,
+    EndDraw,
+    GroupRequest,
+    SubmitDraft,
+)
+from pumicedeck.draws import DrawCoordinator
+from pumicedeck.experiment_pools import POLL_SECONDS, SamplerPool, sample_tokens
+from pumicedeck.experiment_samplers import SampleEnd
+from pumicedeck.wakeups import Wakeup
+
+TRAIN_SECONDS = 300.0
+GROUP_SAMPLES = 8
+STEPS = 8
+SEEDS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class DraftFigures:
+    """Figures of one run; shares are of 1, staleness in versions."""
+
+    idle_share: float
+    unavoidable_share: float
+    staleness_mean: float
+    staleness_p99: float
+    stale_share: float
+    hedged_share: float
+    step_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class FigureSummary:
+    """Mean and standard deviation of one figure over the seeds."""
+
+    mean: float
+    deviation: float
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyResult:
+    """All figures of one policy on one workload, by name of the figure."""
+
+    workload: str
+    policy: str
+    figures: dict[str, FigureSummary]
+
+
+@dataclass(slots=True)
+class _Observed:
+    lags: list[int] = field(default_factory=list)
+    idle: float = 0.0
+    unavoidable: float = 0.0
+    ready: dict[int, float] = field(default_factory=dict)
+    drawn: dict[int, float] = field(default_factory=dict)
+    tokens: dict[int, list[float]] = field(default_factory=dict)
+
+
+class DraftRun:
+    """One trainer that trains on a step while the next one is drawn."""
+
+    def __init__(self, workload: Workload, policy: DraftPolicy, seed: int, steps: int) -> None:
+        """Prepare a run; nothing happens before `run`."""
+        self._time = VirtualTime()
+        self._workload = workload
+        self._policy = policy
+        self._seed = seed
+        self._steps = steps
+        rng = Random(f"{workload.entry.name}/{seed}")
+        self._pool = SamplerPool(self._time, workload, policy, rng, seed)
+        self._coordinator = DrawCoordinator(policy.settings)
+        self._wakeup = Wakeup(
+            self._time,
+            self._coordinator.next_wakeup,
+            lambda now: self._carry_out(self._coordinator.on_time(now)),
+        )
+        self._version = 0
+        self._held: dict[int, set[int]] = {}
+        self._draws: dict[str, int] = {}
+        self._trained = -1
+        self._training = False
+        self._train_ended = 0.0
+        self._seen = _Observed()
+
+    def run(self) -> DraftFigures:
+        """Run all steps and return the figures."""
+        self._poll()
+        self._draw(0)
+        while self._trained < self._steps:
+            self._time.run_until(self._time.now() + 10.0)
+        return self._figures()
+
+    def tokens(self, step: int) -> tuple[float, ...]:
+        """Return the lengths of the drafts that were delivered for a step."""
+        return tuple(self._seen.tokens.get(step, ()))
+
+    def _poll(self) -> None:
+        now = self._time.now()
+        name = self._workload.entry.model
+        self._carry_out(self._coordinator.newest_known(now, name, self._version))
+        self._time.call_later(POLL_SECONDS, self._poll)
+
+    def _draw(self, step: int) -> None:
+        handle = f"draw/{step}/{len(self._draws)}"
+        self._draws[handle] = step
+        self._seen.drawn.setdefault(step, self._time.now())
+        held = tuple(self._held.setdefault(step, set()))
+        groups = tuple(
+            GroupRequest(number, "/v1/completions", b"{}", GROUP_SAMPLES)
+            for number in range(self._workload.groups)
+        )
+        request = DrawRequest(
+            handle, self._workload.entry, "trainer", step, groups, held, self._version, 3600.0
+        )
+        self._carry_out(self._coordinator.start(self._time.now(), request))
+
+    def _carry_out(self, actions: list[DrawAction]) -> None:
+        for action in actions:
+            match action:
+                case SubmitDraft(request):
+                    self._pool.submit(request, self._finisher(request))
+                case CancelDraft(handle):
+                    self._pool.cancel(handle)
+                case DeliverGroup():
+                    self._receive(action)
+                case EndDraw(handle, failure):
+                    step = self._draws[handle]
+                    if failure is not None and step not in self._seen.ready:
+                        self._time.call_later(0.1, lambda again=step: self._draw(again))
+        self._wakeup.refresh()
+
+    def _finisher(self, request: CallerRequest) -> Callable[[SampleEnd], None]:
+        def finished(end: SampleEnd) -> None:
+            tokens = int(sample_tokens(self._seed, request.draft))
+            answer = CallerAnswer(
+                200, "text/plain", b"", 0, "", tokens, end.versions, queue_wait=end.queue_wait
+            )
+            now = self._time.now()
+            self._carry_out(self._coordinator.draft_finished(now, request.handle, answer))
+
+        return finished
+
+    def _receive(self, group: DeliverGroup) -> None:
+        step = self._draws[group.handle]
+        self._held[step].add(group.group)
+        for draft in group.drafts:
+            self._seen.lags.append(self._version - draft.oldest_version)
+            self._seen.tokens.setdefault(step, []).append(float(draft.answer.tokens))
+        missing = self._workload.groups - len(self._held[step])
+        if missing <= self._policy.ahead_share * self._workload.groups:
+            self._draw_ahead(step + 1)
+        if missing == 0:
+            self._seen.ready[step] = self._time.now()
+            self._train_next()
+
+    def _draw_ahead(self, step: int) -> None:
+        # One step ahead of the training at most, else its drafts would be too old.
+        if step not in self._held and step <= self._trained + 2 + int(self._training):
+            if self._policy.ahead_share > 0:
+                self._draw(step)
+
+    def _train_next(self) -> None:
+        step = self._trained + 1
+        if self._training or step not in self._seen.ready:
+            return
+        now = self._time.now()
+        self._training = True
+        if step > 0:
+            self._seen.idle += now - self._train_ended
+            self._seen.unavoidable += self._unavoidable(step)
+        if step + 1 not in self._held:
+            self._draw(step + 1)
+        self._time.call_later(TRAIN_SECONDS, self._trained_step)
+
+    def _trained_step(self) -> None:
+        self._trained += 1
+        self._training = False
+        self._train_ended = self._time.now()
+        self._version += 1
+        self._pool.publish(self._version)
+        self._train_next()
+
+    def _unavoidable(self, step: int) -> float:
+        tokens = self._seen.tokens[step]
+        speed = self._pool.speed
+        booking = self._pool.booking_tokens / self._time.now()
+        capacity = speed.capacity * self._workload.samplers - booking
+        shortest = max(sum(tokens) / capacity, max(tokens) / speed.token_rate(1))
+        return max(0.0, shortest - TRAIN_SECONDS)
+
+    def _figures(self) -> DraftFigures:
+        seen, counts = self._seen, self._coordinator.counts
+        trained = self._steps * TRAIN_SECONDS
+        lags = sorted(seen.lags)
+        steps = range(1, self._steps)
+        durations = [seen.ready[step] - seen.drawn[step] for step in steps]
+        return DraftFigures(
+            idle_share=seen.idle / (seen.idle + trained),
+            unavoidable_share=seen.unavoidable / (seen.unavoidable + trained),
+            staleness_mean=statistics.fmean(lags),
+            staleness_p99=float(lags[int(0.99 * (len(lags) - 1))]),
+            stale_share=counts.stale / (counts.stale + counts.delivered),
+            hedged_share=counts.hedged / counts.delivered,
+            step_seconds=statistics.fmean(durations),
+        )
+
+
+def summarize(workload: str, policy: str, runs: list[DraftFigures]) -> PolicyResult:
+    """Return the mean and spread of each figure."""
+    figures = {}
+    for name in DraftFigures.__dataclass_fields__:
+        values = [getattr(each, name) for each in runs]
+        spread = statistics.stdev(values) if len(values) > 1 else 0.0
+        figures[name] = FigureSummary(statistics.fmean(values), spread)
+    return PolicyResult(workload, policy, figures)
+
+
+def measure_drafts(
+    seeds: int = SEEDS,
+    steps: int = STEPS,
+    workloads: tuple[Workload, ...] = WORKLOADS,
+    policies: tuple[DraftPolicy, ...] = POLICIES,
+) -> list[PolicyResult]:
+    """Run every policy on every workload with the same seeds."""
+    results = []
+    for workload in workloads:
+        for policy in policies:
+            runs = [DraftRun(workload, policy, seed, steps).run() for seed in range(seeds)]
+            results.append(summarize(workload.entry.name, policy.name, runs))
+    return results
+
+
+def draft_table(results: list[PolicyResult]) -> str:
+    """Return the results as a text table, each figure as mean and standard deviation."""
+    names = list(DraftFigures.__dataclass_fields__)
+    lines = ["  ".join(["workload".ljust(10), "policy".ljust(18), *(n.rjust(17) for n in names)])]
+    for each in results:
+        cells = [
+            f"{each.figures[n].mean:.4f} ± {each.figures[n].deviation:.4f}".rjust(17) for n in names
+        ]
+        lines.append("  ".join([each.workload.ljust(10), each.policy.ljust(18), *cells]))
+    return "\n".join(lines)
--- a/pumicedeck/endpoint_watches.py
+++ b/pumicedeck/endpoint_watches.py
@@ -60,7 +60,10 @@
     """Watches a model engine."""
 
     def __init__(
-        self, timers: TimerQueue, leaving: Callable[[], None], engine: ModelEngine
+        self,
+        timers: TimerQueue,
+        leaving: Callable[[], None],
+        engine: ModelEngine,
     ) -> None:
         """Ask `engine` for its state."""
         super().__init__(timers, leaving)
--- a/pumicedeck/entry_requests.py
+++ b/pumicedeck/entry_requests.py
@@ -10,8 +10,10 @@
 
 from pumicedeck.actions import (
     Action,
+    CallerAnswer,
     CallerRequest,
     DeliverAnswer,
+    DeliverChunk,
     DeliverFailure,
     Drained,
     RecordOutcome,
@@ -54,6 +56,7 @@
         self._attempts = RequestAttempts(self._pending, router, self._settings, self._counters)
         self._late_claims: OrderedDict[str, CallerRequest] = OrderedDict()
         self._leaving: set[str] = set()
+        self._agents: dict[str, str] = {}
         self._closed_at: float | None = None
         self._drained = False
 
@@ -72,6 +75,10 @@
         """Return the lowest sequence that is not settled; heartbeats carry it to agents."""
         return self._pending.floor
 
+    def outstanding(self, agent: str) -> int:
+        """Return how many attempts wait for an answer of an agent incarnation."""
+        return len(self._pending.at_agent(agent))
+
     def next_wakeup(self) -> float | None:
         """Return the next second at which `on_time` is wanted."""
         due = self._pending.next_due()
@@ -89,7 +96,7 @@
             return [DeliverFailure(request.handle, refusal)]
         self._attempts.earn_retry()
         pending = self._admit(now, request)
-        if request.idempotent:
+        if request.idempotent or not request.repeatable:
             return self._attempts.route(now, pending)
         self._counters.claims += 1
         self._pending.enter(pending, RequestPhase.CLAIMING, now + self._settings.claim_seconds)
@@ -125,7 +132,7 @@
         elif isinstance(outcome.ok_value, RecordedAnswer):
             self._pending.remove(pending)
             self._counters.answered += 1
-            actions = [DeliverAnswer(handle, outcome.ok_value.answer)]
+            actions = _deliver_recorded(pending.request, outcome.ok_value.answer)
         else:
             pending.claimed = True
             actions = self._attempts.route(now, pending)
@@ -134,10 +141,16 @@
     def session_up(
         self, now: float, agent: str, candidate: Candidate | None = None
     ) -> list[Action]:
-        """Take an agent into the choice and settle what was outstanding there."""
+        """Take an agent into the choice and settle what was outstanding there.
+
+        An older incarnation on the same VM is gone for good: there is one agent a VM.
+        """
+        vm = agent.partition("/")[0]
+        former = self._agents.get(vm, agent)
+        self._agents[vm] = agent
+        actions = self.agent_replaced(now, former) if former != agent else []
         if candidate and agent not in self._leaving:
             self._router.add(now, candidate)
-        actions: list[Action] = []
         for pending in self._pending.at_agent(agent):
             actions += self._attempts.resume(now, pending)
         return actions + self._attempts.cancel_orphans(agent)
@@ -153,6 +166,9 @@
         """Settle what was outstanding at an incarnation that is gone for good."""
         self._router.remove(now, agent)
         self._leaving.discard(agent)
+        vm = agent.partition("/")[0]
+        if self._agents.get(vm) == agent:
+            del self._agents[vm]
         actions: list[Action] = []
         for pending in self._pending.at_agent(agent):
             actions += self._attempts.outcome_unknown(now, pending, "the agent is gone")
@@ -250,6 +266,13 @@
         return [Drained()]
 
 
+def _deliver_recorded(request: CallerRequest, answer: CallerAnswer) -> list[Action]:
+    if not request.streamed or not answer.body:
+        return [DeliverAnswer(request.handle, answer)]
+    chunk = DeliverChunk(request.handle, answer.body)
+    return [chunk, DeliverAnswer(request.handle, replace(answer, body=b""))]
+
+
 def _release(request: CallerRequest, outcome: ClaimOutcome) -> list[Action]:
     if isinstance(outcome, Err) or isinstance(outcome.ok_value, RecordedAnswer):
         return []
--- a/pumicedeck/experiment_stores.py
+++ b/pumicedeck/experiment_stores.py
@@ -17,8 +17,11 @@
     StoreKey,
     TableStore,
     Transaction,
+    VmList,
 )
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.standin_tables import TableData
+from pumicedeck.world import Vm
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,33 +49,12 @@
         self.rng = rng
         self.faults = faults
         self.down = False
-        self.rows: dict[tuple[str, str], Row] = {}
+        self.data = TableData()
         self.objects: dict[str, bytes] = {}
         self.reads: Counter[int] = Counter()
         self.writes: Counter[int] = Counter()
         self.refused: Counter[int] = Counter()
         self.bytes_out = 0
-        self._revision = 0
-
-    def row(self, key: StoreKey) -> Row:
-        """Return a row as it stands."""
-        return self.rows.get((key.table, key.key), Row(key.table, key.key, b"", 0))
-
-    def apply(self, transaction: Transaction) -> Result[Committed, Failure]:
-        """Commit a transaction now."""
-        for condition in transaction.conditions:
-            if self.row(StoreKey(condition.table, condition.key)).revision != condition.revision:
-                return Err(Failure(ResultCode.STORE_CONFLICT, condition.key))
-        revisions = []
-        for write in transaction.writes:
-            self._revision += 1
-            revisions.append(self._revision)
-            place = (write.table, write.key)
-            if write.value is None:
-                self.rows.pop(place, None)
-            else:
-                self.rows[place] = Row(write.table, write.key, write.value, self._revision)
-        return Ok(Committed(tuple(revisions)))
 
     def call(
         self,
@@ -127,6 +109,9 @@
         self._service.timers.call_later(delay, self._run)
 
     def _run(self) -> None:
+        if self._service.down or not self._reachable():
+            self._report(Err(Failure(self._lost, "request lost")))
+            return
         result = self._work()
         if self._strikes(self._service.faults.lost_reply) or not self._reachable():
             result = Err(Failure(self._lost, "reply lost"))
@@ -155,27 +140,19 @@
 
     def read(self, keys: tuple[StoreKey, ...], done: Done[tuple[Row, ...]]) -> None:
         """Read rows as of one moment."""
-        self._query(lambda: tuple(self._service.row(key) for key in keys), done)
+        self._query(lambda: tuple(self._service.data.read(key) for key in keys), done)
 
     def scan(self, table: str, prefix: str, limit: int, done: Done[tuple[Row, ...]]) -> None:
         """Read rows by prefix in key order."""
 
-        def rows() -> tuple[Row, ...]:
-            found = [
-                row
-                for (name, key), row in self._service.rows.items()
-                if name == table and key.startswith(prefix)
-            ]
-            return tuple(sorted(found, key=lambda row: row.key)[:limit])
-
-        self._query(rows, done)
+        self._query(lambda: self._service.data.scan(table, prefix, limit), done)
 
     def commit(self, transaction: Transaction, done: Done[Committed]) -> None:
         """Commit a transaction."""
         self._service.call(
             self._service.writes,
             self._reachable,
-            lambda: self._service.apply(transaction),
+            lambda: self._service.data.commit(transaction),
             ResultCode.STORE_OUTCOME_UNKNOWN,
             done,
         )
@@ -223,3 +200,28 @@
         self._service.call(
             self._service.writes, self._reachable, work, ResultCode.STORE_OUTCOME_UNKNOWN, done
         )
+
+
+class ExperimentVmList(VmList):
+    """One client's view of the list of VMs; readings count as the store's reads."""
+
+    def __init__(
+        self,
+        service: StoreService,
+        listed: Callable[[], tuple[Vm, ...]],
+        reachable: Callable[[], bool] = _always,
+    ) -> None:
+        """Show what `listed` returns while `reachable` says so."""
+        self._service = service
+        self._listed = listed
+        self._reachable = reachable
+
+    def list(self, done: Done[tuple[Vm, ...]]) -> None:
+        """Read the list as the platform shows it now."""
+        self._service.call(
+            self._service.reads,
+            self._reachable,
+            lambda: Ok(self._listed()),
+            ResultCode.STORE_UNAVAILABLE,
+            done,
+        )
--- a/pumicedeck/tests/loop_harnesses.py
+++ b/pumicedeck/tests/loop_harnesses.py
@@ -2,19 +2,19 @@
 
 from circuits import BaseComponent, handler
 from circuits.core.events import started
-from circuits.core.pollers import EPoll
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.loops import LoopTimers
+from pumicedeck.pollers import ManySocketsPoller
 from pumicedeck.world import Address
 
 _POLL_SECONDS = 0.001
 _IDLE_TURNS = 3
 
 
-class CountingPoller(EPoll):
+class CountingPoller(ManySocketsPoller):
     """Counts the events of sockets so that the loop knows when it is idle."""
 
     count = 0
@@ -31,6 +31,7 @@
 
     def __init__(self):
         super().__init__()
+        self.errors = []
         self.poller = CountingPoller().register(self)
         self.timers = VirtualTime()
         LoopTimers(self.timers).register(self)
@@ -38,6 +39,10 @@
         self.fire(started(self))
         self.settle()
 
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, value, traceback, **_):
+        self.errors.append("".join(traceback) + repr(value))
+
     def settle(self, turns=200):
         """Tick until the sockets are idle."""
         idle = 0
@@ -60,6 +65,19 @@
                 idle = 0
         raise AssertionError("the condition was not met within the bounded number of turns")
 
+    def holds_within(self, seconds, holds, turns=5000):
+        """Tick until `holds()` or until the virtual seconds are over; tell which."""
+        end = self.timers.now() + seconds
+        for _ in range(turns):
+            self.settle()
+            if holds():
+                return True
+            due = self.timers.next_due()
+            if due is None or due > end:
+                return False
+            self.timers.run_until(due)
+        raise AssertionError("the loop did not come to rest")
+
     def advance(self, seconds):
         """Let virtual time pass, with the sockets served at each timer."""
         end = self.timers.now() + seconds
@@ -76,11 +94,15 @@
         return self.poller.count > before or len(self) > 0
 
     def shut(self):
-        """Stop the application and close its sockets."""
+        """Stop the application, close its sockets and fail if a handler ever raised."""
+        for _ in range(3):
+            # The server would accept from its closed listener in a task begun before.
+            self.tick(0)
         self._running = False
         self.fire(close(), "*")
         for _ in range(3):
             self.tick(0)
+        assert not self.errors, "".join(self.errors)
 
 
 class RawServer(BaseComponent):
--- a/pumicedeck/tests/test_draws.py
+++ b/pumicedeck/tests/test_draws.py
@@ -1,12 +1,15 @@
 """Tests of the draw coordinator: exactly once, whole groups, no stale draft handed over."""
 
+import json
 import random
+from dataclasses import replace
 
 import pytest
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.drafts import DeliverGroup, EndDraw, draft_seed
 from pumicedeck.draws import DrawCoordinator, DrawSettings
+from pumicedeck.messages import DraftId
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.stragglers import StragglerSettings
 from pumicedeck.tests.draw_fixtures import (
@@ -52,6 +55,7 @@
     assert coordinator.next_wakeup() == 3.0
     copies = submitted(coordinator.on_time(3.0))
     assert [each.draft for each in copies] == [requests[3].draft]
+    assert json.loads(copies[0].body)["seed"] == draft_seed(requests[3].draft)
     assert copies[0].body == requests[3].body
     actions = coordinator.draft_finished(4.0, copies[0].handle, answer((5,), 11))
     assert delivered(actions)[0].drafts[3].answer.tokens == 11
@@ -60,6 +64,16 @@
     assert coordinator.counts.duplicates == 1
 
 
+def test_a_body_that_takes_no_seed_is_never_copied() -> None:
+    settings = DrawSettings(stragglers=StragglerSettings(hedge_observations=2, hedge_share=0.5))
+    coordinator = DrawCoordinator(settings)
+    plain = tuple(replace(each, body=b"plain text") for each in groups(1))
+    requests = submitted(coordinator.start(0.0, draw(groups=plain)))
+    for request in requests[:3]:
+        coordinator.draft_finished(1.0, request.handle, answer((5,)))
+    assert submitted(coordinator.on_time(100.0)) == []
+
+
 def test_a_later_draw_takes_over_and_what_was_done_is_handed_on() -> None:
     coordinator = DrawCoordinator()
     requests = submitted(coordinator.start(0.0, draw("early", count=1)))
@@ -182,6 +196,20 @@
     assert [draft_seed(each) for each in ids[:8]] == [draft_seed(each) for each in ids[8:]]
 
 
+def test_the_trainers_side_takes_a_group_once_and_only_whole() -> None:
+    step = TrainerStep("tuner-gen", "t", 7, {0: 2, 1: 2})
+    whole = tuple(
+        ReceivedDraft(DraftId("tuner-gen", "t", 7, 0, index), (5,), b"") for index in range(2)
+    )
+    assert not step.accept(0, whole[:1])
+    assert not step.accept(1, whole)
+    assert step.accept(0, whole)
+    assert not step.accept(0, whole)
+    assert (step.held, step.missing, step.duplicates) == ((0,), (1,), 1)
+    assert not step.ahead_due(0.25)
+    assert step.ahead_due(0.5)
+
+
 class _Trainer:
     """Draws a step through any entry until it is whole; checks every hand-over."""
 
--- a/pumicedeck/tests/test_edits.py
+++ b/pumicedeck/tests/test_edits.py
@@ -5,12 +5,20 @@
 from typing import Any
 
 import pytest
+from result import Err
 
 from pumicedeck import catalogue_upkeep, edits
 from pumicedeck.catalogue_documents import parse_catalogue
-from pumicedeck.catalogue_editors import CatalogueEditor
+from pumicedeck.catalogue_editors import EDIT_BURST, CatalogueEditor
 from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool, RequestClass
-from pumicedeck.catalogue_rows import SNAPSHOT_OBJECT, RowKind, RowName, decode_copy
+from pumicedeck.catalogue_rows import (
+    CATALOGUE_TABLE,
+    LOG_TABLE,
+    SNAPSHOT_OBJECT,
+    RowKind,
+    RowName,
+    decode_copy,
+)
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.edit_experiments import run_edit_races
 from pumicedeck.edits import Edit, EditAccepted, edit_between, make_edit, new_change_id
@@ -20,7 +28,8 @@
     StoreFaults,
     StoreService,
 )
-from pumicedeck.results import ResultCode
+from pumicedeck.operator_clients import OperatorClient
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tests.test_catalogue_documents import GOOD
 from pumicedeck.world import EndpointKind
 
@@ -72,8 +81,13 @@
     desk.submit(TOOLS, CHECK)
     late = desk.edit(replace(CHECK, share=3.0))
     desk.submit(replace(CHECK, share=2.0))
-    for method in (desk.editor.submit, desk.editor.dry_run):
-        failure = desk.call(method, late).unwrap_err()
+    fresh = replace(late, change_id=new_change_id(2, "f" * 8))
+    for method, edit in (
+        (desk.editor.submit, late),
+        (desk.editor.dry_run, late),
+        (desk.editor.submit, fresh),
+    ):
+        failure = desk.call(method, edit).unwrap_err()
         assert failure.code is ResultCode.EDIT_CONFLICT
         assert "entries.check.share: 1.0 -> 2.0" in failure.detail
 
@@ -98,7 +112,7 @@
     edit = edit_between(stored, wanted, new_change_id(0, "a" * 8), "ana", "noon")
     plan = desk.call(desk.editor.dry_run, edit).unwrap()
     assert len(plan.change.rows) == 4
-    assert not desk.service.rows
+    assert not desk.service.data.scan(CATALOGUE_TABLE, "", 1)
 
 
 def test_the_same_change_id_is_accepted_once() -> None:
@@ -145,8 +159,8 @@
     desk.call(desk.editor.submit, first).unwrap()
     for number in range(20):
         desk.submit(Pool(f"p{number}", EndpointKind.SERVICE))
-    kept = [key for _, key in desk.service.rows if key.startswith("history/")]
-    records = [key for _, key in desk.service.rows if key.startswith("change/")]
+    kept = desk.service.data.scan(LOG_TABLE, "history/", 100)
+    records = desk.service.data.scan(LOG_TABLE, "change/", 100)
     assert len(kept) == 5
     assert len(records) <= 7
     for method, argument in ((desk.editor.submit, first), (desk.editor.resolve, first.change_id)):
@@ -163,6 +177,56 @@
     assert desk.call(desk.editor.submit, edit).unwrap_err().code is ResultCode.BAD_REQUEST
 
 
+def test_a_flood_of_edits_is_refused_beyond_the_budget_of_writes() -> None:
+    desk = Desk()
+    edits_made = [desk.edit(Pool(f"p{number}", EndpointKind.SERVICE)) for number in range(60)]
+    answers: list[Any] = []
+    for edit in edits_made:
+        desk.editor.submit(edit, answers.append)
+    desk.time.run_until(desk.time.now() + 120.0)
+    refused = [each.unwrap_err() for each in answers if each.is_err()]
+    assert len(answers) == 60
+    assert 0 < len(answers) - len(refused) <= EDIT_BURST
+    limited = [each for each in refused if each.code is ResultCode.RATE_LIMITED]
+    assert len(limited) == 60 - EDIT_BURST
+    assert desk.call(desk.editor.read).unwrap().revision == len(answers) - len(refused)
+
+
+def test_the_budget_never_turns_an_accepted_change_into_a_refusal() -> None:
+    desk = Desk()
+    edit = desk.edit(TOOLS)
+    desk.call(desk.editor.submit, edit).unwrap()
+    answers: list[Any] = []
+    for _ in range(60):
+        desk.editor.resolve(edit.change_id, answers.append)
+    desk.time.run_until(desk.time.now() + 60.0)
+    codes = {None if each.is_ok() else each.unwrap_err().code for each in answers}
+    assert codes == {None, ResultCode.EDIT_UNKNOWN}
+
+
+@pytest.mark.parametrize(
+    ("found", "told"),
+    [
+        (ResultCode.NOT_READY, ResultCode.EDIT_UNKNOWN),
+        (ResultCode.STORE_UNAVAILABLE, ResultCode.EDIT_UNKNOWN),
+        (ResultCode.EDIT_CONFLICT, ResultCode.EDIT_CONFLICT),
+    ],
+)
+def test_the_client_says_refused_only_if_the_change_log_does(
+    found: ResultCode, told: ResultCode
+) -> None:
+    class Client(OperatorClient):
+        def post(self, path: str, document: Any) -> Any:
+            return Err(Failure(ResultCode.EDIT_UNKNOWN))
+
+        def get(self, path: str) -> Any:
+            return Err(Failure(found))
+
+    client = Client("http://127.0.0.1:1")
+    assert client.submit("x", {}).unwrap_err().code is told
+    client.close()
+
+
 def test_racing_editors_with_lost_replies_are_told_the_truth() -> None:
     report = run_edit_races(schedules=40, seed=7)
     assert report.faults == ()
