--- a/pumicedeck/caller_api.py
+++ b/pumicedeck/caller_api.py
@@ -106,7 +106,8 @@
         elif path.verb == DRAWS:
             self._draw(exchange, entry.ok_value)
         else:
-            self._call(exchange, entry.ok_value, path.endpoint_path)
+            query = f"?{exchange.query}" if exchange.query else ""
+            self._call(exchange, entry.ok_value, path.endpoint_path + query)
 
     def _call(self, exchange: HttpExchange, entry: CatalogueEntry, path: str) -> None:
         handle = self._make_id()
--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -23,12 +23,17 @@
 
 _log = logger.bind(module="daemon_commands")
 
+IN_PROCESS_ADAPTER = "standin"
+
 
 def run_entry(path: Path) -> Result[None, Failure]:
     """Run an entry until it is drained."""
     settings = load_settings(EntrySettings, path)
     if isinstance(settings, Err):
         return settings
+    remote = _check_remote(path, settings.ok_value)
+    if isinstance(remote, Err):
+        return remote
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
     return _run(process, lambda: build_entry(settings.ok_value, host, platform, process.finish))
@@ -39,6 +44,9 @@
     settings = load_settings(AgentSettings, path)
     if isinstance(settings, Err):
         return settings
+    remote = _check_remote(path, settings.ok_value)
+    if isinstance(remote, Err):
+        return remote
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
     endpoint = connect_endpoint(settings.ok_value, host)
@@ -67,6 +75,24 @@
     return Ok(None)
 
 
+def _check_remote(path: Path, settings: ProcessSettings) -> Result[None, Failure]:
+    """Refuse adapters that reach nothing outside this process."""
+    chosen = settings.platform
+    sections = {
+        "platform.table_store": chosen.table_store.adapter,
+        "platform.object_store": chosen.object_store.adapter,
+        "platform.weight_store": chosen.weight_store.adapter,
+        "platform.vm_list": chosen.vm_list.adapter,
+    }
+    if isinstance(settings, AgentSettings):
+        sections["endpoint"] = settings.endpoint.adapter
+    local = [key for key, name in sections.items() if name == IN_PROCESS_ADAPTER]
+    if not local:
+        return Ok(None)
+    detail = f"{path}: {local[0]}.adapter: standin is only for the demo's own process"
+    return Err(Failure(ResultCode.BAD_SETTINGS, detail))
+
+
 def _prepare(settings: ProcessSettings) -> tuple[Process, Host]:
     set_up_logs(settings.vm, settings.log.level, settings.log.format)
     process = Process()
--- a/pumicedeck/tests/test_standin_fleets.py
+++ b/pumicedeck/tests/test_standin_fleets.py
@@ -207,3 +207,12 @@
         answer = path.ask("/v1/entries/bookings/call/book", b"{}", X_Request_Id=f"drain-{number}")
         assert answer.status == 200
     assert len(leaving.endpoint.ledger) == before
+
+
+def test_a_query_reaches_the_service_and_tells_requests_apart(path: _Path) -> None:
+    answer = path.ask("/v1/entries/stock-checks/call/stock?rig=7", b"{}", X_Request_Id="query-1")
+    document = json.loads(answer.body)
+    assert (document["path"], document.get("query", "")) in (
+        ("/stock?rig=7", ""),
+        ("/stock", "rig=7"),
+    )
