--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from pumicedeck.capacity_slopes import measure_capacity
 from pumicedeck.cli_outputs import finish, print_table
 from pumicedeck.draft_experiments import STEPS, draft_table, measure_drafts
 from pumicedeck.draft_policies import SCENES
@@ -208,3 +209,10 @@
     typer.echo(swap_table(scene, measure_swaps(scene, seeds)))
     if lowest:
         typer.echo(f"lowest rate found: {lowest_rate(scene):.3g} bytes/s")
+
+
+@experiment_app.command("capacity")
+def capacity() -> None:
+    """Measure the slopes of processor time, memory and messages that docs/CAPACITY.md uses."""
+    for slope in measure_capacity():
+        typer.echo(slope.text())
