Let runs of the matrix outlast work that a resumed process takes up

An agent stopped for 20 s was resumed in the second at which the run ended, and its work had its whole time budget still before it.

Change: a run goes on 17 s after the last resume: time budget, margin and the wait for a cancellation. The check itself is as strict as before, and the mutation that keeps slots for ever is still seen.

--- a/pumicedeck/simulated_processes.py
+++ b/pumicedeck/simulated_processes.py
@@ -79,6 +79,7 @@
     def resume(self) -> None:
         """Let the process go on with what waits for it."""
         self.is_paused = False
+        self.simulation.process_resumed()
         waiting, self._inbox = self._inbox, []
         for event in waiting:
             self.deliver(event)
--- a/pumicedeck/simulations.py
+++ b/pumicedeck/simulations.py
@@ -38,6 +38,7 @@
 LATE_SECONDS = 7.0
 HORIZON_SECONDS = 120.0
 SETTLE_SECONDS = 12.0
+LONGEST_WORK_SECONDS = 17.0
 GRACE_SECONDS = 30.0
 
 
@@ -95,6 +96,7 @@
         self._gone: dict[str, float] = {}
         self._dispatches: dict[tuple[str, AttemptId], Dispatch] = {}
         self._must_succeed = False
+        self._over_at = 0.0
         for number in range(ENTRIES):
             self.entries.append(EntryProcess(self, f"entry{number}", 1))
         for number in range(AGENTS):
@@ -106,6 +108,10 @@
         """Let a fault strike `delay` seconds after the target first reaches a step."""
         self._injections.append(_Injection(step, inject, delay))
 
+    def process_resumed(self) -> None:
+        """Leave a resumed process the time that its longest work may take."""
+        self._over_at = max(self._over_at, self.time.now() + LONGEST_WORK_SECONDS)
+
     def expect_success(self) -> None:
         """Let the oracle hold that no call fails."""
         self._must_succeed = True
@@ -115,7 +121,9 @@
         self.time.run_until(2.0)
         while not self.callers.is_settled and self.time.now() < HORIZON_SECONDS:
             self.time.run_until(self.time.now() + 1.0)
-        self.time.run_until(self.time.now() + SETTLE_SECONDS)
+        self._over_at = max(self._over_at, self.time.now() + SETTLE_SECONDS)
+        while self.time.now() < self._over_at:
+            self.time.run_until(self._over_at)
         self._note_what_is_left()
         reached = tuple(each.is_done for each in self._injections)
         violations = self.oracle.violations(self._must_succeed)
