--- a/pumicedeck/fair_queues.py
+++ b/pumicedeck/fair_queues.py
@@ -14,7 +14,7 @@
 from pumicedeck.world import Endpoint, EndpointKind
 
 FIRM_QUEUE_LENGTH = 1024
-FIRM_QUEUE_BYTES = 8 * 1024 * 1024
+FIRM_QUEUE_BYTES = 4 * 1024 * 1024
 DEFAULT_SLOTS = 8
 INITIAL_SLOT_RATE = 50.0
 RATE_MEMORY_SECONDS = 30.0
@@ -35,12 +35,18 @@
 
 
 class _RateEstimate:
-    """Tokens a second of one busy slot, over a fading memory of tokens and of busy time."""
+    """Tokens a second of one busy slot, over a fading memory of tokens and of busy time.
+
+    While the endpoint is idle the estimate returns to the initial one, so that an endpoint that
+    was slow is tried again.
+    """
 
     def __init__(self, initial: float, slots: int) -> None:
         self._slots = slots
-        self._tokens = initial * slots * RATE_MEMORY_SECONDS / 4
-        self._busy_seconds = slots * RATE_MEMORY_SECONDS / 4
+        self._initial = initial
+        self._prior_seconds = slots * RATE_MEMORY_SECONDS / 4
+        self._tokens = initial * self._prior_seconds
+        self._busy_seconds = self._prior_seconds
         self._updated = 0.0
 
     @property
@@ -48,13 +54,13 @@
         return self._tokens / self._busy_seconds
 
     def advance(self, now: float, running: int) -> None:
-        elapsed = now - self._updated
-        if elapsed <= 0.0 or running == 0:
-            self._updated = now
-            return
+        elapsed = max(0.0, now - self._updated)
         keep = math.exp(-elapsed / RATE_MEMORY_SECONDS)
         self._tokens *= keep
         self._busy_seconds = self._busy_seconds * keep + elapsed * min(running, self._slots)
+        if running == 0:
+            self._busy_seconds += self._prior_seconds * (1 - keep)
+            self._tokens += self._initial * self._prior_seconds * (1 - keep)
         self._updated = now
 
     def add(self, tokens: int) -> None:
@@ -151,6 +157,7 @@
     def pop(self, now: float) -> Dispatch | None:
         """Take the dispatch to run next; None if no slot is open to what waits."""
         self._now = now
+        self._estimate.advance(now, len(self._running))
         free = self._slots - len(self._running)
         if free > 0:
             classes = CLASS_ORDER if self._bulk_open() else _INTERACTIVE_ONLY
@@ -160,7 +167,9 @@
         classes = _INTERACTIVE_ONLY
         if -free < self._express * BULK_EXPRESS_FRACTION:
             classes = CLASS_ORDER
-        within = [each for each in self._firms.values() if self._within_share(each)]
+        shares = self._active_shares()
+        firms = self._firms.values()
+        within = [each for each in firms if each.running < self._slot_share(each, shares)]
         return self._pop_from(now, within, classes) or self._pop_interactive(now)
 
     def remove(self, now: float, attempt: AttemptId) -> Dispatch | None:
@@ -175,6 +184,7 @@
     def expire(self, now: float) -> list[Dispatch]:
         """Take out every dispatch whose queue time has run out."""
         self._now = now
+        self._estimate.advance(now, len(self._running))
         late = []
         while self._due and self._due[0][0] <= now:
             _, order, attempt = heapq.heappop(self._due)
@@ -231,16 +241,16 @@
     def _bulk_open(self) -> bool:
         return self._bulk_running < self._slots - self._reserved
 
-    def _within_share(self, firm: FirmNode) -> bool:
-        return firm.running < self._slot_share(firm)
-
     def _pop_interactive(self, now: float) -> Dispatch | None:
+        shares = self._active_shares()
         firms = self._firms.values()
-        within = [each for each in firms if each.interactive < self._slot_share(each)]
+        within = [each for each in firms if each.interactive < self._slot_share(each, shares)]
         return self._pop_from(now, within, _INTERACTIVE_ONLY)
 
-    def _slot_share(self, firm: FirmNode) -> int:
-        shares = sum(each.share for each in self._firms.values() if each.count or each.running)
+    def _active_shares(self) -> float:
+        return sum(each.share for each in self._firms.values() if each.count or each.running)
+
+    def _slot_share(self, firm: FirmNode, shares: float) -> int:
         return max(1, math.ceil(self._slots * firm.share / max(shares, firm.share)))
 
     def _pop_from(
@@ -258,7 +268,9 @@
 
     def _start(self, now: float, firm: FirmNode, dispatch: Dispatch) -> Dispatch:
         interactive = dispatch.request_class is RequestClass.INTERACTIVE
-        within = (firm.interactive if interactive else firm.running) < self._slot_share(firm)
+        within = (firm.interactive if interactive else firm.running) < self._slot_share(
+            firm, self._active_shares()
+        )
         self._count_running(firm, interactive, 1)
         self._estimate.advance(now, len(self._running))
         started = replace(dispatch, priority=engine_priority(dispatch.request_class, within))
