Build the agent's queue as the routing part chose it

Cause: the composition had a second, older rule for express slots, which handed over slots twice beyond the engine's and reserved none at services. Change: build_queue alone decides. Measured: the tests of the path and the queue pass. Conclusion: one rule.

--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -28,6 +28,7 @@
 from pumicedeck.entry_daemons import EntryDaemon, EntryParts
 from pumicedeck.entry_requests import EntryRequests
 from pumicedeck.executions import EngineExecutions, ServiceExecutions
+from pumicedeck.fair_queues import build_queue
 from pumicedeck.handshakes import NONCE_BYTES, PROTOCOL_VERSION, Hello
 from pumicedeck.histograms import Histograms
 from pumicedeck.http_clients import HttpClient
@@ -48,7 +49,6 @@
     WeightStore,
     find_adapter,
 )
-from pumicedeck.registries import express_slots, make_queue
 from pumicedeck.request_settings import AgentRequestSettings, EntryRequestSettings
 from pumicedeck.routers import ROUTERS
 from pumicedeck.sessions import SessionSettings
@@ -174,8 +174,8 @@
     )
     requests = AgentRequests(
         incarnation,
-        make_queue(settings.queue, site),
-        site.slots + express_slots(site),
+        build_queue(settings.queue, site),
+        site.slots,
         AgentRequestSettings(
             kept_seconds=settings.bounds.kept_answer_time, kept_bytes=settings.bounds.kept_answers
         ),
--- a/pumicedeck/registries.py
+++ b/pumicedeck/registries.py
@@ -1,4 +1,4 @@
-"""Imports every module whose decorators fill a registry, and builds by registered names."""
+"""Imports every module whose decorators fill a registry."""
 
 from pumicedeck.fair_queues import FairQueue
 from pumicedeck.http_engines import HttpEngine
@@ -8,7 +8,7 @@
 from pumicedeck.http_vm_lists import HttpVmList
 from pumicedeck.http_weights import HttpWeightStore
 from pumicedeck.load_routers import ExpectedWaitRouter
-from pumicedeck.queues import QUEUES, DispatchQueue
+from pumicedeck.queues import QUEUES
 from pumicedeck.routers import ROUTERS
 from pumicedeck.standin_engines import StandinEngine
 from pumicedeck.standin_objects import StandinObjectStore
@@ -16,7 +16,6 @@
 from pumicedeck.standin_tables import StandinTableStore
 from pumicedeck.standin_vm_lists import StandinVmList
 from pumicedeck.standin_weights import StandinWeightStore
-from pumicedeck.world import Endpoint, EndpointKind
 
 REGISTERED = (
     ExpectedWaitRouter,
@@ -34,7 +33,6 @@
     StandinVmList,
     StandinWeightStore,
 )
-EXPRESS_DIVISOR = 4
 
 
 def router_names() -> tuple[str, ...]:
@@ -45,17 +43,3 @@
 def queue_names() -> tuple[str, ...]:
     """Return the queue names that settings may use."""
     return tuple(sorted(QUEUES))
-
-
-def express_slots(endpoint: Endpoint) -> int:
-    """Return how many more dispatches an engine, which honours priorities, is handed over."""
-    if endpoint.kind is EndpointKind.SERVICE:
-        return 0
-    return max(1, endpoint.slots // EXPRESS_DIVISOR)
-
-
-def make_queue(name: str, endpoint: Endpoint) -> DispatchQueue:
-    """Build the queue before an endpoint."""
-    if name == "fair":
-        return FairQueue(endpoint.slots, express=express_slots(endpoint))
-    return QUEUES[name]()
