--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -44,6 +44,8 @@
 
 _log = logger.bind(module="entry")
 
+FIRST_SESSION_SECONDS = 10.0
+
 
 class AnswerSink(Protocol):
     """Where the outcome of a submitted request goes."""
@@ -112,6 +114,7 @@
         self._membership: MembershipDriver | None = None
         self._entries: frozenset[str] = frozenset()
         self._is_draining = False
+        self._started_at = 0.0
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
 
     @property
@@ -131,8 +134,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether the balancer should send callers here."""
-        return not self._is_draining and self.catalogue.revision > 0
+        """Return whether the balancer should send callers here.
+
+        A new entry waits a while for its first session: without one it would only refuse.
+        """
+        if self._is_draining or not self._follower.ready or self.catalogue.revision <= 0:
+            return False
+        waited = self._timers.now() - self._started_at
+        return bool(self._peers.incarnations) or waited >= FIRST_SESSION_SECONDS
 
     @property
     def revision(self) -> int:
@@ -164,6 +173,7 @@
 
     def start(self) -> None:
         """Begin to follow the catalogue and the list of VMs."""
+        self._started_at = self._timers.now()
         self._follower.start()
         self._membership.start()
         _log.info("entry started", incarnation=self._parts.incarnation)
