Judge recovery by arrivals unless the load exceeds the capacity left

Change: ended tokens count only if the whole load since the fault exceeds the capacity left. Conclusion: stricter for a surge, and as stated for the loss of a domain.

--- a/pumicedeck/experiment_figures.py
+++ b/pumicedeck/experiment_figures.py
@@ -130,22 +130,34 @@
     def recovery_seconds(self, capacity: tuple[float, ...]) -> float | None:
         """Return how long after the fault goodput was again what load and capacity allow.
 
-        It is judged over 15 s at a time, by the arrivals served whole or by what ended then.
+        It is judged over 15 s at a time: by the tokens that ended if the load exceeds the
+        capacity that is left, else by the arrivals that were served whole.
         """
         start = self._experiment.recovery_from
         if start is None:
             return None
-        last = _window(self._experiment.seconds)
-        bad = [each for each in range(_window(start), last) if not self._served(each, capacity)]
+        windows = range(_window(start), _window(self._experiment.seconds))
+        room = sum(capacity[each] for each in windows) * WINDOW_SECONDS
+        overloaded = sum(self._offered_work[each] for each in windows) > room
+        judge = self._is_busy if overloaded else self._is_served
+        bad = [each for each in windows if not judge(each, capacity)]
         return 0.0 if not bad else (max(bad) + 1) * WINDOW_SECONDS - start
 
-    def _served(self, window: int, capacity: tuple[float, ...]) -> bool:
-        windows = range(window, min(window + JUDGED_WINDOWS, len(capacity)))
+    def _is_served(self, window: int, capacity: tuple[float, ...]) -> bool:
+        windows = _judged(window, capacity)
+        offered = sum(self._offered_work[each] for each in windows)
+        whole = sum(self._whole_work[each] for each in windows)
+        return whole >= RECOVERED_FRACTION * offered
+
+    def _is_busy(self, window: int, capacity: tuple[float, ...]) -> bool:
+        windows = _judged(window, capacity)
         room = sum(capacity[each] for each in windows) * WINDOW_SECONDS
-        possible = min(room, sum(self._offered_work[each] for each in windows))
-        arrived = sum(self._whole_work[each] for each in windows)
         ended = sum(self._done[each] for each in windows)
-        return arrived >= RECOVERED_FRACTION * possible or ended >= RECOVERED_FRACTION * room
+        return ended >= RECOVERED_FRACTION * room
+
+
+def _judged(window: int, capacity: tuple[float, ...]) -> range:
+    return range(window, min(window + JUDGED_WINDOWS, len(capacity)))
 
 
 def _window(now: float) -> int:
