--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -6,6 +6,7 @@
 from typing import Annotated
 
 import typer
+from loguru import logger
 
 from pumicedeck.capacity_slopes import measure_capacity
 from pumicedeck.cli_outputs import finish, print_table
@@ -31,6 +32,13 @@
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
 )
 
+
+@experiment_app.callback()
+def silence_logs() -> None:
+    """Measure the decision objects in process, in virtual time."""
+    logger.remove()
+
+
 OutputOption = Annotated[
     Path | None, typer.Option("--output", help="Also write the page or plot to this file.")
 ]
