Share the prompt server, shorten the composition root

Cause: the same sending code stood in the sessions' and the HTTP server, loading and checking settings stood twice, and the root's functions had grown long. Conclusion: clean-up without change of behaviour.

--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -156,6 +156,51 @@
     return lambda channel: HttpGuard(channel, host.timers, bounds)
 
 
+def _connect_peers(
+    settings: ProcessSettings,
+    role: VmRole,
+    incarnation: str,
+    host: Host,
+    daemon: AgentDaemon | EntryDaemon,
+) -> Connections:
+    connections = Connections(
+        lambda: _hello(settings, role, incarnation),
+        _secrets(settings),
+        daemon.peers,
+        host.timers,
+        _session_settings(settings),
+        settings.sessions if isinstance(settings, AgentSettings) else None,
+    ).register(host.root)
+    daemon.peers.bind(connections)
+    return connections
+
+
+def _follow_catalogue(
+    platform: Platform, host: Host, rng: Random, daemon: AgentDaemon | EntryDaemon
+) -> CatalogueFollower:
+    hooks = FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce)
+    return CatalogueFollower(platform.table, platform.objects, host.timers, rng, hooks)
+
+
+def _choose_agents(
+    settings: EntrySettings,
+    platform: Platform,
+    host: Host,
+    rng: Random,
+    daemon: EntryDaemon,
+    dialer: AgentDialer,
+) -> MembershipDriver:
+    home = FailureDomain(settings.failure_domain, settings.region)
+    return MembershipDriver(
+        Vm(settings.vm, VmRole.ENTRY, home, settings.callers),
+        platform.vms,
+        host.timers,
+        rng,
+        MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
+        MembershipSettings(SelectionSettings(max_entry_sessions=settings.max_sessions)),
+    )
+
+
 def build_agent(
     settings: AgentSettings,
     host: Host,
@@ -182,22 +227,8 @@
     )
     parts = AgentParts(incarnation, host.timers, requests, settings.times.drain_grace, stopped)
     daemon = AgentDaemon(parts)
-    connections = Connections(
-        lambda: _hello(settings, VmRole.AGENT, incarnation),
-        _secrets(settings),
-        daemon.peers,
-        host.timers,
-        _session_settings(settings),
-        settings.sessions,
-    ).register(host.root)
-    daemon.peers.bind(connections)
-    follower = CatalogueFollower(
-        platform.table,
-        platform.objects,
-        host.timers,
-        rng,
-        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
-    )
+    connections = _connect_peers(settings, VmRole.AGENT, incarnation, host, daemon)
+    follower = _follow_catalogue(platform, host, rng, daemon)
     if isinstance(endpoint, ModelEngine):
         weights = _engine_weights(settings, incarnation, host, platform, endpoint, daemon, rng)
         executions = EngineExecutions(incarnation, daemon, endpoint, weights.follower, host.timers)
@@ -274,33 +305,13 @@
             limiter,
             histograms,
             stopped,
-            lambda: getattr(router, "paid_bytes", {}),
+            lambda: router.paid_bytes,
         )
     )
-    connections = Connections(
-        lambda: _hello(settings, VmRole.ENTRY, incarnation),
-        _secrets(settings),
-        daemon.peers,
-        host.timers,
-        _session_settings(settings),
-    ).register(host.root)
-    daemon.peers.bind(connections)
-    follower = CatalogueFollower(
-        platform.table,
-        platform.objects,
-        host.timers,
-        rng,
-        FollowerHooks(daemon.peers.send, daemon.installed, daemon.announce),
-    )
+    connections = _connect_peers(settings, VmRole.ENTRY, incarnation, host, daemon)
+    follower = _follow_catalogue(platform, host, rng, daemon)
     dialer = AgentDialer(host.timers, connections.dial, connections.hang_up, daemon.outstanding)
-    membership = MembershipDriver(
-        Vm(settings.vm, VmRole.ENTRY, home, settings.callers),
-        platform.vms,
-        host.timers,
-        rng,
-        MembershipHooks(dialer.open, daemon.close_session, daemon.tell_leaving, daemon.vms_listed),
-        MembershipSettings(SelectionSettings(max_entry_sessions=settings.max_sessions)),
-    )
+    membership = _choose_agents(settings, platform, host, rng, daemon, dialer)
     claims = Claims(
         incarnation,
         platform.table,
--- a/pumicedeck/connections.py
+++ b/pumicedeck/connections.py
@@ -8,13 +8,13 @@
 from circuits import handler
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
-from circuits.net.sockets import TCPServer
 from loguru import logger
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.codecs import FrameBuffer, encode
 from pumicedeck.handshakes import Hello
 from pumicedeck.messages import Heartbeat, Message
+from pumicedeck.prompt_servers import PromptServer
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.sessions import Closed, Delivered, Opened, Session, SessionSettings, Transmit
 from pumicedeck.world import Address
@@ -55,7 +55,7 @@
         self.opened = False
 
 
-class Connections(TCPServer):
+class Connections(PromptServer):
     """Listens for sessions, dials others, and runs the session logic on them.
 
     circuits' own client waits inside the loop while it connects; this one watches the socket for
@@ -222,25 +222,10 @@
                     self._end(connection, failure)
 
     def _transmit(self, connection: _Connection, data: bytes) -> None:
-        sock = connection.sock
-        if sock.fileno() < 0:
-            # It broke in this turn of the loop; its `disconnect` event is on the way.
-            return
-        waiting = self._buffers.get(sock)
-        if waiting and sum(map(len, waiting)) > MAX_UNSENT_BYTES:
+        if self.unsent_bytes(connection.sock) > MAX_UNSENT_BYTES:
             self._end(connection, Failure(ResultCode.SESSION_LOST, "the peer does not read"))
             return
-        if not waiting:
-            data = data[self._send_now(sock, data) :]
-        if data:
-            self.write(sock, data)
-
-    def _send_now(self, sock: socket.socket, data: bytes) -> int:
-        try:
-            return sock.send(data)
-        except OSError:
-            # The poller reports a broken connection; what cannot be sent now is buffered.
-            return 0
+        self.send_bytes(connection.sock, data)
 
     def _end(self, connection: _Connection, failure: Failure) -> None:
         # The server makes a buffer anew after it closed a socket in a failed write.
--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -25,15 +26,14 @@
 
 IN_PROCESS_ADAPTER = "standin"
 
+T = TypeVar("T", bound=ProcessSettings)
+
 
 def run_entry(path: Path) -> Result[None, Failure]:
     """Run an entry until it is drained."""
-    settings = load_settings(EntrySettings, path)
+    settings = _load(EntrySettings, path)
     if isinstance(settings, Err):
         return settings
-    remote = _check_remote(path, settings.ok_value)
-    if isinstance(remote, Err):
-        return remote
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
     return _run(process, lambda: build_entry(settings.ok_value, host, platform, process.finish))
@@ -41,12 +41,9 @@
 
 def run_agent(path: Path) -> Result[None, Failure]:
     """Run an agent until it is drained."""
-    settings = load_settings(AgentSettings, path)
+    settings = _load(AgentSettings, path)
     if isinstance(settings, Err):
         return settings
-    remote = _check_remote(path, settings.ok_value)
-    if isinstance(remote, Err):
-        return remote
     process, host = _prepare(settings.ok_value)
     platform = connect_platform(settings.ok_value, host)
     endpoint = connect_endpoint(settings.ok_value, host)
@@ -75,6 +72,13 @@
     return Ok(None)
 
 
+def _load(cls: type[T], path: Path) -> Result[T, Failure]:
+    settings = load_settings(cls, path)
+    if isinstance(settings, Err):
+        return settings
+    return _check_remote(path, settings.ok_value).map(lambda _: settings.ok_value)
+
+
 def _check_remote(path: Path, settings: ProcessSettings) -> Result[None, Failure]:
     """Refuse adapters that reach nothing outside this process."""
     chosen = settings.platform
--- a/pumicedeck/http_writers.py
+++ b/pumicedeck/http_writers.py
@@ -1,36 +1,14 @@
 """circuits.web's server with answers written in one piece and at once."""
 
-import socket
-
 from circuits import handler
 from circuits.net.events import close
-from circuits.net.sockets import TCPServer
 from circuits.web.http import HTTP
 from circuits.web.servers import BaseServer
 
+from pumicedeck.prompt_servers import PromptServer
 from pumicedeck.world import Address
 
 
-class PromptServer(TCPServer):
-    """Sends at once what the socket takes and leaves only the rest to the poller."""
-
-    def send(self, sock: socket.socket, data: bytes) -> None:
-        """Send bytes after what waits already."""
-        if sock not in self._clients:
-            return
-        if not self._buffers[sock]:
-            data = data[self._send_now(sock, data) :]
-        if data:
-            self.write(sock, data)
-
-    def _send_now(self, sock: socket.socket, data: bytes) -> int:
-        try:
-            return sock.send(data)
-        except OSError:
-            # The poller reports a broken connection; what cannot be sent now is buffered.
-            return 0
-
-
 class PromptHttp(HTTP):
     """Writes the head and body of an answer together; streams stay as they are.
 
@@ -46,7 +24,7 @@
         parts = [bytes(res), bytes(res.headers)]
         if res.request.method != "HEAD" and not res.stream:
             parts += res.body
-        self._server.server.send(sock, b"".join(parts))
+        self._server.server.send_bytes(sock, b"".join(parts))
         if res.stream:
             return
         if res.close:
--- a/pumicedeck/routers.py
+++ b/pumicedeck/routers.py
@@ -57,6 +57,11 @@
         self._seed = seed
         self._candidates: dict[str, Candidate] = {}
 
+    @property
+    def paid_bytes(self) -> dict[str, int]:
+        """Return the bytes sent over paid links, by firm; none where they are not counted."""
+        return {}
+
     def add(self, now: float, candidate: Candidate) -> None:
         """Take an agent into the choice."""
         self._candidates[candidate.agent] = candidate
