--- a/pumicedeck/experiment_commands.py
+++ b/pumicedeck/experiment_commands.py
@@ -6,7 +6,9 @@
 from typing import Annotated
 
 import typer
+from loguru import logger
 
+from pumicedeck.capacity_slopes import measure_capacity
 from pumicedeck.cli_outputs import finish, print_table
 from pumicedeck.draft_experiments import STEPS, draft_table, measure_drafts
 from pumicedeck.draft_policies import SCENES
@@ -30,6 +32,13 @@
     help="Measure the decision objects in process, in virtual time.", no_args_is_help=True
 )
 
+
+@experiment_app.callback()
+def silence_logs() -> None:
+    """Measure the decision objects in process, in virtual time."""
+    logger.remove()
+
+
 OutputOption = Annotated[
     Path | None, typer.Option("--output", help="Also write the page or plot to this file.")
 ]
@@ -208,3 +217,10 @@
     typer.echo(swap_table(scene, measure_swaps(scene, seeds)))
     if lowest:
         typer.echo(f"lowest rate found: {lowest_rate(scene):.3g} bytes/s")
+
+
+@experiment_app.command("capacity")
+def capacity() -> None:
+    """Measure the slopes of processor time, memory and messages that docs/CAPACITY.md uses."""
+    for slope in measure_capacity():
+        typer.echo(slope.text())
