--- a/pumicedeck/tests/test_load_scenarios.py
+++ b/pumicedeck/tests/test_load_scenarios.py
@@ -14,6 +14,8 @@
 PREFIX_FACTOR = 1.5
 NEIGHBOUR_FACTOR = 1.1
 NEIGHBOUR_FRACTION = 0.95
+HALF_OF_SHARE = 0.5
+NEAR_SHARE = 0.9
 GOODPUT_FRACTION = 0.9
 RECOVERY_SECONDS = 30.0
 ATTEMPTS_PER_REQUEST = 1.1
@@ -53,11 +55,24 @@
     assert ours.attempts_per_request <= ATTEMPTS_PER_REQUEST
 
 
-@pytest.mark.parametrize("firms", [2, 20])
-def test_a_firm_at_ten_times_its_share_harms_no_other(firms):
+def busier(experiment, factor):
+    """Return the experiment with more demand of every firm but the flooding one."""
+    loads = [
+        each if each.firm == "flood" else each.model_copy(update={"rate": each.rate * factor})
+        for each in experiment.loads
+    ]
+    return experiment.model_copy(update={"loads": tuple(loads)})
+
+
+@pytest.mark.parametrize(
+    ("firms", "demand"),
+    [(2, HALF_OF_SHARE), (20, HALF_OF_SHARE), (2, NEAR_SHARE), (20, NEAR_SHARE)],
+)
+def test_a_firm_at_ten_times_its_share_harms_no_other(firms, demand):
     changes = {"seconds": 90.0, "warmup": 20.0}
-    base = run(read(f"starvation-{firms}-base", **changes))
-    flood = run(read(f"starvation-{firms}", **changes))
+    factor = demand / HALF_OF_SHARE
+    base = run(busier(read(f"starvation-{firms}-base", **changes), factor))
+    flood = run(busier(read(f"starvation-{firms}", **changes), factor))
     for kind in ("calls", "drafts"):
         before, after = (
             [each for each in figures.loads if each.entry.startswith(kind)]
