Let a leaving entry end its open draws within the grace period

Change: readiness fails and new draws are refused at once; the state machine drains when the open draws have ended or times.drain_grace is over.

--- a/pumicedeck/caller_api.py
+++ b/pumicedeck/caller_api.py
@@ -123,6 +123,9 @@
         if entry.request_class is not RequestClass.ROLLOUT:
             exchange.fail(Failure(ResultCode.BAD_REQUEST, f"{entry.name} is not a rollout entry"))
             return
+        if self._daemon.is_draining:
+            exchange.fail(Failure(ResultCode.NOT_READY, "the entry is leaving", 1.0))
+            return
         handle = self._make_id()
         scorer = self._daemon.catalogue.entry(entry.scorer) if entry.scorer else None
         request = parse_draw(handle, entry, exchange.body, scorer)
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -304,6 +304,7 @@
             router,
             limiter,
             histograms,
+            settings.times.drain_grace,
             stopped,
             lambda: router.paid_bytes,
         )
@@ -321,8 +322,8 @@
         time.time,
     )
     sweeps = ClaimSweeps(platform.table, host.timers, time.time, rng)
-    daemon.bind(follower, dialer, claims, membership)
     draws = DrawSessions(DrawCoordinator(), daemon, host.timers, histograms, lambda: newest.ask())
+    daemon.bind(follower, dialer, claims, membership, lambda: draws.coordinator.open_draws)
     newest = NewestVersionPoll(
         host.timers, platform.weights, lambda: draws.models, draws.newest_known, rng
     )
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -45,6 +45,7 @@
 _log = logger.bind(module="entry")
 
 FIRST_SESSION_SECONDS = 10.0
+DRAW_CHECK_SECONDS = 0.25
 
 
 class AnswerSink(Protocol):
@@ -84,6 +85,7 @@
     router: Router
     limiter: EntryLimiter
     histograms: Histograms
+    drain_grace: float
     drained: Callable[[], None]
     paid_bytes: Callable[[], dict[str, int]]
 
@@ -113,6 +115,7 @@
         self._claims: ClaimWriter | None = None
         self._membership: MembershipDriver | None = None
         self._entries: frozenset[str] = frozenset()
+        self._open_draws: Callable[[], int] = lambda: 0
         self._is_draining = False
         self._started_at = 0.0
         self._wakeup = Wakeup(parts.timers, parts.requests.next_wakeup, self._on_time)
@@ -143,6 +146,11 @@
         waited = self._timers.now() - self._started_at
         return bool(self._peers.incarnations) or waited >= FIRST_SESSION_SECONDS
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the process is leaving."""
+        return self._is_draining
+
     @property
     def revision(self) -> int:
         """Return the catalogue revision in force, -1 if none."""
@@ -164,8 +172,10 @@
         dialer: AgentDialer,
         claims: ClaimWriter,
         membership: MembershipDriver,
+        open_draws: Callable[[], int],
     ) -> None:
-        """Complete the wiring."""
+        """Complete the wiring; `open_draws` counts the draws that have not ended."""
+        self._open_draws = open_draws
         self._membership = membership
         self._claims = claims
         self._follower = follower
@@ -186,12 +196,12 @@
         self._dialer.close()
 
     def drain(self) -> None:
-        """Fail the readiness check, serve for the balancer's notice time, then stop."""
+        """Fail the readiness check, let open draws end, serve for the notice time, then stop."""
         if self._is_draining:
             return
-        _log.info("drain started")
+        _log.info("drain started", draws=self._open_draws())
         self._is_draining = True
-        self._perform(self._requests.begin_drain(self._timers.now()))
+        self._drain_after_draws(self._timers.now() + self._parts.drain_grace)
 
     def installed(self, catalogue: Catalogue) -> None:
         """Put a newly installed catalogue in force."""
@@ -298,6 +308,13 @@
         revision = self._follower.revision
         return Heartbeat(self._beats, revision, floor=self._requests.floor)
 
+    def _drain_after_draws(self, deadline: float) -> None:
+        # A draw goes on submitting drafts, which a draining state machine would refuse.
+        if self._open_draws() and self._timers.now() < deadline:
+            self._timers.call_later(DRAW_CHECK_SECONDS, lambda: self._drain_after_draws(deadline))
+            return
+        self._perform(self._requests.begin_drain(self._timers.now()))
+
     def _on_time(self, now: float) -> None:
         self._perform(self._requests.on_time(now))
 
--- a/pumicedeck/tests/test_standin_fleets.py
+++ b/pumicedeck/tests/test_standin_fleets.py
@@ -216,3 +216,32 @@
         ("/stock?rig=7", ""),
         ("/stock", "rig=7"),
     )
+
+
+def test_an_entry_that_drains_ends_its_draw_whole_and_takes_no_new_one(path: _Path) -> None:
+    def draw(step: int, chunks: list[bytes]):
+        groups = [
+            {
+                "group": number,
+                "body": {"prompt": f"hall {number}", "max_tokens": 3000},
+                "samples": 6,
+            }
+            for number in range(40)
+        ]
+        document = {"trainer": "tuner-2", "step": step, "groups": groups, "newest_version": 0}
+        body = json.dumps(document).encode()
+        return path.send("/v1/entries/rig-presets/draws", body, chunk=chunks.append)
+
+    chunks: list[bytes] = []
+    outcomes = draw(1, chunks)
+    path.until(lambda: chunks)
+    assert not outcomes
+    path.entry.daemon.drain()
+    late: list[bytes] = []
+    refused = draw(2, late)
+    path.until(lambda: refused)
+    assert json.loads(refused[0].unwrap().body)["code"] == 207
+    path.until(lambda: outcomes)
+    lines = [json.loads(line) for line in b"".join(chunks).splitlines()]
+    assert sorted(line["group"] for line in lines[:-1]) == list(range(40))
+    assert "end" in lines[-1]
