--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -306,7 +306,6 @@
             histograms,
             settings.times.drain_grace,
             stopped,
-            lambda: router.paid_bytes,
         )
     )
     connections = _connect_peers(settings, VmRole.ENTRY, incarnation, host, daemon)
@@ -335,7 +334,7 @@
         settings.callers, f"callers_{settings.vm}", api.handle, _guard(settings, host)
     ).register(host.root)
     editor = CatalogueEditor(platform.table, platform.objects, host.timers, rng)
-    status = EntryStatus(incarnation, daemon, connections, histograms, draws, limiter, claims)
+    status = EntryStatus(incarnation, daemon, histograms, draws, claims)
     operators = _serve_operators(settings, host, status, editor, tokens)
 
     def start() -> None:
--- a/pumicedeck/entry_daemons.py
+++ b/pumicedeck/entry_daemons.py
@@ -87,7 +87,6 @@
     histograms: Histograms
     drain_grace: float
     drained: Callable[[], None]
-    paid_bytes: Callable[[], dict[str, int]]
 
 
 @dataclass(slots=True)
@@ -164,7 +163,7 @@
     @property
     def paid_bytes(self) -> dict[str, int]:
         """Return the bytes sent over paid links, by firm."""
-        return self._parts.paid_bytes()
+        return self._parts.router.paid_bytes
 
     def bind(
         self,
--- a/pumicedeck/kept_answers.py
+++ b/pumicedeck/kept_answers.py
@@ -15,11 +15,6 @@
         self._held: OrderedDict[AttemptId, tuple[float, int]] = OrderedDict()
         self._bytes = 0
 
-    @property
-    def held_bytes(self) -> int:
-        """Return the bytes of all kept answers."""
-        return self._bytes
-
     def __len__(self) -> int:
         """Return how many answers are kept."""
         return len(self._held)
--- a/pumicedeck/lease_keepers.py
+++ b/pumicedeck/lease_keepers.py
@@ -4,7 +4,6 @@
 
 from result import Ok, Result
 
-from pumicedeck.call_guards import guarded
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.leases import (
     CommitLease,
@@ -16,6 +15,7 @@
 )
 from pumicedeck.platforms import Committed, Row, TableStore
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.timeouts import with_timeout
 from pumicedeck.wakeups import Wakeup
 
 _READ_TIMED_OUT = Failure(ResultCode.STORE_UNAVAILABLE, "the read timed out")
@@ -74,7 +74,7 @@
         self._wakeup.refresh()
 
     def _guard(self, failure: Failure, done: Callable) -> Callable:
-        return guarded(self._timers, self._call_seconds, failure, done)
+        return with_timeout(self._timers, self._call_seconds, failure, done)
 
     def _read(self, outcome: Result[tuple[Row, ...], Failure]) -> None:
         row = Ok(outcome.unwrap()[0]) if outcome.is_ok() else outcome
--- a/pumicedeck/operator_api.py
+++ b/pumicedeck/operator_api.py
@@ -19,7 +19,6 @@
 from pumicedeck.entry_daemons import EntryDaemon
 from pumicedeck.histograms import Histograms
 from pumicedeck.http_servers import HttpExchange
-from pumicedeck.limiters import EntryLimiter
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tokens import Principal, TokenChecker
@@ -81,19 +80,15 @@
         self,
         incarnation: str,
         daemon: EntryDaemon,
-        connections: Connections,
         histograms: Histograms,
         draws: DrawSessions,
-        limiter: EntryLimiter,
         claims: Claims,
     ) -> None:
         """Describe `daemon`."""
         self._incarnation = incarnation
         self._daemon = daemon
-        self._connections = connections
         self._histograms = histograms
         self._draws = draws
-        self._limiter = limiter
         self._claims = claims
 
     @property
--- a/pumicedeck/trial_callers.py
+++ b/pumicedeck/trial_callers.py
@@ -1,6 +1,7 @@
 """Callers of a trial: they repeat a request with its id until its outcome is final."""
 
 import json
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -48,7 +49,31 @@
         return bool(self.told) and all(each is Told.NOT_RUN for each in self.told)
 
 
-class TrialCaller:
+class RandomArrivals(ABC):
+    """Begins something at random moments, `rate` times a second on average."""
+
+    def __init__(self, rate: float, timers: TimerQueue, rng: Random) -> None:
+        """Begin nothing before `start`."""
+        self._rate = rate
+        self._timers = timers
+        self._rng = rng
+        self._stopped = False
+
+    def start(self) -> None:
+        """Begin to call."""
+        if not self._stopped:
+            self._timers.call_later(self._rng.expovariate(self._rate), self._begin)
+
+    def stop(self) -> None:
+        """Begin no more requests."""
+        self._stopped = True
+
+    @abstractmethod
+    def _begin(self) -> None:
+        """Begin one and call `start` for the next."""
+
+
+class TrialCaller(RandomArrivals):
     """Calls a plain service at a rate and repeats what has no final outcome."""
 
     def __init__(
@@ -62,14 +87,11 @@
         rng: Random,
     ) -> None:
         """Call `entry_name` through any of `targets`, as behind a balancer."""
+        super().__init__(rate, timers, rng)
         self._entry_name = entry_name
         self._token = token
-        self._rate = rate
         self._client = client
         self._targets = targets
-        self._timers = timers
-        self._rng = rng
-        self._stopped = False
         self.requests: list[TrialRequest] = []
 
     @property
@@ -82,15 +104,6 @@
         """Return how many requests have no final outcome."""
         return sum(not each.final for each in self.requests)
 
-    def start(self) -> None:
-        """Begin to call."""
-        if not self._stopped:
-            self._timers.call_later(self._rng.expovariate(self._rate), self._begin)
-
-    def stop(self) -> None:
-        """Begin no more requests."""
-        self._stopped = True
-
     def _begin(self) -> None:
         self.start()
         number = len(self.requests)
@@ -161,7 +174,7 @@
     swapped: int = 0
 
 
-class StreamCaller:
+class StreamCaller(RandomArrivals):
     """Streams completions and checks that a clean end means the whole and own answer."""
 
     def __init__(
@@ -175,14 +188,11 @@
         rng: Random,
     ) -> None:
         """Stream from `entry_name` through `target()`."""
+        super().__init__(rate, timers, rng)
         self._entry_name = entry_name
         self._token = token
-        self._rate = rate
         self._client = client
         self._target = target
-        self._timers = timers
-        self._rng = rng
-        self._stopped = False
         self.counts = StreamCounts()
 
     @property
@@ -190,15 +200,6 @@
         """Return how many streams have not ended."""
         return self.counts.sent - self.counts.whole - self.counts.failed - self.counts.truncated
 
-    def start(self) -> None:
-        """Begin to call."""
-        if not self._stopped:
-            self._timers.call_later(self._rng.expovariate(self._rate), self._begin)
-
-    def stop(self) -> None:
-        """Begin no more requests."""
-        self._stopped = True
-
     def _begin(self) -> None:
         self.start()
         self.counts.sent += 1
--- a/pumicedeck/weight_followers.py
+++ b/pumicedeck/weight_followers.py
@@ -7,7 +7,6 @@
 from result import Err, Ok, Result
 
 from pumicedeck.attributions import Attributions
-from pumicedeck.call_guards import guarded
 from pumicedeck.catalogue_entries import SwapPolicy
 from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.lease_keepers import LeaseKeeper
@@ -34,6 +33,7 @@
 )
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.swaps import RunningDraft, SwapPlace, SwapSchedule, SwapSettings, choose_policy
+from pumicedeck.timeouts import with_timeout
 from pumicedeck.wakeups import Wakeup
 
 _NEWEST_TIMED_OUT = Failure(ResultCode.STORE_UNAVAILABLE, "the weight store timed out")
@@ -226,7 +226,7 @@
             del self._polls[model]
             return
         self._set_poll(model, self._settings.poll * self._random.uniform(0.75, 1.25))
-        done = guarded(
+        done = with_timeout(
             self._ports.timers, self._settings.call, _NEWEST_TIMED_OUT, self._newest_read
         )
         self._ports.weights.newest(model, done)
@@ -312,10 +312,12 @@
             self._carry_out(self._desk.order_replied(now, order.order_id, outcome))
 
         flight = self._settings.orders.longest_flight
-        self._ports.engine.order(order, guarded(timers, flight, _ORDER_TIMED_OUT, replied))
+        self._ports.engine.order(order, with_timeout(timers, flight, _ORDER_TIMED_OUT, replied))
 
     def _read_state(self) -> None:
-        done = guarded(self._ports.timers, self._settings.call, _STATE_TIMED_OUT, self._state_read)
+        done = with_timeout(
+            self._ports.timers, self._settings.call, _STATE_TIMED_OUT, self._state_read
+        )
         self._ports.engine.state(done)
 
     def _state_read(self, outcome: Result[EngineState, Failure]) -> None:
