--- a/pumicedeck/attributions.py
+++ b/pumicedeck/attributions.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from pumicedeck.platforms import TokenChunk
+from pumicedeck.platform_interfaces import TokenChunk
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.version_records import VersionRecord
 
--- a/pumicedeck/catalogue_editors.py
+++ b/pumicedeck/catalogue_editors.py
@@ -22,7 +22,7 @@
     plan_edit,
     refusal_transaction,
 )
-from pumicedeck.platforms import Committed, Done, ObjectStore, Row, StoreKey, TableStore
+from pumicedeck.platform_interfaces import Committed, Done, ObjectStore, Row, StoreKey, TableStore
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.store_budgets import TokenBucket
 from pumicedeck.timeouts import TimedObjectStore, TimedTableStore
--- a/pumicedeck/catalogue_followers.py
+++ b/pumicedeck/catalogue_followers.py
@@ -13,7 +13,7 @@
 from pumicedeck.catalogue_stores import CatalogueStore, Head
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.messages import CatalogueCopy, CatalogueRequest, Message
-from pumicedeck.platforms import ObjectStore, TableStore
+from pumicedeck.platform_interfaces import ObjectStore, TableStore
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.spread_actions import (
     AnnounceRevision,
--- a/pumicedeck/catalogue_loaders.py
+++ b/pumicedeck/catalogue_loaders.py
@@ -10,7 +10,7 @@
     decode_copy,
 )
 from pumicedeck.catalogue_stores import MAX_CHANGES_PER_READ, CatalogueStore, ChangesRead
-from pumicedeck.platforms import Done, ObjectStore
+from pumicedeck.platform_interfaces import Done, ObjectStore
 from pumicedeck.results import Failure
 
 
--- a/pumicedeck/catalogue_stores.py
+++ b/pumicedeck/catalogue_stores.py
@@ -15,7 +15,7 @@
     decode_row,
     history_key,
 )
-from pumicedeck.platforms import Done, Row, StoreKey, TableStore
+from pumicedeck.platform_interfaces import Done, Row, StoreKey, TableStore
 from pumicedeck.results import Failure, ResultCode
 
 MAX_ROWS = 10_000
--- a/pumicedeck/catalogue_upkeep.py
+++ b/pumicedeck/catalogue_upkeep.py
@@ -10,7 +10,7 @@
     history_key,
 )
 from pumicedeck.edits import KEPT_CHANGES, EditPlan, new_change_id
-from pumicedeck.platforms import ObjectStore, Row, TableStore, Transaction, Write
+from pumicedeck.platform_interfaces import ObjectStore, Row, TableStore, Transaction, Write
 from pumicedeck.results import Failure
 
 TRIMMED_PER_EDIT = 8
--- a/pumicedeck/claim_sweeps.py
+++ b/pumicedeck/claim_sweeps.py
@@ -13,7 +13,7 @@
 
 from pumicedeck.claim_rows import CLAIMS_TABLE, TIMED_PREFIX, WATERMARK_KEY, bucket_end
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Committed,
     Condition,
     Row,
--- a/pumicedeck/claims.py
+++ b/pumicedeck/claims.py
@@ -24,7 +24,7 @@
     request_second,
 )
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Committed,
     Condition,
     Row,
--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -41,6 +41,18 @@
     finish(run_agent(settings))
 
 
+@app.command()
+def gateway(
+    settings: Annotated[
+        Path, typer.Argument(envvar="PUMICEDECK_BOOT", help="The settings file, in YAML.")
+    ],
+) -> None:
+    """Run a gateway: callers and trainers on one side, endpoints and the store on the other."""
+    from pumicedeck.gateway_compositions import run_gateway
+
+    finish(run_gateway(settings))
+
+
 @app.command()
 def standins(settings: SettingsArgument) -> None:
     """Run stand-ins of the platform and of endpoints, for trials on one machine."""
--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -40,7 +40,7 @@
 from pumicedeck.memberships import MembershipSettings
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     ModelEngine,
     ObjectStore,
     PlainService,
--- a/pumicedeck/demand_exchanges.py
+++ b/pumicedeck/demand_exchanges.py
@@ -8,7 +8,7 @@
 from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.limit_shares import Demand
 from pumicedeck.limiters import EntryLimiter
-from pumicedeck.platforms import Committed, Row, TableStore, Transaction, Write
+from pumicedeck.platform_interfaces import Committed, Row, TableStore, Transaction, Write
 from pumicedeck.results import Failure
 from pumicedeck.timeouts import TimedTableStore
 
--- a/pumicedeck/demos.py
+++ b/pumicedeck/demos.py
@@ -20,7 +20,7 @@
 )
 from pumicedeck.edits import make_edit, new_change_id
 from pumicedeck.http_clients import HttpClient
-from pumicedeck.platforms import WeightVersion
+from pumicedeck.platform_interfaces import WeightVersion
 from pumicedeck.processes import Process
 from pumicedeck.standin_fleets import StandinFleet
 from pumicedeck.standin_services import StandinService
--- a/pumicedeck/edits.py
+++ b/pumicedeck/edits.py
@@ -29,7 +29,7 @@
     history_key,
     name_of,
 )
-from pumicedeck.platforms import Condition, Transaction, Write
+from pumicedeck.platform_interfaces import Condition, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
 MAX_ROWS_PER_EDIT = 256
--- a/pumicedeck/endpoint_watches.py
+++ b/pumicedeck/endpoint_watches.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import EngineState, ModelEngine, PlainService
+from pumicedeck.platform_interfaces import EngineState, ModelEngine, PlainService
 from pumicedeck.results import Failure
 
 WATCH_SECONDS = 1.0
--- a/pumicedeck/engine_weights.py
+++ b/pumicedeck/engine_weights.py
@@ -7,7 +7,7 @@
 
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import VmList
+from pumicedeck.platform_interfaces import VmList
 from pumicedeck.results import Failure
 from pumicedeck.swaps import swap_place
 from pumicedeck.weight_followers import WeightFollower
--- a/pumicedeck/executions.py
+++ b/pumicedeck/executions.py
@@ -11,7 +11,7 @@
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.messages import AttemptId, Dispatch
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Generation,
     GenerationEnd,
     ModelEngine,
--- /dev/null
+++ b/pumicedeck/gateway_compositions.py
@@ -0,0 +1,251 @@
+"""Wires a gateway: the composition root of the process that runs on the users' platform."""
+
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from circuits import Component
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.call_forwarders import CallForwarder
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.direct_endpoints import EndpointDirectory
+from pumicedeck.endpoint_callers import EndpointCaller
+from pumicedeck.endpoint_lists import EndpointList
+from pumicedeck.engine_orders import EngineOrders
+from pumicedeck.gateway_settings import GatewaySettings
+from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.http_messages import HttpClientSettings
+from pumicedeck.lease_keepers import LeaseKeeper
+from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
+from pumicedeck.log_writers import LogWriter
+from pumicedeck.logs import set_up_event_logs
+from pumicedeck.part_tables import PartTableStore
+from pumicedeck.partitioned_stores import StoredRow
+from pumicedeck.platform.caller_calls import PlatformCallerDialect, PlatformSubmissionDialect
+from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
+from pumicedeck.platform.registrations import (
+    ENDPOINT_TABLE,
+    OPERATOR_TABLE,
+    ROUTES_KEY,
+    VERSION_PREFIX,
+    decode_endpoint,
+    decode_named_version,
+    decode_routes,
+)
+from pumicedeck.platform.stores import HttpPartitionedStore
+from pumicedeck.processes import Process
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.reward_calls import RewardCaller
+from pumicedeck.schedulers import Scheduler, SchedulerParts
+from pumicedeck.settings import load_settings
+from pumicedeck.store_clocks import StoreClock
+from pumicedeck.store_feeds import FeedSettings, StoreFeed
+from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.tasks import sleep, spawn
+from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
+from pumicedeck.world import FailureDomain
+
+SCHEDULER_LEASE = "scheduler"
+LEASE_SETTINGS = LeaseSettings(
+    duration=2.0, margin=0.25, renew_after=0.6, retry=0.2, observe_every=0.4
+)
+LEASE_CALL_SECONDS = 0.8
+STORE_CLIENT = HttpClientSettings(
+    connect_seconds=0.8, pooled_seconds=8.0, acknowledge_seconds=2.0, connections_per_address=24
+)
+ENDPOINT_CLIENT = HttpClientSettings(
+    connect_seconds=0.4,
+    pooled_seconds=12.0,
+    acknowledge_seconds=2.0,
+    connections_per_address=40,
+    unframed_answers=True,
+)
+RELOAD_SECONDS = 1.0
+
+_log = logger.bind(module="gateway_compositions")
+
+
+@dataclass(frozen=True, slots=True)
+class RunningGateway:
+    """A wired gateway; `close` undoes `start`."""
+
+    start: Callable[[], None]
+    drain: Callable[[], None]
+    close: Callable[[], None]
+    gateway: Gateway
+
+
+def boot_time() -> float:
+    """Return seconds that also pass while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def build_gateway(
+    settings: GatewaySettings, root: Component, timers: TimerQueue, finish: Callable[[], None]
+) -> RunningGateway:
+    """Wire a gateway on one loop."""
+    random = Random(f"{settings.vm}/{time.time_ns()}")
+    home = FailureDomain(settings.failure_domain, settings.region)
+    store_client = HttpClient(timers, STORE_CLIENT).register(root)
+    endpoint_client = HttpClient(timers, ENDPOINT_CLIENT).register(root)
+    store = HttpPartitionedStore(store_client, settings.store.address, settings.store.call_seconds)
+    clock = StoreClock(timers)
+    mirror = WorkMirror()
+    directory = EndpointDirectory(home, random)
+    endpoints = EndpointList(
+        timers,
+        directory,
+        lambda name, value: decode_endpoint(name, value, settings.regions),
+    )
+    caller = EndpointCaller(timers, endpoint_client, PlatformEndpointDialect(), directory)
+    named_versions: dict[str, int] = {}
+    lease_holder = LeaseHolder(
+        SCHEDULER_LEASE, f"{settings.vm}/{random.getrandbits(48):012x}", LEASE_SETTINGS
+    )
+    scheduler = Scheduler(
+        SchedulerParts(
+            timers=timers,
+            store=store,
+            clock=clock,
+            mirror=mirror,
+            directory=directory,
+            caller=caller,
+            rewards=RewardCaller(timers, caller, directory, random),
+            orders=EngineOrders(timers, caller, lease_holder, settings.vm),
+            routes=lambda: gateway.routes,
+            named_versions=named_versions,
+            holder=settings.vm,
+            home=home,
+        )
+    )
+
+    def acquired(lease: LeaseAcquired) -> None:
+        scheduler.begin(lease.fencing, lease.predecessor)
+
+    lease = LeaseKeeper(
+        lease_holder,
+        timers,
+        PartTableStore(store),
+        acquired,
+        LEASE_CALL_SECONDS,
+        taken=lambda other: scheduler.stop(f"{other} holds the lease"),
+    )
+
+    def take_operator_rows(rows: tuple[StoredRow, ...], full: bool) -> None:
+        for row in rows:
+            if row.value is None:
+                continue
+            if row.row.key == ROUTES_KEY:
+                decoded = decode_routes(row.value)
+                if isinstance(decoded, Err):
+                    _log.error("routes not installed", detail=decoded.err_value.detail)
+                else:
+                    gateway.install_routes(decoded.ok_value)
+            elif row.row.key.startswith(VERSION_PREFIX):
+                named = decode_named_version(row.value)
+                if named is not None and named[1] > named_versions.get(named[0], 0):
+                    named_versions[named[0]] = named[1]
+                    _log.info("version named", model=named[0], version=named[1])
+                    mirror.changed.notify()
+
+    slow = FeedSettings(wait_seconds=1.0)
+    operator_feed = StoreFeed(timers, store, clock, OPERATOR_TABLE, take_operator_rows, slow)
+    endpoint_feed = StoreFeed(timers, store, clock, ENDPOINT_TABLE, endpoints.take, slow)
+    work_feed = StoreFeed(timers, store, clock, WORK_TABLE, lambda rows, full: mirror.take(rows))
+    heard_before = 0.0
+
+    def heard() -> None:
+        nonlocal heard_before
+        if endpoint_feed.heard_at > heard_before:
+            heard_before = endpoint_feed.heard_at
+            endpoints.heard()
+
+    dialect = PlatformCallerDialect()
+    grace = settings.promises.grace_seconds
+    gateway = Gateway(
+        GatewayParts(
+            timers=timers,
+            callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
+            readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
+            forwarder=CallForwarder(timers, caller, directory, dialect, random),
+            intake=SubmissionIntake(timers, store, mirror),
+            scheduler=scheduler,
+            lease=lease,
+            mirror=mirror,
+            clock=clock,
+            feeds=(operator_feed, endpoint_feed, work_feed),
+            work_feed=work_feed,
+            heard=heard,
+            caller_dialect=dialect,
+            submission_dialect=PlatformSubmissionDialect(),
+            finish=finish,
+        ),
+        GatewayTimes(latest_seconds=grace - min(0.6, grace / 4)),
+    )
+
+    def close() -> None:
+        gateway.close()
+        store_client.close()
+        endpoint_client.close()
+
+    return RunningGateway(gateway.start, gateway.drain, close, gateway)
+
+
+def run_gateway(path: Path) -> Result[None, Failure]:
+    """Run a gateway as a process until it is drained."""
+    loaded = load_settings(GatewaySettings, path)
+    if isinstance(loaded, Err):
+        return loaded
+    settings = loaded.ok_value
+    writer = LogWriter(sys.stdout.fileno())
+    set_up_event_logs(settings.vm, settings.log.level, writer.write)
+    process = Process(boot_time)
+    running = build_gateway(settings, process, process.timers, process.finish)
+    process.on_signal(running.drain)
+    signal.signal(signal.SIGHUP, lambda number, frame: None)
+    spawn(_follow_settings(process.timers, path, writer.write), "settings")
+
+    def start() -> None:
+        try:
+            running.start()
+        except OSError as error:
+            _log.error("cannot listen", error=str(error))
+            process.stop(1)
+
+    process.timers.call_later(0.0, start)
+    process.run()
+    running.close()
+    return Ok(None)
+
+
+async def _follow_settings(timers: TimerQueue, path: Path, write: Callable[[str], None]) -> None:
+    """Check the settings file when it changes; a wrong one is told and left aside."""
+    known = path.read_bytes()
+    while True:
+        await sleep(timers, RELOAD_SECONDS)
+        try:
+            found = path.read_bytes()
+        except OSError as error:
+            _log.warning("settings cannot be read", error=str(error))
+            continue
+        if found == known:
+            continue
+        known = found
+        loaded = load_settings(GatewaySettings, path)
+        if isinstance(loaded, Err):
+            _log.error(
+                "settings not taken",
+                code=int(ResultCode.BAD_SETTINGS),
+                detail=loaded.err_value.detail,
+            )
+            continue
+        set_up_event_logs(loaded.ok_value.vm, loaded.ok_value.log.level, write)
+        _log.info("settings reloaded")
--- /dev/null
+++ b/pumicedeck/gateway_settings.py
@@ -0,0 +1,51 @@
+"""Settings of a gateway."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from pumicedeck.settings import ListenAddress, LogSettings, Section
+
+
+class StoreSettings(Section):
+    """The platform's store; rates are calls a second of all processes together."""
+
+    address: ListenAddress
+    call_seconds: float = 2.0
+    writes_per_second: float = 800.0
+    reads_per_second: float = 2000.0
+    row_bytes: int = 65_536
+
+
+class PromiseSettings(BaseModel):
+    """Bounds that the users set; times are in seconds once read."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    drain_milliseconds: int = 3000
+    grace_seconds: float = 8.0
+    lease_milliseconds: int = 3000
+    status_seconds: float = 120.0
+    settle_milliseconds: int = 1000
+
+
+class MachineSettings(Section):
+    """What this VM has: cores as a share of one, bytes and descriptors."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    memory_megabytes: int = 256
+    descriptors: int = 1024
+
+
+class GatewaySettings(Section):
+    """A gateway: where callers and the balancer reach it, and the platform's store."""
+
+    vm: str = Field(min_length=1)
+    failure_domain: str = Field(min_length=1)
+    region: str = Field(min_length=1)
+    regions: dict[str, str] = {}
+    callers: ListenAddress
+    readiness: ListenAddress
+    store: StoreSettings
+    promises: PromiseSettings = PromiseSettings()
+    machine: MachineSettings = MachineSettings()
+    log: LogSettings = LogSettings()
--- /dev/null
+++ b/pumicedeck/gateways.py
@@ -0,0 +1,276 @@
+"""A gateway: callers on one side, endpoints on the other, everything that lasts in the store."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+from result import Err, Ok
+
+from pumicedeck.call_forwarders import CallForwarder
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.dialects import (
+    CallerDialect,
+    EndSubmission,
+    ForwardedCall,
+    ReadItem,
+    ReadResults,
+    SubmissionDialect,
+    SubmissionVerb,
+)
+from pumicedeck.http_listeners import HttpListener, IncomingCall
+from pumicedeck.lease_keepers import LeaseKeeper
+from pumicedeck.process_figures import read_process_figures
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.route_tables import Route, RouteKind, RouteTable
+from pumicedeck.schedulers import Scheduler
+from pumicedeck.store_clocks import StoreClock
+from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.tasks import sleep, spawn
+from pumicedeck.work_mirrors import WorkMirror
+
+_log = logger.bind(module="gateways")
+
+_JSON_TYPE = (("Content-Type", "application/json"),)
+_BYTES_TYPE = (("Content-Type", "application/octet-stream"),)
+_NOT_READY = Failure(ResultCode.NOT_READY, "no configuration yet", proven_not_run=True)
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayTimes:
+    """Times in seconds.
+
+    After a signal to stop, the balancer takes `notice_seconds` to send new connections elsewhere;
+    the process ends `latest_seconds` after the signal at the latest.
+    """
+
+    notice_seconds: float = 2.6
+    latest_seconds: float = 7.4
+    look_seconds: float = 0.1
+    watch_seconds: float = 0.05
+    return_seconds: float = 0.5
+    figures_seconds: float = 10.0
+
+
+@dataclass(slots=True)
+class GatewayParts:
+    """What a gateway is made of."""
+
+    timers: TimerQueue
+    callers: HttpListener
+    readiness: HttpListener
+    forwarder: CallForwarder
+    intake: SubmissionIntake
+    scheduler: Scheduler
+    lease: LeaseKeeper
+    mirror: WorkMirror
+    clock: StoreClock
+    feeds: tuple[StoreFeed, ...]
+    work_feed: StoreFeed
+    heard: Callable[[], None]
+    caller_dialect: CallerDialect
+    submission_dialect: SubmissionDialect
+    finish: Callable[[], None]
+
+
+class Gateway:
+    """Takes callers' requests and answers the balancer."""
+
+    def __init__(self, parts: GatewayParts, times: GatewayTimes) -> None:
+        """Do nothing until `start`."""
+        self._parts = parts
+        self._timers = parts.timers
+        self._times = times
+        self._routes: RouteTable | None = None
+        self._draining = False
+        self._was_ready = False
+
+    @property
+    def routes(self) -> RouteTable | None:
+        """Return the routes in force."""
+        return self._routes
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        loaded = all(feed.is_loaded for feed in self._parts.feeds)
+        return loaded and self._routes is not None and not self._draining
+
+    def install_routes(self, routes: RouteTable) -> None:
+        """Put a version of the routes in force; an older one is ignored."""
+        if self._routes is not None and routes.version <= self._routes.version:
+            return
+        self._routes = routes
+        _log.info("routes in force", version=routes.version, routes=len(routes.routes))
+
+    def start(self) -> None:
+        """Listen and follow the store."""
+        parts = self._parts
+        parts.readiness.handle = self.answer_readiness
+        parts.callers.handle = self.handle
+        parts.readiness.start()
+        parts.callers.start()
+        for feed in parts.feeds:
+            feed.start()
+        spawn(self._watch(), "gateway watch")
+        spawn(self._figures(), "gateway figures")
+        _log.info("started", callers=str(parts.callers.address))
+
+    def drain(self) -> None:
+        """Stop taking new work and end once what is open is answered."""
+        if self._draining:
+            return
+        self._draining = True
+        _log.info("stopping", open_calls=self._parts.callers.open_calls)
+        self._parts.callers.drain()
+        spawn(self._leave(), "gateway leave")
+
+    def close(self) -> None:
+        """Release the sockets."""
+        for feed in self._parts.feeds:
+            feed.close()
+        self._parts.callers.close()
+        self._parts.readiness.close()
+
+    def answer_readiness(self, incoming: IncomingCall) -> None:
+        """Answer the balancer and readers of metrics."""
+        if incoming.target.startswith("/metrics"):
+            incoming.answer(200, (("Content-Type", "text/plain"),), self._metrics())
+            return
+        ready = self.is_ready
+        incoming.answer(200 if ready else 503, _JSON_TYPE, json.dumps(ready).encode())
+
+    def handle(self, incoming: IncomingCall) -> None:
+        """Serve one request."""
+        call = self._parts.caller_dialect.call(incoming)
+        if self._routes is None:
+            self._refuse(incoming, call, _NOT_READY)
+            return
+        verb = self._parts.submission_dialect.verb(incoming)
+        if verb is not None and self._serves_submissions(incoming.host):
+            spawn(self._serve_verb(incoming, call, verb), "submission call")
+            return
+        route = self._routes.find(incoming.host, call.path)
+        if route is None:
+            self._refuse(incoming, call, Failure(ResultCode.NO_ROUTE, "no route", None, True))
+        elif route.kind is RouteKind.SUBMISSION:
+            spawn(self._accept(incoming, call, route), f"submission {call.request_id}")
+        else:
+            self._parts.forwarder.handle(incoming, call, route)
+
+    def _serves_submissions(self, host: str) -> bool:
+        return any(
+            route.kind is RouteKind.SUBMISSION and route.host.lower() == host
+            for route in self._routes.routes
+        )
+
+    def _refuse(self, incoming: IncomingCall, call: ForwardedCall, failure: Failure) -> None:
+        status = failure.code.info.http_status
+        retry = self._times.return_seconds if status in (429, 503) else None
+        self._parts.forwarder.refuse(incoming, call, failure, retry)
+
+    async def _accept(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> None:
+        if not self._parts.clock.is_set:
+            self._refuse(incoming, call, _NOT_READY)
+            return
+        accepted = self._parts.clock.now()
+        read = self._parts.submission_dialect.submission(call, route.name, accepted)
+        if isinstance(read, Err):
+            self._refuse(incoming, call, read.err_value)
+            return
+        outcome = await self._parts.intake.accept(read.ok_value)
+        if isinstance(outcome, Err):
+            self._refuse(incoming, call, outcome.err_value)
+            return
+        head = read.ok_value.head
+        _log.info(
+            "submission accepted",
+            submission=head.submission_id,
+            step=head.step,
+            items=head.total,
+            seconds=round(self._timers.now() - incoming.arrived, 3),
+        )
+        incoming.answer(202, _JSON_TYPE, b"{}")
+
+    async def _serve_verb(
+        self, incoming: IncomingCall, call: ForwardedCall, verb: SubmissionVerb
+    ) -> None:
+        intake = self._parts.intake
+        match verb:
+            case ReadResults(submission_id, after, wait):
+                outcome = await intake.results(submission_id, after, wait)
+                if isinstance(outcome, Ok):
+                    total, results = outcome.ok_value
+                    documents = [result.document() for result in results]
+                    body = self._parts.submission_dialect.results(total, after, documents)
+                    incoming.answer(200, _JSON_TYPE, body)
+            case ReadItem(submission_id, item_id):
+                outcome = await intake.item_body(submission_id, item_id)
+                if isinstance(outcome, Ok):
+                    incoming.answer(200, _BYTES_TYPE, outcome.ok_value)
+            case EndSubmission(submission_id):
+                outcome = await intake.end(submission_id)
+                if isinstance(outcome, Ok):
+                    incoming.answer(200, _JSON_TYPE, b"{}")
+        if isinstance(outcome, Err):
+            self._refuse(incoming, call, outcome.err_value)
+
+    async def _watch(self) -> None:
+        """Note the store's answers, and want the lease once all is known."""
+        wanted = False
+        while True:
+            await sleep(self._timers, self._times.watch_seconds)
+            self._parts.heard()
+            self._parts.mirror.fresh_at = self._parts.work_feed.heard_at
+            if self.is_ready is not self._was_ready:
+                self._was_ready = self.is_ready
+                _log.info("readiness changed", ready=self._was_ready)
+            if self.is_ready and not wanted:
+                wanted = True
+                self._parts.lease.want()
+
+    async def _figures(self) -> None:
+        while True:
+            await sleep(self._timers, self._times.figures_seconds)
+            figures = read_process_figures()
+            _log.info(
+                "figures",
+                cpu_seconds=round(figures.cpu_seconds, 3),
+                resident_bytes=figures.resident_bytes,
+                submissions=len(self._parts.mirror.views),
+                running_items=self._parts.scheduler.running_items,
+            )
+
+    async def _leave(self) -> None:
+        started = self._timers.now()
+        if self._parts.scheduler.is_active:
+            await self._parts.scheduler.hand_over()
+            self._parts.scheduler.stop("the process ends")
+        self._parts.lease.release()
+        closed = False
+        while self._timers.now() - started < self._times.latest_seconds:
+            await sleep(self._timers, self._times.look_seconds)
+            if self._timers.now() - started < self._times.notice_seconds:
+                continue
+            if not closed:
+                closed = True
+                self._parts.callers.close_idle()
+            elif not self._parts.callers.open_calls:
+                break
+        _log.info("stopped", open_calls=self._parts.callers.open_calls)
+        self._parts.finish()
+
+    def _metrics(self) -> bytes:
+        figures = read_process_figures()
+        lines = {
+            "pumicedeck_ready": int(self.is_ready),
+            "pumicedeck_routes_version": self._routes.version if self._routes else 0,
+            "pumicedeck_scheduler_active": int(self._parts.scheduler.is_active),
+            "pumicedeck_running_items": self._parts.scheduler.running_items,
+            "pumicedeck_open_submissions": self._parts.scheduler.open_works,
+            "pumicedeck_open_calls": self._parts.callers.open_calls,
+            "pumicedeck_cpu_seconds": figures.cpu_seconds,
+            "pumicedeck_resident_bytes": figures.resident_bytes,
+        }
+        return "".join(f"{name} {value}\n" for name, value in lines.items()).encode()
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -24,7 +24,7 @@
     HttpRequest,
     HttpResponse,
 )
-from pumicedeck.platforms import Done
+from pumicedeck.platform_interfaces import Done
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address
 
@@ -39,6 +39,7 @@
     done: Done[HttpResponse]
     chunk: Callable[[bytes], None] | None
     silence: float
+    head: Callable[[HttpResponse], bool] | None
     release: Callable[["HttpExchange"], None]
     connection: HttpConnection | None = None
     written: bool = False
@@ -103,10 +104,16 @@
         done: Done[HttpResponse],
         chunk: Callable[[bytes], None] | None = None,
         silence_seconds: float | None = None,
+        head: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpExchange:
-        """Send a request; with `chunk` the body of a successful response is streamed there."""
+        """Send a request; with `chunk` the body of a successful response is streamed there.
+
+        `head` sees the response before its body; False ends the exchange and its connection.
+        """
         silence = self._settings.silence_seconds if silence_seconds is None else silence_seconds
-        exchange = HttpExchange(request, done, chunk, silence, self._release)
+        exchange = HttpExchange(request, done, chunk, silence, head, self._release)
+        if head is not None:
+            exchange.head = lambda response: self._on_head(exchange, head, response)
         if chunk is not None:
             exchange.chunk = lambda data: self._on_chunk(exchange, chunk, data)
         if self._closed:
@@ -202,7 +209,7 @@
         self._exchanges[connection] = exchange
         exchange.connection = connection
         try:
-            connection.send(exchange.request, exchange.chunk, exchange.silence)
+            connection.send(exchange.request, exchange.chunk, exchange.silence, exchange.head)
         except h11.LocalProtocolError as error:
             self._forget(connection)
             failure = Failure(ResultCode.BAD_REQUEST, str(error), proven_not_run=True)
@@ -281,6 +288,15 @@
         if not exchange.ended:
             chunk(data)
 
+    def _on_head(
+        self,
+        exchange: HttpExchange,
+        head: Callable[[HttpResponse], bool],
+        response: HttpResponse,
+    ) -> bool:
+        exchange.responding = True
+        return exchange.ended or head(response)
+
     def _release(self, exchange: HttpExchange) -> None:
         pool = self._pools.get(exchange.request.address)
         if exchange.connection is not None:
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -1,6 +1,7 @@
 """One client connection: a non-blocking socket with an HTTP/1.1 parser."""
 
 import os
+import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,6 +21,8 @@
 _SILENCE_ERRORS = (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
 _SUCCESS = range(200, 300)
 _BODILESS = (204, 304)
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
+_KEEP_ALIVE_MARGIN_SECONDS = 0.5
 
 
 class ConnectionState(StrEnum):
@@ -80,6 +83,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._chunk: Callable[[bytes], None] | None = None
+        self._head: Callable[[HttpResponse], bool] | None = None
+        self._pooled_seconds = settings.pooled_seconds
         self._silence = settings.silence_seconds
 
     @property
@@ -131,13 +136,21 @@
         return True
 
     def send(
-        self, request: HttpRequest, chunk: Callable[[bytes], None] | None, silence: float
+        self,
+        request: HttpRequest,
+        chunk: Callable[[bytes], None] | None,
+        silence: float,
+        head: Callable[[HttpResponse], bool] | None = None,
     ) -> None:
-        """Write a request; the body of a successful response goes to `chunk` if there is one."""
+        """Write a request; the body of a successful response goes to `chunk` if there is one.
+
+        `head` sees the response before its body; False breaks the connection.
+        """
         self._state = ConnectionState.BUSY
         self._uses += 1
         self._written = 0
         self._chunk = chunk
+        self._head = head
         self._silence = silence
         self._response = None
         self._body = []
@@ -193,7 +206,7 @@
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = [
-            ("host", f"{self._address.host}:{self._address.port}"),
+            ("host", request.host or f"{self._address.host}:{self._address.port}"),
             ("content-length", str(len(request.body))),
             *request.headers,
         ]
@@ -217,7 +230,7 @@
 
     def _become_idle(self) -> None:
         self._state = ConnectionState.IDLE
-        self._deadline.set(self._settings.pooled_seconds)
+        self._deadline.set(self._pooled_seconds)
 
     def _refuse(self, error: int) -> None:
         if self._state is not ConnectionState.CLOSED:
@@ -277,12 +290,16 @@
     def _accept_head(self, head: h11.Response) -> bool:
         names = {name for name, _ in head.headers}
         framed = {b"content-length", b"transfer-encoding"} & names
-        if not framed and head.status_code not in _BODILESS:
+        unframed = not framed and head.status_code not in _BODILESS
+        if unframed and not self._settings.unframed_answers:
             # An end by closing could not be told from a broken connection.
             self._break(BrokenReason.BAD_FRAMING, "the response states no length")
             return False
         self._response = head
-        return True
+        if self._head is not None and not self._head(_response_of(head, b"")):
+            self._break(BrokenReason.BAD_FRAMING, "the response belongs to no open request")
+            return False
+        return self._state is ConnectionState.BUSY
 
     def _accept_data(self, data: bytes) -> bool:
         self._body_bytes += len(data)
@@ -296,11 +313,11 @@
         return True
 
     def _finish_response(self) -> None:
-        head = self._response
-        headers = tuple((name.decode(), value.decode("latin-1")) for name, value in head.headers)
-        response = HttpResponse(head.status_code, headers, b"".join(self._body))
+        response = _response_of(self._response, b"".join(self._body))
         self._chunk = None
+        self._head = None
         self._body = []
+        self._pooled_seconds = _kept_open(response, self._settings.pooled_seconds)
         if self._can_reuse():
             self._parser.start_next_cycle()
             self._become_idle()
@@ -330,3 +347,18 @@
             self._break(BrokenReason.CLOSED, "idle for long")
         else:
             self._break(BrokenReason.SILENT, f"no byte for {self._silence} s")
+
+
+def _response_of(head: h11.Response, body: bytes) -> HttpResponse:
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
+    )
+    return HttpResponse(head.status_code, headers, body)
+
+
+def _kept_open(response: HttpResponse, longest: float) -> float:
+    """Return the seconds that the other side keeps the connection, less a margin for the way."""
+    match = _KEEP_ALIVE_TIMEOUT.search(response.header("keep-alive"))
+    if match is None:
+        return longest
+    return min(longest, max(0.0, int(match[1]) - _KEEP_ALIVE_MARGIN_SECONDS))
--- a/pumicedeck/http_engines.py
+++ b/pumicedeck/http_engines.py
@@ -16,7 +16,7 @@
     ORDER,
     STATE,
 )
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     CacheEvent,
     Done,
     EngineOrder,
--- /dev/null
+++ b/pumicedeck/http_listeners.py
@@ -0,0 +1,451 @@
+"""An HTTP/1.1 listener that hands on requests byte for byte and relays answers as they come.
+
+circuits.web reads and rewrites paths, headers and bodies, and knows no raw heads, so a gateway
+that may change nothing of a request stands on circuits' poller and h11.
+"""
+
+import itertools
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+from loguru import logger
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.moving_deadlines import MovingDeadline
+from pumicedeck.socket_options import detect_silence
+from pumicedeck.world import Address
+
+_BACKLOG = 512
+_READ_BYTES = 65536
+_ACCEPTS_PER_TURN = 64
+_CHANNEL_NUMBERS = itertools.count(1)
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+Headers = tuple[tuple[str, str], ...]
+
+_log = logger.bind(module="http_listeners")
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerSettings:
+    """Bounds of callers; times are in seconds.
+
+    `unread_bytes` is how much of an answer may wait for a caller that does not read.
+    """
+
+    header_bytes: int = 16 * KIB
+    body_bytes: int = 32 * MIB
+    header_seconds: float = 10.0
+    idle_seconds: float = 20.0
+    linger_seconds: float = 1.0
+    acknowledge_seconds: float = 8.0
+    unread_bytes: int = 8 * MIB
+    connections: int = 4096
+
+
+class IncomingCall:
+    """One whole request and the answer that is owed to it."""
+
+    def __init__(
+        self, connection: "_Connection", head: h11.Request, body: bytes, arrived: float
+    ) -> None:
+        """Belong to a connection."""
+        self._connection = connection
+        self.method = head.method.decode("latin-1")
+        self.target = head.target.decode("latin-1")
+        self.headers: Headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        )
+        self.body = body
+        self.arrived = arrived
+        self.on_gone: Callable[[], None] = lambda: None
+        self._began = False
+        self._ended = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Return whether the answer is complete or nobody waits for it."""
+        return self._ended
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the head of the answer was sent."""
+        return self._began
+
+    @property
+    def host(self) -> str:
+        """Return the host asked for, without a port."""
+        return self.header("host").partition(":")[0].lower()
+
+    def header(self, name: str) -> str:
+        """Return a header by its lower-case name, or an empty string."""
+        return next((value for key, value in self.headers if key.lower() == name), "")
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer; a second one is ignored."""
+        if self._ended or self._began:
+            return
+        self._ended = True
+        length = ("Content-Length", str(len(body)))
+        self._connection.send_whole(status, (*headers, length), body)
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known."""
+        if self._ended or self._began:
+            return
+        self._began = True
+        self._connection.send_head(status, (*headers, ("Transfer-Encoding", "chunked")))
+
+    def write(self, data: bytes) -> None:
+        """Send a part of an answer that was begun."""
+        if not self._ended and data:
+            self._connection.send_data(data)
+
+    def finish(self) -> None:
+        """End an answer that was begun."""
+        if not self._ended:
+            self._ended = True
+            self._connection.send_end()
+
+    def abort(self) -> None:
+        """Break the connection, so that what was sent cannot look complete."""
+        if not self._ended:
+            self._ended = True
+            self._connection.close()
+
+    def gone(self) -> None:
+        """Take note that the caller left."""
+        if not self._ended:
+            self._ended = True
+            self.on_gone()
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(self, listener: "HttpListener", sock: socket.socket) -> None:
+        self._listener = listener
+        self._sock = sock
+        self._settings = listener.settings
+        self._parser = self._new_parser()
+        self._deadline = MovingDeadline(listener.timers, self._on_deadline)
+        self._deadline.set(self._settings.header_seconds)
+        self._unsent = bytearray()
+        self._writing = False
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._call: IncomingCall | None = None
+        self._ending = False
+        self._open = True
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no byte of a request has come in since the last answer."""
+        return self._call is None and self._head is None and not self._ending
+
+    def on_readable(self) -> None:
+        """Read what came in."""
+        try:
+            data = self._sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if not data:
+            self.close()
+            return
+        if self._ending:
+            return
+        try:
+            self._parser.receive_data(data)
+            self._advance()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def on_writable(self) -> None:
+        """Send what waits."""
+        self._flush()
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer in one piece."""
+        self._emit(self._response(status, headers))
+        if body:
+            self._emit(h11.Data(data=body))
+        self._emit(h11.EndOfMessage())
+        self._after_answer()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send a head."""
+        self._emit(self._response(status, headers))
+        self._flush()
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of a body."""
+        self._emit(h11.Data(data=data))
+        self._flush()
+        if len(self._unsent) > self._settings.unread_bytes:
+            _log.warning("caller does not read its answer; connection closed")
+            self.close()
+
+    def send_end(self) -> None:
+        """End a body."""
+        self._emit(h11.EndOfMessage())
+        self._after_answer()
+
+    def close(self) -> None:
+        """Close the socket and tell the open request."""
+        if not self._open:
+            return
+        self._open = False
+        self._deadline.close()
+        self._listener.forget(self._sock)
+        self._sock.close()
+        call, self._call = self._call, None
+        if call is not None:
+            call.gone()
+
+    def end_softly(self) -> None:
+        """Send what waits, close the writing side and give the caller a moment to read it."""
+        self._ending = True
+        if not self._unsent and self._open:
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close()
+                return
+        self._deadline.set(self._settings.linger_seconds)
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._settings.header_bytes)
+
+    def _advance(self) -> None:
+        while self._open and not self._ending and self._call is None:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self._parser.they_are_waiting_for_100_continue:
+                    self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+                    self._unsent += _CONTINUE
+                    self._flush()
+                return
+            if isinstance(event, h11.Request):
+                self._head = event
+                self._body = []
+                self._body_bytes = 0
+                self._deadline.set(self._settings.header_seconds)
+            elif isinstance(event, h11.Data):
+                self._body.append(bytes(event.data))
+                self._body_bytes += len(event.data)
+                if self._body_bytes > self._settings.body_bytes:
+                    self._reject(413, "the body is too large")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._begin_call()
+            else:
+                return
+
+    def _begin_call(self) -> None:
+        self._deadline.clear()
+        call = IncomingCall(self, self._head, b"".join(self._body), self._listener.timers.now())
+        self._call = call
+        self._head = None
+        self._body = []
+        try:
+            self._listener.handle(call)
+        except Exception:
+            _log.opt(exception=True).error("a request handler failed", target=call.target)
+            call.answer(500, (), b"")
+
+    def _response(self, status: int, headers: Headers) -> h11.Response:
+        extra = (("Connection", "close"),) if self._listener.is_draining else ()
+        return h11.Response(status_code=status, headers=[*headers, *extra])
+
+    def _emit(self, event) -> None:
+        if not self._open:
+            return
+        try:
+            self._unsent += self._parser.send(event) or b""
+        except h11.LocalProtocolError as error:
+            _log.error("an answer could not be framed", error=str(error))
+            self.close()
+
+    def _after_answer(self) -> None:
+        if not self._open:
+            return
+        self._call = None
+        if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
+            self._parser.start_next_cycle()
+            self._deadline.set(self._settings.idle_seconds)
+            self._flush()
+            if self._open and self._parser.trailing_data[0]:
+                self._listener.timers.call_later(0.0, self._read_pipelined)
+            return
+        self._flush()
+        if self._open:
+            self.end_softly()
+
+    def _read_pipelined(self) -> None:
+        if not self._open or self._call is not None:
+            return
+        try:
+            self._advance()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _reject(self, status: int, detail: str) -> None:
+        _log.info("request rejected", status=status, detail=detail)
+        self._head = None
+        try:
+            self.send_whole(status, (("Content-Length", "0"), ("Connection", "close")), b"")
+        except h11.LocalProtocolError:
+            self.close()
+            return
+        if self._open:
+            self.end_softly()
+
+    def _flush(self) -> None:
+        while self._unsent and self._open:
+            try:
+                count = self._sock.send(self._unsent)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.close()
+                return
+            del self._unsent[:count]
+        if not self._open:
+            return
+        if bool(self._unsent) is not self._writing:
+            self._writing = bool(self._unsent)
+            self._listener.watch_writes(self._sock, self._writing)
+        if self._ending and not self._unsent:
+            self.end_softly()
+
+    def _on_deadline(self) -> None:
+        if self._call is None:
+            self.close()
+
+
+class HttpListener(BaseComponent):
+    """Listens on one address and hands each whole request to `handle`."""
+
+    def __init__(
+        self,
+        listen: Address,
+        timers: TimerQueue,
+        handle: Callable[[IncomingCall], None],
+        settings: ListenerSettings | None = None,
+    ) -> None:
+        """Listen after `start`."""
+        super().__init__(channel=f"http_listener_{next(_CHANNEL_NUMBERS)}")
+        self._listen = listen
+        self.timers = timers
+        self.handle = handle
+        self.settings = settings or ListenerSettings()
+        self.is_draining = False
+        self._poller: BasePoller | None = None
+        self._sock: socket.socket | None = None
+        self._connections: dict[socket.socket, _Connection] = {}
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address."""
+        host, port = self._sock.getsockname()
+        return Address(host, port)
+
+    @property
+    def open_calls(self) -> int:
+        """Return how many connections have a request or a part of one."""
+        return sum(1 for each in self._connections.values() if not each.is_idle)
+
+    def start(self) -> None:
+        """Bind and listen; OSError if the address cannot be had."""
+        self._poller = findcmp(self.root, BasePoller)
+        if self._poller is None:
+            raise RuntimeError("register a poller before the listener")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((self._listen.host, self._listen.port))
+        sock.listen(_BACKLOG)
+        self._sock = sock
+        self._poller.addReader(self, sock)
+
+    def close(self) -> None:
+        """Close the listening socket and every connection."""
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+        for connection in tuple(self._connections.values()):
+            connection.close()
+
+    def drain(self) -> None:
+        """Mark answers as the last of their connection."""
+        self.is_draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is open."""
+        for connection in tuple(self._connections.values()):
+            if connection.is_idle:
+                connection.end_softly()
+
+    def forget(self, sock: socket.socket) -> None:
+        """Stop watching a connection."""
+        self._connections.pop(sock, None)
+        self._poller.discard(sock)
+
+    def watch_writes(self, sock: socket.socket, wanted: bool) -> None:
+        """Tell the poller whether to wait until a socket takes bytes."""
+        if wanted:
+            self._poller.addWriter(self, sock)
+        else:
+            self._poller.removeWriter(sock)
+
+    @handler("_read")
+    def _on_read(self, sock) -> None:
+        if sock is self._sock:
+            self._accept()
+            return
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.on_readable()
+
+    @handler("_write")
+    def _on_write(self, sock) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.on_writable()
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.close()
+
+    def _accept(self) -> None:
+        for _ in range(_ACCEPTS_PER_TURN):
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                _log.warning("a connection could not be accepted", error=str(error))
+                return
+            if len(self._connections) >= self.settings.connections:
+                _log.warning("too many connections; one was closed", bound=len(self._connections))
+                sock.close()
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            detect_silence(sock, self.settings.acknowledge_seconds)
+            self._connections[sock] = _Connection(self, sock)
+            self._poller.addReader(self, sock)
--- a/pumicedeck/http_messages.py
+++ b/pumicedeck/http_messages.py
@@ -10,7 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request; only an `idempotent` one is repeated after bytes of it were written."""
+    """A request; only an `idempotent` one is repeated after bytes of it were written.
+
+    `host` is the name asked for, by default the address itself.
+    """
 
     method: str
     address: Address
@@ -18,6 +21,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     idempotent: bool = False
+    host: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +44,7 @@
     `silence_seconds` is the longest time without a byte either way while a request is open,
     `pooled_seconds` the longest time that an unused connection is kept. `acknowledge_seconds` is
     how long the other side's kernel may acknowledge nothing, which a slow answer does not exceed.
+    With `unframed_answers` an answer without a length ends with its connection.
     """
 
     connect_seconds: float = 2.0
@@ -49,6 +54,7 @@
     header_bytes: int = 16 * KIB
     body_bytes: int = 64 * MIB
     connections_per_address: int = 64
+    unframed_answers: bool = False
 
 
 @dataclass(slots=True)
--- a/pumicedeck/http_objects.py
+++ b/pumicedeck/http_objects.py
@@ -2,7 +2,7 @@
 
 from pumicedeck.http_adapters import HttpAdapter
 from pumicedeck.http_operations import GET_OBJECT, PUT_OBJECT
-from pumicedeck.platforms import Done, ObjectStore, adapter
+from pumicedeck.platform_interfaces import Done, ObjectStore, adapter
 
 
 @adapter("ObjectStore", "http")
--- a/pumicedeck/http_operations.py
+++ b/pumicedeck/http_operations.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from pumicedeck.http_documents import Document, Operation
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     CacheEvent,
     Committed,
     EngineOrder,
--- a/pumicedeck/http_services.py
+++ b/pumicedeck/http_services.py
@@ -4,7 +4,7 @@
 
 from pumicedeck.http_adapters import HttpAdapter
 from pumicedeck.http_messages import HttpRequest, HttpResponse
-from pumicedeck.platforms import Done, PlainService, ServiceCall, ServiceReply, adapter
+from pumicedeck.platform_interfaces import Done, PlainService, ServiceCall, ServiceReply, adapter
 from pumicedeck.results import Failure
 
 HEALTH_PATH = "/healthz"
--- a/pumicedeck/http_tables.py
+++ b/pumicedeck/http_tables.py
@@ -2,7 +2,7 @@
 
 from pumicedeck.http_adapters import HttpAdapter
 from pumicedeck.http_operations import COMMIT, READ_ROWS, SCAN_ROWS
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Committed,
     Done,
     Row,
--- a/pumicedeck/http_vm_lists.py
+++ b/pumicedeck/http_vm_lists.py
@@ -2,7 +2,7 @@
 
 from pumicedeck.http_adapters import HttpAdapter
 from pumicedeck.http_operations import LIST_VMS
-from pumicedeck.platforms import Done, VmList, adapter
+from pumicedeck.platform_interfaces import Done, VmList, adapter
 from pumicedeck.world import Vm
 
 
--- a/pumicedeck/http_weights.py
+++ b/pumicedeck/http_weights.py
@@ -2,7 +2,7 @@
 
 from pumicedeck.http_adapters import HttpAdapter
 from pumicedeck.http_operations import NEWEST_WEIGHTS, PUBLISH_WEIGHTS
-from pumicedeck.platforms import Done, WeightStore, WeightVersion, adapter
+from pumicedeck.platform_interfaces import Done, WeightStore, WeightVersion, adapter
 
 
 @adapter("WeightStore", "http")
--- /dev/null
+++ b/pumicedeck/item_runs.py
@@ -0,0 +1,153 @@
+"""One run of an item at an engine: collects the text event by event."""
+
+from enum import StrEnum
+
+from loguru import logger
+from result import Err, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.dialects import EndpointAnswer, ForwardedCall
+from pumicedeck.direct_endpoints import DirectEndpoint
+from pumicedeck.endpoint_callers import Answered, EndpointCaller
+from pumicedeck.event_streams import EventCutter
+from pumicedeck.http_messages import HttpResponse
+from pumicedeck.results import Failure
+from pumicedeck.submission_works import ItemWork
+from pumicedeck.submissions import Progress, SubmissionHead
+
+_log = logger.bind(module="item_runs")
+
+UNPROCESSABLE_STATUS = 422
+
+
+class RunEnd(StrEnum):
+    """How a run ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    NOT_TAKEN = "not taken"
+    ENGINE_ERROR = "engine error"
+    IMPOSSIBLE = "impossible"
+    WRONG_VERSION = "wrong version"
+
+
+class ItemRun:
+    """Appends to the item's progress while the engine sends events."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        caller: EndpointCaller,
+        head: SubmissionHead,
+        work: ItemWork,
+        endpoint: DirectEndpoint,
+        single_version: bool,
+    ) -> None:
+        """Prepare a run; `single_version` forbids to go on under other weights."""
+        self._timers = timers
+        self._caller = caller
+        self._head = head
+        self._work = work
+        self._single_version = single_version
+        self._cutter = EventCutter()
+        self._version = 0
+        self._faulty = False
+        self.endpoint = endpoint
+        self.started = timers.now()
+        self.heard = self.started
+        self.events = 0
+
+    @property
+    def work(self) -> ItemWork:
+        """Return the item at work."""
+        return self._work
+
+    @property
+    def head(self) -> SubmissionHead:
+        """Return the head of the item's submission."""
+        return self._head
+
+    @property
+    def version_seen(self) -> int:
+        """Return the weight version that the engine named last, 0 if none."""
+        return self._version
+
+    @property
+    def wrong_version(self) -> bool:
+        """Return whether the engine's weights may not be used for this text."""
+        return self._version > 0 and not self._fits(self._version)
+
+    async def run(self, seconds: float, silence: float) -> tuple[RunEnd, str]:
+        """Return how the run ended, with a detail for the log."""
+        item = self._work.item
+        last = self._work.progress.last_event
+        call = ForwardedCall(
+            item.item_id,
+            "POST",
+            item.path,
+            self._head.host,
+            item.headers,
+            item.body,
+            None,
+            last or None,
+        )
+        outcome = await self._caller.call(
+            call, self.endpoint, seconds, silence, self._on_head, self._on_bytes
+        )
+        return self._judge(outcome)
+
+    def _judge(self, outcome: Result[Answered, Failure]) -> tuple[RunEnd, str]:
+        if self.wrong_version:
+            return RunEnd.WRONG_VERSION, f"version {self._version}"
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            return RunEnd.NOT_TAKEN if failure.proven_not_run else RunEnd.BROKEN, failure.detail
+        status = outcome.ok_value.answer.status
+        if status == UNPROCESSABLE_STATUS:
+            return RunEnd.IMPOSSIBLE, f"status {status}"
+        if not outcome.ok_value.answer.succeeded:
+            return RunEnd.ENGINE_ERROR, f"status {status}"
+        if self._faulty or self._cutter.has_rest or not self._work.progress.last_event:
+            return RunEnd.BROKEN, "the stream was not whole"
+        return RunEnd.WHOLE, ""
+
+    def _fits(self, version: int) -> bool:
+        if version < self._head.min_version:
+            return False
+        versions = self._work.progress.versions
+        return not (self._single_version and versions and versions != [version])
+
+    def _on_head(self, response: HttpResponse, answer: EndpointAnswer) -> None:
+        self.heard = self._timers.now()
+        self._version = answer.version or 0
+        if not answer.signature or not answer.version:
+            self._faulty = True
+
+    def _on_bytes(self, data: bytes) -> None:
+        self.heard = self._timers.now()
+        for block in self._cutter.feed(data):
+            self._take(block)
+
+    def _take(self, block: bytes) -> None:
+        event = self._caller.dialect.event(block)
+        if event is None or self._faulty or self.wrong_version:
+            return
+        progress: Progress = self._work.progress
+        if event.version is not None:
+            self._version = event.version
+            if self.wrong_version:
+                return
+        if event.number != progress.last_event + 1:
+            self._faulty = True
+            _log.warning(
+                "event out of order",
+                item=self._work.item.item_id,
+                event=event.number,
+                after=progress.last_event,
+            )
+            return
+        progress.last_event = event.number
+        progress.parts.append(event.data)
+        if self._version not in progress.versions:
+            progress.versions.append(self._version)
+        self.events += 1
--- a/pumicedeck/lease_keepers.py
+++ b/pumicedeck/lease_keepers.py
@@ -13,7 +13,7 @@
     LeaseLost,
     ReadLease,
 )
-from pumicedeck.platforms import Committed, Row, TableStore
+from pumicedeck.platform_interfaces import Committed, Row, TableStore
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.timeouts import with_timeout
 from pumicedeck.wakeups import Wakeup
@@ -32,13 +32,18 @@
         store: TableStore,
         acquired: Callable[[LeaseAcquired], None],
         call_seconds: float = 3.0,
+        taken: Callable[[str], None] = lambda holder: None,
     ) -> None:
-        """Report a lease to `acquired`; a store call is given up after `call_seconds`."""
+        """Report a lease to `acquired`; a store call is given up after `call_seconds`.
+
+        `taken` is told whenever another holder's name is read.
+        """
         self._holder = holder
         self._timers = timers
         self._store = store
         self._acquired = acquired
         self._call_seconds = call_seconds
+        self._taken = taken
         self._wakeup = Wakeup(
             timers, holder.next_wakeup, lambda now: self._carry_out(holder.on_time(now))
         )
@@ -79,6 +84,9 @@
     def _read(self, outcome: Result[tuple[Row, ...], Failure]) -> None:
         row = Ok(outcome.unwrap()[0]) if outcome.is_ok() else outcome
         self._carry_out(self._holder.lease_read(self._timers.now(), row))
+        other = self._holder.other_holder
+        if other:
+            self._taken(other)
 
     def _committed(self, outcome: Result[Committed, Failure]) -> None:
         self._carry_out(self._holder.lease_committed(self._timers.now(), outcome))
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -10,7 +10,7 @@
 
 from result import Result
 
-from pumicedeck.platforms import Committed, Condition, Row, StoreKey, Transaction, Write
+from pumicedeck.platform_interfaces import Committed, Condition, Row, StoreKey, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
 LEASE_TABLE = "leases"
@@ -122,6 +122,14 @@
         """Tell whether the lease is to be held."""
         return self._wanted
 
+    @property
+    def other_holder(self) -> str:
+        """Return the holder that the row named last, if it is another one."""
+        found = decode_lease(self._row.value) if self._row is not None else None
+        if found is None or found.holder == self._incarnation:
+            return ""
+        return found.holder
+
     def holds(self, now: float) -> bool:
         """Tell whether an order may be sent now."""
         return self._fencing > 0 and now < self._valid_until - self._settings.margin
--- a/pumicedeck/logs.py
+++ b/pumicedeck/logs.py
@@ -1,6 +1,9 @@
-"""Sets up structured logs: one JSON object or one text line a record, on standard error."""
+"""Sets up structured logs: one JSON object or one text line a record."""
 
+import json
 import sys
+from collections.abc import Callable
+from traceback import format_exception
 
 from loguru import logger
 
@@ -15,3 +18,26 @@
         logger.add(sys.stderr, level=level, serialize=True, format="{message}")
     else:
         logger.add(sys.stderr, level=level, format=TEXT_FORMAT)
+
+
+def set_up_event_logs(vm: str, level: str, write: Callable[[str], None]) -> None:
+    """Send each record as one short JSON object with its event, module and fields to `write`."""
+
+    def sink(message) -> None:
+        record = message.record
+        fields = dict(record["extra"])
+        line = {
+            "at": round(record["time"].timestamp(), 3),
+            "vm": vm,
+            "level": record["level"].name,
+            "module": fields.pop("module", ""),
+            "event": record["message"],
+            **fields,
+        }
+        if record["exception"] is not None:
+            line["error"] = "".join(format_exception(*record["exception"]))
+        write(json.dumps(line, default=str) + "\n")
+
+    logger.remove()
+    logger.configure(extra={"module": ""})
+    logger.add(sink, level=level, format="{message}")
--- a/pumicedeck/membership_drivers.py
+++ b/pumicedeck/membership_drivers.py
@@ -17,7 +17,7 @@
     OpenSession,
     TellLeaving,
 )
-from pumicedeck.platforms import VmList
+from pumicedeck.platform_interfaces import VmList
 from pumicedeck.results import Failure
 from pumicedeck.wakeups import Wakeup
 from pumicedeck.world import Vm
--- a/pumicedeck/newest_versions.py
+++ b/pumicedeck/newest_versions.py
@@ -6,7 +6,7 @@
 from result import Ok, Result
 
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import WeightStore, WeightVersion
+from pumicedeck.platform_interfaces import WeightStore, WeightVersion
 from pumicedeck.results import Failure
 
 POLL_SECONDS = 2.0
--- a/pumicedeck/orders.py
+++ b/pumicedeck/orders.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.leases import LeaseHolder
-from pumicedeck.platforms import EngineOrder, EngineState, OrderKind
+from pumicedeck.platform_interfaces import EngineOrder, EngineState, OrderKind
 from pumicedeck.results import Failure, ResultCode
 
 _PROVEN_WITHOUT_EFFECT = (ResultCode.FENCED, ResultCode.ENDPOINT_UNREACHABLE)
--- /dev/null
+++ b/pumicedeck/partitioned_stores.py
@@ -0,0 +1,82 @@
+"""The platform's store as the gateway uses it: partitioned rows with a change feed."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from result import Result
+
+from pumicedeck.results import Failure
+from pumicedeck.tasks import Promise
+
+
+@dataclass(frozen=True, slots=True)
+class RowKey:
+    """Names one row; rows of one part can change in one transaction."""
+
+    table: str
+    part: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row at `revision`; `value` is None for one that was removed."""
+
+    row: RowKey
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """The row has to be at `revision`; 0 means that there is none."""
+
+    row: RowKey
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A new value of a row; None removes it."""
+
+    row: RowKey
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Rows of one part that change together, if every expectation holds."""
+
+    expected: tuple[Expectation, ...]
+    puts: tuple[Put, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Rows in ascending order; `revision` is the store's newest, `store_seconds` its clock."""
+
+    rows: tuple[StoredRow, ...]
+    revision: int
+    store_seconds: float
+    truncated: bool = False
+
+
+class PartitionedStore(ABC):
+    """Failures: STORE_UNAVAILABLE (nothing was done), STORE_OUTCOME_UNKNOWN, STORE_CONFLICT.
+
+    `changes` fails with HISTORY_GONE when the rows have to be read anew.
+    """
+
+    @abstractmethod
+    def commit(self, change: Change) -> Promise[Result[int, Failure]]:
+        """Apply a change; the result is the revision of its rows."""
+
+    @abstractmethod
+    def read(
+        self, table: str, part: str, first: str = "", limit: int = 500
+    ) -> Promise[Result[Page, Failure]]:
+        """Read rows of one part from key `first` on, as of one moment."""
+
+    @abstractmethod
+    def changes(self, table: str, after: int, wait: float) -> Promise[Result[Page, Failure]]:
+        """Read what changed after a revision, waiting up to `wait` seconds for the first row."""
--- /dev/null
+++ b/pumicedeck/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/pumicedeck/platform/caller_calls.py
@@ -0,0 +1,161 @@
+"""How callers and trainers speak to the gateway."""
+
+import base64
+import hashlib
+import json
+from urllib.parse import parse_qs
+
+from result import Err, Ok, Result
+
+from pumicedeck.dialects import (
+    CallerDialect,
+    EndSubmission,
+    ForwardedCall,
+    ReadItem,
+    ReadResults,
+    SubmissionDialect,
+    SubmissionVerb,
+)
+from pumicedeck.http_listeners import Headers, IncomingCall
+from pumicedeck.http_messages import HttpResponse
+from pumicedeck.platform.headers import (
+    DEADLINE,
+    LAST_EVENT,
+    LENGTH_HINT,
+    REQUEST_ID,
+    WAIT,
+    without_connection_headers,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead, encode_items
+
+_MILLISECONDS = 1000.0
+_LONGEST_WAIT_MILLISECONDS = 1000
+_RESULTS_PREFIX = "/lots/"
+_ITEMS_PREFIX = "/items/"
+
+
+class PlatformCallerDialect(CallerDialect):
+    """Reads and writes the callers' headers."""
+
+    def call(self, incoming: IncomingCall) -> ForwardedCall:
+        """Read a request."""
+        budget = incoming.header(DEADLINE.lower())
+        last_event = incoming.header(LAST_EVENT.lower())
+        return ForwardedCall(
+            request_id=incoming.header(REQUEST_ID.lower()),
+            method=incoming.method,
+            target=incoming.target,
+            host=incoming.header("host"),
+            headers=without_connection_headers(incoming.headers),
+            body=incoming.body,
+            budget=float(budget) / _MILLISECONDS if budget.isdigit() else None,
+            resume_after=int(last_event) if last_event.isdigit() else None,
+        )
+
+    def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
+        """Return the headers of an endpoint's answer that go on to the caller."""
+        return without_connection_headers(response.headers)
+
+    def failure(
+        self, call: ForwardedCall, failure: Failure, retry_after: float | None
+    ) -> tuple[int, Headers, bytes]:
+        """Return an answer of the gateway's own."""
+        headers = [("Content-Type", "application/json")]
+        if call.request_id:
+            headers.append((REQUEST_ID, call.request_id))
+        if retry_after is not None:
+            headers.append(("Retry-After", f"{retry_after:.3f}"))
+        document = {
+            "code": int(failure.code),
+            "name": failure.code.name,
+            "detail": failure.detail,
+        }
+        return failure.code.info.http_status, tuple(headers), json.dumps(document).encode()
+
+
+class PlatformSubmissionDialect(SubmissionDialect):
+    """Reads and writes submissions."""
+
+    def verb(self, incoming: IncomingCall) -> SubmissionVerb | None:
+        """Return what is asked of a submission."""
+        path, _, query = incoming.target.partition("?")
+        arguments = parse_qs(query)
+        if path.startswith(_RESULTS_PREFIX):
+            name = path.removeprefix(_RESULTS_PREFIX)
+            if incoming.method == "DELETE":
+                return EndSubmission(name)
+            if incoming.method == "GET":
+                after = arguments.get("after", ["0"])[0]
+                wait = incoming.header(WAIT.lower())
+                bounded = min(_LONGEST_WAIT_MILLISECONDS, int(wait) if wait.isdigit() else 0)
+                position = int(after) if after.isdigit() else 0
+                return ReadResults(name, position, bounded / _MILLISECONDS)
+        if path.startswith(_ITEMS_PREFIX) and incoming.method == "GET":
+            item = arguments.get("id", [""])[0]
+            return ReadItem(path.removeprefix(_ITEMS_PREFIX), item)
+        return None
+
+    def submission(
+        self, call: ForwardedCall, route: str, accepted: float
+    ) -> Result[Submission, Failure]:
+        """Read a new submission."""
+        try:
+            document = json.loads(call.body)
+            items = tuple(_item(each) for each in document["items"])
+            head = SubmissionHead(
+                submission_id=call.request_id,
+                route=route,
+                host=call.host,
+                model=str(document.get("model", "")),
+                step=int(document.get("step", 0)),
+                min_version=int(document.get("min-version", 0)),
+                # The groups that the trainer waits for before it ends the submission.
+                wanted_groups=int(document.get("group-target", 0)),
+                total=len(items),
+                chunks=len(encode_items(items)),
+                digest=hashlib.sha256(call.body).hexdigest()[:16],
+                accepted=accepted,
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return Err(Failure(ResultCode.BAD_REQUEST, f"submission cannot be read: {error!r}"))
+        if not call.request_id or not items:
+            return Err(Failure(ResultCode.BAD_REQUEST, "a submission needs an id and items"))
+        return Ok(Submission(head, items))
+
+    def results(self, total: int, after: int, results: list[dict]) -> bytes:
+        """Write results."""
+        documents = [
+            {
+                "id": each["item_id"],
+                "state": "completed" if each["completed"] else "down",
+                "text": each["text"],
+                "versions": each["versions"],
+                "score": each["score"],
+            }
+            for each in results
+        ]
+        document = {"total": total, "next": after + len(documents), "results": documents}
+        return json.dumps(document).encode()
+
+
+def _item(document: dict) -> Item:
+    headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
+    lowered = {name.lower(): value for name, value in headers}
+    hint = lowered.get(LENGTH_HINT.lower(), "")
+    scorer = document.get("scorer")
+    return Item(
+        item_id=document["id"],
+        path=document["path"],
+        headers=headers,
+        body=base64.b64decode(document["body"]),
+        group=str(document.get("group", document["id"])),
+        expected_length=float(hint) if hint.replace(".", "", 1).isdigit() else 0.0,
+        reward=_reward(scorer) if scorer else None,
+    )
+
+
+def _reward(document: dict) -> RewardCall:
+    return RewardCall(
+        document["id"], document["host"], document["path"], base64.b64decode(document["body"])
+    )
--- /dev/null
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -0,0 +1,126 @@
+"""How endpoints are spoken to: calls, streams, orders and reports."""
+
+import json
+
+from pumicedeck.dialects import (
+    EndpointAnswer,
+    EndpointDialect,
+    EngineReport,
+    ForwardedCall,
+    StreamEvent,
+    VersionOrder,
+)
+from pumicedeck.direct_endpoints import DirectEndpoint
+from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.platform.headers import (
+    DEADLINE,
+    EXPECT_INSTANCE,
+    LAST_EVENT,
+    LOAD,
+    NOT_RUN,
+    REQUEST_ID,
+    SIGNATURE,
+    VERSIONS,
+    without_connection_headers,
+)
+from pumicedeck.platform.registrations import decode_models
+
+_MILLISECONDS = 1000.0
+_MISDIRECTED_STATUS = 421
+_JSON_TYPE = ("Content-Type", "application/json")
+_EVENT_VERSION = f"{VERSIONS.lower()}:"
+
+
+class PlatformEndpointDialect(EndpointDialect):
+    """Reads and writes the endpoints' headers."""
+
+    def request(
+        self, call: ForwardedCall, endpoint: DirectEndpoint, seconds: float | None
+    ) -> HttpRequest:
+        """Return the request that carries a call."""
+        own = {DEADLINE.lower(), EXPECT_INSTANCE.lower(), LAST_EVENT.lower(), REQUEST_ID.lower()}
+        headers = [pair for pair in call.headers if pair[0].lower() not in own]
+        headers.append((REQUEST_ID, call.request_id))
+        headers.append((EXPECT_INSTANCE, endpoint.name))
+        if seconds is not None:
+            headers.append((DEADLINE, str(max(1, int(seconds * _MILLISECONDS)))))
+        if call.resume_after is not None:
+            headers.append((LAST_EVENT, str(call.resume_after)))
+        return HttpRequest(
+            call.method,
+            endpoint.address,
+            call.target,
+            without_connection_headers(tuple(headers)),
+            call.body,
+            host=call.host,
+        )
+
+    def answer(self, response: HttpResponse) -> EndpointAnswer:
+        """Read the head of an answer."""
+        running, waiting = _load(response.header(LOAD.lower()))
+        version = response.header(VERSIONS.lower())
+        misdirected = response.status == _MISDIRECTED_STATUS
+        return EndpointAnswer(
+            status=response.status,
+            request_id=response.header(REQUEST_ID.lower()),
+            not_run=misdirected or bool(response.header(NOT_RUN.lower())),
+            misdirected=misdirected,
+            signature=response.header(SIGNATURE.lower()),
+            version=int(version) if version.isdigit() else None,
+            running=running,
+            waiting=waiting,
+        )
+
+    def event(self, block: bytes) -> StreamEvent | None:
+        """Read one event of a stream."""
+        number, version, data = None, None, []
+        for line in block.decode("utf-8", "replace").split("\n"):
+            if line.startswith("data:"):
+                data.append(line[5:].removeprefix(" "))
+            elif line.startswith("id:"):
+                text = line[3:].strip()
+                number = int(text) if text.isdigit() else None
+            elif line.lower().startswith(_EVENT_VERSION):
+                text = line[len(_EVENT_VERSION) :].strip()
+                version = int(text) if text.isdigit() else None
+        return None if number is None else StreamEvent(number, "\n".join(data), version)
+
+    def order(self, endpoint: DirectEndpoint, order: VersionOrder) -> HttpRequest:
+        """Return the request that carries an order."""
+        document = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": "retain" if order.retain else "wait",
+            "holder": order.holder,
+            "fence": order.fencing,
+            "expected": order.order_sequence,
+        }
+        headers = (_JSON_TYPE, (EXPECT_INSTANCE, endpoint.name))
+        body = json.dumps(document).encode()
+        return HttpRequest("POST", endpoint.address, "/order", headers, body)
+
+    def report_request(self, endpoint: DirectEndpoint) -> HttpRequest:
+        """Return the request for a report."""
+        headers = ((EXPECT_INSTANCE, endpoint.name),)
+        return HttpRequest("GET", endpoint.address, "/report", headers, idempotent=True)
+
+    def report(self, response: HttpResponse) -> EngineReport | None:
+        """Read a report."""
+        if response.status != 200:
+            return None
+        try:
+            document = json.loads(response.body)
+            return EngineReport(
+                decode_models(document["models"]), bool(document["busy"]), int(document["seq"])
+            )
+        except (ValueError, KeyError, TypeError):
+            return None
+
+
+def _load(text: str) -> tuple[int | None, int | None]:
+    """Read running, waiting and slots, of which the last is known from the registration."""
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None, None
+    return int(parts[0]), int(parts[1])
--- /dev/null
+++ b/pumicedeck/platform/headers.py
@@ -0,0 +1,41 @@
+"""Names of headers on the users' platform."""
+
+from pumicedeck.http_listeners import Headers
+
+REQUEST_ID = "X-Pumicedeck-Request-Id"
+DEADLINE = "X-Pumicedeck-Deadline-Ms"
+EXPECT_INSTANCE = "X-Pumicedeck-Expect-Instance"
+NOT_RUN = "X-Pumicedeck-Not-Run"
+SIGNATURE = "X-Pumicedeck-Response-Signature"
+LOAD = "X-Pumicedeck-Server-Load"
+VERSIONS = "X-Pumicedeck-Weight-Versions"
+LENGTH_HINT = "X-Pumicedeck-Length-Hint"
+WAIT = "X-Pumicedeck-Wait-Ms"
+LAST_EVENT = "Last-Event-Id"
+
+_CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
+)
+
+
+def without_connection_headers(headers: Headers) -> Headers:
+    """Leave out what concerns one connection only, and the host, which each request states."""
+    named = {
+        name.strip().lower()
+        for key, value in headers
+        if key.lower() == "connection"
+        for name in value.split(",")
+    }
+    dropped = _CONNECTION_HEADERS | named
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
--- /dev/null
+++ b/pumicedeck/platform/registrations.py
@@ -0,0 +1,140 @@
+"""Decodes what operators, trainers and endpoints write into the store."""
+
+import json
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.direct_endpoints import DirectEndpoint
+from pumicedeck.platform_interfaces import LoadedModel
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.route_tables import CallerLimits, Pool, PoolShare, Route, RouteKind, RouteTable
+from pumicedeck.world import Address, FailureDomain
+
+OPERATOR_TABLE = "op"
+ENDPOINT_TABLE = "servers"
+ROUTES_KEY = "config"
+VERSION_PREFIX = "version/"
+
+_MILLISECONDS = 1000.0
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+    "rollout": RouteKind.SUBMISSION,
+}
+_STATES = ("ready", "draining")
+
+_log = logger.bind(module="platform.registrations")
+
+
+def decode_routes(value: bytes) -> Result[RouteTable, Failure]:
+    """Read the operators' configuration."""
+    try:
+        document = json.loads(value)
+        pools = {each["name"]: _pool(each) for each in document.get("services", ())}
+        routes = tuple(
+            _route(each) for each in document.get("routes", ()) if each["route-type"] in _KINDS
+        )
+        limits = document.get("limits")
+        return Ok(
+            RouteTable(int(document["version"]), routes, pools, _limits(limits) if limits else None)
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(Failure(ResultCode.BAD_CATALOGUE, f"configuration cannot be read: {error!r}"))
+
+
+def decode_named_version(value: bytes) -> tuple[str, int] | None:
+    """Read a model and its newest weight version; None if it cannot be read."""
+    try:
+        document = json.loads(value)
+        return str(document["model"]), int(document["version"])
+    except (ValueError, KeyError, TypeError) as error:
+        _log.warning("named version cannot be read", error=repr(error))
+        return None
+
+
+def decode_endpoint(name: str, value: bytes, regions: dict[str, str]) -> DirectEndpoint | None:
+    """Read an endpoint's entry; None if it names no endpoint that can be used.
+
+    `regions` gives the region of each failure domain.
+    """
+    try:
+        document = json.loads(value)
+        if not _is_whole(document):
+            return None
+        host, _, port = document["address"].rpartition(":")
+        domain = FailureDomain(document["zone"], regions.get(document["zone"], ""))
+        return DirectEndpoint(
+            name=name,
+            pool=document["service"],
+            address=Address(host, int(port)),
+            failure_domain=domain,
+            slots=max(1, document["slots"]),
+            draining=document["state"] == "draining",
+            born=document["born"],
+            models=decode_models(document.get("models") or ()),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def decode_models(documents) -> tuple[LoadedModel, ...]:
+    """Read the models that an engine holds."""
+    return tuple(LoadedModel(str(each["name"]), int(each["version"])) for each in documents)
+
+
+def _is_whole(document) -> bool:
+    """Tell entries of endpoints from those of other writers."""
+    if not isinstance(document, dict) or document.get("state") not in _STATES:
+        return False
+    texts = all(isinstance(document.get(key), str) for key in ("service", "address", "zone"))
+    numbers = all(type(document.get(key)) is int for key in ("slots", "born", "seq"))
+    return texts and numbers
+
+
+def _pool(document: dict) -> Pool:
+    engine = document.get("engine") or {}
+    return Pool(
+        document["name"],
+        int(document.get("max-connections", 0)),
+        int(engine.get("slots", 0)),
+        tuple(str(each["name"]) for each in engine.get("models", ())),
+    )
+
+
+def _route(document: dict) -> Route:
+    # A split route lists its pools under "backends", another one names a single "service".
+    shares = tuple(
+        PoolShare(each["service"], float(each["weight"])) for each in document.get("backends") or ()
+    )
+    if not shares:
+        shares = (PoolShare(document["service"]),)
+    return Route(
+        name=document["name"],
+        host=document["host"],
+        path_prefix=document["path-prefix"],
+        kind=_KINDS[document["route-type"]],
+        pools=shares,
+        longest_wait=_seconds(document, "timeout-ms", 30_000),
+        objective=_seconds(document, "target-latency-ms", 1_000),
+        priority=int(document.get("priority", 0)),
+        max_attempts=max(1, int(document.get("max-attempts", 1))),
+        resumable=bool(document.get("resumable", False)),
+        due=_seconds(document, "due-ms", 0),
+        give_up=float(document.get("max-wait-s", 0)),
+        single_version=bool(document.get("single-version", False)),
+    )
+
+
+def _limits(document: dict) -> CallerLimits:
+    return CallerLimits(
+        int(document["max-header-bytes"]),
+        int(document["max-body-bytes"]),
+        _seconds(document, "header-timeout-ms", 3_000),
+        _seconds(document, "idle-timeout-ms", 15_000),
+    )
+
+
+def _seconds(document: dict, key: str, default: int) -> float:
+    return float(document.get(key, default)) / _MILLISECONDS
--- a/pumicedeck/processes.py
+++ b/pumicedeck/processes.py
@@ -1,6 +1,7 @@
 """A process: the circuits loop, its timers and the reaction to signals."""
 
 import signal as signals
+import time
 from collections.abc import Callable
 
 from circuits import Component, handler
@@ -17,12 +18,12 @@
 
     channel = "process"
 
-    def __init__(self) -> None:
-        """Make a loop with a poller that has no bound on descriptors."""
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        """Make a loop with a poller that has no bound on descriptors; timers run by `clock`."""
         super().__init__()
         # The first poller that is registered is the one that sockets use.
         ManySocketsPoller().register(self)
-        self._timers = LoopTimers().register(self).timers
+        self._timers = LoopTimers(TimerQueue(clock)).register(self).timers
         self._drain: Callable[[], None] = self.finish
 
     @property
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -38,6 +38,8 @@
     CANCELLED = 208
     ENDPOINT_UNREACHABLE = 209
     CLAIM_LOST = 210
+    ENDPOINT_REFUSED = 211
+    NO_ROUTE = 212
 
     OUTCOME_UNKNOWN = 300
     STREAM_BROKEN = 301
@@ -80,6 +82,7 @@
 
     STORE_CONFLICT = 900
     STORE_OUTCOME_UNKNOWN = 901
+    HISTORY_GONE = 902
     INTERNAL_ERROR = 999
 
     @property
@@ -107,6 +110,8 @@
         _NOT, 503, 3, "The endpoint refused the connection before the first byte."
     ),
     ResultCode.CLAIM_LOST: CodeInfo(_NOT, 409, 3, "Another entry VM holds this request id."),
+    ResultCode.ENDPOINT_REFUSED: CodeInfo(_NOT, 503, 3, "The endpoint did not take the request."),
+    ResultCode.NO_ROUTE: CodeInfo(_NOT, 404, 3, "No route of the configuration fits the request."),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(_MAY, 502, 4, "The outcome of the attempt is unknown."),
     ResultCode.STREAM_BROKEN: CodeInfo(_MAY, 502, 4, "The stream ended before it was whole."),
     ResultCode.IN_PROGRESS: CodeInfo(_MAY, 409, 4, "The same request id is being worked on."),
@@ -144,6 +149,7 @@
     ResultCode.BAD_MESSAGE: CodeInfo(_NOT, 400, 2, "A session message could not be decoded."),
     ResultCode.STORE_CONFLICT: CodeInfo(_NOT, 409, 5, "A condition of a transaction failed."),
     ResultCode.STORE_OUTCOME_UNKNOWN: CodeInfo(_MAY, 504, 6, "A commit's reply was lost."),
+    ResultCode.HISTORY_GONE: CodeInfo(_NOT, 503, 6, "The store dropped the changes asked for."),
     ResultCode.INTERNAL_ERROR: CodeInfo(_MAY, 500, 1, "A fault in pumicedeck itself."),
 }
 
--- /dev/null
+++ b/pumicedeck/reward_calls.py
@@ -0,0 +1,85 @@
+"""Scores an item's text by the call that its submission names."""
+
+from random import Random
+
+from loguru import logger
+from result import Ok
+
+from pumicedeck.call_limits import Outcome, RetrySettings
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.dialects import ForwardedCall
+from pumicedeck.direct_endpoints import EndpointDirectory
+from pumicedeck.endpoint_callers import EndpointCaller
+from pumicedeck.route_tables import RouteTable, choose_pool
+from pumicedeck.submissions import RewardCall
+from pumicedeck.tasks import sleep
+
+_log = logger.bind(module="reward_calls")
+
+_LONGEST_CALL_SECONDS = 3.0
+_PAUSE_SECONDS = 0.1
+
+
+class RewardCaller:
+    """Repeats a reward call at other endpoints until it succeeds or has failed for good."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        caller: EndpointCaller,
+        directory: EndpointDirectory,
+        random: Random,
+        settings: RetrySettings | None = None,
+    ) -> None:
+        """Own nothing."""
+        self._timers = timers
+        self._caller = caller
+        self._directory = directory
+        self._random = random
+        self._settings = settings or RetrySettings()
+
+    async def score(
+        self, reward: RewardCall, routes: RouteTable, most_errors: int, until: float
+    ) -> str | None:
+        """Return the signature of the scorer's answer; None if it failed or time ran out."""
+        errors = 0
+        tried: tuple[str, ...] = ()
+        while self._timers.now() < until:
+            route = routes.find(reward.host.lower(), reward.path.partition("?")[0])
+            if route is None:
+                _log.warning("no route for a reward call", request=reward.request_id)
+                return None
+            pool = choose_pool(route, self._random)
+            now = self._timers.now()
+            state = self._directory.choose(pool, tried, now)
+            if state is None:
+                tried = ()
+                state = self._directory.choose(pool, tried, now)
+            if state is None:
+                await sleep(self._timers, _PAUSE_SECONDS)
+                continue
+            call = ForwardedCall(
+                reward.request_id, "POST", reward.path, reward.host, (), reward.body
+            )
+            seconds = min(_LONGEST_CALL_SECONDS, route.longest_wait)
+            silence = self._settings.patience(route, seconds, more_attempts=True)
+            result = await self._caller.call(call, state.endpoint, seconds, silence)
+            tried += (state.endpoint.name,)
+            if isinstance(result, Ok) and result.ok_value.answer.succeeded:
+                return result.ok_value.answer.signature
+            if isinstance(result, Ok):
+                errors += 1
+                if errors >= max(most_errors, route.max_attempts):
+                    _log.info("reward call failed", request=reward.request_id, errors=errors)
+                    return None
+            else:
+                _log.info(
+                    "attempt failed",
+                    request=reward.request_id,
+                    endpoint=state.endpoint.name,
+                    attempt=len(tried),
+                    outcome=Outcome.UNKNOWN.value,
+                    detail=result.err_value.detail,
+                )
+                await sleep(self._timers, _PAUSE_SECONDS)
+        return None
--- /dev/null
+++ b/pumicedeck/route_tables.py
@@ -0,0 +1,120 @@
+"""Which pool of endpoints serves a request, by host and longest path prefix; free of I/O.
+
+Answers the load pattern of operators who move, split, add and drop routes in quick succession,
+up to many thousands of routes: a look-up costs one step for each segment of the path.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+
+
+class RouteKind(StrEnum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+    SUBMISSION = "submission"
+
+
+@dataclass(frozen=True, slots=True)
+class PoolShare:
+    """A pool of endpoints and its weight among the pools of a route."""
+
+    pool: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route; times are in seconds.
+
+    `longest_wait` is how long a caller may be kept waiting, `objective` the time in which an answer
+    counts fully, `due` when all results of a submission are wanted, `give_up` when an item of it
+    may be dropped.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    pools: tuple[PoolShare, ...]
+    longest_wait: float = 30.0
+    objective: float = 1.0
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    due: float = 0.0
+    give_up: float = 0.0
+    single_version: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Settings of a pool of endpoints; `max_connections` counts those of all callers."""
+
+    name: str
+    max_connections: int
+    slots: int = 0
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds of what callers may send; times are in seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """One version of the routes, pools and limits."""
+
+    version: int
+    routes: tuple[Route, ...]
+    pools: dict[str, Pool]
+    limits: CallerLimits | None = None
+    _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Index the routes."""
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        object.__setattr__(self, "_by_host", by_host)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix; prefixes begin and end with a slash."""
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_named(self, name: str) -> Route | None:
+        """Return a route by its name."""
+        return next((route for route in self.routes if route.name == name), None)
+
+
+def choose_pool(route: Route, random: Random) -> str:
+    """Draw a pool by the weights of a route."""
+    if len(route.pools) == 1:
+        return route.pools[0].pool
+    weights = [share.weight for share in route.pools]
+    if sum(weights) <= 0:
+        return route.pools[0].pool
+    return random.choices(route.pools, weights)[0].pool
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
-from pumicedeck.platforms import adapter_names
+from pumicedeck.platform_interfaces import adapter_names
 from pumicedeck.registries import queue_names, router_names
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Address, EndpointKind
--- a/pumicedeck/simulated_processes.py
+++ b/pumicedeck/simulated_processes.py
@@ -28,7 +28,7 @@
 from pumicedeck.entry_requests import EntryRequests
 from pumicedeck.faults import FaultSwitches
 from pumicedeck.messages import AttemptId, Dispatch, Heartbeat, Message
-from pumicedeck.platforms import Committed, Done, Row, StoreKey, TableStore, Transaction
+from pumicedeck.platform_interfaces import Committed, Done, Row, StoreKey, TableStore, Transaction
 from pumicedeck.queues import FirstInFirstOutQueue
 from pumicedeck.results import Failure
 from pumicedeck.routers import Candidate, RoundRobinRouter
--- a/pumicedeck/simulations.py
+++ b/pumicedeck/simulations.py
@@ -17,7 +17,7 @@
 from pumicedeck.entry_requests import EntryRequests
 from pumicedeck.messages import Answer, AttemptId, Dispatch, Message
 from pumicedeck.oracles import Oracle, Violation
-from pumicedeck.platforms import Transaction
+from pumicedeck.platform_interfaces import Transaction
 from pumicedeck.results import Execution, Failure
 from pumicedeck.simulated_callers import Callers, CallSpec, RequestKind, Step
 from pumicedeck.simulated_endpoints import SimulatedEndpoint
--- a/pumicedeck/standin_batches.py
+++ b/pumicedeck/standin_batches.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from pumicedeck.clocks import Timer, TimerQueue
-from pumicedeck.platforms import Generation, TokenChunk
+from pumicedeck.platform_interfaces import Generation, TokenChunk
 
 _DEFAULT_TOKENS = 16
 _PREFIX_CHARACTERS = 64
--- a/pumicedeck/standin_caches.py
+++ b/pumicedeck/standin_caches.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from pumicedeck.platforms import CacheEvent
+from pumicedeck.platform_interfaces import CacheEvent
 
 _KEPT_EVENTS = 4096
 
--- a/pumicedeck/standin_engines.py
+++ b/pumicedeck/standin_engines.py
@@ -9,7 +9,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import CallPlan, Fault, FaultSwitches, StandIn
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     CacheEvent,
     Done,
     EngineOrder,
--- a/pumicedeck/standin_fleets.py
+++ b/pumicedeck/standin_fleets.py
@@ -5,7 +5,7 @@
 from pumicedeck.catalogue_entries import Catalogue
 from pumicedeck.composition import Host, Platform, Running, build_agent, build_entry
 from pumicedeck.demo_firms import PoolSite, agent_settings, entry_settings
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     LoadedModel,
     ModelEngine,
     PlainService,
--- a/pumicedeck/standin_ledgers.py
+++ b/pumicedeck/standin_ledgers.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from pumicedeck.platforms import EngineOrder, LoadedModel
+from pumicedeck.platform_interfaces import EngineOrder, LoadedModel
 from pumicedeck.standin_batches import BatchSettings
 from pumicedeck.standin_caches import CacheSettings
 
--- a/pumicedeck/standin_objects.py
+++ b/pumicedeck/standin_objects.py
@@ -4,7 +4,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import FaultSwitches, StandIn
-from pumicedeck.platforms import Done, ObjectStore, adapter
+from pumicedeck.platform_interfaces import Done, ObjectStore, adapter
 from pumicedeck.results import Failure, ResultCode
 
 _DOWN = Failure(ResultCode.STORE_UNAVAILABLE, "the object store is down")
--- a/pumicedeck/standin_orders.py
+++ b/pumicedeck/standin_orders.py
@@ -8,7 +8,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import CallPlan, Fault
-from pumicedeck.platforms import Done, EngineOrder, OrderKind
+from pumicedeck.platform_interfaces import Done, EngineOrder, OrderKind
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_ledgers import EngineSettings, ExecutedOrder
 
--- a/pumicedeck/standin_servers.py
+++ b/pumicedeck/standin_servers.py
@@ -33,7 +33,13 @@
 )
 from pumicedeck.http_servers import HttpExchange, HttpServer
 from pumicedeck.http_services import HANDLE_HEADER, HEALTH_PATH, REQUEST_ID_HEADER
-from pumicedeck.platforms import Done, GenerationEnd, ServiceCall, ServiceReply, TokenChunk
+from pumicedeck.platform_interfaces import (
+    Done,
+    GenerationEnd,
+    ServiceCall,
+    ServiceReply,
+    TokenChunk,
+)
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_engines import StandinEngine
 from pumicedeck.standin_objects import StandinObjectStore
--- a/pumicedeck/standin_services.py
+++ b/pumicedeck/standin_services.py
@@ -9,7 +9,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import FaultSwitches, StandIn
-from pumicedeck.platforms import Done, PlainService, ServiceCall, ServiceReply, adapter
+from pumicedeck.platform_interfaces import Done, PlainService, ServiceCall, ServiceReply, adapter
 from pumicedeck.results import Failure, ResultCode
 
 _REFUSED = Failure(ResultCode.ENDPOINT_UNREACHABLE, "connection refused", proven_not_run=True)
--- a/pumicedeck/standin_settings.py
+++ b/pumicedeck/standin_settings.py
@@ -17,7 +17,7 @@
     encode_row,
     name_of,
 )
-from pumicedeck.platforms import LoadedModel, Transaction, Write
+from pumicedeck.platform_interfaces import LoadedModel, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.settings import Duration, ListenAddress, Section, Size, explain
 from pumicedeck.standin_batches import BatchSettings
--- a/pumicedeck/standin_tables.py
+++ b/pumicedeck/standin_tables.py
@@ -8,7 +8,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import FaultSwitches, StandIn
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Committed,
     Condition,
     Done,
--- a/pumicedeck/standin_vm_lists.py
+++ b/pumicedeck/standin_vm_lists.py
@@ -6,7 +6,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.faults import FaultSwitches, StandIn
-from pumicedeck.platforms import Done, VmList, adapter
+from pumicedeck.platform_interfaces import Done, VmList, adapter
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.world import Vm
 
--- a/pumicedeck/standin_weights.py
+++ b/pumicedeck/standin_weights.py
@@ -7,7 +7,7 @@
 
 from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.faults import Fault, FaultSwitches, StandIn
-from pumicedeck.platforms import Done, WeightStore, WeightVersion, adapter
+from pumicedeck.platform_interfaces import Done, WeightStore, WeightVersion, adapter
 from pumicedeck.results import Failure, ResultCode
 
 _DOWN = Failure(ResultCode.STORE_UNAVAILABLE, "the weight store is down")
--- /dev/null
+++ b/pumicedeck/submission_intakes.py
@@ -0,0 +1,211 @@
+"""Accepts, shows and ends submissions at any process, through the store alone."""
+
+from dataclasses import dataclass
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.partitioned_stores import Change, Expectation, Page, PartitionedStore, Put
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submissions import (
+    ItemResult,
+    Submission,
+    decode_items,
+    encode_items,
+)
+from pumicedeck.tasks import sleep, within
+from pumicedeck.work_mirrors import (
+    HEAD_KEY,
+    ITEMS_TABLE,
+    WORK_TABLE,
+    SubmissionView,
+    WorkMirror,
+    end_row,
+    head_row,
+    items_row,
+)
+
+_log = logger.bind(module="submission_intakes")
+
+_UNKNOWN = Failure(ResultCode.NOT_FOUND, "no such submission")
+_UNSURE = Failure(ResultCode.STORE_UNAVAILABLE, "the store cannot be asked")
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeSettings:
+    """Times in seconds; sizes in rows and bytes.
+
+    What the mirror does not show is believed only if it heard from the store within
+    `fresh_seconds`. `rows_per_change` bounds a transaction, `page_bytes` what one read returns.
+    """
+
+    fresh_seconds: float = 0.75
+    retry_seconds: float = 0.1
+    accept_seconds: float = 2.5
+    rows_per_change: int = 12
+    page_bytes: int = 900_000
+
+
+class SubmissionIntake:
+    """Serves submissions from the mirror and the store."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        store: PartitionedStore,
+        mirror: WorkMirror,
+        settings: IntakeSettings | None = None,
+    ) -> None:
+        """Use `store` and `mirror`, which stay the caller's."""
+        self._timers = timers
+        self._store = store
+        self._mirror = mirror
+        self._settings = settings or IntakeSettings()
+
+    async def accept(self, submission: Submission) -> Result[None, Failure]:
+        """Keep a submission; STORE_UNAVAILABLE is a proof that nothing of it was kept.
+
+        A lost reply is resolved by trying again: the second insert meets the first one's row.
+        """
+        head = submission.head
+        if self._mirror.view(head.submission_id) is not None:
+            return Ok(None)
+        deadline = self._timers.now() + self._settings.accept_seconds
+        changes = self._changes(submission)
+        unsure = False
+        while changes:
+            outcome = await self._store.commit(changes[0])
+            if isinstance(outcome, Ok):
+                changes.pop(0)
+                continue
+            code = outcome.err_value.code
+            if code is ResultCode.STORE_CONFLICT:
+                if len(changes) > 1:
+                    changes.pop(0)
+                    continue
+                return Ok(None)
+            last = len(changes) == 1
+            unsure = unsure or (last and code is ResultCode.STORE_OUTCOME_UNKNOWN)
+            if self._timers.now() >= deadline or (last and not unsure):
+                return Err(self._rejection(head.submission_id, unsure, outcome.err_value))
+            await sleep(self._timers, self._settings.retry_seconds)
+        return Ok(None)
+
+    async def results(
+        self, submission_id: str, after: int, wait: float
+    ) -> Result[tuple[int, list[ItemResult]], Failure]:
+        """Return the total and the results from a position on; waits for the first one."""
+        found = await self._find(submission_id)
+        if isinstance(found, Err):
+            return found
+        view = found.ok_value
+        deadline = self._timers.now() + wait
+        while len(view.results) <= after and view.is_open:
+            left = deadline - self._timers.now()
+            if left <= 0 or not await within(self._timers, left, view.changed.wait(), False):
+                break
+        if len(view.results) <= after and not self._is_fresh():
+            refreshed = await self._refresh(submission_id)
+            if isinstance(refreshed, Err):
+                return refreshed
+        return Ok((view.head.total, self._page(view, after)))
+
+    async def item_body(self, submission_id: str, item_id: str) -> Result[bytes, Failure]:
+        """Return the body of an item."""
+        found = await self._find(submission_id)
+        if isinstance(found, Err):
+            return found
+        page = await self._store.read(ITEMS_TABLE, submission_id)
+        if isinstance(page, Err):
+            return Err(_UNSURE)
+        chunks = [row.value for row in page.ok_value.rows if row.value is not None]
+        if len(chunks) < found.ok_value.head.chunks:
+            return Err(_UNSURE)
+        for item in decode_items(chunks):
+            if item.item_id == item_id:
+                return Ok(item.body)
+        return Err(Failure(ResultCode.NOT_FOUND, "no such item"))
+
+    async def end(self, submission_id: str) -> Result[None, Failure]:
+        """End a submission; ending it again changes nothing."""
+        found = await self._find(submission_id)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value.ended:
+            return Ok(None)
+        deadline = self._timers.now() + self._settings.accept_seconds
+        change = Change((), (Put(end_row(submission_id), b"{}"),))
+        while True:
+            outcome = await self._store.commit(change)
+            if isinstance(outcome, Ok):
+                _log.info("submission ended", submission=submission_id)
+                return Ok(None)
+            if self._timers.now() >= deadline:
+                return Err(outcome.err_value)
+            await sleep(self._timers, self._settings.retry_seconds)
+
+    def _changes(self, submission: Submission) -> list[Change]:
+        """Return the transactions of a submission; only the last one makes it exist."""
+        head = submission.head
+        puts = [
+            Put(items_row(head.submission_id, number), chunk)
+            for number, chunk in enumerate(encode_items(submission.items))
+        ]
+        size = self._settings.rows_per_change
+        groups = [tuple(puts[at : at + size]) for at in range(0, len(puts), size)]
+        last = groups.pop()
+        row = head_row(head.submission_id)
+        changes = [Change((), group) for group in groups]
+        changes.append(Change((Expectation(row, 0),), (*last, Put(row, head.encode()))))
+        return changes
+
+    def _rejection(self, submission_id: str, unsure: bool, failure: Failure) -> Failure:
+        _log.info(
+            "submission not accepted",
+            submission=submission_id,
+            unsure=unsure,
+            detail=failure.detail,
+        )
+        if unsure:
+            return Failure(ResultCode.STORE_OUTCOME_UNKNOWN, failure.detail)
+        return Failure(ResultCode.STORE_UNAVAILABLE, failure.detail, proven_not_run=True)
+
+    async def _find(self, submission_id: str) -> Result[SubmissionView, Failure]:
+        view = self._mirror.view(submission_id)
+        if view is not None:
+            return Ok(view)
+        refreshed = await self._refresh(submission_id)
+        if isinstance(refreshed, Err):
+            return refreshed
+        view = self._mirror.view(submission_id)
+        return Ok(view) if view is not None else Err(_UNKNOWN)
+
+    async def _refresh(self, submission_id: str) -> Result[None, Failure]:
+        """Read all rows of a submission."""
+        first = ""
+        while True:
+            outcome = await self._store.read(WORK_TABLE, submission_id, first)
+            if isinstance(outcome, Err):
+                return Err(_UNSURE)
+            page: Page = outcome.ok_value
+            if not first and not any(row.row.key == HEAD_KEY for row in page.rows):
+                if not page.truncated:
+                    return Ok(None)
+            self._mirror.take(page.rows)
+            if not page.truncated:
+                return Ok(None)
+            first = page.rows[-1].row.key + "\0"
+
+    def _is_fresh(self) -> bool:
+        return self._timers.now() - self._mirror.fresh_at <= self._settings.fresh_seconds
+
+    def _page(self, view: SubmissionView, after: int) -> list[ItemResult]:
+        page: list[ItemResult] = []
+        size = 0
+        for result in view.results[after:]:
+            size += len(result.text) + 300
+            if page and size > self._settings.page_bytes:
+                break
+            page.append(result)
+        return page
--- /dev/null
+++ b/pumicedeck/submission_works.py
@@ -0,0 +1,283 @@
+"""A submission in the scheduler's hands: its items, and the writer of its results."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submissions import (
+    Item,
+    ItemResult,
+    Progress,
+    SubmissionHead,
+    decode_items,
+    decode_progress,
+    encode_progress,
+    encode_results,
+)
+from pumicedeck.tasks import Task, sleep, spawn
+from pumicedeck.work_mirrors import (
+    ITEMS_TABLE,
+    PROGRESS_TABLE,
+    WORK_TABLE,
+    SubmissionView,
+    encode_owner,
+    owner_row,
+    progress_row,
+    results_row,
+)
+
+_log = logger.bind(module="submission_works")
+
+
+@dataclass(frozen=True, slots=True)
+class WriterSettings:
+    """Times in seconds; sizes in bytes and rows.
+
+    `gather_seconds` is how long results are gathered for one row.
+    """
+
+    gather_seconds: float = 0.02
+    retry_seconds: float = 0.15
+    row_bytes: int = 40_000
+    progress_rows: int = 40
+    progress_bytes: int = 60_000
+    progress_events: int = 6
+
+
+@dataclass(slots=True, eq=False)
+class ItemWork:
+    """An item that is not listed yet."""
+
+    item: Item
+    progress: Progress = field(default_factory=Progress)
+    errors: int = 0
+    attempts: int = 0
+    moves: int = 0
+    avoid: dict[str, float] = field(default_factory=dict)
+    saved_event: int = 0
+    not_before: float = 0.0
+
+
+class SubmissionWork:
+    """Owns a submission's results as long as its owner row stands at our revision."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        store: PartitionedStore,
+        head: SubmissionHead,
+        holder: str,
+        lost: Callable[["SubmissionWork"], None],
+        settings: WriterSettings | None = None,
+    ) -> None:
+        """Report to `lost` when another scheduler owns the submission."""
+        self._timers = timers
+        self._store = store
+        self._holder = holder
+        self._lost = lost
+        self._settings = settings or WriterSettings()
+        self.head = head
+        self.waiting: dict[str, ItemWork] = {}
+        self.running: dict[str, ItemWork] = {}
+        self.listed = 0
+        self._owner_revision = 0
+        self._pending: list[ItemResult] = []
+        self._writer: Task | None = None
+        self._saving = False
+        self._closed = False
+
+    @property
+    def is_finished(self) -> bool:
+        """Return whether every item is listed."""
+        return self.listed >= self.head.total
+
+    @property
+    def submission_id(self) -> str:
+        """Return the submission's id."""
+        return self.head.submission_id
+
+    async def adopt(self, fencing: int, view: SubmissionView) -> Result[None, Failure]:
+        """Become the owner and read what is left to do."""
+        claimed = await self._claim(fencing, view)
+        if isinstance(claimed, Err):
+            return claimed
+        results = await self._read_results()
+        if isinstance(results, Err):
+            return results
+        items = await self._read_items()
+        if isinstance(items, Err):
+            return items
+        progress = await self._read_progress()
+        self.listed = len(results.ok_value)
+        done = {result.item_id for result in results.ok_value}
+        for item in items.ok_value:
+            if item.item_id not in done:
+                work = ItemWork(item, progress.get(item.item_id, Progress()))
+                work.saved_event = work.progress.last_event
+                self.waiting[item.item_id] = work
+        return Ok(None)
+
+    def close(self) -> None:
+        """Write nothing more."""
+        self._closed = True
+        if self._writer is not None:
+            self._writer.cancel()
+
+    def add_result(self, result: ItemResult) -> None:
+        """List a result; it keeps its position from its commit on."""
+        self._pending.append(result)
+        if self._writer is None and not self._closed:
+            self._writer = spawn(self._write(), f"results of {self.submission_id}")
+
+    def save_progress(self) -> None:
+        """Store the texts that have grown since the last time."""
+        if not self._saving and not self._closed:
+            spawn(self._save(), f"progress of {self.submission_id}")
+
+    async def save_all(self) -> None:
+        """Store every text that has grown."""
+        await self._save(least_events=1)
+
+    async def _claim(self, fencing: int, view: SubmissionView) -> Result[None, Failure]:
+        row = owner_row(self.submission_id)
+        value = encode_owner(fencing, self._holder)
+        revision = view.owner_revision
+        while True:
+            change = Change((Expectation(row, revision),), (Put(row, value),))
+            outcome = await self._store.commit(change)
+            if isinstance(outcome, Ok):
+                self._owner_revision = outcome.ok_value
+                return Ok(None)
+            page = await self._store.read(WORK_TABLE, self.submission_id)
+            if isinstance(page, Err):
+                return page
+            found = [each for each in page.ok_value.rows if each.row == row]
+            if found and found[0].value == value:
+                self._owner_revision = found[0].revision
+                return Ok(None)
+            probe = SubmissionView(self.submission_id)
+            probe.take(found[0]) if found else None
+            if probe.fencing > fencing:
+                return Err(Failure(ResultCode.FENCED, "a newer scheduler owns the submission"))
+            revision = probe.owner_revision
+            await sleep(self._timers, self._settings.retry_seconds)
+
+    async def _read_results(self) -> Result[list[ItemResult], Failure]:
+        view = SubmissionView(self.submission_id)
+        first = ""
+        while True:
+            page = await self._store.read(WORK_TABLE, self.submission_id, first)
+            if isinstance(page, Err):
+                return page
+            for row in page.ok_value.rows:
+                view.take(row)
+            if not page.ok_value.truncated:
+                return Ok(view.results)
+            first = page.ok_value.rows[-1].row.key + "\0"
+
+    async def _read_items(self) -> Result[tuple[Item, ...], Failure]:
+        chunks: list[bytes] = []
+        while len(chunks) < self.head.chunks:
+            first = f"{len(chunks):05d}"
+            page = await self._store.read(ITEMS_TABLE, self.submission_id, first)
+            if isinstance(page, Err):
+                return page
+            if not page.ok_value.rows:
+                return Err(Failure(ResultCode.NOT_FOUND, "rows of items are missing"))
+            chunks.extend(row.value for row in page.ok_value.rows if row.value is not None)
+        return Ok(decode_items(chunks[: self.head.chunks]))
+
+    async def _read_progress(self) -> dict[str, Progress]:
+        page = await self._store.read(PROGRESS_TABLE, self.submission_id)
+        if isinstance(page, Err):
+            _log.warning("progress cannot be read; items start anew", submission=self.submission_id)
+            return {}
+        return {
+            row.row.key: decode_progress(row.value)
+            for row in page.ok_value.rows
+            if row.value is not None
+        }
+
+    async def _write(self) -> None:
+        await sleep(self._timers, self._settings.gather_seconds)
+        while self._pending and not self._closed:
+            batch = self._batch()
+            if not await self._commit_batch(batch):
+                return
+            self.listed += len(batch)
+            del self._pending[: len(batch)]
+        self._writer = None
+
+    async def _commit_batch(self, batch: tuple[ItemResult, ...]) -> bool:
+        row = results_row(self.submission_id, self.listed)
+        values = encode_results(batch)
+        owner = Expectation(owner_row(self.submission_id), self._owner_revision)
+        puts = tuple(
+            Put(results_row(self.submission_id, self.listed, chunk), value)
+            for chunk, value in enumerate(values)
+        )
+        change = Change((owner, Expectation(row, 0)), puts)
+        while not self._closed:
+            outcome = await self._store.commit(change)
+            if isinstance(outcome, Ok):
+                return True
+            if outcome.err_value.code is ResultCode.STORE_CONFLICT:
+                return await self._settle_conflict(row, values[0])
+            await sleep(self._timers, self._settings.retry_seconds)
+        return False
+
+    async def _settle_conflict(self, row, value: bytes) -> bool:
+        """Tell a write of our own whose reply was lost from the loss of the submission."""
+        while not self._closed:
+            page = await self._store.read(WORK_TABLE, self.submission_id, row.key, 1)
+            if isinstance(page, Ok):
+                mine = any(r.row == row and r.value == value for r in page.ok_value.rows)
+                if not mine:
+                    _log.info("submission lost to another scheduler", id=self.submission_id)
+                    self._lost(self)
+                return mine
+            await sleep(self._timers, self._settings.retry_seconds)
+        return False
+
+    def _batch(self) -> tuple[ItemResult, ...]:
+        batch: list[ItemResult] = []
+        size = 0
+        for result in self._pending:
+            size += len(result.text) + len(result.score) + 200
+            if batch and size > self._settings.row_bytes:
+                break
+            batch.append(result)
+        return tuple(batch)
+
+    async def _save(self, least_events: int | None = None) -> None:
+        least = self._settings.progress_events if least_events is None else least_events
+        grown = [
+            work
+            for work in (*self.running.values(), *self.waiting.values())
+            if work.progress.last_event - work.saved_event >= least
+        ][: self._settings.progress_rows]
+        if not grown:
+            return
+        owner = Expectation(owner_row(self.submission_id), self._owner_revision)
+        marks = [(work, work.progress.last_event) for work in grown]
+        texts = [(work, encode_progress(work.progress)) for work in grown]
+        puts = tuple(
+            Put(progress_row(self.submission_id, work.item.item_id), text)
+            for work, text in texts
+            if len(text) <= self._settings.progress_bytes
+        )
+        self._saving = True
+        try:
+            outcome = await self._store.commit(Change((owner,), puts))
+        finally:
+            self._saving = False
+        if isinstance(outcome, Ok):
+            for work, event in marks:
+                work.saved_event = event
+        else:
+            _log.debug("progress not saved", id=self.submission_id)
--- a/pumicedeck/swap_experiments.py
+++ b/pumicedeck/swap_experiments.py
@@ -5,7 +5,7 @@
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.faults import Fault, FaultRate, FaultSwitches
-from pumicedeck.platforms import LoadedModel, WeightVersion
+from pumicedeck.platform_interfaces import LoadedModel, WeightVersion
 from pumicedeck.standin_engines import StandinEngine
 from pumicedeck.standin_ledgers import EngineSettings
 from pumicedeck.standin_tables import StandinTableStore, StoreLimits
--- a/pumicedeck/swaps.py
+++ b/pumicedeck/swaps.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from pumicedeck.catalogue_entries import CatalogueEntry, SwapPolicy
-from pumicedeck.platforms import WeightVersion
+from pumicedeck.platform_interfaces import WeightVersion
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/tests/platform_benches.py
+++ b/pumicedeck/tests/platform_benches.py
@@ -2,7 +2,7 @@
 
 from pumicedeck.faults import Fault
 from pumicedeck.http_clients import HttpClient
-from pumicedeck.platforms import find_adapter
+from pumicedeck.platform_interfaces import find_adapter
 from pumicedeck.standin_servers import StandinServer
 from pumicedeck.tests.loop_harnesses import Loop
 
--- a/pumicedeck/tests/test_attributions.py
+++ b/pumicedeck/tests/test_attributions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pumicedeck.attributions import Attributions
-from pumicedeck.platforms import TokenChunk
+from pumicedeck.platform_interfaces import TokenChunk
 from pumicedeck.results import Execution, ResultCode
 
 DRAFT = "agent/1:1"
--- a/pumicedeck/tests/test_catalogue_stores.py
+++ b/pumicedeck/tests/test_catalogue_stores.py
@@ -22,7 +22,7 @@
 from pumicedeck.catalogue_stores import CatalogueStore
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.experiment_stores import ExperimentTableStore, StoreFaults, StoreService
-from pumicedeck.platforms import Transaction, Write
+from pumicedeck.platform_interfaces import Transaction, Write
 from pumicedeck.results import ResultCode
 from pumicedeck.tests.test_catalogue_documents import GOOD
 
--- a/pumicedeck/tests/test_leases.py
+++ b/pumicedeck/tests/test_leases.py
@@ -19,7 +19,7 @@
     ReadLease,
     decode_lease,
 )
-from pumicedeck.platforms import Committed, Row, StoreKey
+from pumicedeck.platform_interfaces import Committed, Row, StoreKey
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_tables import StandinTableStore, TableData
 
--- a/pumicedeck/tests/test_model_engines.py
+++ b/pumicedeck/tests/test_model_engines.py
@@ -6,7 +6,7 @@
 
 from pumicedeck.faults import Fault
 from pumicedeck.http_engines import GENERATION_SILENCE_SECONDS, HttpEngine
-from pumicedeck.platforms import EngineOrder, Generation, LoadedModel, OrderKind
+from pumicedeck.platform_interfaces import EngineOrder, Generation, LoadedModel, OrderKind
 from pumicedeck.results import Execution, ResultCode
 from pumicedeck.standin_batches import BatchSettings, body_digest, token_text
 from pumicedeck.standin_caches import CacheSettings
--- a/pumicedeck/tests/test_orders.py
+++ b/pumicedeck/tests/test_orders.py
@@ -12,7 +12,14 @@
     SendOrder,
     StateBelieved,
 )
-from pumicedeck.platforms import Committed, EngineOrder, EngineState, LoadedModel, OrderKind, Row
+from pumicedeck.platform_interfaces import (
+    Committed,
+    EngineOrder,
+    EngineState,
+    LoadedModel,
+    OrderKind,
+    Row,
+)
 from pumicedeck.results import Failure, ResultCode
 
 SWAP = EngineOrder("o1", 0, OrderKind.SWAP_VERSION, "m", 5)
--- a/pumicedeck/tests/test_plain_services.py
+++ b/pumicedeck/tests/test_plain_services.py
@@ -4,7 +4,7 @@
 
 import pumicedeck.http_services  # noqa: F401
 from pumicedeck.faults import Fault
-from pumicedeck.platforms import ServiceCall
+from pumicedeck.platform_interfaces import ServiceCall
 from pumicedeck.results import Execution, ResultCode
 from pumicedeck.standin_services import expected_reply
 from pumicedeck.tests.platform_benches import KINDS, PlatformBench, code_of
--- a/pumicedeck/tests/test_standin_engines.py
+++ b/pumicedeck/tests/test_standin_engines.py
@@ -7,7 +7,7 @@
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.faults import Fault
-from pumicedeck.platforms import EngineOrder, Generation, LoadedModel, OrderKind
+from pumicedeck.platform_interfaces import EngineOrder, Generation, LoadedModel, OrderKind
 from pumicedeck.results import ResultCode
 from pumicedeck.standin_batches import BatchSettings, body_digest, token_text
 from pumicedeck.standin_caches import CacheSettings
--- a/pumicedeck/tests/test_standin_fleets.py
+++ b/pumicedeck/tests/test_standin_fleets.py
@@ -9,7 +9,7 @@
 from pumicedeck.demo_firms import CATALOGUE, QUINTELA, SITES, TAINAN, TN_A
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
-from pumicedeck.platforms import WeightVersion
+from pumicedeck.platform_interfaces import WeightVersion
 from pumicedeck.standin_fleets import StandinFleet
 from pumicedeck.tests.loop_harnesses import Loop
 from pumicedeck.tokens import Principal
--- a/pumicedeck/tests/test_standin_hosts.py
+++ b/pumicedeck/tests/test_standin_hosts.py
@@ -13,7 +13,7 @@
 from pumicedeck.http_messages import HttpRequest
 from pumicedeck.http_services import HttpService
 from pumicedeck.http_weights import HttpWeightStore
-from pumicedeck.platforms import EngineOrder, OrderKind, ServiceCall, WeightVersion
+from pumicedeck.platform_interfaces import EngineOrder, OrderKind, ServiceCall, WeightVersion
 from pumicedeck.results import ResultCode
 from pumicedeck.tests.loop_harnesses import Loop
 from pumicedeck.tests.platform_benches import code_of
--- a/pumicedeck/tests/test_swaps.py
+++ b/pumicedeck/tests/test_swaps.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pumicedeck.catalogue_entries import SwapPolicy
-from pumicedeck.platforms import WeightVersion
+from pumicedeck.platform_interfaces import WeightVersion
 from pumicedeck.swaps import (
     BeginSwap,
     RunningDraft,
--- a/pumicedeck/tests/test_table_stores.py
+++ b/pumicedeck/tests/test_table_stores.py
@@ -5,7 +5,7 @@
 import pumicedeck.http_tables  # noqa: F401
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.faults import Fault, FaultRate
-from pumicedeck.platforms import Condition, StoreKey, Transaction, Write
+from pumicedeck.platform_interfaces import Condition, StoreKey, Transaction, Write
 from pumicedeck.results import Execution, ResultCode
 from pumicedeck.standin_tables import StandinTableStore, StoreLimits
 from pumicedeck.tests.platform_benches import KINDS, PlatformBench, code_of
--- a/pumicedeck/tests/test_weight_followers.py
+++ b/pumicedeck/tests/test_weight_followers.py
@@ -9,7 +9,7 @@
 from pumicedeck.catalogue_entries import SwapPolicy
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.faults import Fault, FaultRate, FaultSwitches
-from pumicedeck.platforms import Generation, LoadedModel, OrderKind, WeightVersion
+from pumicedeck.platform_interfaces import Generation, LoadedModel, OrderKind, WeightVersion
 from pumicedeck.standin_engines import StandinEngine
 from pumicedeck.standin_ledgers import EngineSettings
 from pumicedeck.standin_tables import StandinTableStore, TableData
--- a/pumicedeck/tests/test_weight_stores.py
+++ b/pumicedeck/tests/test_weight_stores.py
@@ -5,7 +5,7 @@
 import pumicedeck.http_weights  # noqa: F401
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.faults import Fault
-from pumicedeck.platforms import WeightVersion
+from pumicedeck.platform_interfaces import WeightVersion
 from pumicedeck.results import ResultCode
 from pumicedeck.standin_weights import StandinWeightStore
 from pumicedeck.tests.platform_benches import KINDS, PlatformBench, code_of
--- a/pumicedeck/timeouts.py
+++ b/pumicedeck/timeouts.py
@@ -5,7 +5,7 @@
 from result import Err, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     Committed,
     Done,
     ObjectStore,
--- a/pumicedeck/tokens.py
+++ b/pumicedeck/tokens.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.platforms import Row, StoreKey, TableStore, Write
+from pumicedeck.platform_interfaces import Row, StoreKey, TableStore, Write
 from pumicedeck.results import Failure, ResultCode
 
 TOKEN_TABLE = "tokens"
--- a/pumicedeck/weight_followers.py
+++ b/pumicedeck/weight_followers.py
@@ -21,7 +21,7 @@
     SendOrder,
     StateBelieved,
 )
-from pumicedeck.platforms import (
+from pumicedeck.platform_interfaces import (
     EngineOrder,
     EngineState,
     ModelEngine,
--- /dev/null
+++ b/pumicedeck/weight_plans.py
@@ -0,0 +1,99 @@
+"""Which engine serves which model, and which one loads new weights next; free of I/O.
+
+Answers several trainers that name a version every few seconds on shared engines: each trainer has
+engines of its own, so that a version costs one load an engine; at a new version only those engines
+load at once that the next step could not use, the others when they are idle.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """An engine's versions and work; `idle_for` in seconds, 0 while it runs something."""
+
+    name: str
+    versions: dict[str, int]
+    running: int
+    idle_for: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """What trainers want of a model: `named` is the newest version, `needed` the oldest allowed."""
+
+    model: str
+    named: int
+    needed: int
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class WeightPlanSettings:
+    """`loads_at_once` is what the weight store bears; an engine is idle after `idle_seconds`."""
+
+    loads_at_once: int = 2
+    idle_seconds: float = 0.25
+    tolerated_lag: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class LoadVersion:
+    """Order an engine to load a version."""
+
+    engine: str
+    model: str
+    version: int
+
+
+def assign_models(
+    engines: list[EngineLoad], models: list[str], previous: dict[str, str]
+) -> dict[str, str]:
+    """Return the model of each engine: equal shares, few moves, newest weights first."""
+    if not models:
+        return {}
+    ordered = sorted(engines, key=lambda engine: engine.name)
+    base, extra = divmod(len(ordered), len(models))
+    room = {model: base + (index < extra) for index, model in enumerate(sorted(models))}
+    assigned: dict[str, str] = {}
+    for engine in ordered:
+        model = previous.get(engine.name)
+        if model is not None and room.get(model, 0) > 0:
+            assigned[engine.name] = model
+            room[model] -= 1
+    for engine in ordered:
+        if engine.name in assigned:
+            continue
+        model = max(
+            (each for each in sorted(models) if room[each] > 0),
+            key=lambda each: (engine.versions.get(each, 0), room[each]),
+        )
+        assigned[engine.name] = model
+        room[model] -= 1
+    return assigned
+
+
+def plan_loads(
+    engines: list[EngineLoad],
+    assigned: dict[str, str],
+    demands: dict[str, ModelDemand],
+    loading: int,
+    settings: WeightPlanSettings,
+) -> list[LoadVersion]:
+    """Return the loads to order now, the most urgent first."""
+    urgent, relaxed = [], []
+    for engine in engines:
+        demand = demands.get(assigned.get(engine.name, ""))
+        if demand is None:
+            continue
+        version = engine.versions.get(demand.model, 0)
+        if version >= demand.named:
+            continue
+        load = LoadVersion(engine.name, demand.model, demand.named)
+        oldest = max(demand.needed, demand.named - settings.tolerated_lag)
+        if version < oldest:
+            urgent.append((-demand.waiting, engine.running, engine.name, load))
+        elif engine.idle_for >= settings.idle_seconds and not demand.waiting:
+            relaxed.append((version, 0, engine.name, load))
+    chosen = [entry[-1] for entry in (*sorted(urgent), *sorted(relaxed))]
+    return chosen[: max(0, settings.loads_at_once - loading)]
--- /dev/null
+++ b/pumicedeck/work_mirrors.py
@@ -0,0 +1,143 @@
+"""What every process knows of all submissions, kept up to date from the store's change feed.
+
+Free of I/O. Answers many readers of many submissions at many processes: reading from memory costs
+the store one feed a process and not one call a reader.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from pumicedeck.partitioned_stores import RowKey, StoredRow
+from pumicedeck.submissions import ItemResult, SubmissionHead, decode_head, decode_results
+from pumicedeck.tasks import Signal
+
+WORK_TABLE = "work"
+ITEMS_TABLE = "items"
+PROGRESS_TABLE = "progress"
+HEAD_KEY = "head"
+OWNER_KEY = "owner"
+END_KEY = "end"
+RESULTS_PREFIX = "r"
+
+
+def head_row(submission_id: str) -> RowKey:
+    """Name the row of a submission's head."""
+    return RowKey(WORK_TABLE, submission_id, HEAD_KEY)
+
+
+def owner_row(submission_id: str) -> RowKey:
+    """Name the row that says which scheduler may write results."""
+    return RowKey(WORK_TABLE, submission_id, OWNER_KEY)
+
+
+def end_row(submission_id: str) -> RowKey:
+    """Name the row that ends a submission."""
+    return RowKey(WORK_TABLE, submission_id, END_KEY)
+
+
+def results_row(submission_id: str, position: int, chunk: int = 0) -> RowKey:
+    """Name a row of the write whose first result has `position`."""
+    return RowKey(WORK_TABLE, submission_id, f"{RESULTS_PREFIX}{position:08d}.{chunk:02d}")
+
+
+def items_row(submission_id: str, chunk: int) -> RowKey:
+    """Name a row of a submission's items."""
+    return RowKey(ITEMS_TABLE, submission_id, f"{chunk:05d}")
+
+
+def progress_row(submission_id: str, item_id: str) -> RowKey:
+    """Name the row of the text that an item has so far."""
+    return RowKey(PROGRESS_TABLE, submission_id, item_id)
+
+
+def encode_owner(fencing: int, holder: str) -> bytes:
+    """Return the bytes of an owner row."""
+    return json.dumps({"fencing": fencing, "holder": holder}).encode()
+
+
+@dataclass(slots=True)
+class SubmissionView:
+    """A submission as the store has it; `results` stand at their positions."""
+
+    submission_id: str
+    head: SubmissionHead | None = None
+    owner_revision: int = 0
+    fencing: int = 0
+    ended: bool = False
+    results: list[ItemResult] = field(default_factory=list)
+    changed: Signal = field(default_factory=Signal)
+    _chunks: dict[int, dict[int, bytes]] = field(default_factory=dict)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether results are still to come."""
+        return self.head is not None and not self.ended and len(self.results) < self.head.total
+
+    def take(self, row: StoredRow) -> None:
+        """Take in a row; one that is known already changes nothing."""
+        if row.value is None:
+            return
+        key = row.row.key
+        if key == HEAD_KEY:
+            self.head = decode_head(row.value)
+        elif key == OWNER_KEY:
+            if row.revision > self.owner_revision:
+                self.owner_revision = row.revision
+                self.fencing = int(json.loads(row.value)["fencing"])
+        elif key == END_KEY:
+            self.ended = True
+        elif key.startswith(RESULTS_PREFIX):
+            position, _, chunk = key.removeprefix(RESULTS_PREFIX).partition(".")
+            self._take_results(int(position), int(chunk), row.value)
+
+    def _take_results(self, position: int, chunk: int, value: bytes) -> None:
+        if position < len(self.results):
+            return
+        self._chunks.setdefault(position, {})[chunk] = value
+        while (chunks := self._chunks.get(len(self.results))) is not None:
+            rows = [chunks[number] for number in sorted(chunks)]
+            if len(rows) < rows[0][0]:
+                return
+            del self._chunks[len(self.results)]
+            self.results.extend(decode_results(rows))
+
+
+class WorkMirror:
+    """All submissions by id; `fresh_at` is the second of the last word from the store."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._views: dict[str, SubmissionView] = {}
+        self.revision = 0
+        self.fresh_at = -1e9
+        self.loaded = False
+        self.changed = Signal()
+
+    @property
+    def views(self) -> tuple[SubmissionView, ...]:
+        """Return every submission."""
+        return tuple(self._views.values())
+
+    def view(self, submission_id: str) -> SubmissionView | None:
+        """Return a submission whose head is known."""
+        view = self._views.get(submission_id)
+        return view if view is not None and view.head is not None else None
+
+    def take(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take in rows of the work table and wake who waits for them."""
+        touched: dict[str, SubmissionView] = {}
+        for row in rows:
+            part = row.row.part
+            if row.value is None:
+                if row.row.key == HEAD_KEY:
+                    self._views.pop(part, None)
+                continue
+            view = self._views.get(part)
+            if view is None:
+                view = self._views.setdefault(part, SubmissionView(part))
+            view.take(row)
+            touched[part] = view
+        for view in touched.values():
+            view.changed.notify()
+        if touched:
+            self.changed.notify()
