--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -157,8 +157,8 @@
                     mirror.changed.notify()
 
     slow = FeedSettings(wait_seconds=1.0)
-    operator_feed = StoreFeed(timers, store, clock, OPERATOR_TABLE, take_operator_rows, slow)
-    endpoint_feed = StoreFeed(timers, store, clock, ENDPOINT_TABLE, endpoints.take, slow)
+    operator_feed = StoreFeed(timers, store, clock, OPERATOR_TABLE, take_operator_rows, slow, ("",))
+    endpoint_feed = StoreFeed(timers, store, clock, ENDPOINT_TABLE, endpoints.take, slow, ("",))
     work_feed = StoreFeed(timers, store, clock, WORK_TABLE, lambda rows, full: mirror.take(rows))
     heard_before = 0.0
 
--- a/pumicedeck/partitioned_stores.py
+++ b/pumicedeck/partitioned_stores.py
@@ -61,6 +61,16 @@
     truncated: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PartList:
+    """Names of parts in ascending order; `revision` is the store's newest."""
+
+    parts: tuple[str, ...]
+    revision: int
+    store_seconds: float
+    truncated: bool = False
+
+
 class PartitionedStore(ABC):
     """Failures: STORE_UNAVAILABLE (nothing was done), STORE_OUTCOME_UNKNOWN, STORE_CONFLICT.
 
@@ -77,6 +87,10 @@
     ) -> Promise[Result[Page, Failure]]:
         """Read rows of one part from key `first` on, as of one moment."""
 
+    @abstractmethod
+    def parts(self, table: str, after: str = "") -> Promise[Result[PartList, Failure]]:
+        """List the parts of a table that follow `after`."""
+
     @abstractmethod
     def changes(self, table: str, after: int, wait: float) -> Promise[Result[Page, Failure]]:
         """Read what changed after a revision, waiting up to `wait` seconds for the first row."""
--- a/pumicedeck/platform/stores.py
+++ b/pumicedeck/platform/stores.py
@@ -14,6 +14,7 @@
     Change,
     Page,
     PartitionedStore,
+    PartList,
     RowKey,
     StoredRow,
 )
@@ -25,6 +26,7 @@
 _JSON_TYPE = (("Content-Type", "application/json"),)
 _MILLISECONDS = 1000.0
 _NOTHING_DONE = (429, 503)
+_PARTS_PER_ANSWER = 1000
 
 _log = logger.bind(module="platform.stores")
 
@@ -62,6 +64,16 @@
             query["from"] = first
         return self._get("/rows-get", query, self._seconds)
 
+    def parts(self, table: str, after: str = "") -> Promise[Result[PartList, Failure]]:
+        """List the parts of a table."""
+        query = {"table": table}
+        if after:
+            query["after"] = after
+        request = HttpRequest(
+            "GET", self._address, f"/rows-parts?{urlencode(query)}", idempotent=True
+        )
+        return self._call(request, self._seconds, _part_list, written=False)
+
     def changes(self, table: str, after: int, wait: float) -> Promise[Result[Page, Failure]]:
         """Read what changed after a revision."""
         query = {"table": table, "after": after, "wait-ms": round(wait * _MILLISECONDS)}
@@ -122,6 +134,21 @@
     return Ok(int(json.loads(response.body)["ver"]))
 
 
+def _part_list(response: HttpResponse) -> Result[PartList, Failure]:
+    if response.status != 200:
+        return Err(Failure(ResultCode.STORE_UNAVAILABLE, f"status {response.status}"))
+    document = json.loads(response.body)
+    parts = tuple(document["parts"])
+    return Ok(
+        PartList(
+            parts,
+            int(document["ver"]),
+            document["now-ms"] / _MILLISECONDS,
+            len(parts) >= _PARTS_PER_ANSWER,
+        )
+    )
+
+
 def _page(response: HttpResponse) -> Result[Page, Failure]:
     if response.status == 410:
         return Err(Failure(ResultCode.HISTORY_GONE, "the store dropped this history"))
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 
 from loguru import logger
-from result import Err
+from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import Page, PartitionedStore, StoredRow
-from pumicedeck.results import ResultCode
+from pumicedeck.partitioned_stores import PartitionedStore, StoredRow
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.tasks import Task, sleep, spawn
+from pumicedeck.tasks import Promise, Task, sleep, spawn
 
 _log = logger.bind(module="store_feeds")
 
@@ -19,13 +19,13 @@
 class FeedSettings:
     """Times in seconds: a call waits `wait_seconds`, the next one follows after `pause_seconds`.
 
-    `reread_seconds` bounds how long a feed that says nothing is believed without a full read.
+    A full read asks for `parts_at_once` parts at the same time.
     """
 
     wait_seconds: float = 0.5
     pause_seconds: float = 0.02
     retry_seconds: float = 0.15
-    reread_seconds: float = 3.0
+    parts_at_once: int = 8
 
 
 class StoreFeed:
@@ -39,18 +39,19 @@
         table: str,
         take: Callable[[tuple[StoredRow, ...], bool], None],
         settings: FeedSettings | None = None,
+        parts: tuple[str, ...] | None = None,
     ) -> None:
-        """Follow `table` after `start`."""
+        """Follow `table` after `start`; `parts` names its parts if they are known beforehand."""
         self._timers = timers
         self._store = store
         self._clock = clock
         self._table = table
         self._take = take
         self._settings = settings or FeedSettings()
+        self._parts = parts
         self._revision = 0
         self._loaded = False
         self._heard_at = -1e9
-        self._full_at = -1e9
         self._lost = False
         self._task: Task | None = None
 
@@ -75,42 +76,107 @@
 
     async def _follow(self) -> None:
         while True:
-            await self._round()
+            if self._revision == 0:
+                await self._read_all()
+            else:
+                await self._read_changes()
 
-    async def _round(self) -> None:
+    async def _read_changes(self) -> None:
         sent = self._timers.now()
-        full = self._revision == 0
-        wait = 0.0 if full else self._settings.wait_seconds
-        outcome = await self._store.changes(self._table, self._revision, wait)
+        outcome = await self._store.changes(
+            self._table, self._revision, self._settings.wait_seconds
+        )
         if isinstance(outcome, Err):
-            await self._recover(outcome.err_value.code)
+            await self._recover(outcome.err_value)
             return
         page = outcome.ok_value
-        self._accept(page, full, sent)
-        if not page.truncated and page.rows:
+        self._heard(page.store_seconds, sent)
+        if page.rows:
+            self._take(page.rows, False)
+        # A page that was cut off ends at its last row.
+        newest = page.rows[-1].revision if page.truncated and page.rows else page.revision
+        self._revision = max(self._revision, newest)
+        if page.rows and not page.truncated:
             await sleep(self._timers, self._settings.pause_seconds)
 
-    async def _recover(self, code: ResultCode) -> None:
-        if code is ResultCode.HISTORY_GONE:
+    async def _read_all(self) -> None:
+        """Read every row as of now or a little later; the changes since then follow."""
+        sent = self._timers.now()
+        listed = await self._list_parts()
+        if isinstance(listed, Err):
+            await self._recover(listed.err_value)
+            return
+        parts, revision = listed.ok_value
+        rows: list[StoredRow] = []
+        for at in range(0, len(parts), self._settings.parts_at_once):
+            reads = [
+                self._read_part(part) for part in parts[at : at + self._settings.parts_at_once]
+            ]
+            for read in reads:
+                outcome = await read
+                if isinstance(outcome, Err):
+                    await self._recover(outcome.err_value)
+                    return
+                rows.extend(outcome.ok_value)
+        self._heard(self._clock.now(), sent)
+        self._take(tuple(rows), True)
+        self._loaded = True
+        self._revision = max(1, revision)
+
+    async def _list_parts(self) -> Result[tuple[tuple[str, ...], int], Failure]:
+        parts: list[str] = []
+        revision: int | None = None
+        while True:
+            outcome = await self._store.parts(self._table, parts[-1] if parts else "")
+            if isinstance(outcome, Err):
+                return outcome
+            listed = outcome.ok_value
+            self._clock.saw(listed.store_seconds)
+            # What was committed while the parts were read comes again with the changes.
+            revision = listed.revision if revision is None else revision
+            parts.extend(listed.parts)
+            if not listed.truncated:
+                return Ok((self._parts or tuple(parts), revision))
+
+    def _read_part(self, part: str) -> Promise[Result[list[StoredRow], Failure]]:
+        promise: Promise[Result[list[StoredRow], Failure]] = Promise()
+
+        async def read() -> None:
+            rows: list[StoredRow] = []
+            first = ""
+            while True:
+                outcome = await self._store.read(self._table, part, first)
+                if isinstance(outcome, Err):
+                    promise.resolve(outcome)
+                    return
+                rows.extend(outcome.ok_value.rows)
+                if not outcome.ok_value.truncated:
+                    promise.resolve(Ok(rows))
+                    return
+                first = outcome.ok_value.rows[-1].row.key + "\0"
+
+        spawn(read(), f"rows of {self._table}/{part}")
+        return promise
+
+    async def _recover(self, failure: Failure) -> None:
+        if failure.code is ResultCode.HISTORY_GONE:
             _log.info("history gone; table read anew", table=self._table, after=self._revision)
             self._revision = 0
             return
         if not self._lost:
             self._lost = True
-            _log.warning("feed lost", table=self._table, after=self._revision, code=code.name)
+            _log.warning(
+                "store lost",
+                table=self._table,
+                after=self._revision,
+                code=failure.code.name,
+                detail=failure.detail,
+            )
         await sleep(self._timers, self._settings.retry_seconds)
 
-    def _accept(self, page: Page, full: bool, sent: float) -> None:
-        self._clock.saw(page.store_seconds)
+    def _heard(self, store_seconds: float, sent: float) -> None:
+        self._clock.saw(store_seconds)
         self._heard_at = sent
         if self._lost:
             self._lost = False
-            _log.info("feed regained", table=self._table, revision=page.revision)
-        if full:
-            self._full_at = sent
-        if page.rows or full:
-            self._take(page.rows, full)
-        self._loaded = True
-        # A page that was cut off ends at its last row.
-        newest = page.rows[-1].revision if page.truncated and page.rows else page.revision
-        self._revision = max(self._revision, newest)
+            _log.info("store regained", table=self._table, revision=self._revision)
