--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -55,7 +55,7 @@
 
 SCHEDULER_LEASE = "scheduler"
 LEASE_SETTINGS = LeaseSettings(
-    duration=2.0, margin=0.25, renew_after=0.6, retry=0.2, observe_every=0.4
+    duration=1.3, margin=0.2, renew_after=0.4, retry=0.15, observe_every=0.25
 )
 LEASE_CALL_SECONDS = 0.8
 STORE_CLIENT = HttpClientSettings(
@@ -179,6 +179,7 @@
             intake=SubmissionIntake(timers, store, mirror),
             scheduler=scheduler,
             lease=lease,
+            lease_holder=lease_holder,
             mirror=mirror,
             clock=clock,
             feeds=(operator_feed, endpoint_feed, work_feed),
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -20,6 +20,7 @@
 )
 from pumicedeck.http_listeners import HttpListener, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
+from pumicedeck.leases import LeaseHolder
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, RouteKind, RouteTable
@@ -32,6 +33,10 @@
 
 _log = logger.bind(module="gateways")
 
+_NEAR_SECONDS = 0.015
+_HANDICAP_FACTOR = 12.0
+_MOST_HANDICAP_SECONDS = 1.0
+
 _JSON_TYPE = (("Content-Type", "application/json"),)
 _BYTES_TYPE = (("Content-Type", "application/octet-stream"),)
 _NOT_READY = Failure(ResultCode.NOT_READY, "no configuration yet", proven_not_run=True)
@@ -64,6 +69,7 @@
     intake: SubmissionIntake
     scheduler: Scheduler
     lease: LeaseKeeper
+    lease_holder: LeaseHolder
     mirror: WorkMirror
     clock: StoreClock
     feeds: tuple[StoreFeed, ...]
@@ -74,6 +80,11 @@
     finish: Callable[[], None]
 
 
+def lease_handicap(round_trip: float) -> float:
+    """Return the seconds by which a process far from the store leaves the lease to near ones."""
+    return min(_MOST_HANDICAP_SECONDS, max(0.0, round_trip - _NEAR_SECONDS) * _HANDICAP_FACTOR)
+
+
 class Gateway:
     """Takes callers' requests and answers the balancer."""
 
@@ -228,7 +239,13 @@
                 _log.info("readiness changed", ready=self._was_ready)
             if self.is_ready and not wanted:
                 wanted = True
-                self._parts.lease.want()
+                handicap = lease_handicap(self._parts.work_feed.round_trip)
+                self._parts.lease_holder.handicap = handicap
+                self._timers.call_later(handicap, self._want_lease)
+
+    def _want_lease(self) -> None:
+        if not self._draining:
+            self._parts.lease.want()
 
     async def _figures(self) -> None:
         while True:
--- a/pumicedeck/item_runs.py
+++ b/pumicedeck/item_runs.py
@@ -109,6 +109,7 @@
             return RunEnd.ENGINE_ERROR, f"status {status}"
         if self._faulty or self._cutter.has_rest or not self._work.progress.last_event:
             return RunEnd.BROKEN, "the stream was not whole"
+        self._work.progress.whole = True
         return RunEnd.WHOLE, ""
 
     def _fits(self, version: int) -> bool:
@@ -120,8 +121,6 @@
     def _on_head(self, response: HttpResponse, answer: EndpointAnswer) -> None:
         self.heard = self._timers.now()
         self._version = answer.version or 0
-        if not answer.signature or not answer.version:
-            self._faulty = True
 
     def _on_bytes(self, data: bytes) -> None:
         self.heard = self._timers.now()
@@ -137,11 +136,12 @@
             self._version = event.version
             if self.wrong_version:
                 return
-        if event.number != progress.last_event + 1:
+        if not self._version or event.number != progress.last_event + 1:
             self._faulty = True
             _log.warning(
                 "event out of order",
                 item=self._work.item.item_id,
+                version=self._version,
                 event=event.number,
                 after=progress.last_event,
             )
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -91,7 +91,10 @@
 
 
 class LeaseHolder:
-    """Acquires, renews and releases the lease on one endpoint for one incarnation."""
+    """Acquires, renews and releases the lease on one endpoint for one incarnation.
+
+    `handicap` is how many seconds longer than others it waits before it takes a lapsed lease over.
+    """
 
     def __init__(
         self, endpoint: str, incarnation: str, settings: LeaseSettings | None = None
@@ -111,6 +114,7 @@
         self._valid_until = 0.0
         self._fencing = 0
         self._next: float | None = None
+        self.handicap = 0.0
 
     @property
     def fencing(self) -> int:
@@ -241,7 +245,7 @@
         found = decode_lease(self._row.value)
         if found.holder and found.holder != self._incarnation:
             lost = self._lose()
-            due = self._seen_since + found.duration
+            due = self._seen_since + found.duration + self.handicap
             if now < due:
                 self._phase = LeasePhase.OBSERVING
                 self._next = min(due, now + self._settings.observe_every)
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -300,8 +300,12 @@
         if now >= self._give_up_at(work, route):
             self._give_up_all(work, "its longest wait is over")
             return
-        for item_id, each in work.waiting.items():
-            if now >= each.not_before:
+        for item_id, each in tuple(work.waiting.items()):
+            if each.progress.whole:
+                del work.waiting[item_id]
+                work.running[item_id] = each
+                self._begin_scoring(work, each)
+            elif now >= each.not_before:
                 queued[(work.submission_id, item_id)] = self._queued(work, route, each, now)
 
     def _queued(self, work: SubmissionWork, route: Route, each: ItemWork, now: float) -> QueuedItem:
@@ -436,9 +440,7 @@
         if end is RunEnd.WHOLE:
             # The engine's slot is free while the text is scored.
             self._pump_soon()
-            scoring = Task(self._score(work, each, key), f"score {each.item.item_id}")
-            if not scoring.is_done:
-                self._scorings[key] = scoring
+            self._begin_scoring(work, each)
             return
         self._requeue(work, each, run.endpoint, end, detail)
 
@@ -450,6 +452,12 @@
             key = (run.endpoint.name, run.endpoint.born, run.head.model)
             self._known_versions[key] = max(run.version_seen, self._known_versions.get(key, 0))
 
+    def _begin_scoring(self, work: SubmissionWork, each: ItemWork) -> None:
+        key = (work.submission_id, each.item.item_id)
+        scoring = Task(self._score(work, each, key), f"score {each.item.item_id}")
+        if not scoring.is_done:
+            self._scorings[key] = scoring
+
     async def _score(self, work: SubmissionWork, each: ItemWork, key: tuple[str, str]) -> None:
         score: str | None = ""
         if each.item.reward is not None:
--- /dev/null
+++ b/pumicedeck/standin_partitioned_stores.py
@@ -0,0 +1,235 @@
+"""In-process stand-in for the platform's partitioned store, with the faults that it may show."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.partitioned_stores import (
+    Change,
+    Page,
+    PartitionedStore,
+    PartList,
+    RowKey,
+    StoredRow,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.tasks import Promise, Signal, spawn, within
+
+PAGE_ROWS = 500
+PART_LIST = 1000
+
+_DOWN = Failure(ResultCode.STORE_UNAVAILABLE, "the store is down")
+_BUSY = Failure(ResultCode.STORE_UNAVAILABLE, "too many calls")
+_LOST = Failure(ResultCode.STORE_OUTCOME_UNKNOWN, "the reply was lost")
+_READ_LOST = Failure(ResultCode.STORE_UNAVAILABLE, "the reply was lost")
+
+
+class PartitionedData:
+    """The rows and their history, shared by every client of the stand-in."""
+
+    def __init__(self) -> None:
+        """Begin without rows."""
+        self._rows: dict[RowKey, StoredRow] = {}
+        self._history: deque[StoredRow] = deque()
+        self._floor = 0
+        self._calls: deque[tuple[float, bool]] = deque()
+        self.revision = 0
+        self.changed = Signal()
+
+    def commit(self, change: Change) -> Result[int, Failure]:
+        """Apply a change if every expectation holds."""
+        for each in change.expected:
+            found = self._rows.get(each.row)
+            if (found.revision if found is not None else 0) != each.revision:
+                return Err(Failure(ResultCode.STORE_CONFLICT, str(each.row)))
+        if len({put.row.part for put in change.puts}) > 1:
+            return Err(Failure(ResultCode.STORE_UNAVAILABLE, "rows of several parts"))
+        self.revision += 1
+        for put in change.puts:
+            row = StoredRow(put.row, put.value, self.revision)
+            self._history.append(row)
+            if put.value is None:
+                self._rows.pop(put.row, None)
+            else:
+                self._rows[put.row] = row
+        self.changed.notify()
+        return Ok(self.revision)
+
+    def read(self, table: str, part: str, first: str, limit: int) -> tuple[StoredRow, ...]:
+        """Return rows in the order of their keys."""
+        chosen = [
+            row
+            for key, row in self._rows.items()
+            if key.table == table and key.part == part and key.key >= first
+        ]
+        return tuple(sorted(chosen, key=lambda row: row.row.key)[:limit])
+
+    def parts(self, table: str, after: str) -> tuple[str, ...]:
+        """Return the names of parts in order."""
+        names = {key.part for key in self._rows if key.table == table and key.part > after}
+        return tuple(sorted(names)[:PART_LIST])
+
+    def changes(self, table: str, after: int) -> Result[tuple[StoredRow, ...], Failure]:
+        """Return what changed after a revision, HISTORY_GONE if that was dropped."""
+        if after < self._floor:
+            return Err(Failure(ResultCode.HISTORY_GONE, f"before {self._floor}"))
+        return Ok(
+            tuple(row for row in self._history if row.revision > after and row.row.table == table)
+        )
+
+    def drop_history(self) -> None:
+        """Forget what changed until now."""
+        self._history.clear()
+        self._floor = self.revision
+
+    def take_call(self, now: float, written: bool, per_second: int) -> bool:
+        """Count a call; False if too many were made in the last second."""
+        while self._calls and self._calls[0][0] <= now - 1.0:
+            self._calls.popleft()
+        if sum(1 for _, each in self._calls if each is written) >= per_second:
+            return False
+        self._calls.append((now, written))
+        return True
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What one client of the store suffers; counts are of the next commits, times in seconds.
+
+    `late_commits` are carried out `late_seconds` after they were given up. With `silent` no call
+    is answered, with `deaf` a feed hears nothing.
+    """
+
+    down: bool = False
+    silent: bool = False
+    deaf: bool = False
+    lost_replies: int = 0
+    late_commits: int = 0
+    late_seconds: float = 2.0
+    delay: float = 0.005
+    writes_per_second: int = 800
+    reads_per_second: int = 2000
+
+
+@dataclass(slots=True)
+class StoreCalls:
+    """How often a client called."""
+
+    commits: int = 0
+    reads: int = 0
+    feeds: int = 0
+
+
+@dataclass(slots=True)
+class StandinPartitionedStore(PartitionedStore):
+    """One client's view of the data, on the timers given."""
+
+    timers: TimerQueue
+    data: PartitionedData
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: StoreCalls = field(default_factory=StoreCalls)
+    give_up_seconds: float = 2.0
+
+    def commit(self, change: Change) -> Promise[Result[int, Failure]]:
+        """Apply a change after the delay."""
+        self.calls.commits += 1
+        promise: Promise[Result[int, Failure]] = Promise()
+        faults = self.faults
+        if faults.silent:
+            return self._later(promise, Err(_LOST), self.give_up_seconds)
+        if faults.down:
+            return self._later(promise, Err(_DOWN))
+        if not self.data.take_call(self.timers.now(), True, faults.writes_per_second):
+            return self._later(promise, Err(_BUSY))
+        if faults.late_commits:
+            faults.late_commits -= 1
+            self.timers.call_later(faults.late_seconds, lambda: self.data.commit(change))
+            return self._later(promise, Err(_LOST), self.give_up_seconds)
+        lost = faults.lost_replies > 0
+        faults.lost_replies -= lost
+
+        def apply() -> None:
+            outcome = self.data.commit(change)
+            if lost:
+                self._later(promise, Err(_LOST), self.give_up_seconds)
+            else:
+                promise.resolve(outcome)
+
+        self.timers.call_later(faults.delay, apply)
+        return promise
+
+    def read(
+        self, table: str, part: str, first: str = "", limit: int = PAGE_ROWS
+    ) -> Promise[Result[Page, Failure]]:
+        """Read rows after the delay."""
+
+        def answer() -> Result[Page, Failure]:
+            rows = self.data.read(table, part, first, limit + 1)
+            page = rows[:limit]
+            return Ok(Page(page, self.data.revision, self.timers.now(), len(rows) > limit))
+
+        return self._read(answer)
+
+    def parts(self, table: str, after: str = "") -> Promise[Result[PartList, Failure]]:
+        """List parts after the delay."""
+
+        def answer() -> Result[PartList, Failure]:
+            parts = self.data.parts(table, after)
+            whole = len(parts) < PART_LIST
+            return Ok(PartList(parts, self.data.revision, self.timers.now(), not whole))
+
+        return self._read(answer)
+
+    def changes(self, table: str, after: int, wait: float) -> Promise[Result[Page, Failure]]:
+        """Read changes, waiting for the first one."""
+        self.calls.feeds += 1
+        promise: Promise[Result[Page, Failure]] = Promise()
+        failure = self._failure()
+        if failure is not None:
+            return self._later(promise, Err(failure), self._failure_seconds())
+        spawn(self._await_changes(table, after, wait, promise), "stand-in feed")
+        return promise
+
+    async def _await_changes(
+        self, table: str, after: int, wait: float, promise: Promise[Result[Page, Failure]]
+    ) -> None:
+        deadline = self.timers.now() + wait
+        while True:
+            outcome = Ok(()) if self.faults.deaf else self.data.changes(table, after)
+            left = deadline - self.timers.now()
+            if isinstance(outcome, Err) or outcome.ok_value or left <= 0:
+                break
+            await within(self.timers, left, self.data.changed.wait(), False)
+        if isinstance(outcome, Err):
+            self._later(promise, outcome)
+            return
+        revision = after if self.faults.deaf else self.data.revision
+        self._later(promise, Ok(Page(outcome.ok_value, revision, self.timers.now())))
+
+    def _read(self, answer) -> Promise[Result]:
+        self.calls.reads += 1
+        promise: Promise[Result] = Promise()
+        failure = self._failure()
+        if failure is not None:
+            return self._later(promise, Err(failure), self._failure_seconds())
+        if not self.data.take_call(self.timers.now(), False, self.faults.reads_per_second):
+            return self._later(promise, Err(_BUSY))
+        self.timers.call_later(self.faults.delay, lambda: promise.resolve(answer()))
+        return promise
+
+    def _failure(self) -> Failure | None:
+        if self.faults.silent:
+            return _READ_LOST
+        return _DOWN if self.faults.down else None
+
+    def _failure_seconds(self) -> float:
+        return self.give_up_seconds if self.faults.silent else self.faults.delay
+
+    def _later(
+        self, promise: Promise[Result], outcome: Result, seconds: float | None = None
+    ) -> Promise[Result]:
+        delay = self.faults.delay if seconds is None else seconds
+        self.timers.call_later(delay, lambda: promise.resolve(outcome))
+        return promise
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -53,6 +53,7 @@
         self._loaded = False
         self._heard_at = -1e9
         self._lost = False
+        self._round_trip = 0.0
         self._task: Task | None = None
 
     @property
@@ -65,6 +66,11 @@
         """Return the second at which the last answered call was sent."""
         return self._heard_at
 
+    @property
+    def round_trip(self) -> float:
+        """Return the seconds that the last short call took."""
+        return self._round_trip
+
     def start(self) -> None:
         """Begin to follow."""
         self._task = spawn(self._follow(), f"feed of {self._table}")
@@ -127,7 +133,9 @@
         parts: list[str] = []
         revision: int | None = None
         while True:
+            asked = self._timers.now()
             outcome = await self._store.parts(self._table, parts[-1] if parts else "")
+            self._round_trip = self._timers.now() - asked
             if isinstance(outcome, Err):
                 return outcome
             listed = outcome.ok_value
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -60,6 +60,7 @@
     moves: int = 0
     avoid: dict[str, float] = field(default_factory=dict)
     saved_event: int = 0
+    saved_whole: bool = False
     not_before: float = 0.0
 
 
@@ -260,11 +261,12 @@
             work
             for work in (*self.running.values(), *self.waiting.values())
             if work.progress.last_event - work.saved_event >= least
+            or (work.progress.whole and not work.saved_whole)
         ][: self._settings.progress_rows]
         if not grown:
             return
         owner = Expectation(owner_row(self.submission_id), self._owner_revision)
-        marks = [(work, work.progress.last_event) for work in grown]
+        marks = [(work, work.progress.last_event, work.progress.whole) for work in grown]
         texts = [(work, encode_progress(work.progress)) for work in grown]
         puts = tuple(
             Put(progress_row(self.submission_id, work.item.item_id), text)
@@ -277,7 +279,8 @@
         finally:
             self._saving = False
         if isinstance(outcome, Ok):
-            for work, event in marks:
+            for work, event, whole in marks:
                 work.saved_event = event
+                work.saved_whole = whole
         else:
             _log.debug("progress not saved", id=self.submission_id)
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -88,9 +88,10 @@
 
 @dataclass(slots=True)
 class Progress:
-    """The part of a text that an item has so far."""
+    """The part of a text that an item has so far; `whole` once the engine has ended it."""
 
     last_event: int = 0
+    whole: bool = False
     parts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
 
@@ -101,7 +102,12 @@
 
     def document(self) -> dict:
         """Return a plain document."""
-        return {"last": self.last_event, "parts": self.parts, "versions": self.versions}
+        return {
+            "last": self.last_event,
+            "whole": self.whole,
+            "parts": self.parts,
+            "versions": self.versions,
+        }
 
 
 def decode_head(value: bytes) -> SubmissionHead:
@@ -139,7 +145,7 @@
 def decode_progress(value: bytes) -> Progress:
     """Read a row of progress."""
     document = json.loads(zlib.decompress(value))
-    return Progress(document["last"], document["parts"], document["versions"])
+    return Progress(document["last"], document["whole"], document["parts"], document["versions"])
 
 
 def encode_items(items: tuple[Item, ...]) -> tuple[bytes, ...]:
--- /dev/null
+++ b/pumicedeck/tests/test_partitioned_stores.py
@@ -0,0 +1,178 @@
+"""Contract of the partitioned store: in process, and through the platform's client over HTTP."""
+
+import pytest
+from result import Err
+
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.partitioned_stores import Change, Expectation, Put, RowKey
+from pumicedeck.platform.stores import HttpPartitionedStore
+from pumicedeck.results import ResultCode
+from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.tests.platform_store_servers import PlatformStoreServer
+
+CALL_SECONDS = 5.0
+
+
+class DirectBench:
+    """The stand-in in virtual time."""
+
+    def __init__(self):
+        self.timers = VirtualTime()
+        self.standin = StandinPartitionedStore(self.timers, PartitionedData())
+        self.store = self.standin
+
+    def ask(self, promise):
+        self.timers.run_until(self.timers.now() + 60.0)
+        return result_of(promise)
+
+    def close(self):
+        pass
+
+
+class HttpBench:
+    """The platform's client against the stand-in behind a socket."""
+
+    def __init__(self):
+        self.loop = Loop()
+        self.timers = self.loop.timers
+        self.standin = StandinPartitionedStore(self.timers, PartitionedData(), give_up_seconds=0.05)
+        self.server = PlatformStoreServer(self.loop, self.timers, self.standin)
+        self.client = HttpClient(self.timers).register(self.loop)
+        self.store = HttpPartitionedStore(self.client, self.server.address, CALL_SECONDS)
+
+    def ask(self, promise):
+        self.loop.until(lambda: promise.is_done)
+        assert not self.loop.errors
+        return result_of(promise)
+
+    def close(self):
+        self.client.close()
+        self.server.close()
+
+
+def result_of(promise):
+    found = []
+    promise.then(found.append)
+    assert found, "the call was not answered"
+    return found[0]
+
+
+@pytest.fixture(params=[DirectBench, HttpBench])
+def bench(request):
+    made = request.param()
+    yield made
+    made.close()
+
+
+def key(name, part="p", table="t"):
+    return RowKey(table, part, name)
+
+
+def put(name, value, revision=None, part="p"):
+    expected = () if revision is None else (Expectation(key(name, part), revision),)
+    return Change(expected, (Put(key(name, part), value),))
+
+
+def read(bench, part="p", **arguments):
+    return bench.ask(bench.store.read("t", part, **arguments)).unwrap()
+
+
+def test_a_row_keeps_any_bytes_and_its_revision(bench):
+    value = bytes(range(256))
+    revision = bench.ask(bench.store.commit(put("a", value, 0))).unwrap()
+    page = read(bench)
+    assert [(row.row, row.value, row.revision) for row in page.rows] == [
+        (key("a"), value, revision)
+    ]
+    assert page.revision == revision and not page.truncated
+
+
+def test_a_failed_expectation_changes_nothing(bench):
+    bench.ask(bench.store.commit(put("a", b"1", 0)))
+    change = Change((Expectation(key("a"), 0),), (Put(key("a"), b"2"), Put(key("b"), b"2")))
+    failure = bench.ask(bench.store.commit(change)).unwrap_err()
+    assert failure.code is ResultCode.STORE_CONFLICT
+    assert [row.value for row in read(bench).rows] == [b"1"]
+
+
+def test_rows_come_in_order_by_page(bench):
+    for name in ("c", "a", "b"):
+        bench.ask(bench.store.commit(put(name, name.encode())))
+    page = read(bench, limit=2)
+    assert [row.row.key for row in page.rows] == ["a", "b"] and page.truncated
+    assert [row.row.key for row in read(bench, first="b\0").rows] == ["c"]
+
+
+def test_parts_are_listed_and_removed_rows_are_gone(bench):
+    bench.ask(bench.store.commit(put("a", b"1", part="x")))
+    bench.ask(bench.store.commit(put("a", b"1", part="y")))
+    bench.ask(bench.store.commit(put("a", None, part="x")))
+    assert bench.ask(bench.store.parts("t")).unwrap().parts == ("y",)
+    assert read(bench, part="x").rows == ()
+
+
+def test_changes_follow_a_revision_and_name_removed_rows(bench):
+    first = bench.ask(bench.store.commit(put("a", b"1"))).unwrap()
+    bench.ask(bench.store.commit(put("b", b"2")))
+    bench.ask(bench.store.commit(put("a", None)))
+    page = bench.ask(bench.store.changes("t", first, 0.1)).unwrap()
+    assert [(row.row.key, row.value) for row in page.rows] == [("b", b"2"), ("a", None)]
+
+
+def test_an_empty_feed_answers_after_its_wait(bench):
+    revision = bench.ask(bench.store.commit(put("a", b"1"))).unwrap()
+    page = bench.ask(bench.store.changes("t", revision, 0.05)).unwrap()
+    assert page.rows == () and page.revision == revision
+
+
+def test_a_feed_wakes_with_the_first_change(bench):
+    revision = bench.ask(bench.store.commit(put("a", b"1"))).unwrap()
+    feed = bench.store.changes("t", revision, 10.0)
+    bench.ask(bench.store.commit(put("b", b"2")))
+    assert [row.row.key for row in bench.ask(feed).unwrap().rows] == ["b"]
+
+
+def test_dropped_history_is_told(bench):
+    revision = bench.ask(bench.store.commit(put("a", b"1"))).unwrap()
+    bench.ask(bench.store.commit(put("a", b"2")))
+    bench.standin.data.drop_history()
+    failure = bench.ask(bench.store.changes("t", revision, 0.1)).unwrap_err()
+    assert failure.code is ResultCode.HISTORY_GONE
+
+
+def test_a_store_that_is_down_has_done_nothing(bench):
+    bench.standin.faults.down = True
+    for promise in (bench.store.commit(put("a", b"1")), bench.store.read("t", "p")):
+        assert bench.ask(promise).unwrap_err().code is ResultCode.STORE_UNAVAILABLE
+    bench.standin.faults.down = False
+    assert read(bench).rows == ()
+
+
+def test_a_lost_reply_leaves_the_outcome_unknown(bench):
+    bench.standin.faults.lost_replies = 1
+    failure = bench.ask(bench.store.commit(put("a", b"1", 0))).unwrap_err()
+    assert failure.code is ResultCode.STORE_OUTCOME_UNKNOWN
+    assert [row.value for row in read(bench).rows] == [b"1"]
+
+
+def test_a_late_commit_still_needs_its_expectation(bench):
+    bench.standin.faults.late_commits = 1
+    bench.standin.faults.late_seconds = 0.2
+    late = bench.store.commit(put("a", b"late", 0))
+    assert isinstance(bench.ask(late), Err)
+    bench.ask(bench.store.changes("t", 0, 1.0))
+    assert [row.value for row in read(bench).rows] == [b"late"]
+    bench.standin.faults.late_commits = 1
+    late = bench.store.commit(put("a", b"later", 0))
+    assert isinstance(bench.ask(late), Err)
+    assert [row.value for row in read(bench).rows] == [b"late"]
+
+
+def test_calls_beyond_the_rate_are_refused(bench):
+    bench.standin.faults.writes_per_second = 1
+    first, second = (bench.store.commit(put(name, b"1")) for name in "ab")
+    outcomes = [bench.ask(first), bench.ask(second)]
+    assert [isinstance(each, Err) for each in outcomes] == [False, True]
+    assert outcomes[1].unwrap_err().code is ResultCode.STORE_UNAVAILABLE
