--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -124,6 +124,7 @@
             named_versions=named_versions,
             holder=settings.vm,
             home=home,
+            may_claim=lambda: lease_holder.holds(timers.now()),
         )
     )
 
--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -81,6 +81,22 @@
     )
 
 
+def choose_spare_groups(items: list[tuple[str, float, bool]], wanted_groups: int) -> frozenset[str]:
+    """Return the groups that a step can do without: those expected to last longest.
+
+    `items` are (group, expected length, carried); a carried group is waited for in any case.
+    """
+    longest: dict[str, float] = {}
+    waited: set[str] = set()
+    for group, length, carried in items:
+        longest[group] = max(longest.get(group, 0.0), length)
+        if carried:
+            waited.add(group)
+    spare = max(0, len(longest) - wanted_groups) if wanted_groups else 0
+    free = sorted((group for group in longest if group not in waited), key=longest.get)
+    return frozenset(free[len(free) - min(spare, len(free)) :])
+
+
 def assign_items(
     items: list[QueuedItem], engines: list[EngineView], now: float
 ) -> list[Assignment]:
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -24,14 +24,16 @@
     RunningItem,
     assign_items,
     choose_moves,
+    choose_spare_groups,
 )
 from pumicedeck.item_runs import ItemRun, RunEnd
+from pumicedeck.leftovers import Leftovers
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.results import ResultCode
 from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_works import ItemWork, SubmissionWork
+from pumicedeck.submission_works import ItemWork, SubmissionWork, read_progress
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.weight_plans import (
@@ -52,7 +54,8 @@
 class SchedulerSettings:
     """Times in seconds.
 
-    Orders wait `takeover_seconds` after another holder's lease, within which that holder may have
+    A group that the step can do without waits up to `spare_seconds` for the newest weights. Orders
+    wait `takeover_seconds` after another holder's lease, within which that holder may have
     sent its last one. A run that says nothing for `silence_seconds` is ended.
     """
 
@@ -66,6 +69,8 @@
     default_give_up_seconds: float = 40.0
     adopt_retry_seconds: float = 0.2
     load_retry_seconds: float = 0.4
+    searched_steps: int = 2
+    spare_seconds: float = 1.4
     late_seconds: float = 0.7
 
 
@@ -85,6 +90,7 @@
     named_versions: dict[str, int]
     holder: str
     home: FailureDomain
+    may_claim: Callable[[], bool]
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
 
@@ -108,7 +114,8 @@
         self._known_versions: dict[tuple[str, int, str], int] = {}
         self._paces = EnginePaces()
         self._idle_since: dict[str, float] = {}
-        self._seen_groups: set[str] = set()
+        self._leftovers = Leftovers()
+        self._searched: set[str] = set()
         self._fencing = 0
         self._active = False
         self._orders_from = 0.0
@@ -197,10 +204,15 @@
             self._drop(work, "ended" if view.ended else "all listed")
         elif work is not None and view.fencing > self._fencing:
             self._drop(work, "owned by a newer scheduler")
-        elif work is None and view.is_open and view.submission_id not in self._adopting:
+        elif work is None and self._may_adopt(view):
             self._adopting.add(view.submission_id)
             spawn(self._adopt(view), f"adopt {view.submission_id}")
 
+    def _may_adopt(self, view: SubmissionView) -> bool:
+        """Tell whether to claim a submission; a holder whose lease lapsed claims nothing."""
+        known = not view.is_open or view.submission_id in self._adopting
+        return not known and view.fencing <= self._fencing and self._parts.may_claim()
+
     async def _adopt(self, view: SubmissionView) -> None:
         work = SubmissionWork(
             self._timers, self._parts.store, view.head, self._parts.holder, self._on_lost
@@ -219,9 +231,18 @@
                 return
         finally:
             self._adopting.discard(view.submission_id)
+        await self._search_leftovers(view)
         if not self._active or not view.is_open:
             work.close()
             return
+        reused = self._reuse(work)
+        work.spare_groups = choose_spare_groups(
+            [
+                (each.item.group, each.item.expected_length, each.carried)
+                for each in work.waiting.values()
+            ],
+            work.head.wanted_groups,
+        )
         _log.info(
             "submission adopted",
             submission=view.submission_id,
@@ -231,11 +252,52 @@
             items=len(work.waiting),
             listed=work.listed,
             resumed=sum(1 for each in work.waiting.values() if each.progress.last_event),
+            reused=reused,
             age=round(self._parts.clock.now() - view.head.accepted, 3),
         )
         self._works[view.submission_id] = work
         self._pump()
 
+    async def _search_leftovers(self, view: SubmissionView) -> None:
+        """Read the texts of the last ended steps that a scheduler before us has left."""
+        ended = sorted(
+            (
+                each
+                for each in self._parts.mirror.views
+                if each.head is not None and each.ended and each.head.model == view.head.model
+            ),
+            key=lambda each: -each.head.accepted,
+        )
+        for each in ended[: self._settings.searched_steps]:
+            for result in each.results:
+                self._leftovers.keep_result(result)
+            if each.submission_id in self._searched:
+                continue
+            self._searched.add(each.submission_id)
+            texts = await read_progress(self._parts.store, each.submission_id)
+            for item_id, progress in texts.items():
+                self._leftovers.keep(item_id, progress)
+
+    def _reuse(self, work: SubmissionWork) -> int:
+        """Let items go on from texts of earlier steps; return how many do."""
+        route = self._route(work)
+        single = route is not None and route.single_version
+        reused = 0
+        carried = {
+            each.item.group
+            for each in work.waiting.values()
+            if self._leftovers.knows(each.item.item_id)
+        }
+        for each in work.waiting.values():
+            each.carried = each.item.group in carried
+            if each.progress.last_event:
+                continue
+            found = self._leftovers.find(each.item.item_id, work.head.min_version, single)
+            if found is not None:
+                each.progress = found
+                reused += 1
+        return reused
+
     def _on_lost(self, work: SubmissionWork) -> None:
         self._drop(work, "lost to another scheduler")
 
@@ -243,8 +305,9 @@
         self._works.pop(work.submission_id, None)
         work.close()
         self._cancel_items(lambda key: key[0] == work.submission_id)
-        self._seen_groups.update(each.item.group for each in work.waiting.values())
-        self._seen_groups.update(each.item.group for each in work.running.values())
+        for each in (*work.waiting.values(), *work.running.values()):
+            self._leftovers.keep(each.item.item_id, each.progress)
+        self._searched.add(work.submission_id)
         _log.info(
             "submission dropped",
             submission=work.submission_id,
@@ -316,17 +379,24 @@
             model=work.head.model,
             pool=route.pools[0].pool,
             group=each.item.group,
-            min_version=work.head.min_version,
+            min_version=self._least_version(work, each),
             due=self._parts.clock.local(work.head.accepted)
             + route.due
             + self._settings.late_seconds,
             expected_length=left if each.item.expected_length else 0.0,
-            carried=each.item.group in self._seen_groups,
+            carried=each.carried,
             single_version=route.single_version,
             versions=tuple(each.progress.versions),
             avoid=frozenset(name for name, until in each.avoid.items() if until > now),
         )
 
+    def _least_version(self, work: SubmissionWork, each: ItemWork) -> int:
+        """Hold what the next step will probably carry over for the newest weights, for a moment."""
+        age = self._parts.clock.now() - work.head.accepted
+        if each.item.group in work.spare_groups and age < self._settings.spare_seconds:
+            return max(work.head.min_version, self._parts.named_versions.get(work.head.model, 0))
+        return work.head.min_version
+
     def _give_up_all(self, work: SubmissionWork, reason: str) -> None:
         for each in tuple(work.waiting.values()):
             self._list_down(work, each, reason)
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -61,6 +61,7 @@
     avoid: dict[str, float] = field(default_factory=dict)
     saved_event: int = 0
     saved_whole: bool = False
+    carried: bool = False
     not_before: float = 0.0
 
 
@@ -86,6 +87,7 @@
         self.waiting: dict[str, ItemWork] = {}
         self.running: dict[str, ItemWork] = {}
         self.listed = 0
+        self.spare_groups: frozenset[str] = frozenset()
         self._owner_revision = 0
         self._pending: list[ItemResult] = []
         self._writer: Task | None = None
@@ -113,7 +115,7 @@
         items = await self._read_items()
         if isinstance(items, Err):
             return items
-        progress = await self._read_progress()
+        progress = await read_progress(self._store, self.submission_id)
         self.listed = len(results.ok_value)
         done = {result.item_id for result in results.ok_value}
         for item in items.ok_value:
@@ -147,7 +149,10 @@
     async def _claim(self, fencing: int, view: SubmissionView) -> Result[None, Failure]:
         row = owner_row(self.submission_id)
         value = encode_owner(fencing, self._holder)
+        fenced = Err(Failure(ResultCode.FENCED, "a newer scheduler owns the submission"))
         revision = view.owner_revision
+        if view.fencing > fencing:
+            return fenced
         while True:
             change = Change((Expectation(row, revision),), (Put(row, value),))
             outcome = await self._store.commit(change)
@@ -164,7 +169,7 @@
             probe = SubmissionView(self.submission_id)
             probe.take(found[0]) if found else None
             if probe.fencing > fencing:
-                return Err(Failure(ResultCode.FENCED, "a newer scheduler owns the submission"))
+                return fenced
             revision = probe.owner_revision
             await sleep(self._timers, self._settings.retry_seconds)
 
@@ -193,17 +198,6 @@
             chunks.extend(row.value for row in page.ok_value.rows if row.value is not None)
         return Ok(decode_items(chunks[: self.head.chunks]))
 
-    async def _read_progress(self) -> dict[str, Progress]:
-        page = await self._store.read(PROGRESS_TABLE, self.submission_id)
-        if isinstance(page, Err):
-            _log.warning("progress cannot be read; items start anew", submission=self.submission_id)
-            return {}
-        return {
-            row.row.key: decode_progress(row.value)
-            for row in page.ok_value.rows
-            if row.value is not None
-        }
-
     async def _write(self) -> None:
         await sleep(self._timers, self._settings.gather_seconds)
         while self._pending and not self._closed:
@@ -284,3 +278,20 @@
                 work.saved_whole = whole
         else:
             _log.debug("progress not saved", id=self.submission_id)
+
+
+async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
+    """Read the texts that a submission's items have so far; none if the store cannot be read."""
+    texts: dict[str, Progress] = {}
+    first = ""
+    while True:
+        page = await store.read(PROGRESS_TABLE, submission_id, first)
+        if isinstance(page, Err):
+            _log.warning("progress cannot be read; items start anew", submission=submission_id)
+            return texts
+        for row in page.ok_value.rows:
+            if row.value is not None:
+                texts[row.row.key] = decode_progress(row.value)
+        if not page.ok_value.truncated:
+            return texts
+        first = page.ok_value.rows[-1].row.key + "\0"
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -100,6 +100,10 @@
         """Return the data of all events in order."""
         return "\n".join(self.parts)
 
+    def copy(self) -> "Progress":
+        """Return a text that grows by itself."""
+        return Progress(self.last_event, self.whole, list(self.parts), list(self.versions))
+
     def document(self) -> dict:
         """Return a plain document."""
         return {
--- a/pumicedeck/weight_plans.py
+++ b/pumicedeck/weight_plans.py
@@ -82,6 +82,7 @@
 ) -> list[LoadVersion]:
     """Return the loads to order now, the most urgent first."""
     urgent, relaxed = [], []
+    staggered = _staggered(engines, assigned, demands)
     for engine in engines:
         demand = demands.get(assigned.get(engine.name, ""))
         if demand is None:
@@ -91,9 +92,25 @@
             continue
         load = LoadVersion(engine.name, demand.model, demand.named)
         oldest = max(demand.needed, demand.named - settings.tolerated_lag)
-        if version < oldest:
+        if version < oldest or engine.name in staggered:
             urgent.append((-demand.waiting, engine.running, engine.name, load))
         elif engine.idle_for >= settings.idle_seconds and not demand.waiting:
             relaxed.append((version, 0, engine.name, load))
     chosen = [entry[-1] for entry in (*sorted(urgent), *sorted(relaxed))]
     return chosen[: max(0, settings.loads_at_once - loading)]
+
+
+def _staggered(
+    engines: list[EngineLoad], assigned: dict[str, str], demands: dict[str, ModelDemand]
+) -> set[str]:
+    """Return engines that load early so that not all of a model have to at the next version."""
+    chosen: set[str] = set()
+    for model, demand in demands.items():
+        own = [engine for engine in engines if assigned.get(engine.name) == model]
+        versions = [engine.versions.get(model, 0) for engine in own]
+        newest = sum(1 for version in versions if version >= demand.named)
+        if len(own) < 2 or newest or min(versions) < demand.named - 1:
+            continue
+        ordered = sorted(own, key=lambda engine: (engine.running, engine.name))
+        chosen.update(engine.name for engine in ordered[: len(own) // 2])
+    return chosen
