--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -107,6 +107,7 @@
         self._wanted = False
         self._row: Row | None = None
         self._seen_since = 0.0
+        self._blind = False
         self._pending: LeaseRow | None = None
         self._base_revision = 0
         self._predecessor = ""
@@ -172,8 +173,13 @@
             self._rest()
             return []
         if outcome.is_err():
+            # The holder cannot have renewed either while the store was away.
+            self._blind = True
             self._next = now + self._settings.retry
             return []
+        if self._blind:
+            self._blind = False
+            self._seen_since = now
         self._see(now, outcome.unwrap())
         return self._settle_pending(now) or self._try_acquire(now)
 
--- /dev/null
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -0,0 +1,319 @@
+"""Schedulers, a store and engines in virtual time; engines fail on demand."""
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from result import Err, Ok
+
+from pumicedeck.clocks import VirtualTime
+from pumicedeck.dialects import EndpointAnswer
+from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.endpoint_callers import Answered
+from pumicedeck.engine_orders import EngineOrders
+from pumicedeck.http_messages import HttpResponse
+from pumicedeck.lease_keepers import LeaseKeeper
+from pumicedeck.leases import LeaseHolder, LeaseSettings
+from pumicedeck.part_tables import PartTableStore
+from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
+from pumicedeck.platform_interfaces import LoadedModel
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.reward_calls import RewardCaller
+from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
+from pumicedeck.schedulers import Scheduler, SchedulerParts
+from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
+from pumicedeck.store_clocks import StoreClock
+from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
+from pumicedeck.tasks import sleep, spawn
+from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
+from pumicedeck.world import Address, FailureDomain
+
+HOME = FailureDomain("tn-a", "tw-south")
+MODEL = "m0"
+LEASE = LeaseSettings(duration=1.3, margin=0.2, renew_after=0.4, retry=0.15, observe_every=0.25)
+LOAD_SECONDS = 0.9
+PACE_SECONDS = 0.04
+ROUTES = RouteTable(
+    1,
+    (
+        Route(
+            "drafts",
+            "h",
+            "/d/",
+            RouteKind.SUBMISSION,
+            (PoolShare("engines"),),
+            max_attempts=3,
+            due=7.5,
+            give_up=20.0,
+        ),
+        Route("scores", "h", "/s/", RouteKind.IDEMPOTENT, (PoolShare("apps"),), max_attempts=4),
+    ),
+    {},
+)
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """One engine's state and what it has seen."""
+
+    endpoint: DirectEndpoint
+    pace: float = PACE_SECONDS
+    version: int = 1
+    sequence: int = 0
+    dead: bool = False
+    busy: bool = False
+    late_orders: int = 0
+    late_seconds: float = 3.0
+    starts: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    loads: int = 0
+    working: Counter = field(default_factory=Counter)
+
+
+class FakeCaller:
+    """Stands in for the calls of one process to the engines."""
+
+    def __init__(self, world):
+        self.world = world
+        self.dialect = PlatformEndpointDialect()
+
+    async def call(self, call, endpoint, seconds, silence, begun=None, chunk=None):
+        if endpoint.pool == "apps":
+            await sleep(self.world.timers, 0.2)
+            return self._answered(200, f"mac-{call.request_id}", None)
+        engine = self.world.engines[endpoint.name]
+        engine.starts.append((self.world.timers.now(), call.request_id, call.resume_after))
+        engine.working[call.request_id] += 1
+        try:
+            return await self._generate(engine, call, silence, begun, chunk)
+        finally:
+            engine.working[call.request_id] -= 1
+
+    async def _generate(self, engine, call, silence, begun, chunk):
+        if engine.busy and self.world.refuse_while_loading:
+            return Err(Failure(ResultCode.ENDPOINT_REFUSED, "loading", proven_not_run=True))
+        length = int(call.body)
+        answered = self._answered(200, "mac", engine.version).unwrap()
+        begun(answered.response, answered.answer)
+        version = engine.version
+        for number in range((call.resume_after or 0) + 1, length + 1):
+            await sleep(self.world.timers, engine.pace)
+            if engine.dead:
+                await sleep(self.world.timers, silence)
+                return Err(Failure(ResultCode.ENDPOINT_FAILED, "silent"))
+            while engine.busy:
+                await sleep(self.world.timers, 0.05)
+            line = ""
+            if engine.version != version:
+                version = engine.version
+                line = f"x-pumicedeck-weight-versions: {version}\n"
+            chunk(f"{line}id: {number}\ndata: {call.request_id}.{number}\n\n".encode())
+        return Ok(answered)
+
+    async def ask(self, request, silence):
+        name = dict(request.headers)["X-Pumicedeck-Expect-Instance"]
+        engine = self.world.engines[name]
+        await sleep(self.world.timers, 0.005)
+        if engine.dead:
+            await sleep(self.world.timers, silence)
+            return Err(Failure(ResultCode.ENDPOINT_FAILED, "silent"))
+        if request.method == "GET":
+            return Ok(HttpResponse(200, (), json.dumps(self._report(engine)).encode()))
+        document = json.loads(request.body)
+        engine.orders.append((self.world.timers.now(), document["holder"], document["fence"]))
+        if engine.late_orders:
+            engine.late_orders -= 1
+            self.world.timers.call_later(
+                engine.late_seconds, lambda: self._carry_out(engine, document)
+            )
+            await sleep(self.world.timers, silence)
+            return Err(Failure(ResultCode.ENDPOINT_FAILED, "no answer"))
+        return Ok(HttpResponse(self._carry_out(engine, document), (), b""))
+
+    def _carry_out(self, engine, document):
+        if engine.busy or document["expected"] != engine.sequence:
+            return 409
+        engine.sequence += 1
+        engine.busy = True
+        engine.loads += 1
+
+        def finish():
+            engine.busy = False
+            engine.version = document["version"]
+
+        self.world.timers.call_later(LOAD_SECONDS, finish)
+        return 202
+
+    def _report(self, engine):
+        models = [{"name": MODEL, "version": engine.version}]
+        return {"models": models, "busy": engine.busy, "seq": engine.sequence}
+
+    def _answered(self, status, signature, version):
+        answer = EndpointAnswer(status, "id", False, False, signature, version, None, None)
+        return Ok(Answered(HttpResponse(status, (), b""), answer))
+
+
+class SchedulerProcess:
+    """One gateway without its sockets."""
+
+    def __init__(self, world, name):
+        timers = world.timers
+        self.world = world
+        self.name = name
+        self.store = StandinPartitionedStore(timers, world.data)
+        self.clock = StoreClock(timers)
+        self.mirror = WorkMirror()
+        self.named = world.named
+        directory = EndpointDirectory(HOME, Random(name))
+        self.directory = directory
+        for engine in world.engines.values():
+            directory.update(engine.endpoint)
+        directory.update(DirectEndpoint("app", "apps", Address("10.0.0.9", 1), HOME, 8, born=1))
+        self.caller = FakeCaller(world)
+        self.holder = LeaseHolder("scheduler", name, LEASE)
+        self.scheduler = Scheduler(
+            SchedulerParts(
+                timers=timers,
+                store=self.store,
+                clock=self.clock,
+                mirror=self.mirror,
+                directory=directory,
+                caller=self.caller,
+                rewards=RewardCaller(timers, self.caller, directory, Random(1)),
+                orders=EngineOrders(timers, self.caller, self.holder, name),
+                routes=lambda: world.routes,
+                named_versions=self.named,
+                holder=name,
+                home=HOME,
+                may_claim=lambda: self.holder.holds(timers.now()),
+            )
+        )
+        self.keeper = LeaseKeeper(
+            self.holder,
+            timers,
+            PartTableStore(self.store),
+            lambda lease: self.scheduler.begin(lease.fencing, lease.predecessor),
+            0.8,
+            taken=lambda other: self.scheduler.stop(f"{other} holds the lease"),
+        )
+        self.feed = StoreFeed(
+            timers,
+            self.store,
+            self.clock,
+            WORK_TABLE,
+            lambda rows, full: self.mirror.take(rows),
+        )
+        self.feed.start()
+        self.intake = SubmissionIntake(timers, self.store, self.mirror)
+
+    def want(self):
+        self.keeper.want()
+
+    def cut(self):
+        """Cut the process from the store."""
+        self.store.faults.silent = True
+
+    def heal(self):
+        self.store.faults.silent = False
+
+    def kill(self):
+        self.cut()
+        self.scheduler.stop("killed")
+        self.feed.close()
+        self.keeper.close()
+
+    def leave(self):
+        async def leave():
+            await self.scheduler.hand_over()
+            self.scheduler.stop("the process ends")
+            self.keeper.release()
+
+        spawn(leave(), "leave")
+
+
+class SchedulerWorld:
+    """Processes that share a store and engines."""
+
+    def __init__(self, engines=3, slots=12, processes=2):
+        self.timers = VirtualTime()
+        self.data = PartitionedData()
+        self.routes = ROUTES
+        self.named = {}
+        self.refuse_while_loading = True
+        self.engines = {}
+        for number in range(engines):
+            name = f"e{number}"
+            address = Address(f"10.0.0.{number + 1}", 1)
+            endpoint = DirectEndpoint(
+                name, "engines", address, HOME, slots, born=1, models=(LoadedModel(MODEL, 1),)
+            )
+            self.engines[name] = FakeEngine(endpoint)
+        self.processes = [SchedulerProcess(self, f"p{n}") for n in range(processes)]
+        self.run(0.3)
+        self.processes[0].want()
+        self.run(0.3)
+        for process in self.processes[1:]:
+            process.want()
+        self.run(0.3)
+
+    def run(self, seconds):
+        self.timers.run_until(self.timers.now() + seconds)
+
+    def submit(self, process, lengths, name="s0", hints=None, min_version=1, wanted=0, step=0):
+        """Submit groups of items by their lengths; returns when it is accepted."""
+        items = []
+        for group, members in enumerate(lengths):
+            for index, length in enumerate(members):
+                hint = hints[group][index] if hints else length
+                items.append(make_item(f"{group}-{index}", length, f"g{group}", hint))
+        head = SubmissionHead(
+            name,
+            "drafts",
+            "h",
+            MODEL,
+            step,
+            min_version,
+            wanted,
+            len(items),
+            1,
+            "digest",
+            self.timers.now(),
+        )
+        outcome = []
+
+        async def accept():
+            outcome.append(await process.intake.accept(Submission(head, tuple(items))))
+
+        spawn(accept(), "accept")
+        self.run(0.1)
+        return outcome[0] if outcome else None
+
+    def end(self, process, name="s0"):
+        spawn(process.intake.end(name), "end")
+        self.run(0.1)
+
+    def results(self, process, name="s0"):
+        view = process.mirror.view(name)
+        return list(view.results) if view is not None else []
+
+    def starts(self, item_id):
+        found = []
+        for engine in self.engines.values():
+            found += [(*each, engine.endpoint.name) for each in engine.starts if each[1] == item_id]
+        return sorted(found)
+
+    def active(self):
+        return [process for process in self.processes if process.scheduler.is_active]
+
+
+def make_item(item_id, length, group, hint):
+    reward = RewardCall(f"r-{item_id}", "h", "/s/x", b"score")
+    return Item(item_id, "/d/x", (), str(length).encode(), group, float(hint), reward)
+
+
+def whole_text(item_id, length):
+    """Return the text that an item must have."""
+    return "\n".join(f"{item_id}.{number}" for number in range(1, length + 1))
