--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -55,7 +55,7 @@
 
 SCHEDULER_LEASE = "scheduler"
 LEASE_SETTINGS = LeaseSettings(
-    duration=1.3, margin=0.2, renew_after=0.4, retry=0.15, observe_every=0.25
+    duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2
 )
 LEASE_CALL_SECONDS = 0.8
 STORE_CLIENT = HttpClientSettings(
@@ -96,7 +96,12 @@
     home = FailureDomain(settings.failure_domain, settings.region)
     store_client = HttpClient(timers, STORE_CLIENT).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT).register(root)
-    store = HttpPartitionedStore(store_client, settings.store.address, settings.store.call_seconds)
+    store = HttpPartitionedStore(
+        store_client,
+        settings.store.address,
+        settings.store.call_seconds,
+        settings.store.longest_call_seconds,
+    )
     clock = StoreClock(timers)
     mirror = WorkMirror()
     directory = EndpointDirectory(home, random)
@@ -107,8 +112,9 @@
     )
     caller = EndpointCaller(timers, endpoint_client, PlatformEndpointDialect(), directory)
     named_versions: dict[str, int] = {}
+    place = f"{settings.vm}/"
     lease_holder = LeaseHolder(
-        SCHEDULER_LEASE, f"{settings.vm}/{random.getrandbits(48):012x}", LEASE_SETTINGS
+        SCHEDULER_LEASE, f"{place}{random.getrandbits(48):012x}", LEASE_SETTINGS, place
     )
     scheduler = Scheduler(
         SchedulerParts(
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -6,10 +6,15 @@
 
 
 class StoreSettings(Section):
-    """The platform's store; rates are calls a second of all processes together."""
+    """The platform's store; rates are calls a second of all processes together.
+
+    A call is given up after `call_seconds`, after each such end later, up to
+    `longest_call_seconds`, until one is answered.
+    """
 
     address: ListenAddress
-    call_seconds: float = 2.0
+    call_seconds: float = 0.8
+    longest_call_seconds: float = 2.5
     writes_per_second: float = 800.0
     reads_per_second: float = 2000.0
     row_bytes: int = 65_536
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -97,12 +97,21 @@
     """
 
     def __init__(
-        self, endpoint: str, incarnation: str, settings: LeaseSettings | None = None
+        self,
+        endpoint: str,
+        incarnation: str,
+        settings: LeaseSettings | None = None,
+        place: str = "",
     ) -> None:
-        """Start without the lease and without wanting it."""
+        """Start without the lease and without wanting it.
+
+        `place` begins the incarnation of every process that can only have run before this one,
+        such as its VM's name where a VM runs one process; their leases are free.
+        """
         self._key = StoreKey(LEASE_TABLE, endpoint)
         self._incarnation = incarnation
         self._settings = settings or LeaseSettings()
+        self._place = place
         self._phase = LeasePhase.IDLE
         self._wanted = False
         self._row: Row | None = None
@@ -131,7 +140,7 @@
     def other_holder(self) -> str:
         """Return the holder that the row named last, if it is another one."""
         found = decode_lease(self._row.value) if self._row is not None else None
-        if found is None or found.holder == self._incarnation:
+        if found is None or self._is_same_process(found.holder):
             return ""
         return found.holder
 
@@ -249,7 +258,7 @@
     def _try_acquire(self, now: float) -> list[LeaseAction]:
         assert self._row is not None
         found = decode_lease(self._row.value)
-        if found.holder and found.holder != self._incarnation:
+        if found.holder and not self._is_same_process(found.holder):
             lost = self._lose()
             due = self._seen_since + found.duration + self.handicap
             if now < due:
@@ -264,6 +273,12 @@
         lease = LeaseRow(self._incarnation, found.fencing + 1, self._settings.duration)
         return [*lost, self._commit(now, lease)]
 
+    def _is_same_process(self, holder: str) -> bool:
+        """Tell whether a holder is this process or one that ran in its place before it."""
+        if holder == self._incarnation:
+            return True
+        return bool(self._place) and holder.startswith(self._place)
+
     def _commit(self, now: float, lease: LeaseRow) -> CommitLease:
         revision = self._row.revision if self._row is not None else 0
         condition = Condition(self._key.table, self._key.key, revision)
--- a/pumicedeck/platform/stores.py
+++ b/pumicedeck/platform/stores.py
@@ -27,18 +27,23 @@
 _MILLISECONDS = 1000.0
 _NOTHING_DONE = (429, 503)
 _PARTS_PER_ANSWER = 1000
+_GROWTH = 1.2
 
 _log = logger.bind(module="platform.stores")
 
 
 class HttpPartitionedStore(PartitionedStore):
-    """Speaks HTTP to the store; a call is given up after `seconds`."""
+    """Speaks HTTP to the store; calls are given up in time to meet its return."""
 
-    def __init__(self, client: HttpClient, address: Address, seconds: float) -> None:
-        """Use `client`, which stays the caller's to close."""
+    def __init__(
+        self, client: HttpClient, address: Address, seconds: float, longest: float | None = None
+    ) -> None:
+        """Give a call up after `seconds`, later while calls go unanswered, up to `longest`."""
         self._client = client
         self._address = address
         self._seconds = seconds
+        self._shortest = seconds
+        self._longest = longest or seconds
 
     def commit(self, change: Change) -> Promise[Result[int, Failure]]:
         """Apply a change."""
@@ -95,6 +100,7 @@
         late = Failure(code, "the store did not answer in time")
 
         def settle(outcome: Result[HttpResponse, Failure]) -> None:
+            self._adapt(outcome, late)
             if not promise.is_done and isinstance(outcome, Err) and outcome.err_value is late:
                 exchange.cancel()
             promise.resolve(_settled(outcome, decode, code))
@@ -103,6 +109,12 @@
         exchange = self._client.send(request, done, silence_seconds=seconds)
         return promise
 
+    def _adapt(self, outcome: Result[HttpResponse, Failure], late: Failure) -> None:
+        if isinstance(outcome, Err) and outcome.err_value is late:
+            self._seconds = min(self._longest, self._seconds * _GROWTH)
+        elif not isinstance(outcome, Err):
+            self._seconds = max(self._shortest, self._seconds / _GROWTH)
+
 
 def _settled(
     outcome: Result[HttpResponse, Failure],
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -63,7 +63,7 @@
     takeover_seconds: float = 3.3
     silence_seconds: float = 1.5
     stall_seconds: float = 0.7
-    save_seconds: float = 0.6
+    save_seconds: float = 0.35
     avoid_seconds: float = 2.0
     refused_seconds: float = 0.1
     default_give_up_seconds: float = 40.0
