--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -49,7 +49,7 @@
         self._take = take
         self._settings = settings or FeedSettings()
         self._parts = parts
-        self._revision = 0
+        self._revision: int | None = None
         self._loaded = False
         self._heard_at = -1e9
         self._lost = False
@@ -82,7 +82,7 @@
 
     async def _follow(self) -> None:
         while True:
-            if self._revision == 0:
+            if self._revision is None:
                 await self._read_all()
             else:
                 await self._read_changes()
@@ -127,7 +127,7 @@
         self._heard(self._clock.now(), sent)
         self._take(tuple(rows), True)
         self._loaded = True
-        self._revision = max(1, revision)
+        self._revision = revision
 
     async def _list_parts(self) -> Result[tuple[tuple[str, ...], int], Failure]:
         parts: list[str] = []
@@ -169,7 +169,7 @@
     async def _recover(self, failure: Failure) -> None:
         if failure.code is ResultCode.HISTORY_GONE:
             _log.info("history gone; table read anew", table=self._table, after=self._revision)
-            self._revision = 0
+            self._revision = None
             return
         if not self._lost:
             self._lost = True
