--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -48,6 +48,10 @@
         """Return how endpoints are spoken to."""
         return self._dialect
 
+    def distrust(self, endpoint: DirectEndpoint) -> None:
+        """Use no open connection to an endpoint again that has not answered."""
+        self._client.distrust(endpoint.address)
+
     async def call(
         self,
         call: ForwardedCall,
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -124,6 +124,11 @@
         self._serve_waiting(request.address)
         return exchange
 
+    def distrust(self, address: Address) -> None:
+        """Close the unused connections to an address whose open ones may have gone silent."""
+        if address in self._pools:
+            self._drop_idle(address)
+
     def close(self) -> None:
         """Close every connection and fail every open exchange."""
         self._closed = True
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -69,6 +69,11 @@
         self._began = False
         self._ended = False
 
+    @property
+    def connection(self) -> object:
+        """Return what tells one connection from another."""
+        return self._connection
+
     @property
     def is_ended(self) -> bool:
         """Return whether the answer is complete or nobody waits for it."""
--- a/pumicedeck/platform/stores.py
+++ b/pumicedeck/platform/stores.py
@@ -103,6 +103,7 @@
             self._adapt(outcome, late)
             if not promise.is_done and isinstance(outcome, Err) and outcome.err_value is late:
                 exchange.cancel()
+                self._client.distrust(self._address)
             promise.resolve(_settled(outcome, decode, code))
 
         done = with_timeout(self._client.timers, seconds, late, settle)
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -616,6 +616,7 @@
             elif name not in self._loading and silent:
                 reason = RunEnd.BROKEN
                 self._parts.directory.failed(name, now)
+                self._parts.caller.distrust(run.endpoint)
             else:
                 continue
             self._runs.pop((submission_id, item_id), None)
--- a/pumicedeck/tests/platform_store_servers.py
+++ b/pumicedeck/tests/platform_store_servers.py
@@ -25,6 +25,8 @@
 
     def __init__(self, root, timers, store: StandinPartitionedStore):
         self.store = store
+        self._seen = set()
+        self._silenced = set()
         self.listener = HttpListener(Address("127.0.0.1", 0), timers, self._handle).register(root)
         self.listener.start()
 
@@ -35,7 +37,14 @@
     def close(self):
         self.listener.close()
 
+    def silence_connections(self):
+        """Answer nothing more on the connections that are open now."""
+        self._silenced |= self._seen
+
     def _handle(self, call: IncomingCall):
+        self._seen.add(call.connection)
+        if call.connection in self._silenced:
+            return
         path, _, query = call.target.partition("?")
         arguments = {name: values[0] for name, values in parse_qs(query).items()}
         if path == "/rows-tx":
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -92,6 +92,9 @@
         finally:
             engine.working[call.request_id] -= 1
 
+    def distrust(self, endpoint):
+        pass
+
     async def _generate(self, engine, call, silence, begun, chunk):
         if engine.busy and self.world.refuse_while_loading:
             return Err(Failure(ResultCode.ENDPOINT_REFUSED, "loading", proven_not_run=True))
--- a/pumicedeck/tests/test_partitioned_stores.py
+++ b/pumicedeck/tests/test_partitioned_stores.py
@@ -176,3 +176,16 @@
     outcomes = [bench.ask(first), bench.ask(second)]
     assert [isinstance(each, Err) for each in outcomes] == [False, True]
     assert outcomes[1].unwrap_err().code is ResultCode.STORE_UNAVAILABLE
+
+
+def test_connections_that_went_silent_cost_one_time_out_together():
+    bench = HttpBench()
+    opened = [bench.store.read("t", "p") for _ in range(6)]
+    for promise in opened:
+        bench.ask(promise)
+    bench.server.silence_connections()
+    started = bench.timers.now()
+    assert isinstance(bench.ask(bench.store.read("t", "p")), Err)
+    assert read(bench).rows == ()
+    assert bench.timers.now() - started <= CALL_SECONDS + 0.1
+    bench.close()
