--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -29,6 +29,8 @@
 from pumicedeck.logs import set_up_event_logs
 from pumicedeck.part_tables import PartTableStore
 from pumicedeck.partitioned_stores import StoredRow
+from pumicedeck.peer_checks import PeerCheck
+from pumicedeck.peer_questions import PeerQuestions
 from pumicedeck.platform.caller_calls import PlatformCallerDialect, PlatformSubmissionDialect
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform.registrations import (
@@ -68,6 +70,9 @@
     connections_per_address=40,
     unframed_answers=True,
 )
+PEER_CLIENT = HttpClientSettings(
+    connect_seconds=0.25, pooled_seconds=2.0, acknowledge_seconds=1.0, connections_per_address=2
+)
 RELOAD_SECONDS = 1.0
 
 _log = logger.bind(module="gateway_compositions")
@@ -175,6 +180,19 @@
             heard_before = endpoint_feed.heard_at
             endpoints.heard()
 
+    peers = PeerQuestions(
+        timers,
+        store,
+        HttpClient(timers, PEER_CLIENT).register(root),
+        mirror,
+        PeerCheck(place),
+        settings.vm,
+        settings.readiness,
+        heard_at=lambda: lease_holder.heard_at,
+        holder=lambda: lease_holder.seen_holder,
+        random=random,
+        scheduler=scheduler,
+    )
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
@@ -187,6 +205,7 @@
             scheduler=scheduler,
             lease=lease,
             lease_holder=lease_holder,
+            peers=peers,
             mirror=mirror,
             clock=clock,
             feeds=(operator_feed, endpoint_feed, work_feed),
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -21,6 +21,7 @@
 from pumicedeck.http_listeners import HttpListener, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder
+from pumicedeck.peer_questions import PEER_PATH, PeerQuestions
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, RouteKind, RouteTable
@@ -50,7 +51,7 @@
     the process ends `latest_seconds` after the signal at the latest.
     """
 
-    notice_seconds: float = 2.6
+    notice_seconds: float = 2.3
     latest_seconds: float = 7.4
     look_seconds: float = 0.1
     watch_seconds: float = 0.05
@@ -70,6 +71,7 @@
     scheduler: Scheduler
     lease: LeaseKeeper
     lease_holder: LeaseHolder
+    peers: PeerQuestions
     mirror: WorkMirror
     clock: StoreClock
     feeds: tuple[StoreFeed, ...]
@@ -141,6 +143,7 @@
         """Release the sockets."""
         for feed in self._parts.feeds:
             feed.close()
+        self._parts.peers.close()
         self._parts.callers.close()
         self._parts.readiness.close()
 
@@ -149,6 +152,9 @@
         if incoming.target.startswith("/metrics"):
             incoming.answer(200, (("Content-Type", "text/plain"),), self._metrics())
             return
+        if incoming.target == PEER_PATH:
+            incoming.answer(200, _JSON_TYPE, self._parts.peers.answer())
+            return
         ready = self.is_ready
         incoming.answer(200 if ready else 503, _JSON_TYPE, json.dumps(ready).encode())
 
@@ -242,6 +248,7 @@
                 handicap = lease_handicap(self._parts.work_feed.round_trip)
                 self._parts.lease_holder.handicap = handicap
                 self._timers.call_later(handicap, self._want_lease)
+                self._parts.peers.start()
 
     def _want_lease(self) -> None:
         if not self._draining:
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -117,6 +117,7 @@
         self._row: Row | None = None
         self._seen_since = 0.0
         self._blind = False
+        self._heard_at = -1e9
         self._pending: LeaseRow | None = None
         self._base_revision = 0
         self._predecessor = ""
@@ -136,6 +137,16 @@
         """Tell whether the lease is to be held."""
         return self._wanted
 
+    @property
+    def heard_at(self) -> float:
+        """Return the second at which the row was last read or written."""
+        return self._heard_at
+
+    @property
+    def seen_holder(self) -> str:
+        """Return the holder that the row named last."""
+        return decode_lease(self._row.value).holder if self._row is not None else ""
+
     @property
     def other_holder(self) -> str:
         """Return the holder that the row named last, if it is another one."""
@@ -186,6 +197,7 @@
             self._blind = True
             self._next = now + self._settings.retry
             return []
+        self._heard_at = now
         if self._blind:
             self._blind = False
             self._seen_since = now
@@ -197,6 +209,7 @@
         if self._phase not in (LeasePhase.COMMITTING, LeasePhase.RELEASING):
             return []
         if outcome.is_ok() and self._pending is not None:
+            self._heard_at = now
             revision = outcome.unwrap().revisions[0]
             row = Row(self._key.table, self._key.key, self._pending.encode(), revision)
             self._see(now, row)
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -18,6 +18,7 @@
 OWNER_KEY = "owner"
 END_KEY = "end"
 RESULTS_PREFIX = "r"
+MEMBERS_PART = "members"
 
 
 def head_row(submission_id: str) -> RowKey:
@@ -50,6 +51,11 @@
     return RowKey(PROGRESS_TABLE, submission_id, item_id)
 
 
+def member_row(vm: str) -> RowKey:
+    """Name the row in which a process tells its peers where it answers."""
+    return RowKey(WORK_TABLE, MEMBERS_PART, vm)
+
+
 def encode_owner(fencing: int, holder: str) -> bytes:
     """Return the bytes of an owner row."""
     return json.dumps({"fencing": fencing, "holder": holder}).encode()
@@ -103,14 +109,16 @@
 
 
 class WorkMirror:
-    """All submissions by id; `fresh_at` is the second of the last word from the store."""
+    """All submissions by id and the addresses of all processes.
+
+    `fresh_at` is the second of the last word from the store.
+    """
 
     def __init__(self) -> None:
         """Know nothing yet."""
         self._views: dict[str, SubmissionView] = {}
-        self.revision = 0
         self.fresh_at = -1e9
-        self.loaded = False
+        self.members: dict[str, str] = {}
         self.changed = Signal()
 
     @property
@@ -128,6 +136,9 @@
         touched: dict[str, SubmissionView] = {}
         for row in rows:
             part = row.row.part
+            if part == MEMBERS_PART:
+                self._take_member(row)
+                continue
             if row.value is None:
                 if row.row.key == HEAD_KEY:
                     self._views.pop(part, None)
@@ -141,3 +152,9 @@
             view.changed.notify()
         if touched:
             self.changed.notify()
+
+    def _take_member(self, row: StoredRow) -> None:
+        if row.value is None:
+            self.members.pop(row.row.key, None)
+        else:
+            self.members[row.row.key] = row.value.decode()
