--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -99,6 +99,16 @@
         self._draining = False
         self._was_ready = False
 
+    @property
+    def caller_listener(self) -> HttpListener:
+        """Return where callers are served."""
+        return self._parts.callers
+
+    @property
+    def readiness_listener(self) -> HttpListener:
+        """Return where the balancer and peers are answered."""
+        return self._parts.readiness
+
     @property
     def routes(self) -> RouteTable | None:
         """Return the routes in force."""
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -23,6 +23,7 @@
 
 _BACKLOG = 512
 _READ_BYTES = 65536
+_HEADER_OVERHEAD_BYTES = 4
 _ACCEPTS_PER_TURN = 64
 _CHANNEL_NUMBERS = itertools.count(1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -242,6 +243,9 @@
                     self._flush()
                 return
             if isinstance(event, h11.Request):
+                if _head_size(event) > self._settings.header_bytes:
+                    self._reject(431, "the header is too large")
+                    return
                 self._head = event
                 self._body = []
                 self._body_bytes = 0
@@ -339,6 +343,11 @@
             self.close()
 
 
+def _head_size(head: h11.Request) -> int:
+    headers = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
+    return headers + len(head.target)
+
+
 class HttpListener(BaseComponent):
     """Listens on one address and hands each whole request to `handle`."""
 
--- /dev/null
+++ b/pumicedeck/tests/test_gateways.py
@@ -0,0 +1,329 @@
+"""A whole gateway over sockets: calls, streams, submissions, readiness and leaving."""
+
+import json
+import socket
+
+import pytest
+
+from pumicedeck.gateway_compositions import build_gateway
+from pumicedeck.gateway_settings import GatewaySettings, StoreSettings
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.partitioned_stores import Change, Put, RowKey
+from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.tests.platform_store_servers import PlatformStoreServer
+from pumicedeck.world import Address
+
+LOCAL = "127.0.0.1"
+SIGNATURE = ("X-Pumicedeck-Response-Signature", "3e1b.07")
+
+
+class FakeEndpoint:
+    """An endpoint whose answers a test writes."""
+
+    def __init__(self, bench, name, pool):
+        self.calls = []
+        self.name = name
+        self.pool = pool
+        self.on_call = self.succeed
+        self.listener = HttpListener(Address(LOCAL, 0), bench.loop.timers, self._handle)
+        self.listener.register(bench.loop)
+        self.listener.start()
+
+    def succeed(self, call):
+        call.answer(200, (id_header(call), SIGNATURE), b"from " + self.name.encode())
+
+    def entry(self, state="ready"):
+        address = self.listener.address
+        return {
+            "service": self.pool,
+            "address": f"{address.host}:{address.port}",
+            "zone": "tn-a",
+            "slots": 6,
+            "state": state,
+            "born": 1,
+            "seq": 1,
+        }
+
+    def _handle(self, call):
+        self.calls.append(call)
+        self.on_call(call)
+
+
+def id_header(call):
+    return ("X-Pumicedeck-Request-Id", call.header("x-pumicedeck-request-id"))
+
+
+def route(name, kind, service="apps", **fields):
+    return {
+        "name": name,
+        "host": "h",
+        "path-prefix": f"/{name}/",
+        "route-type": kind,
+        "timeout-ms": 1500,
+        "target-latency-ms": 250,
+        "max-attempts": 2,
+        "service": service,
+        **fields,
+    }
+
+
+class Bench:
+    def __init__(self):
+        self.loop = Loop()
+        timers = self.loop.timers
+        self.data = PartitionedData()
+        self.standin = StandinPartitionedStore(timers, self.data, give_up_seconds=0.05)
+        self.store = PlatformStoreServer(self.loop, timers, self.standin)
+        self.endpoints = [FakeEndpoint(self, f"i-{n}", "apps") for n in range(2)]
+        self.finished = []
+        self.configure(
+            1,
+            route("safe", "idempotent"),
+            route("once", "non_idempotent"),
+            route("stream", "streaming", resumable=True),
+            route("drafts", "rollout", **{"due-ms": 7500, "max-wait-s": 12}),
+        )
+        for endpoint in self.endpoints:
+            self.put("servers", endpoint.name, endpoint.entry())
+        settings = GatewaySettings(
+            vm="front-1",
+            failure_domain="tn-a",
+            region="south",
+            regions={"tn-a": "south"},
+            callers=Address(LOCAL, 0),
+            readiness=Address(LOCAL, 0),
+            store=StoreSettings(address=self.store.address),
+        )
+        self.running = build_gateway(
+            settings, self.loop, timers, lambda: self.finished.append(True)
+        )
+        self.gateway = self.running.gateway
+        self.running.start()
+        self.loop.until(lambda: self.gateway.is_ready)
+        self.socks = []
+
+    def put(self, table, key, document):
+        value = None if document is None else json.dumps(document).encode()
+        self.data.commit(Change((), (Put(RowKey(table, "", key), value),)))
+
+    def configure(self, version, *routes):
+        self.put("op", "config", {"version": version, "routes": list(routes), "services": []})
+
+    def ask(self, method, target, body=b"", headers=(), until=b"\r\n\r\n", listener=None):
+        sock = self.open(method, target, body, headers, listener)
+        return self.read(sock, until)
+
+    def open(self, method, target, body=b"", headers=(), listener=None):
+        address = (listener or self.gateway.caller_listener).address
+        sock = socket.create_connection((address.host, address.port))
+        sock.setblocking(False)
+        self.socks.append(sock)
+        lines = [f"{method} {target} HTTP/1.1", "Host: h", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        return sock
+
+    def read(self, sock, until=b"\r\n\r\n"):
+        parts = bytearray()
+
+        def whole():
+            try:
+                data = sock.recv(65536)
+            except BlockingIOError:
+                return False
+            parts.extend(data or b"<closed>")
+            return until in parts or not data
+
+        self.loop.until(whole)
+        return bytes(parts)
+
+    def close(self):
+        for sock in self.socks:
+            sock.close()
+        self.running.close()
+        self.store.close()
+        for endpoint in self.endpoints:
+            endpoint.listener.close()
+        assert not self.loop.errors
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    made.close()
+
+
+ID = (("X-Pumicedeck-Request-Id", "r1"), ("X-Pumicedeck-Deadline-Ms", "1400"))
+
+
+def test_a_call_reaches_an_endpoint_unchanged_and_its_answer_comes_back(bench):
+    answer = bench.ask("POST", "/safe/x%2f?q=1", b"body", (*ID, ("X-Own", "kept")), b"from i-")
+    assert answer.startswith(b"HTTP/1.1 200") and b"3e1b.07" in answer
+    (call,) = [call for each in bench.endpoints for call in each.calls]
+    assert (call.method, call.target, call.body) == ("POST", "/safe/x%2f?q=1", b"body")
+    assert call.header("x-own") == "kept" and call.host == "h"
+    assert 0 < int(call.header("x-pumicedeck-deadline-ms")) <= 1400
+    assert call.header("x-pumicedeck-expect-instance").startswith("i-")
+
+
+def test_an_unknown_route_is_refused_and_a_new_one_is_in_force_soon(bench):
+    assert bench.ask("GET", "/new/x", headers=ID).startswith(b"HTTP/1.1 404")
+    bench.configure(2, route("new", "idempotent"))
+    bench.loop.advance(0.5)
+    assert bench.ask("GET", "/new/x", headers=ID).startswith(b"HTTP/1.1 200")
+    assert bench.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 404")
+    bench.configure(1, route("safe", "idempotent"))
+    bench.loop.advance(0.5)
+    assert bench.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 404")
+
+
+def test_a_call_that_may_repeat_is_served_elsewhere_when_an_endpoint_breaks(bench):
+    broken = []
+
+    def break_first(endpoint):
+        def handle(call):
+            if not broken:
+                broken.append(endpoint)
+                call.abort()
+            else:
+                endpoint.succeed(call)
+
+        return handle
+
+    for endpoint in bench.endpoints:
+        endpoint.on_call = break_first(endpoint)
+    answer = bench.ask("GET", "/safe/x", headers=ID, until=b"from i-")
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert broken[0].name.encode() not in answer
+
+
+def test_a_call_that_may_not_repeat_is_tried_once_unless_it_did_not_run(bench):
+    for endpoint in bench.endpoints:
+        endpoint.on_call = lambda call: call.abort()
+    assert bench.ask("POST", "/once/x", headers=ID).startswith(b"HTTP/1.1 502")
+    assert sum(len(endpoint.calls) for endpoint in bench.endpoints) == 1
+    not_run = ("X-Pumicedeck-Not-Run", "1")
+    for endpoint in bench.endpoints:
+        endpoint.on_call = lambda call: call.answer(503, (id_header(call), not_run), b"")
+    answer = bench.ask("POST", "/once/x", headers=ID)
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert sum(len(endpoint.calls) for endpoint in bench.endpoints) == 3
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda call: call.answer(200, (("X-Pumicedeck-Request-Id", "other"), SIGNATURE), b"x"),
+        lambda call: call.answer(200, (id_header(call),), b"without a signature"),
+    ],
+)
+def test_a_spoilt_answer_never_reaches_the_caller(bench, spoil):
+    for endpoint in bench.endpoints:
+        endpoint.on_call = spoil
+    answer = bench.ask("GET", "/safe/x", headers=ID)
+    assert answer.startswith(b"HTTP/1.1 502")
+
+
+def test_a_resumable_stream_goes_on_elsewhere_at_its_last_whole_event(bench):
+    def half(call):
+        last = call.header("last-event-id")
+        call.begin(200, (id_header(call), SIGNATURE))
+        if last:
+            call.write(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+            call.finish()
+        else:
+            call.write(b"id: 1\ndata: a\n\nid: 2\nda")
+            bench.loop.timers.call_later(0.05, call.abort)
+
+    for endpoint in bench.endpoints:
+        endpoint.on_call = half
+    answer = bench.ask("GET", "/stream/x", headers=ID, until=b"0\r\n\r\n")
+    assert [answer.count(f"id: {n}\n".encode()) for n in (1, 2, 3)] == [1, 1, 1]
+    assert answer.index(b"data: a") < answer.index(b"data: b") < answer.index(b"data: c")
+
+
+def test_a_draining_endpoint_gets_no_new_calls(bench):
+    leaving, other = bench.endpoints
+    bench.put("servers", leaving.name, leaving.entry("draining"))
+    bench.loop.advance(0.5)
+    for _ in range(6):
+        bench.ask("GET", "/safe/x", headers=ID, until=b"from i-")
+    assert leaving.calls == [] and len(other.calls) == 6
+
+
+def test_a_caller_that_leaves_ends_the_call_at_the_endpoint(bench):
+    gone = []
+
+    def hold(call):
+        call.on_gone = lambda: gone.append(True)
+
+    for endpoint in bench.endpoints:
+        endpoint.on_call = hold
+    sock = bench.open("POST", "/once/x", headers=ID)
+    bench.loop.until(lambda: any(endpoint.calls for endpoint in bench.endpoints))
+    sock.close()
+    bench.loop.until(lambda: gone)
+
+
+SUBMISSION = {
+    "step": 0,
+    "model": "m",
+    "min-version": 1,
+    "group-target": 1,
+    "items": [
+        {"id": "a", "path": "/drafts/a", "headers": {}, "body": "aGk=", "tokens": 5, "group": "g"}
+    ],
+}
+
+
+def test_a_submission_is_kept_read_and_ended(bench):
+    body = json.dumps(SUBMISSION).encode()
+    headers = (("X-Pumicedeck-Request-Id", "s1"),)
+    assert bench.ask("POST", "/drafts/s1", body, headers).startswith(b"HTTP/1.1 202")
+    assert bench.ask("POST", "/drafts/s1", body, headers).startswith(b"HTTP/1.1 202")
+    answer = bench.ask("GET", "/lots/s1?after=0", until=b'"results": []}')
+    assert answer.startswith(b"HTTP/1.1 200") and b'"total": 1' in answer
+    assert bench.ask("GET", "/items/s1?id=a", until=b"hi").endswith(b"\r\n\r\nhi")
+    assert bench.ask("GET", "/items/s1?id=b").startswith(b"HTTP/1.1 404")
+    assert bench.ask("GET", "/lots/none?after=0").startswith(b"HTTP/1.1 404")
+    for _ in range(2):
+        assert bench.ask("DELETE", "/lots/s1").startswith(b"HTTP/1.1 200")
+
+
+def test_without_the_store_a_submission_is_refused_and_calls_go_on(bench):
+    bench.standin.faults.down = True
+    body = json.dumps(SUBMISSION).encode()
+    answer = bench.ask("POST", "/drafts/s1", body, (("X-Pumicedeck-Request-Id", "s1"),))
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert bench.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
+    assert bench.ask("GET", "/lots/none?after=0").startswith(b"HTTP/1.1 503")
+
+
+def test_a_submission_that_cannot_be_read_gets_a_numbered_error(bench):
+    answer = bench.ask("POST", "/drafts/s1", b"{", ID, until=b"}")
+    assert answer.startswith(b"HTTP/1.1 400") and b'"code": 400' in answer
+
+
+def test_a_leaving_gateway_is_unready_at_once_and_answers_what_is_open(bench):
+    held = []
+    for endpoint in bench.endpoints:
+        endpoint.on_call = held.append
+    sock = bench.open("GET", "/once/x", headers=ID)
+    bench.loop.until(lambda: held)
+    ready = bench.gateway.readiness_listener
+    assert bench.ask("GET", "/ready", listener=ready).startswith(b"HTTP/1.1 200")
+    bench.running.drain()
+    assert bench.ask("GET", "/ready", listener=ready).startswith(b"HTTP/1.1 503")
+    held[0].answer(200, (id_header(held[0]), SIGNATURE), b"whole")
+    answer = bench.read(sock, b"whole")
+    assert answer.startswith(b"HTTP/1.1 200") and b"whole" in answer
+    bench.loop.until(lambda: bench.finished)
+
+
+def test_metrics_tell_what_the_process_believes(bench):
+    answer = bench.ask(
+        "GET", "/metrics", listener=bench.gateway.readiness_listener, until=b"resident_bytes"
+    )
+    assert b"pumicedeck_ready 1" in answer and b"pumicedeck_routes_version 1" in answer
--- /dev/null
+++ b/pumicedeck/tests/test_http_listeners.py
@@ -0,0 +1,163 @@
+"""The raw listener over sockets: bytes in and out, kept connections, bad framing, callers gone."""
+
+import socket
+
+import pytest
+
+from pumicedeck.http_listeners import HttpListener, ListenerSettings
+from pumicedeck.tests.loop_harnesses import Loop
+from pumicedeck.world import Address
+
+SETTINGS = ListenerSettings(body_bytes=2000, header_seconds=2.0, idle_seconds=5.0)
+
+
+class Bench:
+    def __init__(self):
+        self.loop = Loop()
+        self.calls = []
+        self.listener = HttpListener(
+            Address("127.0.0.1", 0), self.loop.timers, self.calls.append, SETTINGS
+        ).register(self.loop)
+        self.listener.start()
+        self.socks = []
+
+    def connect(self):
+        address = self.listener.address
+        sock = socket.create_connection((address.host, address.port))
+        sock.setblocking(False)
+        self.socks.append(sock)
+        return sock
+
+    def send(self, sock, data):
+        sock.sendall(data)
+        self.loop.settle()
+
+    def received(self, sock):
+        self.loop.settle()
+        parts = []
+        while True:
+            try:
+                data = sock.recv(65536)
+            except BlockingIOError:
+                break
+            except ConnectionResetError:
+                break
+            if not data:
+                parts.append(b"<closed>")
+                break
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self):
+        for sock in self.socks:
+            sock.close()
+        self.listener.close()
+        assert not self.loop.errors
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    yield made
+    made.close()
+
+
+def test_method_target_headers_and_body_arrive_as_they_were_sent(bench):
+    sock = bench.connect()
+    target = b"/a%2fb/%c3%a9?x=%20&y=1;2"
+    bench.send(
+        sock,
+        b"PURGE " + target + b" HTTP/1.1\r\nHost: h:80\r\nX-One: a\r\nX-One: b\r\n"
+        b"Content-Length: 5\r\n\r\n\x00\xff\r\nz",
+    )
+    (call,) = bench.calls
+    assert (call.method, call.target, call.host) == ("PURGE", target.decode(), "h")
+    assert call.body == b"\x00\xff\r\nz"
+    assert [value for name, value in call.headers if name == "X-One"] == ["a", "b"]
+
+
+def test_chunked_bodies_and_kept_connections(bench):
+    sock = bench.connect()
+    for number in range(2):
+        bench.send(
+            sock,
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\n",
+        )
+        assert bench.calls[number].body == b"abc"
+        bench.calls[number].answer(200, (("X-Id", str(number)),), b"ok")
+        answer = bench.received(sock)
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"\r\n\r\nok")
+        assert f"X-Id: {number}".encode() in answer
+
+
+def test_a_pipelined_request_is_served_after_the_first_answer(bench):
+    sock = bench.connect()
+    bench.send(sock, b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert [call.target for call in bench.calls] == ["/1"]
+    bench.calls[0].answer(200, (), b"one")
+    bench.loop.advance(0.1)
+    assert [call.target for call in bench.calls] == ["/1", "/2"]
+
+
+def test_a_stream_leaves_as_it_comes_and_a_broken_one_cannot_look_complete(bench):
+    sock = bench.connect()
+    bench.send(sock, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    call = bench.calls[0]
+    call.begin(200, ())
+    call.write(b"id: 1\n\n")
+    assert bench.received(sock).endswith(b"\r\nid: 1\n\n\r\n")
+    call.abort()
+    assert b"0\r\n\r\n" not in bench.received(sock)
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 20000 + b"\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n" + b"a" * 2001,
+    ],
+)
+def test_badly_framed_requests_are_rejected_and_reach_nobody(bench, request_bytes):
+    sock = bench.connect()
+    bench.send(sock, request_bytes)
+    assert bench.received(sock).startswith(b"HTTP/1.1 4")
+    assert bench.calls == []
+
+
+def test_a_caller_that_leaves_is_told_at_once(bench):
+    sock = bench.connect()
+    bench.send(sock, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    gone = []
+    bench.calls[0].on_gone = lambda: gone.append(True)
+    sock.close()
+    bench.loop.settle()
+    assert gone == [True] and bench.calls[0].is_ended
+
+
+def test_idle_connections_end_after_their_time_and_half_requests_too(bench):
+    idle, half = bench.connect(), bench.connect()
+    bench.send(idle, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    bench.calls[0].answer(200, (), b"")
+    bench.send(half, b"GET / HT")
+    bench.loop.advance(3.0)
+    assert b"<closed>" in bench.received(half)
+    assert b"<closed>" not in bench.received(idle)
+    bench.loop.advance(4.0)
+    assert b"<closed>" in bench.received(idle)
+
+
+def test_a_draining_listener_answers_and_closes(bench):
+    sock, idle = bench.connect(), bench.connect()
+    bench.send(sock, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    bench.listener.drain()
+    assert bench.listener.open_calls == 1
+    bench.listener.close_idle()
+    bench.calls[0].answer(200, (), b"last")
+    answer = bench.received(sock)
+    assert b"onnection: close" in answer and b"last" in answer and b"<closed>" in answer
+    assert bench.received(idle) == b"<closed>"
--- /dev/null
+++ b/pumicedeck/tests/test_weight_plans.py
@@ -0,0 +1,60 @@
+"""Which engines load which weights."""
+
+from pumicedeck.weight_plans import (
+    EngineLoad,
+    ModelDemand,
+    WeightPlanSettings,
+    assign_models,
+    plan_loads,
+)
+
+SETTINGS = WeightPlanSettings()
+
+
+def engines(versions, running=1, idle=0.0):
+    return [
+        EngineLoad(f"e{number}", {"m": version}, running, idle)
+        for number, version in enumerate(versions)
+    ]
+
+
+def plan(versions, named, needed=0, waiting=5, loading=0, **fields):
+    loads = engines(versions, **fields)
+    assigned = {load.name: "m" for load in loads}
+    demands = {"m": ModelDemand("m", named, needed, waiting)}
+    return [each.engine for each in plan_loads(loads, assigned, demands, loading, SETTINGS)]
+
+
+def test_two_trainers_share_the_engines_and_keep_theirs():
+    loads = [EngineLoad(f"e{n}", {"m": 1, "n": 1}, 0) for n in range(6)]
+    first = assign_models(loads, ["m", "n"], {})
+    assert sorted(first.values()) == ["m"] * 3 + ["n"] * 3
+    without = [load for load in loads if load.name != "e0"]
+    again = assign_models(without, ["m", "n"], first)
+    assert sum(again[name] != first[name] for name in again) <= 1
+
+
+def test_engines_that_the_step_cannot_use_load_at_once_two_at_a_time():
+    assert len(plan([1, 1, 1, 2], named=4)) == 2
+    assert len(plan([1, 1, 1, 2], named=4, loading=1)) == 1
+    assert plan([1, 1, 1, 2], named=4, loading=2) == []
+
+
+def test_more_engines_bear_more_loads():
+    assert len(plan([1] * 21, named=4)) == 7
+
+
+def test_half_of_the_engines_take_a_version_before_all_have_to():
+    assert len(plan([2, 2, 2, 2], named=3)) == 2
+    assert plan([3, 3, 2, 2], named=3) == []
+
+
+def test_idle_engines_follow_and_busy_ones_wait():
+    assert plan([3, 2], named=3, waiting=0, running=0, idle=1.0) == ["e1"]
+    assert plan([3, 2], named=3, waiting=0) == []
+
+
+def test_nothing_is_loaded_twice_or_without_a_named_version():
+    assert plan([3, 3], named=3) == []
+    loads = engines([1, 1])
+    assert plan_loads(loads, {"e0": "m", "e1": "m"}, {}, 0, SETTINGS) == []
