--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -12,7 +12,7 @@
 from pumicedeck.cli_outputs import JsonOption, UrlOption, finish, print_table
 from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.operator_clients import OperatorClient
-from pumicedeck.results import Failure, result_code_table
+from pumicedeck.results import Failure, ResultCode, result_code_table
 
 app = typer.Typer(
     help="A rollout service for reinforcement learning: daemons and the operators' client.",
@@ -109,6 +109,30 @@
     print_table(columns, [[each[name] for name in columns] for each in document["series"]])
 
 
+@app.command()
+def explain(
+    identity: Annotated[str, typer.Argument(help="A request's, submission's or item's id.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of any number of processes.")],
+) -> None:
+    """Show from logs what happened to an id, the cause first."""
+    from pumicedeck.explanations import explain as explain_identity
+    from pumicedeck.log_files import read_lines
+
+    missing = [path for path in files if not path.is_file()]
+    if missing:
+        finish(Err(Failure(ResultCode.BAD_REQUEST, f"{missing[0]}: cannot be read")))
+    explanation = explain_identity(identity, read_lines(files))
+    if explanation.cause is not None:
+        typer.echo(f"cause: {explanation.cause.text()}")
+    for line in explanation.lines:
+        typer.echo(line.text())
+    if explanation.unread:
+        noun = "line" if explanation.unread == 1 else "lines"
+        typer.echo(f"{explanation.unread} {noun} could not be read")
+    if not explanation.lines:
+        finish(Err(Failure(ResultCode.NOT_FOUND, f"no event names {identity}")))
+
+
 @app.command("result-codes")
 def result_codes() -> None:
     """Print the table of result codes."""
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -51,6 +51,7 @@
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
 from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
 from pumicedeck.world import FailureDomain
@@ -136,6 +137,13 @@
             holder=settings.vm,
             home=home,
             may_claim=lambda: lease_holder.holds(timers.now()),
+            sweep=SubmissionSweep(
+                timers,
+                store,
+                clock,
+                mirror,
+                SweepSettings(status_seconds=settings.promises.status_seconds),
+            ),
         )
     )
 
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -33,6 +33,7 @@
 from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.store_clocks import StoreClock
+from pumicedeck.submission_sweeps import SubmissionSweep
 from pumicedeck.submission_works import ItemWork, SubmissionWork, read_progress
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import Task, sleep, spawn
@@ -91,6 +92,7 @@
     holder: str
     home: FailureDomain
     may_claim: Callable[[], bool]
+    sweep: SubmissionSweep
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
 
@@ -122,6 +124,7 @@
         self._saved_at = 0.0
         self._ticker: Task | None = None
         self._watcher: Task | None = None
+        self._sweeper: Task | None = None
 
     @property
     def is_active(self) -> bool:
@@ -154,6 +157,7 @@
         if self._ticker is None:
             self._ticker = spawn(self._tick_forever(), "scheduler tick")
             self._watcher = spawn(self._watch_mirror(), "scheduler watch")
+            self._sweeper = spawn(self._parts.sweep.run(), "submission sweep")
         self._look()
 
     def stop(self, reason: str) -> None:
@@ -162,10 +166,10 @@
             return
         self._active = False
         _log.info("scheduling stopped", reason=reason, running=len(self._runs))
-        for task in (self._ticker, self._watcher):
+        for task in (self._ticker, self._watcher, self._sweeper):
             if task is not None:
                 task.cancel()
-        self._ticker = self._watcher = None
+        self._ticker = self._watcher = self._sweeper = None
         self._cancel_items(lambda key: True)
         for _, task in tuple(self._loading.values()):
             task.cancel()
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -26,6 +26,7 @@
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
@@ -192,6 +193,7 @@
                 holder=name,
                 home=HOME,
                 may_claim=lambda: self.holder.holds(timers.now()),
+                sweep=SubmissionSweep(timers, self.store, self.clock, self.mirror, SweepSettings()),
             )
         )
         self.keeper = LeaseKeeper(
--- /dev/null
+++ b/pumicedeck/tests/test_explanations.py
@@ -0,0 +1,46 @@
+"""From an id to its cause with logs alone."""
+
+from typer.testing import CliRunner
+
+from pumicedeck.cli import app
+from pumicedeck.explanations import explain
+
+LINES = [
+    '{"at": 2.0, "vm": "f2", "level": "INFO", "module": "m", "event": "run ended early", '
+    '"submission": "s1", "item": "i1", "engine": "e1", "end": "broken"}',
+    '  1.0 f1 {"at": 1.0, "vm": "f1", "event": "item started", "submission": "s1", "item": "i1"}',
+    '{"at": 1.5, "vm": "f1", "event": "item started", "submission": "s1", "item": "i10"}',
+    '{"at": 3.0, "vm": "f2", "event": "item given up", "item": "i1", "reason": "no score"}',
+    '{"at": 3.0, "vm": "f2", "event": "item giv',
+    "built in 0.1 s",
+]
+
+
+def test_the_events_of_an_id_come_in_order_with_the_cause():
+    explanation = explain("i1", LINES)
+    assert [line.event for line in explanation.lines] == [
+        "item started",
+        "run ended early",
+        "item given up",
+    ]
+    assert explanation.cause.fields["reason"] == "no score"
+    assert explanation.unread == 1
+
+
+def test_an_id_without_a_trace_has_no_cause():
+    explanation = explain("zz", LINES)
+    assert explanation.cause is None and explanation.lines == ()
+
+
+def test_the_command_reads_several_files(tmp_path):
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("\n".join(LINES[:2]))
+    second.write_text("\n".join(LINES[2:]))
+    result = CliRunner().invoke(app, ["explain", "i1", str(first), str(second)])
+    assert result.exit_code == 0
+    assert result.output.startswith("cause: 3.000 f2 item given up")
+    assert "1 line could not be read" in result.output
+    missing = CliRunner().invoke(app, ["explain", "i1", str(tmp_path / "none.log")])
+    assert missing.exit_code != 0
+    unknown = CliRunner().invoke(app, ["explain", "zz", str(first)])
+    assert unknown.exit_code != 0
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -257,3 +257,16 @@
         world.data.drop_history()
     world.run(1.0)
     check_whole(world, world.processes[1], STEP)
+
+
+def test_a_finished_submission_is_removed_after_its_status_time_and_an_open_one_is_not():
+    world = SchedulerWorld()
+    world.submit(world.processes[1], [[10, 10]])
+    world.run(100.0)
+    check_whole(world, world.processes[1], [[10, 10]])
+    world.run(60.0)
+    world.submit(world.processes[1], [[5]], name="s1")
+    world.run(10.0)
+    assert world.processes[1].mirror.view("s0") is None
+    assert world.data.parts("items", "") == ("s1",)
+    check_whole(world, world.processes[1], [[5]], "s1")
