--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -108,7 +108,6 @@
         self._works: dict[str, SubmissionWork] = {}
         self._adopting: set[str] = set()
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
-        self._scorings: dict[tuple[str, str], Task] = {}
         self._pump_due = False
         self._loading: dict[str, tuple[LoadVersion, Task]] = {}
         self._load_after: dict[str, float] = {}
@@ -218,27 +217,42 @@
         return not known and view.fencing <= self._fencing and self._parts.may_claim()
 
     async def _adopt(self, view: SubmissionView) -> None:
-        work = SubmissionWork(
-            self._timers, self._parts.store, view.head, self._parts.holder, self._on_lost
-        )
         try:
-            outcome = await work.adopt(self._fencing, view)
-            if isinstance(outcome, Err):
-                _log.warning(
-                    "submission not adopted",
-                    submission=view.submission_id,
-                    code=outcome.err_value.code.name,
-                    detail=outcome.err_value.detail,
-                )
-                if outcome.err_value.code is not ResultCode.FENCED:
-                    await sleep(self._timers, self._settings.adopt_retry_seconds)
-                return
+            work = await self._take_over(view)
         finally:
+            # Until the work is known here, a second claim would run its items twice.
             self._adopting.discard(view.submission_id)
+        if work is not None:
+            self._pump()
+
+    async def _take_over(self, view: SubmissionView) -> SubmissionWork | None:
+        """Claim a submission, read what is left of it and add it to the works."""
+        fencing = self._fencing
+        work = SubmissionWork(
+            self._timers, self._parts.store, view.head, self._parts.holder, self._on_lost
+        )
+        outcome = await work.adopt(fencing, view)
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            _log.warning(
+                "submission not adopted",
+                submission=view.submission_id,
+                code=failure.code.name,
+                detail=failure.detail,
+            )
+            if failure.code is not ResultCode.FENCED:
+                await sleep(self._timers, self._settings.adopt_retry_seconds)
+            return None
         await self._search_leftovers(view)
-        if not self._active or not view.is_open:
+        if not self._active or self._fencing != fencing or not view.is_open:
             work.close()
-            return
+            return None
+        self._works[view.submission_id] = work
+        self._prepare(work)
+        return work
+
+    def _prepare(self, work: SubmissionWork) -> None:
+        """Let items go on from earlier texts and choose the groups that can be spared."""
         reused = self._reuse(work)
         work.spare_groups = choose_spare_groups(
             [
@@ -249,18 +263,16 @@
         )
         _log.info(
             "submission adopted",
-            submission=view.submission_id,
-            step=view.head.step,
-            model=view.head.model,
-            min_version=view.head.min_version,
+            submission=work.submission_id,
+            step=work.head.step,
+            model=work.head.model,
+            min_version=work.head.min_version,
             items=len(work.waiting),
             listed=work.listed,
             resumed=sum(1 for each in work.waiting.values() if each.progress.last_event),
             reused=reused,
-            age=round(self._parts.clock.now() - view.head.accepted, 3),
+            age=round(self._parts.clock.now() - work.head.accepted, 3),
         )
-        self._works[view.submission_id] = work
-        self._pump()
 
     async def _search_leftovers(self, view: SubmissionView) -> None:
         """Read the texts of the last ended steps that a scheduler before us has left."""
@@ -321,12 +333,10 @@
         )
 
     def _cancel_items(self, chosen: Callable[[tuple[str, str]], bool]) -> None:
-        """Cancel runs and reward calls by (submission, item)."""
+        """Cancel runs by (submission, item)."""
         for key in [key for key in self._runs if chosen(key)]:
             _, task = self._runs.pop(key)
             task.cancel()
-        for key in [key for key in self._scorings if chosen(key)]:
-            self._scorings.pop(key).cancel()
 
     def _route(self, work: SubmissionWork) -> Route | None:
         routes = self._parts.routes()
@@ -527,12 +537,10 @@
             self._known_versions[key] = max(run.version_seen, self._known_versions.get(key, 0))
 
     def _begin_scoring(self, work: SubmissionWork, each: ItemWork) -> None:
-        key = (work.submission_id, each.item.item_id)
-        scoring = Task(self._score(work, each, key), f"score {each.item.item_id}")
-        if not scoring.is_done:
-            self._scorings[key] = scoring
+        if self._works.get(work.submission_id) is work:
+            work.score(each.item.item_id, self._score(work, each))
 
-    async def _score(self, work: SubmissionWork, each: ItemWork, key: tuple[str, str]) -> None:
+    async def _score(self, work: SubmissionWork, each: ItemWork) -> None:
         score: str | None = ""
         if each.item.reward is not None:
             route = self._route(work)
@@ -540,7 +548,6 @@
             until = self._give_up_at(work, route) if route is not None else 0.0
             most = route.max_attempts if route is not None else 1
             score = await self._parts.rewards.score(each.item.reward, routes, most, until)
-        self._scorings.pop(key, None)
         if self._works.get(work.submission_id) is not work:
             return
         if score is None:
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -1,7 +1,8 @@
 """A submission in the scheduler's hands: its items, and the writer of its results."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -19,7 +20,7 @@
     encode_progress,
     encode_results,
 )
-from pumicedeck.tasks import Task, sleep, spawn
+from pumicedeck.tasks import Task, sleep, spawn, within
 from pumicedeck.work_mirrors import (
     ITEMS_TABLE,
     PROGRESS_TABLE,
@@ -38,11 +39,13 @@
 class WriterSettings:
     """Times in seconds; sizes in bytes and rows.
 
-    `gather_seconds` is how long results are gathered for one row.
+    `gather_seconds` is how long results are gathered for one row, `flush_seconds` how long a
+    hand-over waits for the last of them.
     """
 
     gather_seconds: float = 0.02
     retry_seconds: float = 0.15
+    flush_seconds: float = 0.5
     row_bytes: int = 40_000
     progress_rows: int = 40
     progress_bytes: int = 60_000
@@ -90,6 +93,7 @@
         self.spare_groups: frozenset[str] = frozenset()
         self._owner_revision = 0
         self._pending: list[ItemResult] = []
+        self._scorings: dict[str, Task] = {}
         self._writer: Task | None = None
         self._saving = False
         self._closed = False
@@ -126,11 +130,21 @@
         return Ok(None)
 
     def close(self) -> None:
-        """Write nothing more."""
+        """Write nothing more and end the reward calls."""
         self._closed = True
+        for task in tuple(self._scorings.values()):
+            task.cancel()
+        self._scorings.clear()
         if self._writer is not None:
             self._writer.cancel()
 
+    def score(self, item_id: str, scoring: Coroutine[Any, Any, None]) -> None:
+        """Run the reward call of an item until the submission is closed."""
+        task = spawn(scoring, f"score {item_id}")
+        if not task.is_done:
+            self._scorings[item_id] = task
+            task.ended.then(lambda _: self._scorings.pop(item_id, None))
+
     def add_result(self, result: ItemResult) -> None:
         """List a result; it keeps its position from its commit on."""
         self._pending.append(result)
@@ -143,8 +157,10 @@
             spawn(self._save(), f"progress of {self.submission_id}")
 
     async def save_all(self) -> None:
-        """Store every text that has grown."""
+        """Store every text that has grown, and the results that wait, within a moment."""
         await self._save(least_events=1)
+        if self._writer is not None:
+            await within(self._timers, self._settings.flush_seconds, self._writer.ended, None)
 
     async def _claim(self, fencing: int, view: SubmissionView) -> Result[None, Failure]:
         row = owner_row(self.submission_id)
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -83,7 +83,10 @@
 
     async def call(self, call, endpoint, seconds, silence, begun=None, chunk=None):
         if endpoint.pool == "apps":
+            self.world.score_calls.append(call.request_id)
             await sleep(self.world.timers, 0.2)
+            if self.world.scores_fail:
+                return Err(Failure(ResultCode.ENDPOINT_FAILED, "broken"))
             return self._answered(200, f"mac-{call.request_id}", None)
         engine = self.world.engines[endpoint.name]
         engine.starts.append((self.world.timers.now(), call.request_id, call.resume_after))
@@ -248,6 +251,8 @@
         self.routes = ROUTES
         self.named = {}
         self.refuse_while_loading = True
+        self.scores_fail = False
+        self.score_calls = []
         self.engines = {}
         for number in range(engines):
             name = f"e{number}"
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -270,3 +270,31 @@
     assert world.processes[1].mirror.view("s0") is None
     assert world.data.parts("items", "") == ("s1",)
     check_whole(world, world.processes[1], [[5]], "s1")
+
+
+def test_a_submission_is_adopted_once_while_the_store_is_slow():
+    world = SchedulerWorld()
+    first, second = world.processes
+    world.submit(first, [[40, 40]])
+    world.run(0.5)
+    world.end(first)
+    first.kill()
+    second.store.faults.delay = 0.15
+    world.submit(second, [[40, 40, 40]], name="s1")
+    world.run(6.0)
+    check_whole(world, second, [[40, 40, 40]], "s1")
+    for index in range(3):
+        starts = [start for start in world.starts(f"0-{index}") if start[0] > 1.6]
+        assert len(starts) == 1
+
+
+def test_a_reward_call_ends_with_its_submission():
+    world = SchedulerWorld()
+    world.scores_fail = True
+    world.submit(world.processes[0], [[5]])
+    world.run(2.0)
+    assert world.score_calls
+    world.end(world.processes[0])
+    calls = len(world.score_calls)
+    world.run(10.0)
+    assert len(world.score_calls) == calls
