--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -42,11 +42,7 @@
 
 
 @app.command()
-def gateway(
-    settings: Annotated[
-        Path, typer.Argument(envvar="PUMICEDECK_BOOT", help="The settings file, in YAML.")
-    ],
-) -> None:
+def gateway(settings: SettingsArgument) -> None:
     """Run a gateway: callers and trainers on one side, endpoints and the store on the other."""
     from pumicedeck.gateway_compositions import run_gateway
 
--- /dev/null
+++ b/pumicedeck/platform/__main__.py
@@ -0,0 +1,33 @@
+"""Runs a gateway on the users' platform, which names the settings file in the environment.
+
+The whole command line takes half a second to import, which a restart would wait for.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+from result import Err
+
+from pumicedeck.gateway_compositions import run_gateway
+from pumicedeck.results import Failure, ResultCode
+
+SETTINGS_VARIABLE = "PUMICEDECK_BOOT"
+
+
+def main() -> int:
+    """Return the exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        outcome = Err(Failure(ResultCode.BAD_SETTINGS, f"{SETTINGS_VARIABLE} names no file"))
+    else:
+        outcome = run_gateway(Path(path))
+    if isinstance(outcome, Err):
+        failure = outcome.err_value
+        sys.stderr.write(f"{int(failure.code)} {failure.code.name}: {failure.detail}\n")
+        return failure.code.info.exit_status
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pumicedeck/tests/test_gateway_settings.py
@@ -0,0 +1,67 @@
+"""Settings of a gateway: the platform's template, wrong values, a start without a file."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import yaml
+
+from pumicedeck.gateway_compositions import run_gateway
+from pumicedeck.gateway_settings import GatewaySettings
+from pumicedeck.results import ResultCode
+from pumicedeck.settings import parse_settings
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.yaml"
+VALUES = {
+    "node": '"front-1"',
+    "zone": '"tn-a"',
+    "region": '"south"',
+    "zones": '{"tn-a":"south"}',
+    "listen.front": '"10.0.0.1:80"',
+    "listen.ready": '"10.0.0.1:81"',
+    "platform.address": '"10.0.0.9:82"',
+    "bounds.grace-s": "8",
+    "bounds.status-s": "120",
+    "limits.cpu-share": "0.717",
+}
+
+
+def filled(**changes):
+    values = {**VALUES, **changes}
+
+    def value(match):
+        return values.get(match[1], "3")
+
+    text = TEMPLATE.read_text(encoding="utf-8")
+    return re.sub(r"\{\{([a-z0-9.-]+)\|json\}\}", value, text)
+
+
+def test_the_template_gives_checked_settings():
+    settings = parse_settings(GatewaySettings, TEMPLATE, filled()).unwrap()
+    assert settings.vm == "front-1" and settings.callers.port == 80
+    assert settings.regions == {"tn-a": "south"}
+    assert settings.promises.grace_seconds == 8.0
+
+
+def test_a_wrong_value_names_its_key():
+    text = filled(**{"listen.front": '"nowhere"'})
+    failure = parse_settings(GatewaySettings, TEMPLATE, text).unwrap_err()
+    assert failure.code is ResultCode.BAD_SETTINGS and "callers" in failure.detail
+    document = yaml.safe_load(filled())
+    document["surprise"] = 1
+    failure = parse_settings(GatewaySettings, TEMPLATE, yaml.safe_dump(document)).unwrap_err()
+    assert "surprise: unknown key" in failure.detail
+
+
+def test_a_missing_file_is_a_numbered_error(tmp_path):
+    failure = run_gateway(tmp_path / "none.yaml").unwrap_err()
+    assert failure.code is ResultCode.BAD_SETTINGS
+
+
+def test_a_start_without_a_settings_file_says_so():
+    done = subprocess.run(
+        [sys.executable, "-m", "pumicedeck.platform"], capture_output=True, text=True, env={}
+    )
+    assert done.returncode == ResultCode.BAD_SETTINGS.info.exit_status
+    assert done.stderr.startswith("408 BAD_SETTINGS")
