--- /dev/null
+++ b/pumicedeck/engine_views.py
@@ -0,0 +1,59 @@
+"""Makes the views of engines that the item queue decides by."""
+
+from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.engine_paces import EnginePaces
+from pumicedeck.item_queues import DOMAIN_COST, REGION_COST, EngineView
+from pumicedeck.item_runs import ItemRun
+from pumicedeck.weight_schedules import WeightSchedule
+from pumicedeck.world import FailureDomain
+
+
+def view_engines(
+    directory: EndpointDirectory,
+    weights: WeightSchedule,
+    paces: EnginePaces,
+    runs: list[ItemRun],
+    home: FailureDomain,
+    now: float,
+) -> list[EngineView]:
+    """Return a view of each engine that takes work; one that loads or failed has no free slot."""
+    counts = count_runs(runs)
+    groups: dict[str, set[str]] = {}
+    for run in runs:
+        groups.setdefault(run.endpoint.name, set()).add(run.work.item.group)
+    views = []
+    for endpoint in directory.endpoints:
+        if endpoint.draining or not endpoint.models:
+            continue
+        name = endpoint.name
+        state = directory.state(name)
+        blocked = weights.is_loading(name) or (state is not None and now < state.avoid_until)
+        views.append(
+            EngineView(
+                name=name,
+                pool=endpoint.pool,
+                free_slots=0 if blocked else max(0, endpoint.slots - counts.get(name, 0)),
+                slots=endpoint.slots,
+                versions=weights.versions(endpoint),
+                event_seconds=paces.seconds(name, now),
+                distance_cost=_distance_cost(endpoint, home),
+                assigned_model=weights.assigned_model(name),
+                groups=groups.get(name, set()),
+            )
+        )
+    return views
+
+
+def count_runs(runs: list[ItemRun]) -> dict[str, int]:
+    """Return how many items each engine runs."""
+    counts: dict[str, int] = {}
+    for run in runs:
+        counts[run.endpoint.name] = counts.get(run.endpoint.name, 0) + 1
+    return counts
+
+
+def _distance_cost(endpoint: DirectEndpoint, home: FailureDomain) -> float:
+    domain = endpoint.failure_domain
+    if domain.region != home.region:
+        return REGION_COST
+    return 1.0 if domain.name == home.name else DOMAIN_COST
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -46,7 +46,8 @@
 from pumicedeck.processes import Process
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.reward_calls import RewardCaller
-from pumicedeck.schedulers import Scheduler, SchedulerParts
+from pumicedeck.scheduler_parts import SchedulerParts
+from pumicedeck.schedulers import Scheduler
 from pumicedeck.settings import load_settings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
--- a/pumicedeck/reward_calls.py
+++ b/pumicedeck/reward_calls.py
@@ -1,5 +1,6 @@
 """Scores an item's text by the call that its submission names."""
 
+from collections.abc import Callable
 from random import Random
 
 from loguru import logger
@@ -39,13 +40,18 @@
         self._settings = settings or RetrySettings()
 
     async def score(
-        self, reward: RewardCall, routes: RouteTable, most_errors: int, until: float
+        self,
+        reward: RewardCall,
+        routes: Callable[[], RouteTable | None],
+        most_errors: int,
+        until: float,
     ) -> str | None:
         """Return the signature of the scorer's answer; None if it failed or time ran out."""
         errors = 0
         tried: tuple[str, ...] = ()
         while self._timers.now() < until:
-            route = routes.find(reward.host.lower(), reward.path.partition("?")[0])
+            table = routes()
+            route = table and table.find(reward.host.lower(), reward.path.partition("?")[0])
             if route is None:
                 _log.warning("no route for a reward call", request=reward.request_id)
                 return None
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -5,98 +5,36 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from random import Random
 
 from loguru import logger
-from result import Err
 
-from pumicedeck.clocks import TimerQueue
-from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.endpoint_callers import EndpointCaller
-from pumicedeck.engine_orders import EngineOrders
+from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.engine_paces import EnginePaces
+from pumicedeck.engine_views import count_runs, view_engines
 from pumicedeck.item_queues import (
-    DOMAIN_COST,
-    REGION_COST,
     EngineView,
-    MoveSettings,
     QueuedItem,
     RunningItem,
     assign_items,
     choose_moves,
-    choose_spare_groups,
 )
 from pumicedeck.item_runs import ItemRun, RunEnd
-from pumicedeck.leftovers import Leftovers
-from pumicedeck.partitioned_stores import PartitionedStore
-from pumicedeck.results import ResultCode
-from pumicedeck.reward_calls import RewardCaller
-from pumicedeck.route_tables import Route, RouteTable
-from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_sweeps import SubmissionSweep
-from pumicedeck.submission_works import ItemWork, SubmissionWork, read_progress
+from pumicedeck.route_tables import Route, choose_pool
+from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.submission_adoptions import SubmissionAdoptions
+from pumicedeck.submission_works import ItemWork, SubmissionWork
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.weight_plans import (
-    EngineLoad,
-    LoadVersion,
     ModelDemand,
-    WeightPlanSettings,
-    assign_models,
-    plan_loads,
 )
-from pumicedeck.work_mirrors import SubmissionView, WorkMirror
-from pumicedeck.world import FailureDomain
+from pumicedeck.weight_schedules import WeightSchedule
+from pumicedeck.work_mirrors import SubmissionView
 
 _log = logger.bind(module="schedulers")
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerSettings:
-    """Times in seconds.
-
-    A group that the step can do without waits up to `spare_seconds` for the newest weights. Orders
-    wait `takeover_seconds` after another holder's lease, within which that holder may have
-    sent its last one. A run that says nothing for `silence_seconds` is ended.
-    """
-
-    tick_seconds: float = 0.1
-    takeover_seconds: float = 3.3
-    silence_seconds: float = 1.5
-    stall_seconds: float = 0.7
-    save_seconds: float = 0.35
-    avoid_seconds: float = 2.0
-    refused_seconds: float = 0.1
-    default_give_up_seconds: float = 40.0
-    adopt_retry_seconds: float = 0.2
-    load_retry_seconds: float = 0.4
-    searched_steps: int = 2
-    spare_seconds: float = 1.4
-    late_seconds: float = 0.7
-
-
-@dataclass(slots=True)
-class SchedulerParts:
-    """What the scheduler works with."""
-
-    timers: TimerQueue
-    store: PartitionedStore
-    clock: StoreClock
-    mirror: WorkMirror
-    directory: EndpointDirectory
-    caller: EndpointCaller
-    rewards: RewardCaller
-    orders: EngineOrders
-    routes: Callable[[], RouteTable | None]
-    named_versions: dict[str, int]
-    holder: str
-    home: FailureDomain
-    may_claim: Callable[[], bool]
-    sweep: SubmissionSweep
-    plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
-    moves: MoveSettings = field(default_factory=MoveSettings)
-
-
 class Scheduler:
     """Owns the runs of items and the loading of weights."""
 
@@ -106,17 +44,15 @@
         self._timers = parts.timers
         self._settings = settings or SchedulerSettings()
         self._works: dict[str, SubmissionWork] = {}
-        self._adopting: set[str] = set()
+        self._adoptions = SubmissionAdoptions(
+            parts.timers, parts.store, parts.clock, parts.mirror, parts.holder, self._on_lost
+        )
+        self._weights = WeightSchedule(
+            parts.timers, parts.directory, parts.orders, self._pump_soon, parts.plan
+        )
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._pump_due = False
-        self._loading: dict[str, tuple[LoadVersion, Task]] = {}
-        self._load_after: dict[str, float] = {}
-        self._assigned: dict[str, str] = {}
-        self._known_versions: dict[tuple[str, int, str], int] = {}
         self._paces = EnginePaces()
-        self._idle_since: dict[str, float] = {}
-        self._leftovers = Leftovers()
-        self._searched: set[str] = set()
         self._fencing = 0
         self._active = False
         self._orders_from = 0.0
@@ -170,9 +106,7 @@
                 task.cancel()
         self._ticker = self._watcher = self._sweeper = None
         self._cancel_items(lambda key: True)
-        for _, task in tuple(self._loading.values()):
-            task.cancel()
-        self._loading.clear()
+        self._weights.cancel()
         for work in tuple(self._works.values()):
             work.close()
         self._works.clear()
@@ -208,111 +142,25 @@
         elif work is not None and view.fencing > self._fencing:
             self._drop(work, "owned by a newer scheduler")
         elif work is None and self._may_adopt(view):
-            self._adopting.add(view.submission_id)
-            spawn(self._adopt(view), f"adopt {view.submission_id}")
+            route = self._route_named(view.head.route)
+            single = route is not None and route.single_version
+            adoption = self._adoptions.adopt(view, self._fencing, single, self._accept)
+            spawn(adoption, f"adopt {view.submission_id}")
 
     def _may_adopt(self, view: SubmissionView) -> bool:
         """Tell whether to claim a submission; a holder whose lease lapsed claims nothing."""
-        known = not view.is_open or view.submission_id in self._adopting
-        return not known and view.fencing <= self._fencing and self._parts.may_claim()
-
-    async def _adopt(self, view: SubmissionView) -> None:
-        try:
-            work = await self._take_over(view)
-        finally:
-            # Until the work is known here, a second claim would run its items twice.
-            self._adopting.discard(view.submission_id)
-        if work is not None:
-            self._pump()
-
-    async def _take_over(self, view: SubmissionView) -> SubmissionWork | None:
-        """Claim a submission, read what is left of it and add it to the works."""
-        fencing = self._fencing
-        work = SubmissionWork(
-            self._timers, self._parts.store, view.head, self._parts.holder, self._on_lost
-        )
-        outcome = await work.adopt(fencing, view)
-        if isinstance(outcome, Err):
-            failure = outcome.err_value
-            _log.warning(
-                "submission not adopted",
-                submission=view.submission_id,
-                code=failure.code.name,
-                detail=failure.detail,
-            )
-            if failure.code is not ResultCode.FENCED:
-                await sleep(self._timers, self._settings.adopt_retry_seconds)
-            return None
-        await self._search_leftovers(view)
-        if not self._active or self._fencing != fencing or not view.is_open:
-            work.close()
-            return None
-        self._works[view.submission_id] = work
-        self._prepare(work)
-        return work
-
-    def _prepare(self, work: SubmissionWork) -> None:
-        """Let items go on from earlier texts and choose the groups that can be spared."""
-        reused = self._reuse(work)
-        work.spare_groups = choose_spare_groups(
-            [
-                (each.item.group, each.item.expected_length, each.carried)
-                for each in work.waiting.values()
-            ],
-            work.head.wanted_groups,
-        )
-        _log.info(
-            "submission adopted",
-            submission=work.submission_id,
-            step=work.head.step,
-            model=work.head.model,
-            min_version=work.head.min_version,
-            items=len(work.waiting),
-            listed=work.listed,
-            resumed=sum(1 for each in work.waiting.values() if each.progress.last_event),
-            reused=reused,
-            age=round(self._parts.clock.now() - work.head.accepted, 3),
-        )
-
-    async def _search_leftovers(self, view: SubmissionView) -> None:
-        """Read the texts of the last ended steps that a scheduler before us has left."""
-        ended = sorted(
-            (
-                each
-                for each in self._parts.mirror.views
-                if each.head is not None and each.ended and each.head.model == view.head.model
-            ),
-            key=lambda each: -each.head.accepted,
-        )
-        for each in ended[: self._settings.searched_steps]:
-            for result in each.results:
-                self._leftovers.keep_result(result)
-            if each.submission_id in self._searched:
-                continue
-            self._searched.add(each.submission_id)
-            texts = await read_progress(self._parts.store, each.submission_id)
-            for item_id, progress in texts.items():
-                self._leftovers.keep(item_id, progress)
-
-    def _reuse(self, work: SubmissionWork) -> int:
-        """Let items go on from texts of earlier steps; return how many do."""
-        route = self._route(work)
-        single = route is not None and route.single_version
-        reused = 0
-        carried = {
-            each.item.group
-            for each in work.waiting.values()
-            if self._leftovers.knows(each.item.item_id)
-        }
-        for each in work.waiting.values():
-            each.carried = each.item.group in carried
-            if each.progress.last_event:
-                continue
-            found = self._leftovers.find(each.item.item_id, work.head.min_version, single)
-            if found is not None:
-                each.progress = found
-                reused += 1
-        return reused
+        if not view.is_open or self._adoptions.is_under_way(view.submission_id):
+            return False
+        return view.fencing <= self._fencing and self._parts.may_claim()
+
+    def _accept(self, work: SubmissionWork) -> bool:
+        """Begin a work that was claimed, unless it ended or the lease was lost meanwhile."""
+        view = self._parts.mirror.view(work.submission_id)
+        if not self._active or work.fencing != self._fencing or view is None or not view.is_open:
+            return False
+        self._works[work.submission_id] = work
+        self._pump_soon()
+        return True
 
     def _on_lost(self, work: SubmissionWork) -> None:
         self._drop(work, "lost to another scheduler")
@@ -321,9 +169,7 @@
         self._works.pop(work.submission_id, None)
         work.close()
         self._cancel_items(lambda key: key[0] == work.submission_id)
-        for each in (*work.waiting.values(), *work.running.values()):
-            self._leftovers.keep(each.item.item_id, each.progress)
-        self._searched.add(work.submission_id)
+        self._adoptions.keep(work)
         _log.info(
             "submission dropped",
             submission=work.submission_id,
@@ -339,8 +185,11 @@
             task.cancel()
 
     def _route(self, work: SubmissionWork) -> Route | None:
+        return self._route_named(work.head.route)
+
+    def _route_named(self, name: str) -> Route | None:
         routes = self._parts.routes()
-        return routes.find_named(work.head.route) if routes is not None else None
+        return routes.find_named(name) if routes is not None else None
 
     def _give_up_at(self, work: SubmissionWork, route: Route) -> float:
         seconds = route.give_up or self._settings.default_give_up_seconds
@@ -353,7 +202,10 @@
             return
         now = self._timers.now()
         self._end_stalled(now)
-        engines = self._engine_views(now)
+        runs = [run for run, _ in self._runs.values()]
+        engines = view_engines(
+            self._parts.directory, self._weights, self._paces, runs, self._parts.home, now
+        )
         queued: dict[tuple[str, str], QueuedItem] = {}
         for work in tuple(self._works.values()):
             self._collect(work, queued, now)
@@ -361,7 +213,7 @@
         started = self._start_items(items, engines, now)
         if not started or len(started) == len(items):
             self._move_items(engines, now)
-        self._plan_weights(len(items) - len(started))
+        self._plan_weights([run for run, _ in self._runs.values()], now)
         if now - self._saved_at >= self._settings.save_seconds:
             self._saved_at = now
             for work in self._works.values():
@@ -391,7 +243,7 @@
             item_id=f"{work.submission_id}/{each.item.item_id}",
             submission_id=work.submission_id,
             model=work.head.model,
-            pool=route.pools[0].pool,
+            pool=_pool_of(route, each.item.item_id),
             group=each.item.group,
             min_version=self._least_version(work, each),
             due=self._parts.clock.local(work.head.accepted)
@@ -428,53 +280,6 @@
         )
         work.add_result(ItemResult(each.item.item_id, completed=False))
 
-    def _engine_views(self, now: float) -> list[EngineView]:
-        counts: dict[str, int] = {}
-        groups: dict[str, set[str]] = {}
-        for run, _ in self._runs.values():
-            counts[run.endpoint.name] = counts.get(run.endpoint.name, 0) + 1
-            groups.setdefault(run.endpoint.name, set()).add(run.work.item.group)
-        views = []
-        for endpoint in self._parts.directory.endpoints:
-            if endpoint.draining or not endpoint.models:
-                continue
-            name = endpoint.name
-            if counts.get(name):
-                self._idle_since.pop(name, None)
-            else:
-                self._idle_since.setdefault(name, now)
-            state = self._parts.directory.state(name)
-            blocked = name in self._loading or (state is not None and now < state.avoid_until)
-            free = 0 if blocked else max(0, endpoint.slots - counts.get(name, 0))
-            views.append(
-                EngineView(
-                    name=name,
-                    pool=endpoint.pool,
-                    free_slots=free,
-                    slots=endpoint.slots,
-                    versions=self._versions(endpoint),
-                    event_seconds=self._paces.seconds(name, now),
-                    distance_cost=self._distance_cost(endpoint),
-                    assigned_model=self._assigned.get(name, ""),
-                    groups=groups.get(name, set()),
-                )
-            )
-        return views
-
-    def _versions(self, endpoint: DirectEndpoint) -> dict[str, int]:
-        """Return the newest versions known: from the list, reports and answers."""
-        versions = {each.model: each.version for each in endpoint.models}
-        for model, version in versions.items():
-            known = self._known_versions.get((endpoint.name, endpoint.born, model), 0)
-            versions[model] = max(version, known)
-        return versions
-
-    def _distance_cost(self, endpoint: DirectEndpoint) -> float:
-        domain, home = endpoint.failure_domain, self._parts.home
-        if domain.region != home.region:
-            return REGION_COST
-        return 1.0 if domain.name == home.name else DOMAIN_COST
-
     def _start_items(
         self, items: list[QueuedItem], engines: list[EngineView], now: float
     ) -> set[str]:
@@ -533,8 +338,7 @@
         if run.events:
             self._paces.saw(run.endpoint.name, run.events, now - run.started, now)
         if run.version_seen:
-            key = (run.endpoint.name, run.endpoint.born, run.head.model)
-            self._known_versions[key] = max(run.version_seen, self._known_versions.get(key, 0))
+            self._weights.saw_version(run.endpoint, run.head.model, run.version_seen)
 
     def _begin_scoring(self, work: SubmissionWork, each: ItemWork) -> None:
         if self._works.get(work.submission_id) is work:
@@ -544,10 +348,11 @@
         score: str | None = ""
         if each.item.reward is not None:
             route = self._route(work)
-            routes = self._parts.routes()
             until = self._give_up_at(work, route) if route is not None else 0.0
             most = route.max_attempts if route is not None else 1
-            score = await self._parts.rewards.score(each.item.reward, routes, most, until)
+            score = await self._parts.rewards.score(
+                each.item.reward, self._parts.routes, most, until
+            )
         if self._works.get(work.submission_id) is not work:
             return
         if score is None:
@@ -624,7 +429,7 @@
             silent = now - heard[name] > self._settings.stall_seconds
             if run.wrong_version:
                 reason = RunEnd.WRONG_VERSION
-            elif name not in self._loading and silent:
+            elif silent and not self._weights.is_loading(name):
                 reason = RunEnd.BROKEN
                 self._parts.directory.failed(name, now)
                 self._parts.caller.distrust(run.endpoint)
@@ -659,41 +464,17 @@
                 self._works[key[0]], run.work, run.endpoint, RunEnd.BROKEN, "moved to a faster one"
             )
 
-    def _plan_weights(self, waiting: int) -> None:
-        now = self._timers.now()
+    def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
         named = self._parts.named_versions
-        engines = [
-            endpoint
-            for endpoint in self._parts.directory.endpoints
-            if endpoint.models and not endpoint.draining
-        ]
-        loads = [
-            EngineLoad(
-                endpoint.name,
-                self._versions(endpoint),
-                sum(1 for run, _ in self._runs.values() if run.endpoint.name == endpoint.name),
-                now - self._idle_since[endpoint.name] if endpoint.name in self._idle_since else 0.0,
-            )
-            for endpoint in engines
-        ]
-        models = sorted({work.head.model for work in self._works.values()} | set(named))
-        if not models:
-            return
-        self._assigned = assign_models(loads, models, self._assigned)
-        if now < self._orders_from:
-            return
-        plan = plan_loads(
-            [load for load in loads if self._may_load(load.name, now)],
-            self._assigned,
-            self._demands(named),
-            len(self._loading),
-            self._parts.plan,
+        works = self._works.values()
+        routes = [self._route(work) for work in works]
+        self._weights.plan(
+            running=count_runs(runs),
+            models=sorted({work.head.model for work in works} | set(named)),
+            demands=self._demands(named),
+            fencing=self._fencing if now >= self._orders_from else None,
+            retain=all(route is None or not route.single_version for route in routes),
         )
-        for load in plan:
-            self._load(load)
-
-    def _may_load(self, engine: str, now: float) -> bool:
-        return engine not in self._loading and now >= self._load_after.get(engine, 0.0)
 
     def _demands(self, named: dict[str, int]) -> dict[str, ModelDemand]:
         demands = {}
@@ -704,27 +485,9 @@
             demands[model] = ModelDemand(model, version, needed, waiting)
         return demands
 
-    def _load(self, load: LoadVersion) -> None:
-        state = self._parts.directory.state(load.engine)
-        if state is None:
-            return
-        retain = all(
-            route is None or not route.single_version
-            for route in (self._route(work) for work in self._works.values())
-        )
-        task = Task(self._carry_out(load, state.endpoint, retain), f"load {load.engine}")
-        if not task.is_done:
-            self._loading[load.engine] = (load, task)
-
-    async def _carry_out(self, load: LoadVersion, endpoint: DirectEndpoint, retain: bool) -> None:
-        report = await self._parts.orders.load(endpoint, load, self._fencing, retain)
-        self._loading.pop(load.engine, None)
-        if report is None:
-            self._load_after[load.engine] = self._timers.now() + self._settings.load_retry_seconds
-            return
-        for each in report.models:
-            key = (endpoint.name, endpoint.born, each.model)
-            self._known_versions[key] = max(each.version, self._known_versions.get(key, 0))
-        if report.version_of(load.model) < load.version:
-            self._load_after[load.engine] = self._timers.now() + self._settings.load_retry_seconds
-        self._pump_soon()
+
+def _pool_of(route: Route, item_id: str) -> str:
+    """Return the same pool each time for an item of a split route."""
+    if len(route.pools) == 1:
+        return route.pools[0].pool
+    return choose_pool(route, Random(item_id))
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -90,6 +90,7 @@
         self.waiting: dict[str, ItemWork] = {}
         self.running: dict[str, ItemWork] = {}
         self.listed = 0
+        self.fencing = 0
         self.spare_groups: frozenset[str] = frozenset()
         self._owner_revision = 0
         self._pending: list[ItemResult] = []
@@ -110,6 +111,7 @@
 
     async def adopt(self, fencing: int, view: SubmissionView) -> Result[None, Failure]:
         """Become the owner and read what is left to do."""
+        self.fencing = fencing
         claimed = await self._claim(fencing, view)
         if isinstance(claimed, Err):
             return claimed
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -21,7 +21,8 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
-from pumicedeck.schedulers import Scheduler, SchedulerParts
+from pumicedeck.scheduler_parts import SchedulerParts
+from pumicedeck.schedulers import Scheduler
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
