--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -136,7 +136,7 @@
             for each in results
         ]
         document = {"total": total, "next": after + len(documents), "results": documents}
-        return json.dumps(document).encode()
+        return json.dumps(document, ensure_ascii=False).encode()
 
 
 def _item(document: dict) -> Item:
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -28,6 +28,8 @@
 
 _log = logger.bind(module="submission_intakes")
 
+RESULT_OVERHEAD_BYTES = 400
+
 _UNKNOWN = Failure(ResultCode.NOT_FOUND, "no such submission")
 _UNSURE = Failure(ResultCode.STORE_UNAVAILABLE, "the store cannot be asked")
 
@@ -44,7 +46,7 @@
     retry_seconds: float = 0.1
     accept_seconds: float = 2.5
     rows_per_change: int = 12
-    page_bytes: int = 900_000
+    page_bytes: int = 400_000
 
 
 class SubmissionIntake:
@@ -204,7 +206,7 @@
         page: list[ItemResult] = []
         size = 0
         for result in view.results[after:]:
-            size += len(result.text) + 300
+            size += len(result.text.encode()) + RESULT_OVERHEAD_BYTES
             if page and size > self._settings.page_bytes:
                 break
             page.append(result)
