--- /dev/null
+++ b/pumicedeck/tests/test_event_names.py
@@ -0,0 +1,35 @@
+"""The page of events names every event that a gateway's modules write."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+PAGE = (ROOT.parent / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+MODULES = (
+    "call_forwarders",
+    "endpoint_lists",
+    "engine_orders",
+    "gateway_compositions",
+    "gateways",
+    "item_runs",
+    "peer_questions",
+    "reward_calls",
+    "scheduler_parts",
+    "schedulers",
+    "store_feeds",
+    "submission_adoptions",
+    "submission_intakes",
+    "submission_sweeps",
+    "submission_works",
+    "weight_schedules",
+)
+EVENT = re.compile(r"_log\.(?:info|warning|error)\(\s*\"([^\"]+)\"")
+
+
+@pytest.mark.parametrize("module", MODULES)
+def test_every_event_stands_on_the_page(module):
+    text = (ROOT / f"{module}.py").read_text(encoding="utf-8")
+    missing = [name for name in EVENT.findall(text) if name not in PAGE]
+    assert missing == []
