--- a/pumicedeck/event_streams.py
+++ b/pumicedeck/event_streams.py
@@ -17,6 +17,9 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Take in bytes and return the events that are whole now, without their blank line."""
-        self._pending += data.replace(b"\r\n", b"\n") if b"\r" in data else data
+        self._pending += data
+        if b"\r" in self._pending:
+            # A line end may come in two pieces.
+            self._pending = self._pending.replace(b"\r\n", b"\n")
         *blocks, self._pending = self._pending.split(_SEPARATOR)
         return [block for block in blocks if block.strip()]
