--- a/pumicedeck/engine_paces.py
+++ b/pumicedeck/engine_paces.py
@@ -25,14 +25,8 @@
         return pace
 
     def saw(self, engine: str, events: int, seconds: float, now: float) -> None:
-        """Take in a run that ended."""
-        self._blend(engine, seconds / max(1, events), now)
-
-    def saw_running(self, engine: str, events: int, seconds: float, now: float) -> None:
-        """Take in a run that goes on."""
-        self._blend(engine, seconds / max(1, events), now)
-
-    def _blend(self, engine: str, pace: float, now: float) -> None:
+        """Take in the events of a run, whether it goes on or has ended."""
+        pace = seconds / max(1, events)
         known = self._paces.get(engine)
         if known is not None and now - known[1] <= _FORGET_SECONDS:
             pace = known[0] + _WEIGHT * (pace - known[0])
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -449,7 +449,7 @@
             route = self._route(work) if work is not None else None
             if route is None or run.events < 2:
                 continue
-            self._paces.saw_running(run.endpoint.name, run.events, now - run.started, now)
+            self._paces.saw(run.endpoint.name, run.events, now - run.started, now)
             queued = self._queued(work, route, run.work, now)
             by_id[queued.item_id] = key
             left = queued.expected_length or 10.0
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -99,11 +99,6 @@
         self._saving = False
         self._closed = False
 
-    @property
-    def is_finished(self) -> bool:
-        """Return whether every item is listed."""
-        return self.listed >= self.head.total
-
     @property
     def submission_id(self) -> str:
         """Return the submission's id."""
