Keep results out of the tables that every gateway follows; import less at start

Cause: every gateway followed the results of all submissions. 37 processes decoded each result, a restarted one read them all (over links of 30 Mbit/s before it was ready), and 150 s of them did not fit 128 MB. A gateway's start also imported every stand-in and adapter, since the settings of all roles lay in one module that fills the registries.

Ruled out: reading results from the start at each poll (a page would be read again and again).

Change: results lie in a table of their own; a row `listed` is committed with them and is all that a process follows. A gateway with a reader reads from the reader's position on; pages read lately are kept (2 MB) and given again, also while the store is away. Leftovers of ended steps come from the scheduler's own works or from one read. `read_part` stands once instead of five times. What reads settings files lies apart from the settings of entries and agents.

--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -18,7 +18,8 @@
 from pumicedeck.logs import set_up_logs
 from pumicedeck.processes import Process
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings, load_settings
+from pumicedeck.settings import AgentSettings, EntrySettings, ProcessSettings
+from pumicedeck.settings_files import load_settings
 from pumicedeck.standin_hosts import StandinApplication
 from pumicedeck.standin_settings import TABLE_NAME, load_seed, load_standin_settings
 
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -48,7 +48,7 @@
 from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.scheduler_parts import SchedulerParts
 from pumicedeck.schedulers import Scheduler
-from pumicedeck.settings import load_settings
+from pumicedeck.settings_files import load_settings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
 from pumicedeck.submission_intakes import SubmissionIntake
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from pumicedeck.settings import ListenAddress, LogSettings, Section
+from pumicedeck.settings_files import ListenAddress, LogSettings, Section
 
 
 class StoreSettings(Section):
--- a/pumicedeck/partitioned_stores.py
+++ b/pumicedeck/partitioned_stores.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from result import Result
+from result import Err, Ok, Result
 
 from pumicedeck.results import Failure
 from pumicedeck.tasks import Promise
@@ -94,3 +94,24 @@
     @abstractmethod
     def changes(self, table: str, after: int, wait: float) -> Promise[Result[Page, Failure]]:
         """Read what changed after a revision, waiting up to `wait` seconds for the first row."""
+
+
+async def read_part(
+    store: PartitionedStore, table: str, part: str, first: str = ""
+) -> Result[list[StoredRow], Failure]:
+    """Read all rows of one part from key `first` on, page by page."""
+    rows: list[StoredRow] = []
+    while True:
+        outcome = await store.read(table, part, first)
+        if isinstance(outcome, Err):
+            return outcome
+        page = outcome.ok_value
+        rows.extend(page.rows)
+        if not page.truncated or not page.rows:
+            return Ok(rows)
+        first = key_after(page.rows[-1])
+
+
+def key_after(row: StoredRow) -> str:
+    """Return the first key that follows a row's own."""
+    return row.row.key + "\0"
--- a/pumicedeck/settings_tables.py
+++ b/pumicedeck/settings_tables.py
@@ -7,7 +7,7 @@
 
 from pydantic.fields import FieldInfo
 
-from pumicedeck.settings import Section
+from pumicedeck.settings_files import Section
 from pumicedeck.world import Address
 
 
--- a/pumicedeck/standin_settings.py
+++ b/pumicedeck/standin_settings.py
@@ -19,7 +19,7 @@
 )
 from pumicedeck.platform_interfaces import LoadedModel, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.settings import Duration, ListenAddress, Section, Size, explain
+from pumicedeck.settings_files import Duration, ListenAddress, Section, Size, explain
 from pumicedeck.standin_batches import BatchSettings
 from pumicedeck.standin_hosts import (
     ModelSettings,
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import PartitionedStore, StoredRow
+from pumicedeck.partitioned_stores import PartitionedStore, StoredRow, read_part
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.tasks import Promise, Task, sleep, spawn
@@ -150,18 +150,7 @@
         promise: Promise[Result[list[StoredRow], Failure]] = Promise()
 
         async def read() -> None:
-            rows: list[StoredRow] = []
-            first = ""
-            while True:
-                outcome = await self._store.read(self._table, part, first)
-                if isinstance(outcome, Err):
-                    promise.resolve(outcome)
-                    return
-                rows.extend(outcome.ok_value.rows)
-                if not outcome.ok_value.truncated:
-                    promise.resolve(Ok(rows))
-                    return
-                first = outcome.ok_value.rows[-1].row.key + "\0"
+            promise.resolve(await read_part(self._store, self._table, part))
 
         spawn(read(), f"rows of {self._table}/{part}")
         return promise
--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/submission_adoptions.py
@@ -1,5 +1,6 @@
 """Takes submissions over from the store, with the texts that earlier steps and schedulers left."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,7 +13,9 @@
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.results import ResultCode
 from pumicedeck.store_clocks import StoreClock
+from pumicedeck.submission_results import read_results
 from pumicedeck.submission_works import SubmissionWork, read_progress
+from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import sleep
 from pumicedeck.work_mirrors import SubmissionView, WorkMirror
 
@@ -21,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AdoptionSettings:
-    """Texts of the last `searched_steps` ended steps of a model are searched."""
+    """Texts of the last `searched_steps` ended steps of a model are searched.
+
+    The results of the last `kept_works` works of our own are kept until then.
+    """
 
     retry_seconds: float = 0.2
     searched_steps: int = 2
+    kept_works: int = 8
 
 
 class SubmissionAdoptions:
@@ -50,6 +57,7 @@
         self._settings = settings or AdoptionSettings()
         self._under_way: set[str] = set()
         self._leftovers = Leftovers()
+        self._own_results: OrderedDict[str, list[ItemResult]] = OrderedDict()
         self._searched: set[str] = set()
 
     def is_under_way(self, submission_id: str) -> bool:
@@ -58,9 +66,11 @@
 
     def keep(self, work: SubmissionWork) -> None:
         """Keep the texts of a work that ended, for the next step."""
+        self._own_results[work.submission_id] = work.results
+        while len(self._own_results) > self._settings.kept_works:
+            self._own_results.popitem(last=False)
         for each in (*work.waiting.values(), *work.running.values()):
             self._leftovers.keep(each.item.item_id, each.progress)
-        self._searched.add(work.submission_id)
 
     async def adopt(
         self,
@@ -133,14 +143,21 @@
             key=lambda each: -each.head.accepted,
         )
         for each in ended[: self._settings.searched_steps]:
-            for result in each.results:
-                self._leftovers.keep_result(result)
             if each.submission_id in self._searched:
                 continue
+            results = self._own_results.pop(each.submission_id, None)
+            if results is None:
+                read = await read_results(self._store, each.submission_id)
+                if isinstance(read, Err):
+                    _log.warning("results cannot be read", submission=each.submission_id)
+                    continue
+                results = read.ok_value
+                texts = await read_progress(self._store, each.submission_id)
+                for item_id, progress in texts.items():
+                    self._leftovers.keep(item_id, progress)
             self._searched.add(each.submission_id)
-            texts = await read_progress(self._store, each.submission_id)
-            for item_id, progress in texts.items():
-                self._leftovers.keep(item_id, progress)
+            for result in results:
+                self._leftovers.keep_result(result)
 
     def _reuse(self, work: SubmissionWork, single_version: bool) -> int:
         """Let items go on from texts of earlier steps; return how many do."""
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -6,8 +6,10 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import Change, Expectation, Page, PartitionedStore, Put
+from pumicedeck.page_caches import PageCache
+from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_part
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submission_results import read_results_after
 from pumicedeck.submissions import (
     ItemResult,
     Submission,
@@ -50,7 +52,7 @@
 
 
 class SubmissionIntake:
-    """Serves submissions from the mirror and the store."""
+    """Serves submissions through the store; the mirror tells when there is something to read."""
 
     def __init__(
         self,
@@ -64,6 +66,7 @@
         self._store = store
         self._mirror = mirror
         self._settings = settings or IntakeSettings()
+        self._pages = PageCache()
 
     async def accept(self, submission: Submission) -> Result[None, Failure]:
         """Keep a submission; STORE_UNAVAILABLE is a proof that nothing of it was kept.
@@ -103,15 +106,28 @@
             return found
         view = found.ok_value
         deadline = self._timers.now() + wait
-        while len(view.results) <= after and view.is_open:
+        while view.listed <= after and view.is_open:
             left = deadline - self._timers.now()
             if left <= 0 or not await within(self._timers, left, view.changed.wait(), False):
                 break
-        if len(view.results) <= after and not self._is_fresh():
+        if view.listed <= after and not self._is_fresh():
             refreshed = await self._refresh(submission_id)
             if isinstance(refreshed, Err):
                 return refreshed
-        return Ok((view.head.total, self._page(view, after)))
+        total = view.head.total
+        if view.listed <= after:
+            return Ok((total, []))
+        page = self._pages.find(submission_id, after)
+        if page is None:
+            read = await read_results_after(
+                self._store, submission_id, after, _size, self._settings.page_bytes
+            )
+            if isinstance(read, Err):
+                return Err(_UNSURE)
+            page = read.ok_value
+            if page:
+                self._pages.keep(submission_id, after, page, sum(map(_size, page)))
+        return Ok((total, page))
 
     async def item_body(self, submission_id: str, item_id: str) -> Result[bytes, Failure]:
         """Return the body of an item."""
@@ -184,30 +200,17 @@
         return Ok(view) if view is not None else Err(_UNKNOWN)
 
     async def _refresh(self, submission_id: str) -> Result[None, Failure]:
-        """Read all rows of a submission."""
-        first = ""
-        while True:
-            outcome = await self._store.read(WORK_TABLE, submission_id, first)
-            if isinstance(outcome, Err):
-                return Err(_UNSURE)
-            page: Page = outcome.ok_value
-            if not first and not any(row.row.key == HEAD_KEY for row in page.rows):
-                if not page.truncated:
-                    return Ok(None)
-            self._mirror.take(page.rows)
-            if not page.truncated:
-                return Ok(None)
-            first = page.rows[-1].row.key + "\0"
+        """Read what every process keeps of a submission."""
+        outcome = await read_part(self._store, WORK_TABLE, submission_id)
+        if isinstance(outcome, Err):
+            return Err(_UNSURE)
+        if any(row.row.key == HEAD_KEY for row in outcome.ok_value):
+            self._mirror.take(tuple(outcome.ok_value))
+        return Ok(None)
 
     def _is_fresh(self) -> bool:
         return self._timers.now() - self._mirror.fresh_at <= self._settings.fresh_seconds
 
-    def _page(self, view: SubmissionView, after: int) -> list[ItemResult]:
-        page: list[ItemResult] = []
-        size = 0
-        for result in view.results[after:]:
-            size += len(result.text.encode()) + RESULT_OVERHEAD_BYTES
-            if page and size > self._settings.page_bytes:
-                break
-            page.append(result)
-        return page
+
+def _size(result: ItemResult) -> int:
+    return len(result.text.encode()) + RESULT_OVERHEAD_BYTES
--- a/pumicedeck/submission_sweeps.py
+++ b/pumicedeck/submission_sweeps.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import Change, PartitionedStore, Put, StoredRow
+from pumicedeck.partitioned_stores import Change, PartitionedStore, Put, read_part
 from pumicedeck.results import Failure
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.tasks import sleep
@@ -14,6 +14,7 @@
     HEAD_KEY,
     ITEMS_TABLE,
     PROGRESS_TABLE,
+    RESULTS_TABLE,
     WORK_TABLE,
     SubmissionView,
     WorkMirror,
@@ -78,17 +79,11 @@
     async def _remove(self, submission_id: str) -> Result[None, Failure]:
         """Remove all rows; the head goes last, so that a sweep cut short is taken up again."""
         removed = 0
-        for table in (ITEMS_TABLE, PROGRESS_TABLE, WORK_TABLE):
-            rows: list[StoredRow] = []
-            while True:
-                first = rows[-1].row.key + "\0" if rows else ""
-                page = await self._store.read(table, submission_id, first)
-                if isinstance(page, Err):
-                    return page
-                rows.extend(page.ok_value.rows)
-                if not page.ok_value.truncated:
-                    break
-            rows.sort(key=lambda row: row.row.key == HEAD_KEY)
+        for table in (ITEMS_TABLE, PROGRESS_TABLE, RESULTS_TABLE, WORK_TABLE):
+            found = await read_part(self._store, table, submission_id)
+            if isinstance(found, Err):
+                return found
+            rows = sorted(found.ok_value, key=lambda row: row.row.key == HEAD_KEY)
             for at in range(0, len(rows), self._settings.rows_per_change):
                 chunk = rows[at : at + self._settings.rows_per_change]
                 outcome = await self._store.commit(
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -8,8 +8,9 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put
+from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_part
 from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submission_results import read_results, results_puts, results_row
 from pumicedeck.submissions import (
     Item,
     ItemResult,
@@ -18,7 +19,6 @@
     decode_items,
     decode_progress,
     encode_progress,
-    encode_results,
 )
 from pumicedeck.tasks import Task, sleep, spawn, within
 from pumicedeck.work_mirrors import (
@@ -26,10 +26,11 @@
     PROGRESS_TABLE,
     WORK_TABLE,
     SubmissionView,
+    encode_listed,
     encode_owner,
+    listed_row,
     owner_row,
     progress_row,
-    results_row,
 )
 
 _log = logger.bind(module="submission_works")
@@ -89,7 +90,7 @@
         self.head = head
         self.waiting: dict[str, ItemWork] = {}
         self.running: dict[str, ItemWork] = {}
-        self.listed = 0
+        self.results: list[ItemResult] = []
         self.fencing = 0
         self.spare_groups: frozenset[str] = frozenset()
         self._owner_revision = 0
@@ -99,6 +100,11 @@
         self._saving = False
         self._closed = False
 
+    @property
+    def listed(self) -> int:
+        """Return how many results have their position."""
+        return len(self.results)
+
     @property
     def submission_id(self) -> str:
         """Return the submission's id."""
@@ -110,15 +116,15 @@
         claimed = await self._claim(fencing, view)
         if isinstance(claimed, Err):
             return claimed
-        results = await self._read_results()
+        results = await read_results(self._store, self.submission_id)
         if isinstance(results, Err):
             return results
         items = await self._read_items()
         if isinstance(items, Err):
             return items
         progress = await read_progress(self._store, self.submission_id)
-        self.listed = len(results.ok_value)
-        done = {result.item_id for result in results.ok_value}
+        self.results = results.ok_value
+        done = {result.item_id for result in self.results}
         for item in items.ok_value:
             if item.item_id not in done:
                 work = ItemWork(item, progress.get(item.item_id, Progress()))
@@ -172,10 +178,10 @@
             if isinstance(outcome, Ok):
                 self._owner_revision = outcome.ok_value
                 return Ok(None)
-            page = await self._store.read(WORK_TABLE, self.submission_id)
-            if isinstance(page, Err):
-                return page
-            found = [each for each in page.ok_value.rows if each.row == row]
+            rows = await read_part(self._store, WORK_TABLE, self.submission_id)
+            if isinstance(rows, Err):
+                return rows
+            found = [each for each in rows.ok_value if each.row == row]
             if found and found[0].value == value:
                 self._owner_revision = found[0].revision
                 return Ok(None)
@@ -186,19 +192,6 @@
             revision = probe.owner_revision
             await sleep(self._timers, self._settings.retry_seconds)
 
-    async def _read_results(self) -> Result[list[ItemResult], Failure]:
-        view = SubmissionView(self.submission_id)
-        first = ""
-        while True:
-            page = await self._store.read(WORK_TABLE, self.submission_id, first)
-            if isinstance(page, Err):
-                return page
-            for row in page.ok_value.rows:
-                view.take(row)
-            if not page.ok_value.truncated:
-                return Ok(view.results)
-            first = page.ok_value.rows[-1].row.key + "\0"
-
     async def _read_items(self) -> Result[tuple[Item, ...], Failure]:
         chunks: list[bytes] = []
         while len(chunks) < self.head.chunks:
@@ -217,34 +210,31 @@
             batch = self._batch()
             if not await self._commit_batch(batch):
                 return
-            self.listed += len(batch)
+            self.results.extend(batch)
             del self._pending[: len(batch)]
         self._writer = None
 
     async def _commit_batch(self, batch: tuple[ItemResult, ...]) -> bool:
         row = results_row(self.submission_id, self.listed)
-        values = encode_results(batch)
+        results = results_puts(self.submission_id, self.listed, batch)
         owner = Expectation(owner_row(self.submission_id), self._owner_revision)
-        puts = tuple(
-            Put(results_row(self.submission_id, self.listed, chunk), value)
-            for chunk, value in enumerate(values)
-        )
-        change = Change((owner, Expectation(row, 0)), puts)
+        count = Put(listed_row(self.submission_id), encode_listed(self.listed + len(batch)))
+        change = Change((owner, Expectation(row, 0)), (*results, count))
         while not self._closed:
             outcome = await self._store.commit(change)
             if isinstance(outcome, Ok):
                 return True
             if outcome.err_value.code is ResultCode.STORE_CONFLICT:
-                return await self._settle_conflict(row, values[0])
+                return await self._settle_conflict(results[0])
             await sleep(self._timers, self._settings.retry_seconds)
         return False
 
-    async def _settle_conflict(self, row, value: bytes) -> bool:
+    async def _settle_conflict(self, put: Put) -> bool:
         """Tell a write of our own whose reply was lost from the loss of the submission."""
         while not self._closed:
-            page = await self._store.read(WORK_TABLE, self.submission_id, row.key, 1)
+            page = await self._store.read(put.row.table, self.submission_id, put.row.key, 1)
             if isinstance(page, Ok):
-                mine = any(r.row == row and r.value == value for r in page.ok_value.rows)
+                mine = any(r.row == put.row and r.value == put.value for r in page.ok_value.rows)
                 if not mine:
                     _log.info("submission lost to another scheduler", id=self.submission_id)
                     self._lost(self)
@@ -295,16 +285,8 @@
 
 async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
     """Read the texts that a submission's items have so far; none if the store cannot be read."""
-    texts: dict[str, Progress] = {}
-    first = ""
-    while True:
-        page = await store.read(PROGRESS_TABLE, submission_id, first)
-        if isinstance(page, Err):
-            _log.warning("progress cannot be read; items start anew", submission=submission_id)
-            return texts
-        for row in page.ok_value.rows:
-            if row.value is not None:
-                texts[row.row.key] = decode_progress(row.value)
-        if not page.ok_value.truncated:
-            return texts
-        first = page.ok_value.rows[-1].row.key + "\0"
+    rows = await read_part(store, PROGRESS_TABLE, submission_id)
+    if isinstance(rows, Err):
+        _log.warning("progress cannot be read; items start anew", submission=submission_id)
+        return {}
+    return {row.row.key: decode_progress(row.value) for row in rows.ok_value if row.value}
--- a/pumicedeck/tests/test_gateway_settings.py
+++ b/pumicedeck/tests/test_gateway_settings.py
@@ -10,7 +10,7 @@
 from pumicedeck.gateway_compositions import run_gateway
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.results import ResultCode
-from pumicedeck.settings import parse_settings
+from pumicedeck.settings_files import parse_settings
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.yaml"
 VALUES = {
--- a/pumicedeck/tests/test_settings.py
+++ b/pumicedeck/tests/test_settings.py
@@ -6,7 +6,8 @@
 from result import Ok
 
 from pumicedeck.results import ResultCode
-from pumicedeck.settings import EntrySettings, load_settings, parse_settings
+from pumicedeck.settings import EntrySettings
+from pumicedeck.settings_files import load_settings, parse_settings
 from pumicedeck.world import Address
 
 PATH = Path("entry.yaml")
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -1,23 +1,25 @@
 """What every process knows of all submissions, kept up to date from the store's change feed.
 
-Free of I/O. Answers many readers of many submissions at many processes: reading from memory costs
-the store one feed a process and not one call a reader.
+Free of I/O. Answers many readers of many submissions at many processes: each process knows how many
+results there are, and only one with a reader reads them. A process that starts on a narrow link
+reads a few rows a submission.
 """
 
 import json
 from dataclasses import dataclass, field
 
 from pumicedeck.partitioned_stores import RowKey, StoredRow
-from pumicedeck.submissions import ItemResult, SubmissionHead, decode_head, decode_results
+from pumicedeck.submissions import SubmissionHead, decode_head
 from pumicedeck.tasks import Signal
 
 WORK_TABLE = "work"
 ITEMS_TABLE = "items"
 PROGRESS_TABLE = "progress"
+RESULTS_TABLE = "results"
 HEAD_KEY = "head"
 OWNER_KEY = "owner"
 END_KEY = "end"
-RESULTS_PREFIX = "r"
+LISTED_KEY = "listed"
 MEMBERS_PART = "members"
 
 
@@ -36,9 +38,9 @@
     return RowKey(WORK_TABLE, submission_id, END_KEY)
 
 
-def results_row(submission_id: str, position: int, chunk: int = 0) -> RowKey:
-    """Name a row of the write whose first result has `position`."""
-    return RowKey(WORK_TABLE, submission_id, f"{RESULTS_PREFIX}{position:08d}.{chunk:02d}")
+def listed_row(submission_id: str) -> RowKey:
+    """Name the row that counts a submission's results."""
+    return RowKey(WORK_TABLE, submission_id, LISTED_KEY)
 
 
 def items_row(submission_id: str, chunk: int) -> RowKey:
@@ -56,6 +58,11 @@
     return RowKey(WORK_TABLE, MEMBERS_PART, vm)
 
 
+def encode_listed(count: int) -> bytes:
+    """Return the bytes of the row that counts results."""
+    return str(count).encode()
+
+
 def encode_owner(fencing: int, holder: str) -> bytes:
     """Return the bytes of an owner row."""
     return json.dumps({"fencing": fencing, "holder": holder}).encode()
@@ -63,21 +70,20 @@
 
 @dataclass(slots=True)
 class SubmissionView:
-    """A submission as the store has it; `results` stand at their positions."""
+    """A submission as the store has it; `listed` counts the results that have a position."""
 
     submission_id: str
     head: SubmissionHead | None = None
     owner_revision: int = 0
     fencing: int = 0
     ended: bool = False
-    results: list[ItemResult] = field(default_factory=list)
+    listed: int = 0
     changed: Signal = field(default_factory=Signal)
-    _chunks: dict[int, dict[int, bytes]] = field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
         """Return whether results are still to come."""
-        return self.head is not None and not self.ended and len(self.results) < self.head.total
+        return self.head is not None and not self.ended and self.listed < self.head.total
 
     def take(self, row: StoredRow) -> None:
         """Take in a row; one that is known already changes nothing."""
@@ -92,20 +98,8 @@
                 self.fencing = int(json.loads(row.value)["fencing"])
         elif key == END_KEY:
             self.ended = True
-        elif key.startswith(RESULTS_PREFIX):
-            position, _, chunk = key.removeprefix(RESULTS_PREFIX).partition(".")
-            self._take_results(int(position), int(chunk), row.value)
-
-    def _take_results(self, position: int, chunk: int, value: bytes) -> None:
-        if position < len(self.results):
-            return
-        self._chunks.setdefault(position, {})[chunk] = value
-        while (chunks := self._chunks.get(len(self.results))) is not None:
-            rows = [chunks[number] for number in sorted(chunks)]
-            if len(rows) < rows[0][0]:
-                return
-            del self._chunks[len(self.results)]
-            self.results.extend(decode_results(rows))
+        elif key == LISTED_KEY:
+            self.listed = max(self.listed, int(row.value))
 
 
 class WorkMirror:
