Judge engines by what their runs did in the last moment

A run that alone was slow on a good engine was never seen, since only the engine's pace counted; and a slow engine was believed fast again 3 s later.

Change: paces are measured over windows of 0.4 s from the first event on; a run leaves when both of its last windows, or its engine, are twice as slow as the target.

Test: an item leaves an engine that was fast until now within 1.2 s; 1.38 s before, red.

--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -132,12 +132,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningItem:
-    """An item at work; `events_left` is what its sender's estimate leaves."""
+    """An item at work; `events_left` is what its sender's estimate leaves.
+
+    `event_seconds` is its own pace, None if it is not sure yet.
+    """
 
     item: QueuedItem
     engine: str
     events_left: float
     moves: int
+    event_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,9 +164,10 @@
             continue
         others = [e for e in engines if e is not source and e.free_slots > 0]
         target = _best_engine(each.item, others)
-        if target is None or source.event_seconds < SLOW_FACTOR * target.event_seconds:
+        pace = each.event_seconds or source.event_seconds
+        if target is None or pace < SLOW_FACTOR * target.event_seconds:
             continue
-        gain = each.events_left * (source.event_seconds - target.event_seconds)
+        gain = each.events_left * (pace - target.event_seconds)
         if gain >= settings.least_gain:
             target.free_slots -= 1
             moves.append(Assignment(each.item.item_id, target.name))
--- a/pumicedeck/item_runs.py
+++ b/pumicedeck/item_runs.py
@@ -9,6 +9,7 @@
 from pumicedeck.dialects import EndpointAnswer, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import Answered, EndpointCaller
+from pumicedeck.engine_paces import RunPace
 from pumicedeck.event_streams import EventCutter
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.results import Failure
@@ -56,6 +57,7 @@
         self.started = timers.now()
         self.heard = self.started
         self.events = 0
+        self.pace = RunPace()
 
     @property
     def work(self) -> ItemWork:
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -203,6 +203,7 @@
         now = self._timers.now()
         self._end_stalled(now)
         runs = [run for run, _ in self._runs.values()]
+        self._measure(runs, now)
         engines = view_engines(
             self._parts.directory, self._weights, self._paces, runs, self._parts.home, now
         )
@@ -219,6 +220,15 @@
             for work in self._works.values():
                 work.save_progress()
 
+    def _measure(self, runs: list[ItemRun], now: float) -> None:
+        """Take in how fast the runs go."""
+        for run in runs:
+            name = run.endpoint.name
+            if self._weights.is_loading(name):
+                run.pace.pause()
+            elif run.pace.sample(run.events, now):
+                self._paces.saw(name, run.pace.window, now)
+
     def _collect(
         self, work: SubmissionWork, queued: dict[tuple[str, str], QueuedItem], now: float
     ) -> None:
@@ -334,9 +344,6 @@
         self._requeue(work, each, run.endpoint, end, detail)
 
     def _note_run(self, run: ItemRun, end: RunEnd) -> None:
-        now = self._timers.now()
-        if run.events:
-            self._paces.saw(run.endpoint.name, run.events, now - run.started, now)
         if run.version_seen:
             self._weights.saw_version(run.endpoint, run.head.model, run.version_seen)
 
@@ -449,11 +456,12 @@
             route = self._route(work) if work is not None else None
             if route is None or run.events < 2:
                 continue
-            self._paces.saw(run.endpoint.name, run.events, now - run.started, now)
             queued = self._queued(work, route, run.work, now)
             by_id[queued.item_id] = key
             left = queued.expected_length or 10.0
-            running.append(RunningItem(queued, run.endpoint.name, left, run.work.moves))
+            running.append(
+                RunningItem(queued, run.endpoint.name, left, run.work.moves, run.pace.sure)
+            )
         for move in choose_moves(running, engines, self._parts.moves):
             key = by_id[move.item_id]
             run, task = self._runs.pop(key)
--- a/pumicedeck/tests/test_direct_endpoints.py
+++ b/pumicedeck/tests/test_direct_endpoints.py
@@ -135,7 +135,7 @@
 
 def test_an_old_pace_is_forgotten():
     paces = EnginePaces()
-    paces.saw("e", 10, 2.0, now=0.0)
+    paces.saw("e", 0.2, now=0.0)
     assert paces.seconds("e", 1.0) == pytest.approx(0.2)
     assert paces.seconds("e", 10.0) == USUAL_EVENT_SECONDS
 
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -1,5 +1,8 @@
 """Order and placement of items under the loads that they answer."""
 
+import pytest
+
+from pumicedeck.engine_paces import WINDOW_SECONDS, RunPace
 from pumicedeck.item_queues import (
     EngineView,
     MoveSettings,
@@ -98,6 +101,28 @@
     assert [(each.item_id, each.engine) for each in moves] == [("long", "fast")]
 
 
+def test_only_the_slow_runs_leave_an_engine_that_slows_a_part_of_its_runs():
+    partly, fast = engine("partly", event_seconds=0.06), engine("fast", free=4)
+    running = [
+        RunningItem(item("good"), "partly", 80.0, 0, 0.04),
+        RunningItem(item("slow"), "partly", 80.0, 0, 0.32),
+        RunningItem(item("unsure"), "partly", 80.0, 0),
+    ]
+    moves = choose_moves(running, [partly, fast], MoveSettings())
+    assert [(each.item_id, each.engine) for each in moves] == [("slow", "fast")]
+
+
+def test_a_run_is_surely_slow_after_two_windows_and_not_by_its_prompt_or_a_load():
+    pace = RunPace()
+    assert not pace.sample(0, 0.0) and not pace.sample(1, 2.0)
+    assert pace.sample(11, 2.01 + WINDOW_SECONDS) and pace.window == pytest.approx(0.041)
+    assert pace.sure is None
+    assert pace.sample(12, 2.02 + 2 * WINDOW_SECONDS) and pace.sure == pytest.approx(0.041)
+    assert pace.sample(13, 2.03 + 3 * WINDOW_SECONDS) and pace.sure == pytest.approx(0.41)
+    pace.pause()
+    assert pace.sure is None and not pace.sample(13, 9.0)
+
+
 def test_the_group_expected_last_can_be_spared_but_not_a_carried_one():
     items = [("a", 10.0, False), ("b", 180.0, False), ("b", 5.0, False), ("c", 200.0, True)]
     assert choose_spare_groups(items, 2) == frozenset({"b"})
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -134,6 +134,20 @@
     assert [start[3] for start in world.starts("0-0")][-1] != name
 
 
+def test_an_item_leaves_soon_an_engine_that_was_fast_until_now():
+    world = SchedulerWorld(engines=2)
+    world.submit(world.processes[0], [[30] * 8])
+    world.run(2.0)
+    world.submit(world.processes[0], [[110]], name="s1")
+    world.run(0.1)
+    began, _, _, name = world.starts("0-0")[-1]
+    world.engines[name].pace = 0.1
+    world.run(7.0)
+    check_whole(world, world.processes[0], [[110]], name="s1")
+    moved = world.starts("0-0")[-1]
+    assert moved[3] != name and moved[0] - began <= 1.2
+
+
 def test_no_item_starts_after_its_submission_has_ended():
     world = SchedulerWorld(engines=1, slots=2)
     world.submit(world.processes[1], [[40] * 8])
