Take a lease that has lapsed at first sight, by the store's clock

Change: a row names the store's second at which it was sent, as its sender knows it; others count its age by the store's clock. The estimate of that clock is never ahead, and keeps the best of the last answers, so a takeover can only be early by the sender's own lag, which the margin covers. After an outage of the store the old holder still gets a full duration.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -121,7 +121,11 @@
     named_versions: dict[str, int] = {}
     place = f"{settings.vm}/"
     lease_holder = LeaseHolder(
-        SCHEDULER_LEASE, f"{place}{random.getrandbits(48):012x}", LEASE_SETTINGS, place
+        SCHEDULER_LEASE,
+        f"{place}{random.getrandbits(48):012x}",
+        LEASE_SETTINGS,
+        place,
+        store_now=clock.now,
     )
     scheduler = Scheduler(
         SchedulerParts(
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -1,10 +1,13 @@
 """The lease on an endpoint, one row of the table service, with a fencing number; free of I/O.
 
 The holder counts its lease from the second at which it sent the commit. Another process takes
-over only after it has seen the same row for the full duration on its own monotonic clock.
+over only after it has seen the same row for the full duration on its own monotonic clock, or, where
+rows name the store's second at which they were sent, once the store's clock shows that it has
+passed. That answers a start of all processes at once, when nobody has seen the row before.
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -29,15 +32,21 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
-    """The value of a lease row; no holder means that it was released."""
+    """The value of a lease row; no holder means that it was released.
+
+    `sent` is the store's second at which the holder sent it, as far as the holder knew, or None.
+    """
 
     holder: str
     fencing: int
     duration: float
+    sent: float | None = None
 
     def encode(self) -> bytes:
         """Return the bytes of the row."""
         document = {"holder": self.holder, "fencing": self.fencing, "duration": self.duration}
+        if self.sent is not None:
+            document["sent"] = self.sent
         return json.dumps(document, sort_keys=True).encode()
 
 
@@ -46,7 +55,9 @@
     if not value:
         return LeaseRow("", 0, 0.0)
     document = json.loads(value)
-    return LeaseRow(document["holder"], document["fencing"], document["duration"])
+    return LeaseRow(
+        document["holder"], document["fencing"], document["duration"], document.get("sent")
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,16 +113,19 @@
         incarnation: str,
         settings: LeaseSettings | None = None,
         place: str = "",
+        store_now: Callable[[], float] | None = None,
     ) -> None:
         """Start without the lease and without wanting it.
 
         `place` begins the incarnation of every process that can only have run before this one,
-        such as its VM's name where a VM runs one process; their leases are free.
+        such as its VM's name where a VM runs one process; their leases are free. `store_now`
+        returns the store's second, never one that is yet to come.
         """
         self._key = StoreKey(LEASE_TABLE, endpoint)
         self._incarnation = incarnation
         self._settings = settings or LeaseSettings()
         self._place = place
+        self._store_now = store_now
         self._phase = LeasePhase.IDLE
         self._wanted = False
         self._row: Row | None = None
@@ -226,7 +240,7 @@
             return actions
         self._next = None
         if self._phase is LeasePhase.HELD and self._wanted:
-            lease = LeaseRow(self._incarnation, self._fencing, self._settings.duration)
+            lease = self._lease(self._fencing)
             self._phase = LeasePhase.COMMITTING
             return [*actions, self._commit(now, lease)]
         if self._wanted:
@@ -241,9 +255,20 @@
 
     def _see(self, now: float, row: Row) -> None:
         if self._row is None or self._row.revision != row.revision:
-            self._seen_since = now
+            self._seen_since = now - self._age(row)
         self._row = row
 
+    def _age(self, row: Row) -> float:
+        """Return how many seconds ago a row was sent, 0 if nobody says."""
+        sent = decode_lease(row.value).sent
+        if sent is None or self._store_now is None:
+            return 0.0
+        return max(0.0, self._store_now() - sent)
+
+    def _lease(self, fencing: int) -> LeaseRow:
+        sent = self._store_now() if self._store_now is not None else None
+        return LeaseRow(self._incarnation, fencing, self._settings.duration, sent)
+
     def _settle_pending(self, now: float) -> list[LeaseAction]:
         pending, self._pending = self._pending, None
         if pending is None or self._row is None or self._row.value != pending.encode():
@@ -283,7 +308,7 @@
             lost = []
             self._predecessor = ""
         self._phase = LeasePhase.COMMITTING
-        lease = LeaseRow(self._incarnation, found.fencing + 1, self._settings.duration)
+        lease = self._lease(found.fencing + 1)
         return [*lost, self._commit(now, lease)]
 
     def _is_same_process(self, holder: str) -> bool:
--- a/pumicedeck/store_clocks.py
+++ b/pumicedeck/store_clocks.py
@@ -2,14 +2,22 @@
 
 from pumicedeck.clocks import TimerQueue
 
+# By how much two steady clocks may differ, and the longest way of an answer.
+DRIFT = 0.001
+MOST_DELAY_SECONDS = 5.0
+
 
 class StoreClock:
-    """Estimates the store's clock from the last answer that named it."""
+    """Estimates the store's clock from the answers that named it; it is never ahead of the store.
+
+    An answer that was long on its way shows an old time, so the best of the last ones counts.
+    """
 
     def __init__(self, timers: TimerQueue) -> None:
         """Know nothing until the first answer."""
         self._timers = timers
         self._offset: float | None = None
+        self._seen_at = 0.0
 
     @property
     def is_set(self) -> bool:
@@ -18,7 +26,13 @@
 
     def saw(self, store_seconds: float) -> None:
         """Take in the time that an answer named."""
-        self._offset = store_seconds - self._timers.now()
+        now = self._timers.now()
+        offset = store_seconds - now
+        if self._offset is not None and 0 < self._offset - offset < MOST_DELAY_SECONDS:
+            passed = max(0.0, now - self._seen_at)
+            offset = max(offset, self._offset - DRIFT * passed)
+        self._offset = offset
+        self._seen_at = now
 
     def now(self) -> float:
         """Return the store's seconds; before the first answer, 0."""
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -182,7 +182,7 @@
             directory.update(engine.endpoint)
         directory.update(DirectEndpoint("app", "apps", Address("10.0.0.9", 1), HOME, 8, born=1))
         self.caller = FakeCaller(world)
-        self.holder = LeaseHolder("scheduler", name, LEASE)
+        self.holder = LeaseHolder("scheduler", name, LEASE, store_now=self.clock.now)
         self.scheduler = Scheduler(
             SchedulerParts(
                 timers=timers,
--- a/pumicedeck/tests/test_leases.py
+++ b/pumicedeck/tests/test_leases.py
@@ -175,3 +175,48 @@
         assert process.acquired == sorted(process.acquired)
     owners = {number: each for each in processes for number in each.acquired}
     assert sum(len(set(each.acquired)) for each in processes) == len(owners)
+
+
+def _sent_row(holder: str, sent: float, revision: int = 1) -> Row:
+    return Row(LEASE_TABLE, "e", LeaseRow(holder, 1, 15.0, sent).encode(), revision)
+
+
+def test_a_row_that_tells_when_it_was_sent_is_waited_for_only_as_long_as_it_still_holds() -> None:
+    lag = 1000.0
+    seconds = [100.0]
+    holder = LeaseHolder("e", "me", store_now=lambda: seconds[0] + lag)
+    holder.want(100.0)
+    assert holder.lease_read(100.0, Ok(_sent_row("other", sent=lag + 90.0))) == []
+    assert holder.next_wakeup() <= 105.0
+    seconds[0] = 104.9
+    holder.on_time(104.9)
+    assert holder.lease_read(104.9, Ok(_sent_row("other", sent=lag + 90.0))) == []
+    seconds[0] = 105.0
+    holder.on_time(105.0)
+    (commit,) = holder.lease_read(105.0, Ok(_sent_row("other", sent=lag + 90.0)))
+    assert isinstance(commit, CommitLease)
+    written = decode_lease(commit.transaction.writes[0].value)
+    assert (written.holder, written.fencing, written.sent) == ("me", 2, lag + 105.0)
+
+
+def test_a_row_sent_long_ago_is_taken_at_first_sight_and_a_clock_ahead_shortens_nothing() -> None:
+    holder = LeaseHolder("e", "me", store_now=lambda: 500.0)
+    holder.want(0.0)
+    (commit,) = holder.lease_read(0.0, Ok(_sent_row("other", sent=480.0)))
+    assert isinstance(commit, CommitLease)
+    holder = LeaseHolder("e", "me", store_now=lambda: 500.0)
+    holder.want(0.0)
+    assert holder.lease_read(0.0, Ok(_sent_row("other", sent=900.0))) == []
+    assert holder.lease_read(14.9, Ok(_sent_row("other", sent=900.0))) == []
+
+
+def test_after_a_store_outage_the_old_holder_gets_a_full_duration_again() -> None:
+    seconds = [0.0]
+    holder = LeaseHolder("e", "me", store_now=lambda: seconds[0])
+    holder.want(0.0)
+    holder.lease_read(0.0, Ok(_sent_row("other", sent=0.0)))
+    holder.on_time(2.0)
+    holder.lease_read(2.0, DOWN)
+    seconds[0] = 60.0
+    holder.on_time(60.0)
+    assert holder.lease_read(60.0, Ok(_sent_row("other", sent=0.0))) == []
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -3,7 +3,7 @@
 from result import Ok
 
 from pumicedeck.results import ResultCode
-from pumicedeck.tests.scheduler_worlds import SchedulerWorld, whole_text
+from pumicedeck.tests.scheduler_worlds import SchedulerProcess, SchedulerWorld, whole_text
 
 STEP = [[20, 30, 25, 40], [50, 10, 10, 10], [25, 25, 25, 25], [60, 20, 20, 20]]
 
@@ -56,6 +56,23 @@
     assert resumed and resumed[0][2] >= 40
 
 
+def test_a_process_that_starts_after_all_were_lost_does_not_wait_for_a_lease_that_has_lapsed():
+    world = SchedulerWorld()
+    world.submit(world.processes[1], STEP)
+    world.run(0.5)
+    for process in world.processes:
+        process.kill()
+    world.run(1.4)
+    started = SchedulerProcess(world, "p9")
+    world.processes.append(started)
+    world.run(0.1)
+    started.want()
+    world.run(0.2)
+    assert world.active() == [started]
+    world.run(5.0)
+    check_whole(world, started, STEP)
+
+
 def test_a_scheduler_that_leaves_hands_its_texts_over_without_a_pause():
     world = SchedulerWorld()
     world.submit(world.processes[1], [[100, 100]])
