--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -55,7 +55,7 @@
 from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
-from pumicedeck.world import FailureDomain
+from pumicedeck.world import Address, FailureDomain
 
 SCHEDULER_LEASE = "scheduler"
 LEASE_SETTINGS = LeaseSettings(
@@ -206,6 +206,10 @@
         random=random,
         scheduler=scheduler,
     )
+    metrics = None
+    if settings.metrics_port:
+        metrics_address = Address(settings.readiness.host, settings.metrics_port)
+        metrics = HttpListener(metrics_address, timers, lambda call: None).register(root)
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
@@ -228,6 +232,7 @@
             submission_dialect=PlatformSubmissionDialect(),
             finish=finish,
             cores=settings.machine.cores * settings.machine.cpu_share,
+            metrics=metrics,
         ),
         GatewayTimes(latest_seconds=grace - min(0.6, grace / 4)),
     )
--- /dev/null
+++ b/pumicedeck/gateway_metrics.py
@@ -0,0 +1,56 @@
+"""What a gateway believes and has done, as text for the metrics address."""
+
+from collections.abc import Callable
+
+from pumicedeck.call_figures import CallFigures, gauge_line, gauge_lines
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.leases import LeaseHolder
+from pumicedeck.process_figures import read_process_figures
+from pumicedeck.route_tables import RouteTable
+from pumicedeck.schedulers import Scheduler
+from pumicedeck.store_feeds import StoreFeed
+
+
+class GatewayMetrics:
+    """Reads the gauges when they are asked for."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        calls: CallFigures,
+        scheduler: Scheduler,
+        lease: LeaseHolder,
+        feeds: tuple[StoreFeed, ...],
+        routes: Callable[[], RouteTable | None],
+    ) -> None:
+        """Own nothing."""
+        self._timers = timers
+        self._calls = calls
+        self._scheduler = scheduler
+        self._lease = lease
+        self._feeds = feeds
+        self._routes = routes
+
+    def text(self, ready: bool, open_calls: int) -> str:
+        """Return gauges, counts and durations, one a line."""
+        now = self._timers.now()
+        routes = self._routes()
+        figures = read_process_figures()
+        heard = {feed.table: round(now - feed.heard_at, 3) for feed in self._feeds}
+        lines = [
+            gauge_line("ready", int(ready)),
+            gauge_line("routes_version", routes.version if routes else 0),
+            *gauge_lines("store_heard_seconds_ago", "table", heard),
+            gauge_line("lease_held", int(self._lease.holds(now))),
+            gauge_line("lease_fencing", self._lease.fencing),
+            gauge_line("scheduler_active", int(self._scheduler.is_active)),
+            gauge_line("open_submissions", self._scheduler.open_works),
+            gauge_line("running_items", self._scheduler.running_items),
+            *gauge_lines("waiting_items", "model", self._scheduler.waiting_by_model()),
+            *gauge_lines("endpoint_running_items", "endpoint", self._scheduler.running_by_engine()),
+            gauge_line("open_calls", open_calls),
+            *self._calls.lines(),
+            gauge_line("cpu_seconds", round(figures.cpu_seconds, 3)),
+            gauge_line("resident_bytes", figures.resident_bytes),
+        ]
+        return "\n".join(lines) + "\n"
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -42,7 +42,10 @@
 
 
 class GatewaySettings(Section):
-    """A gateway: where callers and the balancer reach it, and the platform's store."""
+    """A gateway: where callers and the balancer reach it, and the platform's store.
+
+    `metrics_port` is a port of its own for metrics on the readiness address's host, 0 for none.
+    """
 
     vm: str = Field(min_length=1)
     failure_domain: str = Field(min_length=1)
@@ -50,6 +53,7 @@
     regions: dict[str, str] = {}
     callers: ListenAddress
     readiness: ListenAddress
+    metrics_port: int = Field(0, ge=0, le=65535)
     store: StoreSettings
     promises: PromiseSettings = PromiseSettings()
     machine: MachineSettings = MachineSettings()
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from result import Err, Ok
 
+from pumicedeck.call_figures import CallFigures, CallSeries
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.dialects import (
@@ -18,7 +19,8 @@
     SubmissionDialect,
     SubmissionVerb,
 )
-from pumicedeck.http_listeners import HttpListener, IncomingCall
+from pumicedeck.gateway_metrics import GatewayMetrics
+from pumicedeck.http_listeners import CALLER_LEFT, HttpListener, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder
 from pumicedeck.peer_questions import PEER_PATH, PeerQuestions
@@ -42,6 +44,8 @@
 
 _JSON_TYPE = (("Content-Type", "application/json"),)
 _BYTES_TYPE = (("Content-Type", "application/octet-stream"),)
+_NO_ROUTE = CallSeries("", "none")
+_SUBMISSION_VERBS = CallSeries("", "submission_verb")
 _NOT_READY = Failure(ResultCode.NOT_READY, "no configuration yet", proven_not_run=True)
 
 
@@ -83,6 +87,7 @@
     submission_dialect: SubmissionDialect
     finish: Callable[[], None]
     cores: float = 1.0
+    metrics: HttpListener | None = None
 
 
 def lease_handicap(round_trip: float, cores: float) -> float:
@@ -106,6 +111,15 @@
         self._routes: RouteTable | None = None
         self._draining = False
         self._was_ready = False
+        self._calls = CallFigures()
+        self._metrics = GatewayMetrics(
+            parts.timers,
+            self._calls,
+            parts.scheduler,
+            parts.lease_holder,
+            parts.feeds,
+            lambda: self._routes,
+        )
 
     @property
     def caller_listener(self) -> HttpListener:
@@ -142,6 +156,9 @@
         parts.callers.handle = self.handle
         parts.readiness.start()
         parts.callers.start()
+        if parts.metrics is not None:
+            parts.metrics.handle = self.answer_readiness
+            parts.metrics.start()
         for feed in parts.feeds:
             feed.start()
         spawn(self._watch(), "gateway watch")
@@ -164,11 +181,14 @@
         self._parts.peers.close()
         self._parts.callers.close()
         self._parts.readiness.close()
+        if self._parts.metrics is not None:
+            self._parts.metrics.close()
 
     def answer_readiness(self, incoming: IncomingCall) -> None:
         """Answer the balancer and readers of metrics."""
         if incoming.target.startswith("/metrics"):
-            incoming.answer(200, (("Content-Type", "text/plain"),), self._metrics())
+            text = self._metrics.text(self.is_ready, self._parts.callers.open_calls)
+            incoming.answer(200, (("Content-Type", "text/plain"),), text.encode())
             return
         if incoming.target == PEER_PATH:
             incoming.answer(200, _JSON_TYPE, self._parts.peers.answer())
@@ -179,21 +199,42 @@
     def handle(self, incoming: IncomingCall) -> None:
         """Serve one request."""
         call = self._parts.caller_dialect.call(incoming)
+        self._count(incoming, call, _NO_ROUTE)
         if self._routes is None:
             self._refuse(incoming, call, _NOT_READY)
             return
         verb = self._parts.submission_dialect.verb(incoming)
         if verb is not None and self._serves_submissions(incoming.host):
+            self._count(incoming, call, _SUBMISSION_VERBS)
             spawn(self._serve_verb(incoming, call, verb), "submission call")
             return
         route = self._routes.find(incoming.host, call.path)
         if route is None:
             self._refuse(incoming, call, Failure(ResultCode.NO_ROUTE, "no route", None, True))
-        elif route.kind is RouteKind.SUBMISSION:
+            return
+        self._count(incoming, call, CallSeries(route.name, route.kind.value))
+        if route.kind is RouteKind.SUBMISSION:
             spawn(self._accept(incoming, call, route), f"submission {call.request_id}")
         else:
             self._parts.forwarder.handle(incoming, call, route)
 
+    def _count(self, incoming: IncomingCall, call: ForwardedCall, series: CallSeries) -> None:
+        """Count the call under `series` when it ends."""
+
+        def ended(outcome: str) -> None:
+            waited = self._timers.now() - incoming.arrived
+            self._calls.ended(series, outcome, waited)
+            if outcome == CALLER_LEFT:
+                _log.info(
+                    "caller left",
+                    request=call.request_id,
+                    route=series.route,
+                    begun=incoming.has_begun,
+                    waited=round(waited, 3),
+                )
+
+        incoming.on_end = ended
+
     def _serves_submissions(self, host: str) -> bool:
         return any(
             route.kind is RouteKind.SUBMISSION and route.host.lower() == host
@@ -302,17 +343,3 @@
                 break
         _log.info("stopped", open_calls=self._parts.callers.open_calls)
         self._parts.finish()
-
-    def _metrics(self) -> bytes:
-        figures = read_process_figures()
-        lines = {
-            "pumicedeck_ready": int(self.is_ready),
-            "pumicedeck_routes_version": self._routes.version if self._routes else 0,
-            "pumicedeck_scheduler_active": int(self._parts.scheduler.is_active),
-            "pumicedeck_running_items": self._parts.scheduler.running_items,
-            "pumicedeck_open_submissions": self._parts.scheduler.open_works,
-            "pumicedeck_open_calls": self._parts.callers.open_calls,
-            "pumicedeck_cpu_seconds": figures.cpu_seconds,
-            "pumicedeck_resident_bytes": figures.resident_bytes,
-        }
-        return "".join(f"{name} {value}\n" for name, value in lines.items()).encode()
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -28,6 +28,9 @@
 _CHANNEL_NUMBERS = itertools.count(1)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+CALLER_LEFT = "caller left"
+BROKEN_OFF = "broken off"
+
 Headers = tuple[tuple[str, str], ...]
 
 _log = logger.bind(module="http_listeners")
@@ -51,7 +54,10 @@
 
 
 class IncomingCall:
-    """One whole request and the answer that is owed to it."""
+    """One whole request and the answer that is owed to it.
+
+    `on_end` is told once how it ended: the status sent, or that one side broke off.
+    """
 
     def __init__(
         self, connection: "_Connection", head: h11.Request, body: bytes, arrived: float
@@ -67,6 +73,8 @@
         self.body = body
         self.arrived = arrived
         self.on_gone: Callable[[], None] = lambda: None
+        self.on_end: Callable[[str], None] = lambda outcome: None
+        self._status = 0
         self._began = False
         self._ended = False
 
@@ -98,7 +106,7 @@
         """Send a whole answer; a second one is ignored."""
         if self._ended or self._began:
             return
-        self._ended = True
+        self._end(str(status))
         length = ("Content-Length", str(len(body)))
         self._connection.send_whole(status, (*headers, length), body)
 
@@ -107,6 +115,7 @@
         if self._ended or self._began:
             return
         self._began = True
+        self._status = status
         self._connection.send_head(status, (*headers, ("Transfer-Encoding", "chunked")))
 
     def write(self, data: bytes) -> None:
@@ -117,21 +126,25 @@
     def finish(self) -> None:
         """End an answer that was begun."""
         if not self._ended:
-            self._ended = True
+            self._end(str(self._status))
             self._connection.send_end()
 
     def abort(self) -> None:
         """Break the connection, so that what was sent cannot look complete."""
         if not self._ended:
-            self._ended = True
+            self._end(BROKEN_OFF)
             self._connection.close()
 
     def gone(self) -> None:
         """Take note that the caller left."""
         if not self._ended:
-            self._ended = True
+            self._end(CALLER_LEFT)
             self.on_gone()
 
+    def _end(self, outcome: str) -> None:
+        self._ended = True
+        self.on_end(outcome)
+
 
 class _Connection:
     """One caller's connection."""
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -4,6 +4,7 @@
 must outlast it lies in the store, and whoever takes the lease goes on from there.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
@@ -76,6 +77,17 @@
         """Return how many items are at engines."""
         return len(self._runs)
 
+    def waiting_by_model(self) -> dict[str, int]:
+        """Return how many items wait for an engine, by model."""
+        counts: Counter[str] = Counter()
+        for work in self._works.values():
+            counts[work.head.model] += len(work.waiting)
+        return dict(counts)
+
+    def running_by_engine(self) -> dict[str, int]:
+        """Return how many items run, by engine."""
+        return count_runs([run for run, _ in self._runs.values()])
+
     def begin(self, fencing: int, predecessor: str) -> None:
         """Take over all open submissions under a new fencing number."""
         now = self._timers.now()
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -56,6 +56,11 @@
         self._round_trip = 0.0
         self._task: Task | None = None
 
+    @property
+    def table(self) -> str:
+        """Return the table's name."""
+        return self._table
+
     @property
     def is_loaded(self) -> bool:
         """Return whether the table was read once."""
--- /dev/null
+++ b/pumicedeck/tests/test_call_figures.py
@@ -0,0 +1,36 @@
+"""Counts and durations by route, in the text that monitoring systems read."""
+
+import pytest
+
+from pumicedeck.call_figures import CallFigures, CallSeries, gauge_line, gauge_lines
+
+SERIES = CallSeries('a "b"', "idempotent")
+
+
+def test_calls_are_counted_by_outcome_and_their_durations_kept():
+    figures = CallFigures()
+    for number in range(1, 101):
+        figures.ended(SERIES, "200" if number % 4 else "503", number / 1000)
+    lines = dict(line.rsplit(" ", 1) for line in figures.lines())
+    labels = 'route="a \\"b\\"",kind="idempotent"'
+    assert lines[f'pumicedeck_calls_total{{{labels},outcome="200"}}'] == "75"
+    assert lines[f'pumicedeck_calls_total{{{labels},outcome="503"}}'] == "25"
+    assert lines[f"pumicedeck_call_seconds_count{{{labels}}}"] == "100"
+    assert float(lines[f"pumicedeck_call_seconds_sum{{{labels}}}"]) == pytest.approx(5.05)
+    assert float(lines[f'pumicedeck_call_seconds{{{labels},quantile="0.5"}}']) == pytest.approx(
+        0.05, rel=0.02
+    )
+
+
+def test_a_call_beyond_the_longest_duration_is_counted_as_the_longest():
+    figures = CallFigures()
+    figures.ended(SERIES, "caller left", 1e6)
+    assert any('quantile="0.99"} 120' in line for line in figures.lines())
+
+
+def test_gauges_have_their_label():
+    assert gauge_line("ready", 1) == "pumicedeck_ready 1"
+    assert gauge_lines("waiting_items", "model", {"b": 2, "a": 1}) == [
+        'pumicedeck_waiting_items{model="a"} 1',
+        'pumicedeck_waiting_items{model="b"} 2',
+    ]
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -328,6 +328,20 @@
         "GET", "/metrics", listener=bench.gateway.readiness_listener, until=b"resident_bytes"
     )
     assert b"pumicedeck_ready 1" in answer and b"pumicedeck_routes_version 1" in answer
+    for name in (b"lease_held 0", b"scheduler_active 0", b"open_submissions 0"):
+        assert b"pumicedeck_" + name in answer
+    assert answer.count(b"pumicedeck_store_heard_seconds_ago{table=") == 3
+
+
+def test_calls_are_counted_by_route_and_outcome(bench):
+    bench.ask("POST", "/safe/x", headers=ID, until=b"from i-")
+    bench.ask("POST", "/elsewhere", until=b"404")
+    answer = bench.ask(
+        "GET", "/metrics", listener=bench.gateway.readiness_listener, until=b"resident_bytes"
+    )
+    assert b'pumicedeck_calls_total{route="safe",kind="idempotent",outcome="200"} 1' in answer
+    assert b'pumicedeck_calls_total{route="",kind="none",outcome="404"} 1' in answer
+    assert b'pumicedeck_call_seconds{route="safe",kind="idempotent",quantile="0.99"}' in answer
 
 
 def test_the_lease_is_left_to_strong_processes_near_the_store():
