--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -212,10 +212,10 @@
             self._next = now + self._settings.retry
             return []
         self._heard_at = now
+        self._see(now, outcome.unwrap())
         if self._blind:
             self._blind = False
             self._seen_since = now
-        self._see(now, outcome.unwrap())
         return self._settle_pending(now) or self._try_acquire(now)
 
     def lease_committed(self, now: float, outcome: Result[Committed, Failure]) -> list[LeaseAction]:
--- a/pumicedeck/tests/test_leases.py
+++ b/pumicedeck/tests/test_leases.py
@@ -210,7 +210,8 @@
     assert holder.lease_read(14.9, Ok(_sent_row("other", sent=900.0))) == []
 
 
-def test_after_a_store_outage_the_old_holder_gets_a_full_duration_again() -> None:
+@pytest.mark.parametrize("renewed_unseen", [False, True])
+def test_after_a_store_outage_the_old_holder_gets_a_full_duration_again(renewed_unseen) -> None:
     seconds = [0.0]
     holder = LeaseHolder("e", "me", store_now=lambda: seconds[0])
     holder.want(0.0)
@@ -219,4 +220,8 @@
     holder.lease_read(2.0, DOWN)
     seconds[0] = 60.0
     holder.on_time(60.0)
-    assert holder.lease_read(60.0, Ok(_sent_row("other", sent=0.0))) == []
+    row = _sent_row("other", sent=1.9, revision=2) if renewed_unseen else _sent_row("other", 0.0)
+    assert holder.lease_read(60.0, Ok(row)) == []
+    assert holder.lease_read(74.9, Ok(row)) == []
+    (commit,) = holder.lease_read(75.0, Ok(row))
+    assert isinstance(commit, CommitLease)
