Add a fault soak of real gateways: plans from a seed, proxies, and a judge of what callers and endpoints see

Change: `pumicedeck soak` starts gateways as they run on the platform, with store, engines and services as stand-ins behind loopback proxies that delay, hold back one or both ways, and reset; it pauses, kills, terminates and restarts them by their ids while routes and weights change, and the store is down, loses replies, commits late or drops its history. Each seed keeps its plan, logs and verdict; `--replay` plays a plan, `--shrink` looks for a smaller one that fails. Clocks are not shifted: gateways go by the boot-time clock, which cannot be without root. The stand-in of the store moved beside the wire's other names.

--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -13,6 +13,7 @@
 from pumicedeck.experiment_commands import experiment_app
 from pumicedeck.operator_clients import OperatorClient
 from pumicedeck.results import Failure, ResultCode, result_code_table
+from pumicedeck.soaks.commands import soak
 
 app = typer.Typer(
     help="A rollout service for reinforcement learning: daemons and the operators' client.",
@@ -21,6 +22,7 @@
 )
 app.add_typer(catalogue_app, name="catalogue")
 app.add_typer(experiment_app, name="experiment")
+app.command()(soak)
 
 SettingsArgument = Annotated[Path, typer.Argument(help="The settings file, in YAML.")]
 
--- a/pumicedeck/tests/platform_store_servers.py
+++ b/pumicedeck/platform/standin_stores.py
@@ -33,9 +33,11 @@
 
     @property
     def address(self) -> Address:
+        """Return where it listens."""
         return self.listener.address
 
-    def close(self):
+    def close(self) -> None:
+        """Stop listening."""
         self.listener.close()
 
     def silence_connections(self, and_new_ones=False):
--- /dev/null
+++ b/pumicedeck/soaks/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real gateway processes under faults from outside."""
--- /dev/null
+++ b/pumicedeck/soaks/plans.py
@@ -0,0 +1,120 @@
+"""What a soak does and when; drawn from a seed, free of I/O."""
+
+import json
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+from random import Random
+
+QUIET_SECONDS = 2.0
+END_FRACTION = 0.75
+MEAN_GAP_SECONDS = 0.7
+LONGEST_FAULT_SECONDS = 3.0
+
+
+class FaultKind(StrEnum):
+    """Faults from outside; `target` is a gateway, an endpoint or nothing."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    TERMINATE = "terminate"
+    DELAY_STORE = "delay store"
+    CUT_STORE = "cut store"
+    RESET_STORE = "reset store"
+    SILENCE_CALLERS = "silence callers"
+    RESET_CALLERS = "reset callers"
+    DELAY_ENDPOINT = "delay endpoint"
+    CUT_ENDPOINT = "cut endpoint"
+    RESET_ENDPOINT = "reset endpoint"
+    CRASH_ENDPOINT = "crash endpoint"
+    STORE_DOWN = "store down"
+    STORE_LOSES_REPLIES = "store loses replies"
+    STORE_COMMITS_LATE = "store commits late"
+    STORE_DROPS_HISTORY = "store drops history"
+    CHANGE_ROUTES = "change routes"
+
+
+GATEWAY_KINDS = frozenset(
+    (
+        FaultKind.KILL,
+        FaultKind.PAUSE,
+        FaultKind.TERMINATE,
+        FaultKind.DELAY_STORE,
+        FaultKind.CUT_STORE,
+        FaultKind.RESET_STORE,
+        FaultKind.SILENCE_CALLERS,
+        FaultKind.RESET_CALLERS,
+    )
+)
+ENDPOINT_KINDS = frozenset(
+    (
+        FaultKind.DELAY_ENDPOINT,
+        FaultKind.CUT_ENDPOINT,
+        FaultKind.RESET_ENDPOINT,
+        FaultKind.CRASH_ENDPOINT,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault at a second of the soak, lasting `seconds`; `target` is a number of its kind."""
+
+    at: float
+    kind: FaultKind
+    target: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """All that a soak draws beforehand; load runs for `seconds`, then everything must settle."""
+
+    seed: int
+    seconds: float
+    gateways: int
+    engines: int
+    services: int
+    faults: tuple[Fault, ...]
+
+    def encode(self) -> str:
+        """Return the plan as text."""
+        return json.dumps(asdict(self), indent=1)
+
+
+def decode_plan(text: str) -> SoakPlan:
+    """Read a plan; ValueError, KeyError or TypeError if it is none."""
+    document = json.loads(text)
+    faults = tuple(
+        Fault(each["at"], FaultKind(each["kind"]), each["target"], each["seconds"])
+        for each in document.pop("faults")
+    )
+    return SoakPlan(**document, faults=faults)
+
+
+def draw_plan(seed: int, seconds: float, gateways: int, engines: int, services: int) -> SoakPlan:
+    """Draw faults that come in series and overlap; none begins in the last quarter."""
+    random = Random(seed)
+    kinds = tuple(FaultKind)
+    faults = []
+    at = QUIET_SECONDS
+    while at < seconds * END_FRACTION:
+        kind = random.choice(kinds)
+        repeats = random.choice((1, 1, 1, 2, 3))
+        for _ in range(repeats):
+            count = gateways if kind in GATEWAY_KINDS else engines + services
+            target = random.randrange(count) if kind in GATEWAY_KINDS | ENDPOINT_KINDS else 0
+            lasts = round(random.uniform(0.2, LONGEST_FAULT_SECONDS), 2)
+            faults.append(Fault(round(at, 2), kind, target, lasts))
+            at += random.expovariate(1 / MEAN_GAP_SECONDS) / 2
+        at += random.expovariate(1 / MEAN_GAP_SECONDS)
+    return SoakPlan(seed, seconds, gateways, engines, services, tuple(faults))
+
+
+def smaller_plans(plan: SoakPlan) -> list[SoakPlan]:
+    """Return the plan with half of its faults, or each single one, left out."""
+    faults = plan.faults
+    half = len(faults) // 2
+    parts = [faults[half:], faults[:half]] if half > 1 else []
+    parts += [faults[:at] + faults[at + 1 :] for at in range(len(faults))]
+    base = (plan.seed, plan.seconds, plan.gateways, plan.engines, plan.services)
+    return [SoakPlan(*base, part) for part in parts]
--- /dev/null
+++ b/pumicedeck/soaks/proxies.py
@@ -0,0 +1,172 @@
+"""A loopback proxy that delays, holds back or resets what passes through it."""
+
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.world import Address
+
+_CHUNK_BYTES = 65_536
+_BACKLOG = 256
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ProxyFaults:
+    """What a proxy does to its connections; `delay` in seconds each way."""
+
+    def __init__(self) -> None:
+        """Pass everything on at once."""
+        self.delay = 0.0
+        self.holds_requests = False
+        self.holds_answers = False
+
+
+class _Side:
+    """One socket of a pair and what waits to be written to it."""
+
+    def __init__(self, sock: socket.socket, from_caller: bool) -> None:
+        self.sock = sock
+        self.from_caller = from_caller
+        self.other: _Side | None = None
+        self.unsent = bytearray()
+        self.held: deque[bytes] = deque()
+        self.ended = False
+
+
+class LoopbackProxy(BaseComponent):
+    """Carries connections from its own port to a target."""
+
+    def __init__(self, timers: TimerQueue, target: Callable[[], Address]) -> None:
+        """Listen after `start`; each connection asks for the target anew."""
+        super().__init__(channel=f"proxy_{id(self)}")
+        self._timers = timers
+        self._target = target
+        self._sides: dict[socket.socket, _Side] = {}
+        self._listener: socket.socket | None = None
+        self._poller: BasePoller | None = None
+        self.faults = ProxyFaults()
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        host, port = self._listener.getsockname()
+        return Address(host, port)
+
+    def start(self) -> None:
+        """Bind a free port and listen."""
+        self._poller = findcmp(self.root, BasePoller)
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setblocking(False)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(_BACKLOG)
+        self._poller.addReader(self, self._listener)
+
+    def close(self) -> None:
+        """Close every socket."""
+        self.reset()
+        self._poller.discard(self._listener)
+        self._listener.close()
+
+    def reset(self) -> None:
+        """Break all connections with a reset."""
+        for side in tuple(self._sides.values()):
+            self._drop(side, reset=True)
+
+    def heal(self) -> None:
+        """Pass on what was held back, and all that comes."""
+        self.faults = ProxyFaults()
+        for side in tuple(self._sides.values()):
+            while side.held:
+                self._write(side.other, side.held.popleft())
+
+    @handler("_read")
+    def _on_read(self, sock) -> None:
+        if sock is self._listener:
+            self._accept()
+            return
+        side = self._sides.get(sock)
+        if side is None:
+            return
+        try:
+            data = sock.recv(_CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._drop(side, reset=True)
+            return
+        if data:
+            self._pass_on(side, data)
+        else:
+            self._end(side)
+
+    @handler("_write")
+    def _on_write(self, sock) -> None:
+        side = self._sides.get(sock)
+        if side is not None:
+            self._flush(side)
+
+    def _accept(self) -> None:
+        try:
+            near, _ = self._listener.accept()
+        except OSError:
+            return
+        near.setblocking(False)
+        far = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        far.setblocking(False)
+        target = self._target()
+        far.connect_ex((target.host, target.port))
+        first, second = _Side(near, True), _Side(far, False)
+        first.other, second.other = second, first
+        for side in (first, second):
+            self._sides[side.sock] = side
+            self._poller.addReader(self, side.sock)
+
+    def _pass_on(self, side: _Side, data: bytes) -> None:
+        held = self.faults.holds_requests if side.from_caller else self.faults.holds_answers
+        if held or side.held:
+            side.held.append(data)
+        elif self.faults.delay:
+            self._timers.call_later(self.faults.delay, lambda: self._write(side.other, data))
+        else:
+            self._write(side.other, data)
+
+    def _end(self, side: _Side) -> None:
+        """End the other side after what is on its way; a cut connection ends unseen."""
+        side.ended = True
+        self._poller.removeReader(side.sock)
+        held = self.faults.holds_requests if side.from_caller else self.faults.holds_answers
+        if not held:
+            self._timers.call_later(self.faults.delay + 0.01, lambda: self._drop(side.other))
+
+    def _write(self, side: _Side, data: bytes) -> None:
+        if side.sock in self._sides:
+            side.unsent += data
+            self._flush(side)
+
+    def _flush(self, side: _Side) -> None:
+        try:
+            while side.unsent:
+                del side.unsent[: side.sock.send(side.unsent)]
+        except BlockingIOError:
+            self._poller.addWriter(self, side.sock)
+            return
+        except OSError:
+            self._drop(side, reset=True)
+            return
+        if self._poller.isWriting(side.sock):
+            self._poller.removeWriter(side.sock)
+
+    def _drop(self, side: _Side, reset: bool = False) -> None:
+        for each in (side, side.other):
+            if self._sides.pop(each.sock, None) is None:
+                continue
+            self._poller.discard(each.sock)
+            if reset:
+                each.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            each.sock.close()
--- /dev/null
+++ b/pumicedeck/soaks/runs.py
@@ -0,0 +1,268 @@
+"""Runs a plan: stand-ins and proxies in this process, real gateways beside it."""
+
+import json
+import signal
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from loguru import logger
+
+from pumicedeck.http_clients import HttpClient
+from pumicedeck.http_messages import HttpClientSettings
+from pumicedeck.partitioned_stores import Change
+from pumicedeck.platform.standin_callers import ENGINE_POOL, SERVICE_POOL, endpoint_put
+from pumicedeck.platform.standin_endpoints import (
+    EndpointWitness,
+    StandinEndpoint,
+    StandinEngine,
+    StandinService,
+)
+from pumicedeck.platform.standin_stores import PlatformStoreServer
+from pumicedeck.processes import Process
+from pumicedeck.soaks.flights import Flights
+from pumicedeck.soaks.gateway_processes import LOCAL, GatewayProcess
+from pumicedeck.soaks.loads import MODEL, SoakLoad
+from pumicedeck.soaks.oracles import SoakOracle, Violation
+from pumicedeck.soaks.plans import GATEWAY_KINDS, Fault, FaultKind, SoakPlan
+from pumicedeck.soaks.proxies import LoopbackProxy
+from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
+from pumicedeck.tasks import sleep, spawn
+from pumicedeck.world import Address
+
+SETTLE_SECONDS = 30.0
+START_SECONDS = 20.0
+LOOK_SECONDS = 0.1
+# The gateways' own bound on a drain, and what a loaded machine needs to end a process.
+LONGEST_DRAIN_SECONDS = 10.0
+RESTART_SECONDS = 0.5
+CLOSE_SECONDS = 9.0
+DELAY_SECONDS = 0.25
+CALLERS = 6
+TRAINERS = 2
+
+_log = logger.bind(module="soaks.runs")
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a soak found; `counts` says how much was asked and answered."""
+
+    seed: int
+    faults: int
+    settled: bool
+    counts: dict[str, int]
+    violations: tuple[Violation, ...]
+
+    def encode(self) -> str:
+        """Return the verdict as text."""
+        return json.dumps(asdict(self), indent=1)
+
+
+class SoakRun:
+    """One play of a plan in a folder that keeps the plan, the logs and the verdict."""
+
+    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+        """Wire everything; nothing runs until `run`."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self._plan = plan
+        self._folder = folder
+        self._process = Process()
+        timers = self._timers = self._process.timers
+        self._oracle = SoakOracle()
+        self._flights = Flights()
+        self._data = PartitionedData()
+        self._store = StandinPartitionedStore(timers, self._data, give_up_seconds=1.0)
+        self._store_server = PlatformStoreServer(self._process, timers, self._store)
+        self._endpoints = self._make_endpoints()
+        self._endpoint_proxies: list[LoopbackProxy] = []
+        self._store_proxies: list[LoopbackProxy] = []
+        self._caller_proxies: list[LoopbackProxy] = []
+        self._gateways: list[GatewayProcess] = []
+        self._settled = False
+
+    def run(self) -> Verdict:
+        """Play the plan and return what was found."""
+        (self._folder / "plan.json").write_text(self._plan.encode(), encoding="utf-8")
+        self._timers.call_later(0.0, lambda: spawn(self._play(), "soak"))
+        try:
+            self._process.run()
+        finally:
+            for gateway in self._gateways:
+                gateway.close(CLOSE_SECONDS)
+        violations = self._oracle.finish()
+        counts = dict(sorted(self._oracle.counts.items()))
+        verdict = Verdict(
+            self._plan.seed, len(self._plan.faults), self._settled, counts, violations
+        )
+        (self._folder / "verdict.json").write_text(verdict.encode(), encoding="utf-8")
+        return verdict
+
+    def _make_endpoints(self) -> list[StandinEndpoint]:
+        witness = EndpointWitness(
+            ran=self._oracle.service_ran,
+            generated=self._oracle.engine_generated,
+            ended=lambda item: self._oracle.engine_ended(item, self._timers.now()),
+            scored=lambda item: self._oracle.scored(item, self._timers.now()),
+        )
+        common = (self._process, self._timers, Address(LOCAL, 0))
+        engines = [
+            StandinEngine(f"e-{number}", ENGINE_POOL, *common, model=MODEL, witness=witness)
+            for number in range(self._plan.engines)
+        ]
+        services = [
+            StandinService(f"s-{number}", SERVICE_POOL, *common, witness=witness)
+            for number in range(self._plan.services)
+        ]
+        return [*engines, *services]
+
+    def _proxy(self, target: Callable[[], Address]) -> LoopbackProxy:
+        proxy = LoopbackProxy(self._timers, target).register(self._process)
+        proxy.start()
+        return proxy
+
+    def _open_endpoints(self) -> None:
+        for endpoint in self._endpoints:
+            endpoint.start()
+            proxy = self._proxy(lambda each=endpoint: each.address)
+            self._endpoint_proxies.append(proxy)
+            models = {MODEL: 1} if endpoint.pool == ENGINE_POOL else {}
+            row = endpoint_put(endpoint.name, endpoint.pool, proxy.address, "z", models)
+            self._data.commit(Change((), (row,))).unwrap()
+
+    def _open_gateways(self) -> None:
+        for number in range(self._plan.gateways):
+            store = self._proxy(lambda: self._store_server.address)
+            gateway = GatewayProcess(f"g-{number}", self._folder, store.address)
+            self._store_proxies.append(store)
+            self._caller_proxies.append(self._proxy(lambda each=gateway: each.callers))
+            self._gateways.append(gateway)
+            gateway.start()
+
+    async def _play(self) -> None:
+        self._open_endpoints()
+        settings = HttpClientSettings(connect_seconds=1.0, connections_per_address=32)
+        client = HttpClient(self._timers, settings).register(self._process)
+        self._open_gateways()
+        load = SoakLoad(
+            self._timers,
+            client,
+            self._data,
+            tuple(proxy.address for proxy in self._caller_proxies),
+            self._oracle,
+            self._flights,
+            self._plan.seed,
+        )
+        await self._until_started()
+        for _ in range(CALLERS):
+            spawn(load.call_forever(), "caller")
+        for number in range(self._plan.gateways):
+            spawn(load.probe_forever(number), "route prober")
+        for number in range(TRAINERS):
+            spawn(load.train_forever(number), "trainer")
+        spawn(load.name_versions(), "versions")
+        began = self._timers.now()
+        for fault in self._plan.faults:
+            await sleep(self._timers, max(0.0, began + fault.at - self._timers.now()))
+            _log.info("fault", kind=fault.kind.value, target=fault.target, seconds=fault.seconds)
+            spawn(self._inject(fault, load), f"fault {fault.kind.value}")
+        await sleep(self._timers, max(0.0, began + self._plan.seconds - self._timers.now()))
+        load.stop()
+        deadline = self._timers.now() + SETTLE_SECONDS
+        while not load.is_settled and self._timers.now() < deadline:
+            await sleep(self._timers, LOOK_SECONDS)
+        self._settled = load.is_settled
+        client.close()
+        self._process.finish()
+
+    async def _until_started(self) -> None:
+        """Wait until every gateway listens; they are asked no more before."""
+        deadline = self._timers.now() + START_SECONDS
+        while self._timers.now() < deadline:
+            await sleep(self._timers, LOOK_SECONDS)
+            logs = [self._folder / f"{each.name}.log" for each in self._gateways]
+            if all('"ready": true' in log.read_text(encoding="utf-8") for log in logs):
+                return
+        _log.warning("not every gateway is ready")
+
+    async def _inject(self, fault: Fault, load: SoakLoad) -> None:
+        if fault.kind is FaultKind.CHANGE_ROUTES:
+            load.change_routes()
+        elif fault.kind is FaultKind.TERMINATE:
+            await self._terminate(fault.target)
+        elif fault.kind in GATEWAY_KINDS:
+            await self._trouble_gateway(fault)
+        elif fault.kind.value.startswith("store"):
+            await self._trouble_store(fault)
+        else:
+            await self._trouble_endpoint(fault)
+
+    async def _terminate(self, number: int) -> None:
+        gateway = self._gateways[number]
+        drain = self._flights.begin_drain(number, self._timers.now())
+        gateway.send(signal.SIGTERM)
+        while gateway.is_running:
+            await sleep(self._timers, LOOK_SECONDS)
+        # The answers that were sent last may still be on their way here.
+        await sleep(self._timers, LOOK_SECONDS)
+        self._flights.end_drain(number)
+        if not drain.spoiled:
+            seconds = self._timers.now() - drain.began
+            self._oracle.gateway_left(number, drain.cut, seconds, LONGEST_DRAIN_SECONDS)
+        await sleep(self._timers, RESTART_SECONDS)
+        gateway.start()
+
+    async def _trouble_gateway(self, fault: Fault) -> None:
+        gateway = self._gateways[fault.target]
+        store, callers = self._store_proxies[fault.target], self._caller_proxies[fault.target]
+        self._flights.begin_fault(fault.target)
+        match fault.kind:
+            case FaultKind.KILL:
+                gateway.send(signal.SIGKILL)
+            case FaultKind.PAUSE:
+                gateway.send(signal.SIGSTOP)
+            case FaultKind.DELAY_STORE:
+                store.faults.delay = DELAY_SECONDS
+            case FaultKind.CUT_STORE:
+                store.faults.holds_answers = True
+            case FaultKind.RESET_STORE:
+                store.reset()
+            case FaultKind.SILENCE_CALLERS:
+                callers.faults.holds_requests = callers.faults.holds_answers = True
+            case FaultKind.RESET_CALLERS:
+                callers.reset()
+        await sleep(self._timers, fault.seconds)
+        gateway.send(signal.SIGCONT)
+        store.heal()
+        callers.heal()
+        gateway.start()
+        self._flights.end_fault(fault.target)
+
+    async def _trouble_store(self, fault: Fault) -> None:
+        faults = self._store.faults
+        match fault.kind:
+            case FaultKind.STORE_DOWN:
+                faults.down = True
+            case FaultKind.STORE_LOSES_REPLIES:
+                faults.lost_replies += 3
+            case FaultKind.STORE_COMMITS_LATE:
+                faults.late_commits += 2
+            case FaultKind.STORE_DROPS_HISTORY:
+                self._data.drop_history()
+        await sleep(self._timers, fault.seconds)
+        faults.down = False
+
+    async def _trouble_endpoint(self, fault: Fault) -> None:
+        endpoint, proxy = self._endpoints[fault.target], self._endpoint_proxies[fault.target]
+        match fault.kind:
+            case FaultKind.DELAY_ENDPOINT:
+                proxy.faults.delay = DELAY_SECONDS
+            case FaultKind.CUT_ENDPOINT:
+                proxy.faults.holds_requests = proxy.faults.holds_answers = True
+            case FaultKind.RESET_ENDPOINT:
+                proxy.reset()
+            case FaultKind.CRASH_ENDPOINT:
+                endpoint.crash()
+        await sleep(self._timers, fault.seconds)
+        endpoint.start()
+        proxy.heal()
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -10,9 +10,9 @@
 from pumicedeck.gateways import lease_handicap
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.partitioned_stores import Change, Put, RowKey
+from pumicedeck.platform.standin_stores import PlatformStoreServer
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.tests.loop_harnesses import Loop
-from pumicedeck.tests.platform_store_servers import PlatformStoreServer
 from pumicedeck.world import Address
 
 LOCAL = "127.0.0.1"
--- a/pumicedeck/tests/test_partitioned_stores.py
+++ b/pumicedeck/tests/test_partitioned_stores.py
@@ -6,12 +6,12 @@
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.partitioned_stores import Change, Expectation, Put, RowKey
+from pumicedeck.platform.standin_stores import PlatformStoreServer
 from pumicedeck.platform.stores import HttpPartitionedStore
 from pumicedeck.results import ResultCode
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.tasks import sleep
 from pumicedeck.tests.loop_harnesses import Loop
-from pumicedeck.tests.platform_store_servers import PlatformStoreServer
 
 CALL_SECONDS = 5.0
 
