Judge nothing when a soak is interrupted

Cause: a soak that got SIGTERM in seed 6 reported results as lost that its trainers had not read yet (my own signal at 00:37:48), and went on with the next seed. Change: the first signal ends the run, its verdict says so, the command stops and its gateways are ended. Seen by hand: SIGTERM during seed 90 gives 'interrupted; not judged' and leaves no process behind.

--- a/pumicedeck/soaks/commands.py
+++ b/pumicedeck/soaks/commands.py
@@ -46,6 +46,9 @@
     failed = 0
     for plan in plans:
         verdict = SoakRun(plan, kept / f"seed-{plan.seed}").run()
+        if verdict.interrupted:
+            typer.echo(f"{verdict.seed:>6} interrupted; not judged")
+            raise typer.Abort
         _print(verdict)
         if verdict.violations:
             failed += 1
--- a/pumicedeck/soaks/runs.py
+++ b/pumicedeck/soaks/runs.py
@@ -46,13 +46,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What a soak found; `counts` says how much was asked and answered."""
+    """What a soak found; `counts` says how much was asked and answered.
+
+    One that was `interrupted` judges nothing.
+    """
 
     seed: int
     faults: int
     settled: bool
     counts: dict[str, int]
     violations: tuple[Violation, ...]
+    interrupted: bool = False
 
     def encode(self) -> str:
         """Return the verdict as text."""
@@ -80,24 +84,35 @@
         self._caller_proxies: list[LoopbackProxy] = []
         self._gateways: list[GatewayProcess] = []
         self._settled = False
+        self._interrupted = False
 
     def run(self) -> Verdict:
         """Play the plan and return what was found."""
         (self._folder / "plan.json").write_text(self._plan.encode(), encoding="utf-8")
+        self._process.on_signal(self._interrupt)
         self._timers.call_later(0.0, lambda: spawn(self._play(), "soak"))
         try:
             self._process.run()
         finally:
             for gateway in self._gateways:
                 gateway.close(CLOSE_SECONDS)
-        violations = self._oracle.finish()
+        violations = () if self._interrupted else self._oracle.finish()
         counts = dict(sorted(self._oracle.counts.items()))
         verdict = Verdict(
-            self._plan.seed, len(self._plan.faults), self._settled, counts, violations
+            self._plan.seed,
+            len(self._plan.faults),
+            self._settled,
+            counts,
+            violations,
+            self._interrupted,
         )
         (self._folder / "verdict.json").write_text(verdict.encode(), encoding="utf-8")
         return verdict
 
+    def _interrupt(self) -> None:
+        self._interrupted = True
+        self._process.stop()
+
     def _make_endpoints(self) -> list[StandinEndpoint]:
         witness = EndpointWitness(
             ran=self._oracle.service_ran,
