--- a/pumicedeck/platform/standin_endpoints.py
+++ b/pumicedeck/platform/standin_endpoints.py
@@ -76,7 +76,7 @@
 class StandinService(StandinEndpoint):
     """Runs each request once it comes and signs its answer."""
 
-    def __init__(self, *arguments, witness: EndpointWitness, work_seconds: float = 0.02) -> None:
+    def __init__(self, *arguments, witness: EndpointWitness, work_seconds: float = 0.15) -> None:
         """Work `work_seconds` on each request."""
         super().__init__(*arguments)
         self._witness = witness
