Keep the direction of imports by a test

Decisions (modules whose docstring says that they are free of I/O) import no sockets, loops, clients or stand-ins; only the gateway's composition and the soak import the platform's wire; nothing imports tests.

--- /dev/null
+++ b/pumicedeck/tests/test_import_directions.py
@@ -0,0 +1,75 @@
+"""Decisions import no I/O, and only composition roots and tools import the platform's wire."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+PURE_MARKS = ("free of I/O", "no I/O")
+IO_PACKAGES = {"circuits", "socket", "select", "subprocess", "threading", "thrift", "typer"}
+IO_MODULES = {
+    "http_clients",
+    "http_connections",
+    "http_listeners",
+    "loops",
+    "pollers",
+    "processes",
+    "sessions",
+}
+PLATFORM_USERS = {"gateway_compositions", "soaks"}
+
+
+def modules():
+    for path in sorted(ROOT.rglob("*.py")):
+        parts = path.relative_to(ROOT).with_suffix("").parts
+        if parts[0] not in ("tests", "gen"):
+            yield parts, path
+
+
+def imports_of(path):
+    """Return the packages and our own modules that a file names at its top."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    names = set()
+    for node in tree.body:
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            names.add(node.module)
+    return names, ast.get_docstring(tree) or ""
+
+
+PURE = [
+    path.relative_to(ROOT).with_suffix("").as_posix()
+    for _, path in modules()
+    if any(mark in imports_of(path)[1] for mark in PURE_MARKS)
+]
+
+
+def test_the_decisions_are_known():
+    for name in ("item_queues", "weight_plans", "leases", "call_limits", "soaks/oracles"):
+        assert name in PURE
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_decisions_import_no_io(name):
+    names, _ = imports_of(ROOT / f"{name}.py")
+    packages = {each.partition(".")[0] for each in names}
+    own = {each.removeprefix("pumicedeck.") for each in names if each.startswith("pumicedeck.")}
+    assert not packages & IO_PACKAGES
+    assert not own & IO_MODULES
+    assert not any(each.startswith("platform.") or each.startswith("standin_") for each in own)
+
+
+@pytest.mark.parametrize("parts", [parts for parts, _ in modules()], ids="/".join)
+def test_only_composition_roots_and_tools_import_the_wire(parts):
+    names, _ = imports_of(ROOT.joinpath(*parts).with_suffix(".py"))
+    if parts[0] in PLATFORM_USERS or parts[0] == "platform":
+        return
+    assert not any(each.startswith("pumicedeck.platform.") for each in names)
+
+
+@pytest.mark.parametrize("parts", [parts for parts, _ in modules()], ids="/".join)
+def test_nothing_imports_tests(parts):
+    names, _ = imports_of(ROOT.joinpath(*parts).with_suffix(".py"))
+    assert not any(each.startswith("pumicedeck.tests") for each in names)
