Draw kills, pauses and drains more often

Change: terminate is drawn 5 times, kill and pause 3 times as often as the others; faults come each 0.5 s.

--- a/pumicedeck/soaks/plans.py
+++ b/pumicedeck/soaks/plans.py
@@ -7,7 +7,7 @@
 
 QUIET_SECONDS = 2.0
 END_FRACTION = 0.75
-MEAN_GAP_SECONDS = 0.7
+MEAN_GAP_SECONDS = 0.5
 LONGEST_FAULT_SECONDS = 3.0
 
 
@@ -53,6 +53,8 @@
         FaultKind.CRASH_ENDPOINT,
     )
 )
+# How often a kind is drawn against the others, which have 1.
+WEIGHTS = {FaultKind.KILL: 3, FaultKind.PAUSE: 3, FaultKind.TERMINATE: 5}
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,10 +97,11 @@
     """Draw faults that come in series and overlap; none begins in the last quarter."""
     random = Random(seed)
     kinds = tuple(FaultKind)
+    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
     faults = []
     at = QUIET_SECONDS
     while at < seconds * END_FRACTION:
-        kind = random.choice(kinds)
+        (kind,) = random.choices(kinds, weights)
         repeats = random.choice((1, 1, 1, 2, 3))
         for _ in range(repeats):
             count = gateways if kind in GATEWAY_KINDS else engines + services
