Give the soak's gateways ports that outgoing connections never get

Cause: found in reading: ports were chosen from those that the kernel also gives to outgoing connections; while a gateway is down between a kill and its restart, one of them could take its port, and the restart would fail. Change: ports from 12,000 to 32,000 that nobody listens on. Only the soak is touched.

--- a/pumicedeck/soaks/gateway_processes.py
+++ b/pumicedeck/soaks/gateway_processes.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import SystemRandom
 
 import yaml
 
@@ -14,13 +15,17 @@
 
 LOCAL = "127.0.0.1"
 _MODULE = "pumicedeck.platform"
+# Below the ports that Linux gives to outgoing connections.
+_PORTS = (12_000, 32_000)
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on at the moment."""
-    with socket.socket() as sock:
-        sock.bind((LOCAL, 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody listens on, and that no outgoing connection gets meanwhile."""
+    while True:
+        port = SystemRandom().randrange(*_PORTS)
+        with socket.socket() as sock:
+            if sock.connect_ex((LOCAL, port)):
+                return port
 
 
 class GatewayProcess:
