End a run in one place and drop what the paces left dead in the scheduler

Cause: a stalled run and a moved one were taken down by two copies of the same five steps; `_note_run` kept an argument that nothing reads since paces are measured by windows; waiting items were gathered in a dictionary whose keys nobody used, and counted by model twice. Change: `_end_run` serves both, `_collect` returns a list, demands use `waiting_by_model`. Behaviour is as it was; tests of schedulers, decision lines and gateways pass unchanged.

--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -27,9 +27,7 @@
 from pumicedeck.submission_works import ItemWork, SubmissionWork
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import Task, sleep, spawn
-from pumicedeck.weight_plans import (
-    ModelDemand,
-)
+from pumicedeck.weight_plans import ModelDemand
 from pumicedeck.weight_schedules import WeightSchedule
 from pumicedeck.work_mirrors import SubmissionView
 
@@ -219,10 +217,7 @@
         engines = view_engines(
             self._parts.directory, self._weights, self._paces, runs, self._parts.home, now
         )
-        queued: dict[tuple[str, str], QueuedItem] = {}
-        for work in tuple(self._works.values()):
-            self._collect(work, queued, now)
-        items = list(queued.values())
+        items = [item for work in tuple(self._works.values()) for item in self._collect(work, now)]
         started = self._start_items(items, engines, now)
         if not started or len(started) == len(items):
             self._move_items(engines, now)
@@ -241,23 +236,24 @@
             elif run.pace.sample(run.events, now):
                 self._paces.saw(name, run.pace.window, now)
 
-    def _collect(
-        self, work: SubmissionWork, queued: dict[tuple[str, str], QueuedItem], now: float
-    ) -> None:
+    def _collect(self, work: SubmissionWork, now: float) -> list[QueuedItem]:
+        """Return what may start; what is whole is scored, what is too late given up."""
+        queued: list[QueuedItem] = []
         route = self._route(work)
         if route is None:
             self._give_up_all(work, "its route is gone")
-            return
+            return queued
         if now >= self._give_up_at(work, route):
             self._give_up_all(work, "its longest wait is over")
-            return
+            return queued
         for item_id, each in tuple(work.waiting.items()):
             if each.progress.whole:
                 del work.waiting[item_id]
                 work.running[item_id] = each
                 self._begin_scoring(work, each)
             elif now >= each.not_before:
-                queued[(work.submission_id, item_id)] = self._queued(work, route, each, now)
+                queued.append(self._queued(work, route, each, now))
+        return queued
 
     def _queued(self, work: SubmissionWork, route: Route, each: ItemWork, now: float) -> QueuedItem:
         left = max(1.0, each.item.expected_length - each.progress.last_event)
@@ -347,7 +343,7 @@
             seconds = max(1.0, self._give_up_at(work, route) - self._timers.now())
         end, detail = await run.run(seconds, self._settings.silence_seconds)
         self._runs.pop(key, None)
-        self._note_run(run, end)
+        self._note_version(run)
         if end is RunEnd.WHOLE:
             # The engine's slot is free while the text is scored.
             self._pump_soon()
@@ -355,7 +351,7 @@
             return
         self._requeue(work, each, run.endpoint, end, detail)
 
-    def _note_run(self, run: ItemRun, end: RunEnd) -> None:
+    def _note_version(self, run: ItemRun) -> None:
         if run.version_seen:
             self._weights.saw_version(run.endpoint, run.head.model, run.version_seen)
 
@@ -443,7 +439,7 @@
         for run, _ in self._runs.values():
             name = run.endpoint.name
             heard[name] = max(heard.get(name, 0.0), run.heard)
-        for (submission_id, item_id), (run, task) in tuple(self._runs.items()):
+        for key, (run, _) in tuple(self._runs.items()):
             name = run.endpoint.name
             silent = now - heard[name] > self._settings.stall_seconds
             if run.wrong_version:
@@ -454,12 +450,18 @@
                 self._parts.caller.distrust(run.endpoint)
             else:
                 continue
-            self._runs.pop((submission_id, item_id), None)
-            task.cancel()
-            self._note_run(run, reason)
-            work = self._works.get(submission_id)
-            if work is not None:
-                self._requeue(work, run.work, run.endpoint, reason, "ended by the scheduler")
+            self._end_run(key, reason, "ended by the scheduler")
+
+    def _end_run(self, key: tuple[str, str], end: RunEnd, detail: str) -> None:
+        """Cancel a run and let its item go on elsewhere."""
+        if key not in self._runs:
+            return
+        run, task = self._runs.pop(key)
+        task.cancel()
+        self._note_version(run)
+        work = self._works.get(key[0])
+        if work is not None:
+            self._requeue(work, run.work, run.endpoint, end, detail)
 
     def _move_items(self, engines: list[EngineView], now: float) -> None:
         running, by_id = [], {}
@@ -476,13 +478,9 @@
             )
         for move in choose_moves(running, engines, self._parts.moves):
             key = by_id[move.item_id]
-            run, task = self._runs.pop(key)
-            task.cancel()
+            run, _ = self._runs[key]
             run.work.moves += 1
-            self._note_run(run, RunEnd.BROKEN)
-            self._requeue(
-                self._works[key[0]], run.work, run.endpoint, RunEnd.BROKEN, "moved to a faster one"
-            )
+            self._end_run(key, RunEnd.BROKEN, "moved to a faster one")
 
     def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
         named = self._parts.named_versions
@@ -498,11 +496,11 @@
 
     def _demands(self, named: dict[str, int]) -> dict[str, ModelDemand]:
         demands = {}
+        waiting = self.waiting_by_model()
         for model, version in named.items():
             works = [each for each in self._works.values() if each.head.model == model]
             needed = max((each.head.min_version for each in works), default=0)
-            waiting = sum(len(each.waiting) for each in works)
-            demands[model] = ModelDemand(model, version, needed, waiting)
+            demands[model] = ModelDemand(model, version, needed, waiting.get(model, 0))
         return demands
 
 
