Read a submission's rows in one place

Cause: items were read by two loops of their own beside `read_part`; the gateway's read one page only, so the body of an item could not be had (503 for good) from a submission whose items fill more than one page of the store. The bound of a page of results stood twice, and its size was worked out again for the cache, encoding each text a second time on the way to a reader. Change: `submission_rows` (was `submission_results`) reads items, texts and results; `ResultPage` bounds a page and knows its size. Test: a body among 501 rows of items, red before. The rest behaves as it did; no other test changed but for the module's name.

--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/submission_adoptions.py
@@ -13,8 +13,8 @@
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.results import ResultCode
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_results import read_results
-from pumicedeck.submission_works import SubmissionWork, read_progress
+from pumicedeck.submission_rows import read_progress, read_results
+from pumicedeck.submission_works import SubmissionWork
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import sleep
 from pumicedeck.work_mirrors import SubmissionView, WorkMirror
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -9,17 +9,11 @@
 from pumicedeck.page_caches import PageCache
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_part
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.submission_results import read_results_after
-from pumicedeck.submissions import (
-    ItemResult,
-    Submission,
-    decode_items,
-    encode_items,
-)
+from pumicedeck.submission_rows import read_items, read_results_after
+from pumicedeck.submissions import ItemResult, Submission, encode_items
 from pumicedeck.tasks import sleep, within
 from pumicedeck.work_mirrors import (
     HEAD_KEY,
-    ITEMS_TABLE,
     WORK_TABLE,
     SubmissionView,
     WorkMirror,
@@ -30,8 +24,6 @@
 
 _log = logger.bind(module="submission_intakes")
 
-RESULT_OVERHEAD_BYTES = 400
-
 _UNKNOWN = Failure(ResultCode.NOT_FOUND, "no such submission")
 _UNSURE = Failure(ResultCode.STORE_UNAVAILABLE, "the store cannot be asked")
 
@@ -120,13 +112,13 @@
         page = self._pages.find(submission_id, after)
         if page is None:
             read = await read_results_after(
-                self._store, submission_id, after, _size, self._settings.page_bytes
+                self._store, submission_id, after, self._settings.page_bytes
             )
             if isinstance(read, Err):
                 return Err(_UNSURE)
-            page = read.ok_value
+            page = read.ok_value.results
             if page:
-                self._pages.keep(submission_id, after, page, sum(map(_size, page)))
+                self._pages.keep(submission_id, after, page, read.ok_value.size)
         return Ok((total, page))
 
     async def item_body(self, submission_id: str, item_id: str) -> Result[bytes, Failure]:
@@ -134,13 +126,10 @@
         found = await self._find(submission_id)
         if isinstance(found, Err):
             return found
-        page = await self._store.read(ITEMS_TABLE, submission_id)
-        if isinstance(page, Err):
-            return Err(_UNSURE)
-        chunks = [row.value for row in page.ok_value.rows if row.value is not None]
-        if len(chunks) < found.ok_value.head.chunks:
+        items = await read_items(self._store, found.ok_value.head)
+        if isinstance(items, Err):
             return Err(_UNSURE)
-        for item in decode_items(chunks):
+        for item in items.ok_value:
             if item.item_id == item_id:
                 return Ok(item.body)
         return Err(Failure(ResultCode.NOT_FOUND, "no such item"))
@@ -210,7 +199,3 @@
 
     def _is_fresh(self) -> bool:
         return self._timers.now() - self._mirror.fresh_at <= self._settings.fresh_seconds
-
-
-def _size(result: ItemResult) -> int:
-    return len(result.text.encode()) + RESULT_OVERHEAD_BYTES
--- /dev/null
+++ b/pumicedeck/submission_rows.py
@@ -0,0 +1,151 @@
+"""Reads a submission's rows: its items, their texts so far, and results by their position."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.partitioned_stores import (
+    PartitionedStore,
+    Put,
+    RowKey,
+    StoredRow,
+    key_after,
+    read_part,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.submissions import (
+    Item,
+    ItemResult,
+    Progress,
+    SubmissionHead,
+    decode_items,
+    decode_progress,
+    decode_results,
+    encode_results,
+)
+from pumicedeck.work_mirrors import ITEMS_TABLE, PROGRESS_TABLE, RESULTS_TABLE
+
+PAGE_ROWS = 32
+RESULT_OVERHEAD_BYTES = 400
+
+_log = logger.bind(module="submission_rows")
+
+
+def results_row(submission_id: str, position: int, chunk: int = 0) -> RowKey:
+    """Name a row of the write whose first result has `position`."""
+    return RowKey(RESULTS_TABLE, submission_id, f"{position:08d}.{chunk:02d}")
+
+
+def results_puts(
+    submission_id: str, position: int, batch: tuple[ItemResult, ...]
+) -> tuple[Put, ...]:
+    """Return the rows of one write of results; the first one's absence is its condition."""
+    return tuple(
+        Put(results_row(submission_id, position, chunk), value)
+        for chunk, value in enumerate(encode_results(batch))
+    )
+
+
+def join_results(
+    rows: Sequence[StoredRow], after: int
+) -> tuple[list[list[ItemResult]], StoredRow | None]:
+    """Return the results of each whole write from position `after` on, and the last row used.
+
+    Rows are in ascending order; what follows a gap or an unfinished write is left out.
+    """
+    writes: list[list[ItemResult]] = []
+    position, last, at = after, None, 0
+    while at < len(rows) and int(rows[at].row.key.partition(".")[0]) == position:
+        count = rows[at].value[0]
+        if len(rows) - at < count:
+            break
+        results = decode_results([row.value for row in rows[at : at + count]])
+        writes.append(results)
+        position += len(results)
+        at += count
+        last = rows[at - 1]
+    return writes, last
+
+
+async def read_results(
+    store: PartitionedStore, submission_id: str
+) -> Result[list[ItemResult], Failure]:
+    """Read all results of a submission in the order of their positions."""
+    rows = await read_part(store, RESULTS_TABLE, submission_id)
+    if isinstance(rows, Err):
+        return rows
+    writes, _ = join_results(rows.ok_value, 0)
+    return Ok([result for write in writes for result in write])
+
+
+@dataclass(slots=True)
+class ResultPage:
+    """Results in order, as many as fit `most_bytes` and at least one; `size` in bytes."""
+
+    most_bytes: int
+    results: list[ItemResult] = field(default_factory=list)
+    size: int = 0
+
+    def add(self, results: list[ItemResult]) -> bool:
+        """Add results that belong together; return whether they fitted."""
+        size = sum(len(each.text.encode()) + RESULT_OVERHEAD_BYTES for each in results)
+        if self.results and self.size + size > self.most_bytes:
+            return False
+        self.results.extend(results)
+        self.size += size
+        return True
+
+
+async def read_results_after(
+    store: PartitionedStore, submission_id: str, after: int, most_bytes: int
+) -> Result[ResultPage, Failure]:
+    """Read results from position `after` on, write by write.
+
+    A position at which no write begins is looked for from the start.
+    """
+    found = ResultPage(most_bytes)
+    first = results_row(submission_id, after).key
+    while True:
+        outcome = await store.read(RESULTS_TABLE, submission_id, first, PAGE_ROWS)
+        if isinstance(outcome, Err):
+            return outcome
+        page = outcome.ok_value
+        writes, last = join_results(page.rows, after + len(found.results))
+        for write in writes:
+            if not found.add(write):
+                return Ok(found)
+        if last is None or not page.truncated:
+            break
+        first = key_after(last)
+    if found.results:
+        return Ok(found)
+    whole = await read_results(store, submission_id)
+    if isinstance(whole, Err):
+        return whole
+    for result in whole.ok_value[after:]:
+        if not found.add([result]):
+            break
+    return Ok(found)
+
+
+async def read_items(
+    store: PartitionedStore, head: SubmissionHead
+) -> Result[tuple[Item, ...], Failure]:
+    """Read all items of a submission; NOT_FOUND if rows of them are missing."""
+    rows = await read_part(store, ITEMS_TABLE, head.submission_id)
+    if isinstance(rows, Err):
+        return rows
+    if len(rows.ok_value) < head.chunks:
+        return Err(Failure(ResultCode.NOT_FOUND, "rows of items are missing"))
+    return Ok(decode_items([row.value for row in rows.ok_value[: head.chunks]]))
+
+
+async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
+    """Read the texts that a submission's items have so far; none if the store cannot be read."""
+    rows = await read_part(store, PROGRESS_TABLE, submission_id)
+    if isinstance(rows, Err):
+        _log.warning("progress cannot be read; items start anew", submission=submission_id)
+        return {}
+    return {row.row.key: decode_progress(row.value) for row in rows.ok_value if row.value}
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -10,20 +10,22 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_part
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.submission_results import read_results, results_puts, results_row
+from pumicedeck.submission_rows import (
+    read_items,
+    read_progress,
+    read_results,
+    results_puts,
+    results_row,
+)
 from pumicedeck.submissions import (
     Item,
     ItemResult,
     Progress,
     SubmissionHead,
-    decode_items,
-    decode_progress,
     encode_progress,
 )
 from pumicedeck.tasks import Task, sleep, spawn, within
 from pumicedeck.work_mirrors import (
-    ITEMS_TABLE,
-    PROGRESS_TABLE,
     WORK_TABLE,
     SubmissionView,
     encode_listed,
@@ -119,7 +121,7 @@
         results = await read_results(self._store, self.submission_id)
         if isinstance(results, Err):
             return results
-        items = await self._read_items()
+        items = await read_items(self._store, self.head)
         if isinstance(items, Err):
             return items
         progress = await read_progress(self._store, self.submission_id)
@@ -192,18 +194,6 @@
             revision = probe.owner_revision
             await sleep(self._timers, self._settings.retry_seconds)
 
-    async def _read_items(self) -> Result[tuple[Item, ...], Failure]:
-        chunks: list[bytes] = []
-        while len(chunks) < self.head.chunks:
-            first = f"{len(chunks):05d}"
-            page = await self._store.read(ITEMS_TABLE, self.submission_id, first)
-            if isinstance(page, Err):
-                return page
-            if not page.ok_value.rows:
-                return Err(Failure(ResultCode.NOT_FOUND, "rows of items are missing"))
-            chunks.extend(row.value for row in page.ok_value.rows if row.value is not None)
-        return Ok(decode_items(chunks[: self.head.chunks]))
-
     async def _write(self) -> None:
         await sleep(self._timers, self._settings.gather_seconds)
         while self._pending and not self._closed:
@@ -281,12 +271,3 @@
                 work.saved_whole = whole
         else:
             _log.debug("progress not saved", id=self.submission_id)
-
-
-async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
-    """Read the texts that a submission's items have so far; none if the store cannot be read."""
-    rows = await read_part(store, PROGRESS_TABLE, submission_id)
-    if isinstance(rows, Err):
-        _log.warning("progress cannot be read; items start anew", submission=submission_id)
-        return {}
-    return {row.row.key: decode_progress(row.value) for row in rows.ok_value if row.value}
--- a/pumicedeck/tests/scheduler_worlds.py
+++ b/pumicedeck/tests/scheduler_worlds.py
@@ -27,7 +27,7 @@
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.submission_intakes import SubmissionIntake
-from pumicedeck.submission_results import join_results
+from pumicedeck.submission_rows import join_results
 from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
 from pumicedeck.tasks import sleep, spawn
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -21,6 +21,7 @@
     "store_feeds",
     "submission_adoptions",
     "submission_intakes",
+    "submission_rows",
     "submission_sweeps",
     "submission_works",
     "weight_schedules",
--- a/pumicedeck/tests/test_submission_intakes.py
+++ b/pumicedeck/tests/test_submission_intakes.py
@@ -10,12 +10,23 @@
 from pumicedeck.partitioned_stores import Change, Put, StoredRow
 from pumicedeck.platform.caller_calls import PlatformSubmissionDialect
 from pumicedeck.results import ResultCode
-from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
+from pumicedeck.standin_partitioned_stores import (
+    PAGE_ROWS,
+    PartitionedData,
+    StandinPartitionedStore,
+)
 from pumicedeck.submission_intakes import SubmissionIntake
-from pumicedeck.submission_results import results_puts
-from pumicedeck.submissions import ItemResult, SubmissionHead, decode_results, encode_results
+from pumicedeck.submission_rows import results_puts
+from pumicedeck.submissions import (
+    Item,
+    ItemResult,
+    SubmissionHead,
+    decode_results,
+    encode_items,
+    encode_results,
+)
 from pumicedeck.tasks import spawn
-from pumicedeck.work_mirrors import WorkMirror, encode_listed, head_row, listed_row
+from pumicedeck.work_mirrors import WorkMirror, encode_listed, head_row, items_row, listed_row
 
 PAGE_BOUND = 1_000_000
 
@@ -129,6 +140,28 @@
     assert isinstance(outcome, Ok) and len(outcome.ok_value[1]) == 1
 
 
+def test_a_body_is_found_among_items_that_fill_more_than_one_page_of_the_store():
+    world = IntakeWorld([])
+    item = Item("a", "/d", (), bytes(range(256)) * 8, "g")
+    data = b"".join(encode_items((item,)))
+    cut = -(-len(data) // (PAGE_ROWS + 1))
+    chunks = [data[at : at + cut] for at in range(0, len(data), cut)]
+    puts = [Put(items_row("big", number), chunk) for number, chunk in enumerate(chunks)]
+    padding = range(len(chunks), PAGE_ROWS + 1)
+    puts += [Put(items_row("big", number), b"") for number in padding]
+    head = SubmissionHead("big", "r", "h", "m", 0, 1, 0, 1, PAGE_ROWS + 1, "d", 0.0)
+    puts.append(Put(head_row("big"), head.encode()))
+    world.store.data.commit(Change((), tuple(puts))).unwrap()
+    found = []
+
+    async def ask():
+        found.append(await world.intake.item_body("big", "a"))
+
+    spawn(ask(), "ask")
+    world.timers.run_until(1.0)
+    assert found[0].unwrap() == item.body
+
+
 def test_results_larger_than_a_row_are_kept_in_several():
     results = tuple(
         ItemResult(f"i{n}", True, "".join(Random(n).choices(ascii_letters, k=60_000)))
