Note the attempts of streams and of single calls in one place

Cause: the relay of streams counted its attempts beside the forwarder's own method and so wrote no `attempt failed` line, and copied a call field by field to change one; a constant was left unread. What callers get is as it was.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -5,7 +5,7 @@
 proof that it did not run.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from loguru import logger
@@ -125,7 +125,7 @@
             more = len(attempts.tried) + 1 < route.max_attempts
             silence = self._settings.patience(route, left, more)
             result = await self._caller.call(call, endpoint, left, silence)
-            outcome = self._outcome(attempts, endpoint, call, result)
+            outcome = self.note_attempt(attempts, endpoint, call, result)
             step = next_step(outcome, len(attempts.tried), route, attempts.may_have_run)
             if step.relay:
                 self.relay(incoming, call, result.ok_value)
@@ -134,15 +134,16 @@
                 self.give_up(incoming, call, attempts, late=deadline <= self._timers.now())
                 return
 
-    def _outcome(
+    def note_attempt(
         self,
         attempts: _Attempts,
         endpoint: DirectEndpoint,
         call: ForwardedCall,
         result: Result[Answered, Failure],
     ) -> Outcome:
+        """Take in the end of an attempt."""
         attempts.tried += (endpoint.name,)
-        outcome = note_attempt(attempts, result)
+        outcome = _judge(attempts, result)
         if outcome is not Outcome.SERVED:
             _log.info(
                 "attempt failed",
@@ -181,8 +182,7 @@
         return self._random
 
 
-def note_attempt(attempts: _Attempts, result: Result[Answered, Failure]) -> Outcome:
-    """Take in the end of an attempt."""
+def _judge(attempts: _Attempts, result: Result[Answered, Failure]) -> Outcome:
     if isinstance(result, Ok):
         answer = result.ok_value.answer
         if answer.status < 500:
@@ -224,8 +224,7 @@
                 self._fail(attempts, late=endpoint is not None)
                 return
             result = await self._attempt(endpoint, left)
-            attempts.tried += (endpoint.name,)
-            outcome = note_attempt(attempts, result)
+            outcome = forwarder.note_attempt(attempts, endpoint, self._call, result)
             if self._incoming.has_begun and outcome is Outcome.SERVED and self._is_whole():
                 self._incoming.finish()
                 return
@@ -249,16 +248,7 @@
     async def _attempt(self, endpoint: DirectEndpoint, left: float) -> Result[Answered, Failure]:
         self._cutter = EventCutter()
         self._gap = False
-        call = ForwardedCall(
-            self._call.request_id,
-            self._call.method,
-            self._call.target,
-            self._call.host,
-            self._call.headers,
-            self._call.body,
-            self._call.budget,
-            self._last,
-        )
+        call = replace(self._call, resume_after=self._last)
         silence = left
         if self._route.resumable:
             silence = min(left, self._forwarder.settings.stream_silence_seconds)
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -13,8 +13,6 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tasks import Promise
 
-_ENDPOINT_ERROR = 500
-
 
 @dataclass(frozen=True, slots=True)
 class Answered:
