Drop what the soak never reads

Cause: times of acceptance and of a text's end, a side's end, an exit status and named versions were kept and never read; a method of a base class raised instead of being abstract. Change: they are gone, the method is abstract. The judge's checks and the tests' assertions are unchanged.

--- a/pumicedeck/platform/standin_endpoints.py
+++ b/pumicedeck/platform/standin_endpoints.py
@@ -1,8 +1,9 @@
 """Stand-ins of endpoints as they speak on the users' platform: a plain service and an engine."""
 
 import json
+from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from circuits import BaseComponent
 
@@ -25,7 +26,7 @@
     scored: Callable[[str], None]
 
 
-class StandinEndpoint:
+class StandinEndpoint(ABC):
     """One endpoint on a port of its own; `crash` breaks its connections."""
 
     def __init__(
@@ -68,9 +69,9 @@
             self._tasks.add(task)
             task.ended.then(lambda _: self._tasks.discard(task))
 
+    @abstractmethod
     async def handle(self, call: IncomingCall) -> None:
         """Serve a request."""
-        raise NotImplementedError
 
 
 class StandinService(StandinEndpoint):
@@ -99,7 +100,6 @@
     version: int = 1
     busy: bool = False
     sequence: int = 0
-    named: dict[str, int] = field(default_factory=dict)
 
 
 class StandinEngine(StandinEndpoint):
--- a/pumicedeck/soaks/gateway_processes.py
+++ b/pumicedeck/soaks/gateway_processes.py
@@ -55,11 +55,6 @@
         """Return whether the process lives, paused or not."""
         return self._process is not None and self._process.poll() is None
 
-    @property
-    def exit_status(self) -> int | None:
-        """Return how the last process ended, None while it lives."""
-        return None if self._process is None else self._process.poll()
-
     def start(self) -> None:
         """Start the process unless it lives."""
         if self.is_running:
--- a/pumicedeck/soaks/loads.py
+++ b/pumicedeck/soaks/loads.py
@@ -154,7 +154,7 @@
             SentItem(item.item_id, item.reward_id, whole_text(item.item_id, item.events), least)
             for item in items
         )
-        self._oracle.accepted(name, sent, self._timers.now())
+        self._oracle.accepted(name, sent)
         while not self._oracle.is_whole(name):
             await self._read(name)
             await sleep(self._timers, READ_GAP_SECONDS)
--- a/pumicedeck/soaks/oracles.py
+++ b/pumicedeck/soaks/oracles.py
@@ -38,7 +38,6 @@
 @dataclass(slots=True)
 class _SeenSubmission:
     items: dict[str, SentItem]
-    accepted_at: float
     positions: dict[int, ReadResult] = field(default_factory=dict)
 
 
@@ -49,7 +48,7 @@
         """Begin with nothing seen."""
         self._violations: list[Violation] = []
         self._runs: Counter[str] = Counter()
-        self._ended: dict[str, float] = {}
+        self._ended: set[str] = set()
         self._generated: dict[str, set[int]] = {}
         self._submissions: dict[str, _SeenSubmission] = {}
         self._routes: dict[int, int] = {}
@@ -68,9 +67,9 @@
         """Note that an engine made an event of an item."""
         self._generated.setdefault(item_id, set()).add(version)
 
-    def engine_ended(self, item_id: str, at: float) -> None:
+    def engine_ended(self, item_id: str) -> None:
         """Note that an engine sent the last event of an item."""
-        self._ended.setdefault(item_id, at)
+        self._ended.add(item_id)
 
     def scored(self, item_id: str, at: float) -> None:
         """Note that the reward of an item was asked for."""
@@ -100,12 +99,12 @@
         elif version <= newest:
             self._break("routes never go back", f"gateway {gateway} lost version {version}")
 
-    def accepted(self, submission_id: str, items: tuple[SentItem, ...], at: float) -> None:
+    def accepted(self, submission_id: str, items: tuple[SentItem, ...]) -> None:
         """Note that a submission was accepted."""
         self.counts["submissions"] += 1
         self.counts["items"] += len(items)
         by_id = {item.item_id: item for item in items}
-        self._submissions.setdefault(submission_id, _SeenSubmission(by_id, at))
+        self._submissions.setdefault(submission_id, _SeenSubmission(by_id))
 
     def read(self, submission_id: str, after: int, results: tuple[ReadResult, ...]) -> None:
         """Note a page of results."""
--- a/pumicedeck/soaks/proxies.py
+++ b/pumicedeck/soaks/proxies.py
@@ -36,7 +36,6 @@
         self.other: _Side | None = None
         self.unsent = bytearray()
         self.held: deque[bytes] = deque()
-        self.ended = False
 
 
 class LoopbackProxy(BaseComponent):
@@ -138,7 +137,6 @@
 
     def _end(self, side: _Side) -> None:
         """End the other side after what is on its way; a cut connection ends unseen."""
-        side.ended = True
         self._poller.removeReader(side.sock)
         held = self.faults.holds_requests if side.from_caller else self.faults.holds_answers
         if not held:
--- a/pumicedeck/soaks/runs.py
+++ b/pumicedeck/soaks/runs.py
@@ -117,7 +117,7 @@
         witness = EndpointWitness(
             ran=self._oracle.service_ran,
             generated=self._oracle.engine_generated,
-            ended=lambda item: self._oracle.engine_ended(item, self._timers.now()),
+            ended=self._oracle.engine_ended,
             scored=lambda item: self._oracle.scored(item, self._timers.now()),
         )
         common = (self._process, self._timers, Address(LOCAL, 0))
--- a/pumicedeck/tests/test_soaks.py
+++ b/pumicedeck/tests/test_soaks.py
@@ -28,8 +28,8 @@
         made.engine_generated("a", version)
         made.engine_generated("b", version)
     for item in ("a", "b"):
-        made.engine_ended(item, 1.0)
-    made.accepted("s", ITEMS, 0.0)
+        made.engine_ended(item)
+    made.accepted("s", ITEMS)
     return made
 
 
