--- a/pumicedeck/partitioned_stores.py
+++ b/pumicedeck/partitioned_stores.py
@@ -97,10 +97,11 @@
 
 
 async def read_part(
-    store: PartitionedStore, table: str, part: str, first: str = ""
+    store: PartitionedStore, table: str, part: str
 ) -> Result[list[StoredRow], Failure]:
-    """Read all rows of one part from key `first` on, page by page."""
+    """Read all rows of one part, page by page."""
     rows: list[StoredRow] = []
+    first = ""
     while True:
         outcome = await store.read(table, part, first)
         if isinstance(outcome, Err):
