Give the endings of items a module of their own

A route by its name is asked of the parts, where three places asked for it. Moved lines are unchanged; three log events now name the module `item_endings`. Tests of schedulers, decision lines, gateways and the soak pass unchanged, but for the list of modules.

--- a/pumicedeck/scheduler_parts.py
+++ b/pumicedeck/scheduler_parts.py
@@ -10,7 +10,7 @@
 from pumicedeck.item_queues import MoveSettings
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.reward_calls import RewardCaller
-from pumicedeck.route_tables import RouteTable
+from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.submission_sweeps import SubmissionSweep
 from pumicedeck.weight_plans import WeightPlanSettings
@@ -59,3 +59,8 @@
     sweep: SubmissionSweep
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
+
+    def route(self, name: str) -> Route | None:
+        """Return a route by its name, None if it is gone."""
+        routes = self.routes()
+        return routes.find_named(name) if routes is not None else None
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -13,6 +13,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.engine_paces import EnginePaces
 from pumicedeck.engine_views import count_runs, view_engines
+from pumicedeck.item_endings import ItemEndings
 from pumicedeck.item_queues import (
     EngineView,
     QueuedItem,
@@ -25,7 +26,6 @@
 from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.submission_adoptions import SubmissionAdoptions
 from pumicedeck.submission_works import ItemWork, SubmissionWork
-from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.weight_plans import ModelDemand
 from pumicedeck.weight_schedules import WeightSchedule
@@ -49,6 +49,7 @@
         self._weights = WeightSchedule(
             parts.timers, parts.directory, parts.orders, self._pump_soon, parts.plan
         )
+        self._endings = ItemEndings(parts, self._settings, self._is_open, self._pump_soon)
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._pump_due = False
         self._paces = EnginePaces()
@@ -152,7 +153,7 @@
         elif work is not None and view.fencing > self._fencing:
             self._drop(work, "owned by a newer scheduler")
         elif work is None and self._may_adopt(view):
-            route = self._route_named(view.head.route)
+            route = self._parts.route(view.head.route)
             single = route is not None and route.single_version
             adoption = self._adoptions.adopt(view, self._fencing, single, self._accept)
             spawn(adoption, f"adopt {view.submission_id}")
@@ -172,6 +173,9 @@
         self._pump_soon()
         return True
 
+    def _is_open(self, work: SubmissionWork) -> bool:
+        return self._works.get(work.submission_id) is work
+
     def _on_lost(self, work: SubmissionWork) -> None:
         self._drop(work, "lost to another scheduler")
 
@@ -194,17 +198,6 @@
             _, task = self._runs.pop(key)
             task.cancel()
 
-    def _route(self, work: SubmissionWork) -> Route | None:
-        return self._route_named(work.head.route)
-
-    def _route_named(self, name: str) -> Route | None:
-        routes = self._parts.routes()
-        return routes.find_named(name) if routes is not None else None
-
-    def _give_up_at(self, work: SubmissionWork, route: Route) -> float:
-        seconds = route.give_up or self._settings.default_give_up_seconds
-        return self._parts.clock.local(work.head.accepted) + seconds
-
     def _pump(self) -> None:
         """Start what may start, move what is stuck, load what is wanted."""
         self._pump_due = False
@@ -239,18 +232,18 @@
     def _collect(self, work: SubmissionWork, now: float) -> list[QueuedItem]:
         """Return what may start; what is whole is scored, what is too late given up."""
         queued: list[QueuedItem] = []
-        route = self._route(work)
+        route = self._parts.route(work.head.route)
         if route is None:
-            self._give_up_all(work, "its route is gone")
+            self._endings.give_up_all(work, "its route is gone")
             return queued
-        if now >= self._give_up_at(work, route):
-            self._give_up_all(work, "its longest wait is over")
+        if now >= self._endings.give_up_at(work, route):
+            self._endings.give_up_all(work, "its longest wait is over")
             return queued
         for item_id, each in tuple(work.waiting.items()):
             if each.progress.whole:
                 del work.waiting[item_id]
                 work.running[item_id] = each
-                self._begin_scoring(work, each)
+                self._endings.begin_scoring(work, each)
             elif now >= each.not_before:
                 queued.append(self._queued(work, route, each, now))
         return queued
@@ -281,23 +274,6 @@
             return max(work.head.min_version, self._parts.named_versions.get(work.head.model, 0))
         return work.head.min_version
 
-    def _give_up_all(self, work: SubmissionWork, reason: str) -> None:
-        for each in tuple(work.waiting.values()):
-            self._list_down(work, each, reason)
-
-    def _list_down(self, work: SubmissionWork, each: ItemWork, reason: str) -> None:
-        work.waiting.pop(each.item.item_id, None)
-        work.running.pop(each.item.item_id, None)
-        _log.info(
-            "item given up",
-            submission=work.submission_id,
-            item=each.item.item_id,
-            reason=reason,
-            attempts=each.attempts,
-            errors=each.errors,
-        )
-        work.add_result(ItemResult(each.item.item_id, completed=False))
-
     def _start_items(
         self, items: list[QueuedItem], engines: list[EngineView], now: float
     ) -> set[str]:
@@ -337,97 +313,24 @@
     async def _run_item(
         self, work: SubmissionWork, each: ItemWork, run: ItemRun, key: tuple[str, str]
     ) -> None:
-        route = self._route(work)
+        route = self._parts.route(work.head.route)
         seconds = self._settings.default_give_up_seconds
         if route is not None:
-            seconds = max(1.0, self._give_up_at(work, route) - self._timers.now())
+            seconds = max(1.0, self._endings.give_up_at(work, route) - self._timers.now())
         end, detail = await run.run(seconds, self._settings.silence_seconds)
         self._runs.pop(key, None)
         self._note_version(run)
         if end is RunEnd.WHOLE:
             # The engine's slot is free while the text is scored.
             self._pump_soon()
-            self._begin_scoring(work, each)
+            self._endings.begin_scoring(work, each)
             return
-        self._requeue(work, each, run.endpoint, end, detail)
+        self._endings.requeue(work, each, run.endpoint, end, detail)
 
     def _note_version(self, run: ItemRun) -> None:
         if run.version_seen:
             self._weights.saw_version(run.endpoint, run.head.model, run.version_seen)
 
-    def _begin_scoring(self, work: SubmissionWork, each: ItemWork) -> None:
-        if self._works.get(work.submission_id) is work:
-            work.score(each.item.item_id, self._score(work, each))
-
-    async def _score(self, work: SubmissionWork, each: ItemWork) -> None:
-        score: str | None = ""
-        if each.item.reward is not None:
-            route = self._route(work)
-            until = self._give_up_at(work, route) if route is not None else 0.0
-            most = route.max_attempts if route is not None else 1
-            score = await self._parts.rewards.score(
-                each.item.reward, self._parts.routes, most, until
-            )
-        if self._works.get(work.submission_id) is not work:
-            return
-        if score is None:
-            self._list_down(work, each, "no score")
-            return
-        work.running.pop(each.item.item_id, None)
-        _log.info(
-            "item completed",
-            submission=work.submission_id,
-            item=each.item.item_id,
-            attempts=each.attempts,
-            events=each.progress.last_event,
-            versions=each.progress.versions,
-            age=round(self._parts.clock.now() - work.head.accepted, 3),
-        )
-        progress = each.progress
-        work.add_result(
-            ItemResult(
-                each.item.item_id, True, progress.text, tuple(progress.versions), score or ""
-            )
-        )
-
-    def _requeue(
-        self,
-        work: SubmissionWork,
-        each: ItemWork,
-        endpoint: DirectEndpoint,
-        end: RunEnd,
-        detail: str,
-    ) -> None:
-        now = self._timers.now()
-        _log.info(
-            "run ended early",
-            submission=work.submission_id,
-            item=each.item.item_id,
-            engine=endpoint.name,
-            end=end.value,
-            detail=detail,
-            after_event=each.progress.last_event,
-        )
-        if self._works.get(work.submission_id) is not work:
-            return
-        work.running.pop(each.item.item_id, None)
-        route = self._route(work)
-        if end is RunEnd.ENGINE_ERROR:
-            each.errors += 1
-            if route is not None and each.errors >= route.max_attempts:
-                self._list_down(work, each, "the engines failed it each time")
-                return
-        if end is RunEnd.IMPOSSIBLE:
-            self._list_down(work, each, "it can never be done")
-            return
-        pause = self._settings.avoid_seconds
-        if end is RunEnd.NOT_TAKEN:
-            pause = self._settings.refused_seconds
-            each.not_before = now + self._settings.refused_seconds
-        each.avoid[endpoint.name] = now + pause
-        work.waiting[each.item.item_id] = each
-        self._pump_soon()
-
     def _pump_soon(self) -> None:
         if not self._pump_due:
             self._pump_due = True
@@ -461,13 +364,13 @@
         self._note_version(run)
         work = self._works.get(key[0])
         if work is not None:
-            self._requeue(work, run.work, run.endpoint, end, detail)
+            self._endings.requeue(work, run.work, run.endpoint, end, detail)
 
     def _move_items(self, engines: list[EngineView], now: float) -> None:
         running, by_id = [], {}
         for key, (run, _) in self._runs.items():
             work = self._works.get(key[0])
-            route = self._route(work) if work is not None else None
+            route = self._parts.route(work.head.route) if work is not None else None
             if route is None or run.events < 2:
                 continue
             queued = self._queued(work, route, run.work, now)
@@ -485,7 +388,7 @@
     def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
         named = self._parts.named_versions
         works = self._works.values()
-        routes = [self._route(work) for work in works]
+        routes = [self._parts.route(work.head.route) for work in works]
         self._weights.plan(
             running=count_runs(runs),
             models=sorted({work.head.model for work in works} | set(named)),
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -13,6 +13,7 @@
     "engine_orders",
     "gateway_compositions",
     "gateways",
+    "item_endings",
     "item_runs",
     "peer_questions",
     "reward_calls",
