Answer or refuse every request that a gateway takes at the end of its drain

Calls still at work when the drain ran out of time were cut too.

Ruled out: the delay before the exit alone (it lets responses leave the process); the balancer, which may send new connections until it has seen two missed checks.

Change: a drain has phases (gateway_drains, free of I/O): serving; closing idle connections; refusing, in which the listening socket is closed after what waits was accepted and a request that still arrives within 0.3 s is refused as not run with Retry-After 0, since other gateways serve at once; ended. Calls that are open at the very end are answered as "outcome unknown", and what was idle is shut down. A metrics port that is taken is logged and the gateway starts all the same.

Tests: test_gateway_drains sends a whole request at 24 moments from 2.27 to 2.96 s after SIGTERM, on connections 10 and 100 ms old.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -18,6 +18,7 @@
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.endpoint_lists import EndpointList
 from pumicedeck.engine_orders import EngineOrders
+from pumicedeck.gateway_drains import DrainTimes
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
 from pumicedeck.http_clients import HttpClient
@@ -256,7 +257,7 @@
             cores=settings.machine.cores * settings.machine.cpu_share,
             metrics=metrics,
         ),
-        GatewayTimes(max_drain_seconds=grace - min(0.6, grace / 4)),
+        GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
     )
 
     def close() -> None:
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -22,6 +22,7 @@
     SubmissionDialect,
     SubmissionRequest,
 )
+from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
 from pumicedeck.gateway_metrics import GatewayMetrics
 from pumicedeck.http_listeners import CALLER_DISCONNECTED, HttpListener, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
@@ -52,19 +53,20 @@
 _NOT_READY = Failure(
     ResultCode.NOT_READY, "no configuration or no store time received yet", proven_not_run=True
 )
+_ENDING = Failure(ResultCode.NOT_READY, "the gateway is stopping", proven_not_run=True)
+_CUT_BY_DRAIN = Failure(ResultCode.OUTCOME_UNKNOWN, "unanswered when the gateway had to end")
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayTimes:
     """Times in seconds.
 
-    After a signal to stop, the balancer takes up to `balancer_notice_seconds` to send new
-    connections elsewhere; the process ends at most `max_drain_seconds` after the signal.
-    `retry_after_seconds` is sent with answers of status 429 and 503.
+    `retry_after_seconds` is sent with answers of status 429 and 503, `drain_retry_after_seconds`
+    while the process ends, since other gateways serve at once.
     """
 
-    balancer_notice_seconds: float = 2.3
-    max_drain_seconds: float = 7.4
+    drain: DrainTimes = DrainTimes()
+    drain_retry_after_seconds: float = 0.0
     drain_poll_seconds: float = 0.1
     watch_interval_seconds: float = 0.05
     retry_after_seconds: float = 0.5
@@ -123,7 +125,8 @@
         self._timers = parts.timers
         self._times = times
         self._routes: RouteTable | None = None
-        self._draining = False
+        self._drain_phase: DrainPhase | None = None
+        self._open_calls: dict[IncomingCall, ForwardedCall] = {}
         self._was_ready = False
         self._calls = CallMetrics()
         self._metrics = GatewayMetrics(
@@ -154,7 +157,7 @@
     def is_ready(self) -> bool:
         """Return whether the balancer may send callers to this gateway."""
         loaded = all(feed.is_loaded for feed in self._parts.feeds)
-        return loaded and self._routes is not None and not self._draining
+        return loaded and self._routes is not None and self._drain_phase is None
 
     def install_routes(self, routes: RouteTable) -> None:
         """Install a version of the routes unless the same or a newer one is installed."""
@@ -171,19 +174,26 @@
         parts.readiness.start()
         parts.callers.start()
         if parts.metrics is not None:
-            parts.metrics.handle = self.answer_readiness
-            parts.metrics.start()
+            self._start_metrics(parts.metrics)
         for feed in parts.feeds:
             feed.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
         _log.info("started", callers=str(parts.callers.address))
 
+    def _start_metrics(self, listener: HttpListener) -> None:
+        """Serve metrics at their own port; the readiness address serves them all the same."""
+        listener.handle = self.answer_readiness
+        try:
+            listener.start()
+        except OSError as error:
+            _log.warning("cannot listen for metrics; going on without", error=str(error))
+
     def drain(self) -> None:
         """Become unready; call `finish` once open calls have ended or time has run out."""
-        if self._draining:
+        if self._drain_phase is not None:
             return
-        self._draining = True
+        self._drain_phase = DrainPhase.SERVING
         _log.info("stopping", open_calls=self._parts.callers.open_calls)
         self._parts.callers.drain()
         spawn(self._drain_and_stop(), "gateway leave")
@@ -214,6 +224,12 @@
         """Serve a caller's request."""
         call = self._parts.caller_dialect.decode_request(incoming)
         self._record_on_end(incoming, call, _NO_ROUTE)
+        if self._drain_phase in (DrainPhase.REFUSING, DrainPhase.ENDED):
+            self._parts.forwarder.refuse(
+                incoming, call, _ENDING, self._times.drain_retry_after_seconds
+            )
+            return
+        self._open_calls[incoming] = call
         if self._routes is None:
             self._refuse(incoming, call, _NOT_READY)
             return
@@ -245,6 +261,7 @@
         """Record the call under `series` when it ends."""
 
         def record_end(outcome: str) -> None:
+            self._open_calls.pop(incoming, None)
             waited = self._timers.now() - incoming.arrived_at
             self._calls.record_end(series, outcome, waited)
             if outcome == CALLER_DISCONNECTED:
@@ -339,7 +356,7 @@
                 self._parts.peers.start()
 
     def _acquire_lease(self) -> None:
-        if not self._draining:
+        if self._drain_phase is None:
             self._parts.lease.acquire()
 
     async def _log_resource_usage(self) -> None:
@@ -360,15 +377,39 @@
             await self._parts.scheduler.hand_over()
             self._parts.scheduler.stop("the process ends")
         self._parts.lease.release()
-        idle_closed = False
-        while self._timers.now() - started < self._times.max_drain_seconds:
+        phase_started = started
+        while self._drain_phase is not DrainPhase.ENDED:
             await sleep(self._timers, self._times.drain_poll_seconds)
-            if self._timers.now() - started < self._times.balancer_notice_seconds:
-                continue
-            if not idle_closed:
-                idle_closed = True
-                self._parts.callers.close_idle_connections()
-            elif not self._parts.callers.open_calls:
-                break
-        _log.info("stopped", open_calls=self._parts.callers.open_calls)
+            now = self._timers.now()
+            phase = next_drain_phase(
+                self._drain_phase,
+                now - started,
+                now - phase_started,
+                self._parts.callers.open_calls,
+                self._parts.callers.connections,
+                self._times.drain,
+            )
+            if phase is not self._drain_phase:
+                phase_started = now
+                self._enter_drain_phase(phase)
+        _log.info("stopped", open_calls=len(self._open_calls))
+        self._end_open_calls()
+        self._parts.callers.close_idle_connections()
         self._parts.finish()
+
+    def _enter_drain_phase(self, phase: DrainPhase) -> None:
+        """Close or refuse what the phase no longer serves."""
+        self._drain_phase = phase
+        if phase is DrainPhase.CLOSING_IDLE:
+            self._parts.callers.close_idle_connections()
+        elif phase is DrainPhase.REFUSING:
+            self._parts.callers.stop_accepting()
+
+    def _end_open_calls(self) -> None:
+        """Give a final answer to the calls that are still open; their work is cancelled."""
+        for incoming, call in tuple(self._open_calls.items()):
+            incoming.on_caller_disconnected()
+            if incoming.is_head_sent:
+                incoming.abort()
+            else:
+                self._parts.forwarder.refuse(incoming, call, _CUT_BY_DRAIN, None)
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -412,6 +412,11 @@
         """Return how many connections have a request that is incomplete or unanswered."""
         return sum(1 for connection in self._connections.values() if not connection.is_idle)
 
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections, also of those that are being closed."""
+        return len(self._connections)
+
     def start(self) -> None:
         """Bind and listen.
 
@@ -423,17 +428,18 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
-        sock.bind((self._listen_address.host, self._listen_address.port))
-        sock.listen(_LISTEN_BACKLOG)
+        try:
+            sock.bind((self._listen_address.host, self._listen_address.port))
+            sock.listen(_LISTEN_BACKLOG)
+        except OSError:
+            sock.close()
+            raise
         self._sock = sock
         self._poller.addReader(self, sock)
 
     def close(self) -> None:
         """Close the listening socket and every connection."""
-        if self._sock is not None:
-            self._poller.discard(self._sock)
-            self._sock.close()
-            self._sock = None
+        self._close_listening_socket()
         for connection in tuple(self._connections.values()):
             connection.close()
 
@@ -441,12 +447,24 @@
         """Add "Connection: close" to each further response."""
         self.is_draining = True
 
+    def stop_accepting(self) -> None:
+        """Accept the connections that wait, then close the listening socket."""
+        if self._sock is not None:
+            self._accept()
+            self._close_listening_socket()
+
     def close_idle_connections(self) -> None:
         """Close the connections without a request, after buffered bytes are sent."""
         for connection in tuple(self._connections.values()):
             if connection.is_idle:
                 connection.close_gracefully()
 
+    def _close_listening_socket(self) -> None:
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
     def remove_connection(self, sock: socket.socket) -> None:
         """Remove a connection and stop polling its socket."""
         self._connections.pop(sock, None)
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -72,7 +72,7 @@
 class GatewayFixture:
     """A gateway with two endpoints and a stand-in store, driven over sockets."""
 
-    def __init__(self):
+    def __init__(self, metrics_port=0):
         self.loop = LoopHarness()
         timers = self.loop.timers
         self.data = PartitionedData()
@@ -80,6 +80,7 @@
         self.store = PlatformStoreServer(self.loop, timers, self.standin)
         self.endpoints = [FakeEndpoint(self, f"i-{n}", "apps") for n in range(2)]
         self.finished = []
+        self.on_finished = lambda: self.finished.append(True)
         self.configure(
             1,
             route("safe", "idempotent"),
@@ -97,12 +98,12 @@
             callers=Address(LOCAL, 0),
             readiness=Address(LOCAL, 0),
             store=StoreSettings(address=self.store.address),
+            metrics_port=metrics_port,
         )
-        self.running = build_gateway(
-            settings, self.loop, timers, lambda: self.finished.append(True)
-        )
+        self.running = build_gateway(settings, self.loop, timers, lambda: self.on_finished())
         self.gateway = self.running.gateway
         self.running.start()
+        self.caller_address = self.gateway.caller_listener.address
         self.loop.until(lambda: self.gateway.is_ready)
         self.sockets = []
 
@@ -117,11 +118,19 @@
         sock = self.open(method, target, body, headers, listener)
         return self.read(sock, until)
 
-    def open(self, method, target, body=b"", headers=(), listener=None):
-        address = (listener or self.gateway.caller_listener).address
-        sock = socket.create_connection((address.host, address.port))
+    def connect(self, listener=None):
+        """Return a connection to a listener, None if it no longer listens."""
+        address = listener.address if listener else self.caller_address
+        try:
+            sock = socket.create_connection((address.host, address.port))
+        except ConnectionRefusedError:
+            return None
         sock.setblocking(False)
         self.sockets.append(sock)
+        return sock
+
+    def open(self, method, target, body=b"", headers=(), listener=None):
+        sock = self.connect(listener)
         lines = [f"{method} {target} HTTP/1.1", "Host: h", f"Content-Length: {len(body)}"]
         lines += [f"{name}: {value}" for name, value in headers]
         sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
