List long outputs that are complete together with one commit

Cause: a commit of results ended at 40 KB, and an output of 197 events has 67 KB. Three that ended in the same millisecond were listed by three commits some milliseconds apart.

Ruled out: the time for which results are gathered (20 ms, long enough); the reads themselves (7 to 30 ms each).

Change: a commit takes up to 240 KB, in several rows of one transaction.

The test fails on the old bound (results seen one by one).

--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -43,8 +43,9 @@
     """Times in seconds; sizes in bytes and rows.
 
     `gather_seconds` is how long results are gathered before they are written together, at most
-    `row_bytes` at once. A failed commit is repeated after `retry_seconds`. `flush_seconds` is how
-    long a hand-over waits for the last results to be written.
+    `commit_bytes` at once, so that a reader gets results that are complete together with one
+    answer. A failed commit is repeated after `retry_seconds`. `flush_seconds` is how long a
+    hand-over waits for the last results to be written.
 
     A partial output is saved once it has grown by `progress_events` events, at most `progress_rows`
     of them at once. One larger than `progress_bytes` is not saved.
@@ -53,7 +54,7 @@
     gather_seconds: float = 0.02
     retry_seconds: float = 0.15
     flush_seconds: float = 0.5
-    row_bytes: int = 40_000
+    commit_bytes: int = 240_000
     progress_rows: int = 40
     progress_bytes: int = 60_000
     progress_events: int = 6
@@ -272,7 +273,7 @@
         size = 0
         for result in self._pending_results:
             size += len(result.text) + len(result.score) + 200
-            if batch and size > self._settings.row_bytes:
+            if batch and size > self._settings.commit_bytes:
                 break
             batch.append(result)
         return tuple(batch)
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -123,7 +123,8 @@
             if engine.version != version:
                 version = engine.version
                 line = f"x-pumicedeck-weight-versions: {version}\n"
-            on_bytes(f"{line}id: {number}\ndata: {call.request_id}.{number}\n\n".encode())
+            data = f"{call.request_id}.{number}{self.simulation.padding}"
+            on_bytes(f"{line}id: {number}\ndata: {data}\n\n".encode())
         return Ok(answered)
 
     async def send_request(self, request, silence):
@@ -259,6 +260,7 @@
         self.routes = ROUTES
         self.announced = {}
         self.refuse_while_loading = True
+        self.padding = ""
         self.scores_fail = False
         self.score_calls = []
         self.engines = {}
--- a/pumicedeck/tests/test_gateway_drains.py
+++ b/pumicedeck/tests/test_gateway_drains.py
@@ -21,7 +21,7 @@
 )
 
 ENDPOINT_SECONDS = 0.06
-# Seconds after SIGTERM; a drain without open calls ends after 2.3 to 2.8 s, the process 0.2 s later.
+# Seconds after SIGTERM; a drain without open calls ends after 2.8 s, the process 0.2 s later.
 MOMENTS = [round(2.27 + 0.03 * number, 2) for number in range(24)]
 TIMES = DrainTimes(balancer_notice_seconds=2.3, max_seconds=7.4, last_requests_seconds=0.3)
 
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -37,6 +37,20 @@
     assert all(len(simulation.starts(f"0-{index}")) == 1 for index in range(4))
 
 
+def test_long_outputs_that_are_complete_together_are_listed_together():
+    """Results of 67 KB each were listed one by one, and a trainer that reads twice a second missed
+    its deadline by the pause after the read that returned only the first one."""
+    simulation = SchedulerSimulation()
+    simulation.padding = "x" * 330
+    process = simulation.processes[1]
+    simulation.submit(process, [[190, 190, 190]])
+    counts = set()
+    for _ in range(900):
+        simulation.run(0.01)
+        counts.add(len(simulation.results(process)))
+    assert counts == {0, 3}
+
+
 def test_the_longest_items_start_first_when_slots_are_few():
     simulation = SchedulerSimulation(engines=1, slots=2)
     simulation.submit(simulation.processes[0], [[5, 5, 60, 5]])
