Place items by the seconds to their end, not by factors of distance

Cause: another region cost a factor of 1.4 for each event, though it adds a fixed delay. An item of 197 events therefore went to an engine nearby that is 1.3 times slower and ended 2.3 s later.

Change: the cost of an engine is expected events times seconds per event, plus the delay of the way.

--- a/pumicedeck/engine_views.py
+++ b/pumicedeck/engine_views.py
@@ -2,7 +2,11 @@
 
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.event_intervals import EngineEventIntervals
-from pumicedeck.item_queues import OTHER_DOMAIN_COST_FACTOR, OTHER_REGION_COST_FACTOR, EngineView
+from pumicedeck.item_queues import (
+    OTHER_DOMAIN_DELAY_SECONDS,
+    OTHER_REGION_DELAY_SECONDS,
+    EngineView,
+)
 from pumicedeck.item_runs import ItemRun
 from pumicedeck.topology import FailureDomain
 from pumicedeck.weight_schedules import WeightSchedule
@@ -40,7 +44,7 @@
                 slots=endpoint.slots,
                 versions=weights.versions(endpoint),
                 event_seconds=event_intervals.seconds(name, now),
-                distance_cost=_distance_cost(endpoint, home),
+                distance_seconds=_distance_seconds(endpoint, home),
                 assigned_model=weights.assigned_model(name),
                 groups=groups.get(name, set()),
             )
@@ -56,9 +60,9 @@
     return counts
 
 
-def _distance_cost(endpoint: DirectEndpoint, home: FailureDomain) -> float:
-    """Return the cost factor of an engine outside the failure domain or region `home`."""
+def _distance_seconds(endpoint: DirectEndpoint, home: FailureDomain) -> float:
+    """Return what the way to an engine outside the failure domain or region `home` adds."""
     domain = endpoint.failure_domain
     if domain.region != home.region:
-        return OTHER_REGION_COST_FACTOR
-    return 1.0 if domain.name == home.name else OTHER_DOMAIN_COST_FACTOR
+        return OTHER_REGION_DELAY_SECONDS
+    return 0.0 if domain.name == home.name else OTHER_DOMAIN_DELAY_SECONDS
--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -10,9 +10,10 @@
 
 DEFAULT_EVENT_SECONDS = 0.04
 DEFAULT_LENGTH_EVENTS = 25.0
-SAME_GROUP_COST_FACTOR = 0.95
-OTHER_DOMAIN_COST_FACTOR = 1.05
-OTHER_REGION_COST_FACTOR = 1.4
+# An engine that runs items of the group has processed their shared prompt already.
+SAME_GROUP_GAIN_SECONDS = 0.05
+OTHER_DOMAIN_DELAY_SECONDS = 0.05
+OTHER_REGION_DELAY_SECONDS = 0.3
 BUSY_COST_WEIGHT = 0.15
 SLOW_INTERVAL_FACTOR = 2.0
 
@@ -47,7 +48,7 @@
     """What the queue needs to know about an engine.
 
     `versions` has the loaded weight version by model. `event_seconds` is the seconds per event.
-    `distance_cost` is a factor, 1 in the scheduler's own failure domain. `assigned_model` is the
+    `distance_seconds` is what the way to the engine adds to an item. `assigned_model` is the
     model that the weight plan has chosen for the engine, empty if none. `groups` are the groups of
     the items that it runs.
     """
@@ -58,7 +59,7 @@
     slots: int
     versions: dict[str, int]
     event_seconds: float = DEFAULT_EVENT_SECONDS
-    distance_cost: float = 1.0
+    distance_seconds: float = 0.0
     assigned_model: str = ""
     groups: set[str] = field(default_factory=set)
 
@@ -140,13 +141,19 @@
 
 
 def _assignment_cost(item: QueuedItem, engine: EngineView) -> tuple[bool, float]:
-    """Return a sort key: engines assigned to another model come last, then the slower ones."""
+    """Return a sort key: engines assigned to another model last, then by seconds to the end.
+
+    The distance counts once, not for each event, so that a long item runs on a fast engine in
+    another region rather than on a slow one nearby.
+    """
     busy = 1.0 - engine.free_slots / max(1, engine.slots)
-    cost = engine.event_seconds * engine.distance_cost * (1.0 + BUSY_COST_WEIGHT * busy)
+    events = item.expected_events_left or DEFAULT_LENGTH_EVENTS
+    seconds = events * engine.event_seconds * (1.0 + BUSY_COST_WEIGHT * busy)
+    seconds += engine.distance_seconds
     if item.group in engine.groups:
-        cost *= SAME_GROUP_COST_FACTOR
+        seconds -= SAME_GROUP_GAIN_SECONDS
     assigned_to_other_model = bool(engine.assigned_model) and engine.assigned_model != item.model
-    return assigned_to_other_model, cost
+    return assigned_to_other_model, seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -63,10 +63,17 @@
 def test_a_slow_engine_is_the_last_choice_and_a_near_one_the_first():
     fast, slow = engine("fast"), engine("slow", event_seconds=0.16)
     assert assigned_engines([item("a")], [slow, fast]) == {"a": "fast"}
-    near, far = engine("near"), engine("far", distance_cost=1.4)
+    near, far = engine("near"), engine("far", distance_seconds=0.3)
     assert assigned_engines([item("a")], [far, near]) == {"a": "near"}
 
 
+def test_a_long_item_goes_to_a_fast_engine_far_away_and_a_short_one_stays_near():
+    """A third of the engines is 1.3 times slower, and an item of 197 events decides its step."""
+    slow, far = engine("slow", event_seconds=0.05), engine("far", distance_seconds=0.3)
+    assert assigned_engines([item("a", 197.0)], [slow, far]) == {"a": "far"}
+    assert assigned_engines([item("a", 20.0)], [slow, far]) == {"a": "slow"}
+
+
 def test_a_group_stays_on_one_engine_while_that_costs_little():
     items = [item(f"i{n}", group="g") for n in range(4)]
     assert len(set(assigned_engines(items, [engine("x"), engine("y")]).values())) == 1
