Move long items off engines that are a fifth slower

Cause: an item moved only if its engine was twice as slow as another one.

Change: 1.2 times is enough if the run's own interval is confirmed by two windows; 2 times as before if only its engine's interval is known. The gain of at least 0.6 s stays the condition.

--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -15,7 +15,6 @@
 OTHER_DOMAIN_DELAY_SECONDS = 0.05
 OTHER_REGION_DELAY_SECONDS = 0.3
 BUSY_COST_WEIGHT = 0.15
-SLOW_INTERVAL_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,10 +175,14 @@
 class MoveSettings:
     """When an item is moved off a slow engine: if it ends `min_gain_seconds` sooner on another one.
 
-    An item moves at most `max_moves` times.
+    Its event interval must be `min_slowdown` times that of the other engine, or
+    `min_unconfirmed_slowdown` times if only its engine's interval is known, not that of its run. An
+    item moves at most `max_moves` times.
     """
 
     min_gain_seconds: float = 0.6
+    min_slowdown: float = 1.2
+    min_unconfirmed_slowdown: float = 2.0
     max_moves: int = 2
 
 
@@ -195,8 +198,12 @@
             continue
         others = [e for e in engines if e is not source and e.free_slots > 0]
         target = _best_engine(run.item, others)
-        run_event_seconds = run.event_seconds or source.event_seconds
-        if target is None or run_event_seconds < SLOW_INTERVAL_FACTOR * target.event_seconds:
+        if target is None:
+            continue
+        confirmed = run.event_seconds is not None
+        run_event_seconds = run.event_seconds if confirmed else source.event_seconds
+        slowdown = settings.min_slowdown if confirmed else settings.min_unconfirmed_slowdown
+        if run_event_seconds < slowdown * target.event_seconds:
             continue
         gain = run.events_left * (run_event_seconds - target.event_seconds)
         if gain >= settings.min_gain_seconds:
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -114,6 +114,18 @@
     assert [(each.item_id, each.engine) for each in moves] == [("long", "fast")]
 
 
+def test_a_long_item_leaves_an_engine_that_is_a_third_slower_and_a_shorter_one_stays():
+    """An item of 197 events ended 2.5 s later there, and with it its step."""
+    slow, fast = engine("slow", event_seconds=0.05), engine("fast", free=4, event_seconds=0.0385)
+    running = [
+        RunningItem(item("long"), "slow", 180.0, 0, 0.05),
+        RunningItem(item("short"), "slow", 30.0, 0, 0.05),
+        RunningItem(item("near"), "slow", 180.0, 0, 0.044),
+    ]
+    moves = choose_moves(running, [slow, fast], MoveSettings())
+    assert [(each.item_id, each.engine) for each in moves] == [("long", "fast")]
+
+
 def test_only_the_slow_runs_leave_an_engine_that_slows_a_part_of_its_runs():
     partly, fast = engine("partly", event_seconds=0.06), engine("fast", free=4)
     running = [
