Let a successor order at once if no order was announced

Cause: a successor waited 3.3 s before its first weight load, since an order of its predecessor could be under way.

Change: before it sends orders, the holder announces in its lease row until when it may send some (0.6 s ahead, committed before the first order leaves). The value never decreases while the lease changes hands. A successor waits until 3.7 s after it: 3 s between orders of two holders, and up to 0.8 s that an order waits for a connection. A row without an announcement counts as one until now.

--- a/pumicedeck/engine_orders.py
+++ b/pumicedeck/engine_orders.py
@@ -3,6 +3,7 @@
 An order counts as carried out only once the engine's own report shows the version.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -25,12 +26,16 @@
 class EngineOrderSettings:
     """Timing of orders to engines, in seconds.
 
-    `answer_seconds` is the time-out of one request. After an accepted order the engine's report is
-    first read after `first_poll_delay_seconds`, then every `poll_interval_seconds`. The scheduler
-    stops waiting after `load_timeout_seconds`; the next weight plan then decides again.
+    `answer_seconds` is the time-out of one request. The lease row must announce the order within
+    `announce_seconds`, which is checked every `announce_poll_seconds`. After an accepted order the
+    engine's report is first read after `first_poll_delay_seconds`, then every
+    `poll_interval_seconds`. The scheduler stops waiting after `load_timeout_seconds`; the next
+    weight plan then decides again.
     """
 
     answer_seconds: float = 0.8
+    announce_seconds: float = 1.0
+    announce_poll_seconds: float = 0.01
     first_poll_delay_seconds: float = 0.93
     poll_interval_seconds: float = 0.2
     load_timeout_seconds: float = 4.0
@@ -48,13 +53,18 @@
         timers: TimerQueue,
         caller: EndpointCaller,
         lease: LeaseHolder,
+        announce: Callable[[], None],
         holder: str,
         settings: EngineOrderSettings | None = None,
     ) -> None:
-        """Send orders in the name of `holder`, only while `lease` is held."""
+        """Send orders in the name of `holder`, only while `lease` is held and announces them.
+
+        `announce` starts to announce orders in the lease's row.
+        """
         self._timers = timers
         self._caller = caller
         self._lease = lease
+        self._announce = announce
         self._holder = holder
         self._settings = settings or EngineOrderSettings()
         self._sequences: dict[tuple[str, int], int] = {}
@@ -75,9 +85,9 @@
             self._sequences[key] = report.order_sequence
         sequence = self._sequences[key]
         order = VersionOrder(load.model, load.version, retain, self._holder, fencing, sequence)
-        deadline = self._timers.now() + self._settings.load_timeout_seconds
-        if not self._lease.holds(self._timers.now()):
+        if not await self._is_announced():
             return None
+        deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
         outcome = await self._caller.send_request(request, self._settings.answer_seconds)
         accepted = isinstance(outcome, Ok) and outcome.ok_value.status in _ACCEPTED_STATUSES
@@ -110,6 +120,16 @@
             await sleep(self._timers, self._settings.poll_interval_seconds)
         return None
 
+    async def _is_announced(self) -> bool:
+        """Wait until the lease row announces orders; return False if it does not in time."""
+        deadline = self._timers.now() + self._settings.announce_seconds
+        while not self._lease.may_order(self._timers.now()):
+            if self._timers.now() >= deadline or not self._lease.holds(self._timers.now()):
+                return False
+            self._announce()
+            await sleep(self._timers, self._settings.announce_poll_seconds)
+        return True
+
     async def report(self, endpoint: DirectEndpoint) -> EngineReport | None:
         """Return an engine's report of its state, None if it did not answer in time."""
         request = self._caller.dialect.report_request(endpoint)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -146,7 +146,9 @@
             directory=directory,
             caller=endpoint_caller,
             rewards=RewardCaller(timers, endpoint_caller, directory, random),
-            orders=EngineOrders(timers, endpoint_caller, lease_holder, settings.vm),
+            orders=EngineOrders(
+                timers, endpoint_caller, lease_holder, lambda: lease.announce_orders(), settings.vm
+            ),
             routes=lambda: gateway.routes,
             announced_versions=announced_versions,
             holder=settings.vm,
@@ -163,7 +165,7 @@
     )
 
     def acquired(lease: LeaseAcquired) -> None:
-        scheduler.activate(lease.fencing, lease.predecessor)
+        scheduler.activate(lease.fencing, lease.predecessor, lease.orders_until)
 
     lease = LeaseKeeper(
         lease_holder,
--- a/pumicedeck/lease_keepers.py
+++ b/pumicedeck/lease_keepers.py
@@ -58,6 +58,10 @@
         if self._holder.should_hold:
             self._carry_out(self._holder.release(self._timers.now()))
 
+    def announce_orders(self) -> None:
+        """Have the lease row announce orders, unless it announces some for now."""
+        self._carry_out(self._holder.announce_orders(self._timers.now()))
+
     def close(self) -> None:
         """Release the lease and cancel the timers."""
         self.release()
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -14,6 +14,7 @@
 
 from result import Result
 
+from pumicedeck.order_announcements import OrderAnnouncement
 from pumicedeck.platform_interfaces import Committed, Condition, Row, StoreKey, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
@@ -41,19 +42,23 @@
     """The value of a lease row; an empty `holder` means that the lease was released.
 
     `duration` is in seconds. `sent` is the holder's estimate of the store's time, in seconds, at
-    which it sent the row, or None.
+    which it sent the row, or None. `orders_until` is the store's time until which this holder and
+    those before it may send orders, None if they do not announce orders.
     """
 
     holder: str
     fencing: int
     duration: float
     sent: float | None = None
+    orders_until: float | None = None
 
     def encode(self) -> bytes:
         """Return the row's value as JSON."""
         document = {"holder": self.holder, "fencing": self.fencing, "duration": self.duration}
         if self.sent is not None:
             document["sent"] = self.sent
+        if self.orders_until is not None:
+            document["orders_until"] = self.orders_until
         return json.dumps(document, sort_keys=True).encode()
 
 
@@ -63,7 +68,11 @@
         return LeaseRow("", 0, 0.0)
     document = json.loads(value)
     return LeaseRow(
-        document["holder"], document["fencing"], document["duration"], document.get("sent")
+        document["holder"],
+        document["fencing"],
+        document["duration"],
+        document.get("sent"),
+        document.get("orders_until"),
     )
 
 
@@ -86,11 +95,13 @@
     """The lease is held now.
 
     `predecessor` is the incarnation of the former holder if its lease expired, empty if the lease
-    was free or last held by this process or an earlier one with the same prefix.
+    was free or last held by this process or an earlier one with the same prefix. `orders_until` is
+    the store's time, in seconds, until which earlier holders may have sent orders.
     """
 
     fencing: int
     predecessor: str
+    orders_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +153,7 @@
         self._settings = settings or LeaseSettings()
         self._incarnation_prefix = incarnation_prefix
         self._store_now = store_now
+        self._announcement = OrderAnnouncement(store_now) if store_now is not None else None
         self._phase = LeasePhase.IDLE
         self._should_hold = False
         self._row: Row | None = None
@@ -193,6 +205,20 @@
         """Return whether the lease is held and an order may be sent now."""
         return self._fencing > 0 and now < self._valid_until - self._settings.margin
 
+    def may_order(self, now: float) -> bool:
+        """Return whether the lease is held and the stored row announces orders for now."""
+        announced = self._announcement is None or self._announcement.is_open
+        return announced and self.holds(now)
+
+    def announce_orders(self, now: float) -> list[LeaseAction]:
+        """Have the row announce orders; `may_order` is true once that is committed."""
+        if self._announcement is None or self._announcement.is_open:
+            return []
+        self._announcement.request()
+        if self._phase is not LeasePhase.HELD or not self._should_hold or not self.holds(now):
+            return []
+        return [self._renew(now)]
+
     def next_wakeup(self) -> float | None:
         """Return when `on_timer` must be called next, None if it need not be called."""
         times = [self._wakeup_at] if self._wakeup_at is not None else []
@@ -217,7 +243,7 @@
                 self._become_idle()
             return []
         self._phase = LeasePhase.RELEASING
-        return [self._commit(now, LeaseRow("", self._fencing, 0.0))]
+        return [self._commit(now, LeaseRow("", self._fencing, 0.0, None, self._announced()))]
 
     def lease_read(self, now: float, outcome: Result[Row, Failure]) -> list[LeaseAction]:
         """Handle the outcome of a read of the lease row."""
@@ -261,14 +287,17 @@
             return actions
         self._wakeup_at = None
         if self._phase is LeasePhase.HELD and self._should_hold:
-            lease = self._build_row(self._fencing)
-            self._phase = LeasePhase.COMMITTING
-            return [*actions, self._commit(now, lease)]
+            return [*actions, self._renew(now)]
         if self._should_hold:
             return [*actions, *self._read()]
         self._become_idle()
         return actions
 
+    def _renew(self, now: float) -> CommitLease:
+        """Return the commit that renews the lease."""
+        self._phase = LeasePhase.COMMITTING
+        return self._commit(now, self._build_row(self._fencing))
+
     def _read(self) -> list[LeaseAction]:
         """Start to read the row."""
         self._phase = LeasePhase.READING
@@ -291,7 +320,13 @@
     def _build_row(self, fencing: int) -> LeaseRow:
         """Return this process's lease row with the given fencing number, sent now."""
         sent = self._store_now() if self._store_now is not None else None
-        return LeaseRow(self._incarnation, fencing, self._settings.duration, sent)
+        return LeaseRow(
+            self._incarnation, fencing, self._settings.duration, sent, self._announced()
+        )
+
+    def _announced(self) -> float | None:
+        """Return what this process's next row announces about orders."""
+        return self._announcement.row_value if self._announcement is not None else None
 
     def _resolve_commit(self, now: float) -> list[LeaseAction]:
         """Return the actions that follow if the pending commit took effect, otherwise none."""
@@ -310,6 +345,8 @@
         """Handle a commit that took effect: hold the lease and plan its renewal."""
         newly_acquired = lease.fencing != self._fencing or not self._valid_until
         self._fencing = lease.fencing
+        if self._announcement is not None:
+            self._announcement.confirm(lease.orders_until)
         self._valid_until = self._commit_sent_at + lease.duration
         self._phase = LeasePhase.HELD
         self._wakeup_at = self._commit_sent_at + self._settings.renew_after
@@ -317,7 +354,10 @@
             return self.release(now)
         if now >= self._valid_until:
             return self._expire(now)
-        return [LeaseAcquired(lease.fencing, self._predecessor)] if newly_acquired else []
+        if not newly_acquired:
+            return []
+        orders_until = self._announcement.inherited_until if self._announcement else 0.0
+        return [LeaseAcquired(lease.fencing, self._predecessor, orders_until)]
 
     def _try_acquire(self, now: float) -> list[LeaseAction]:
         """Commit this process as the holder, or wait until another one's lease has expired."""
@@ -336,6 +376,8 @@
         else:
             actions = []
             self._predecessor = ""
+        if self._announcement is not None:
+            self._announcement.inherit(current.orders_until, bool(current.holder))
         self._phase = LeasePhase.COMMITTING
         lease = self._build_row(current.fencing + 1)
         return [*actions, self._commit(now, lease)]
--- a/pumicedeck/scheduler_parts.py
+++ b/pumicedeck/scheduler_parts.py
@@ -23,8 +23,9 @@
     """Timing of the scheduler, in seconds.
 
     The scheduler looks for work every `tick_seconds` and saves partial outputs every
-    `save_seconds`. After taking the lease over from another holder it sends no order for
-    `takeover_seconds`, because the last order of that holder may still be under way.
+    `save_seconds`. After taking the lease over from another holder it sends no order until
+    `takeover_seconds` after the last moment at which earlier holders may have sent one, because
+    that order may still be under way.
 
     A run without data for `silence_seconds` ends. All runs of an engine end if none of them has
     received data for `stall_seconds`. An item avoids an engine at which its run ended early for
@@ -36,7 +37,8 @@
     """
 
     tick_seconds: float = 0.1
-    takeover_seconds: float = 3.3
+    # Engines want 3 s between orders of two holders; one that was handed over may leave 0.8 s late.
+    takeover_seconds: float = 3.7
     silence_seconds: float = 1.5
     stall_seconds: float = 0.7
     save_seconds: float = 0.35
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -23,6 +23,7 @@
     choose_moves,
 )
 from pumicedeck.item_runs import ItemRun, RunEnd
+from pumicedeck.order_announcements import earliest_order
 from pumicedeck.route_tables import Route, choose_pool
 from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.submission_adoptions import SubmissionAdoptions
@@ -97,17 +98,18 @@
         """Return the number of items that run, by engine name."""
         return count_runs([run for run, _ in self._runs.values()])
 
-    def activate(self, fencing: int, predecessor: str) -> None:
+    def activate(self, fencing: int, predecessor: str, orders_until: float) -> None:
         """Claim all open submissions under a new fencing number.
 
         `predecessor` is the incarnation of the former lease holder if its lease expired, empty
-        otherwise; after a predecessor the first order waits.
+        otherwise; after a predecessor the first order waits. Earlier holders may have sent orders
+        until `orders_until`, in seconds of the store's clock.
         """
-        now = self._timers.now()
         self._fencing = fencing
         if not self._active:
-            self._orders_allowed_from = now + (
-                self._settings.takeover_seconds if predecessor else 0.0
+            earlier_orders_until = self._parts.clock.to_local_seconds(orders_until)
+            self._orders_allowed_from = earliest_order(
+                predecessor, earlier_orders_until, self._settings.takeover_seconds
             )
         self._active = True
         _log.info(
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -199,7 +199,9 @@
                 directory=directory,
                 caller=self.caller,
                 rewards=RewardCaller(timers, self.caller, directory, Random(1)),
-                orders=EngineOrders(timers, self.caller, self.holder, name),
+                orders=EngineOrders(
+                    timers, self.caller, self.holder, lambda: self.keeper.announce_orders(), name
+                ),
                 routes=lambda: simulation.routes,
                 announced_versions=self.announced,
                 holder=name,
@@ -212,7 +214,9 @@
             self.holder,
             timers,
             PartitionedTableStore(self.store),
-            lambda lease: self.scheduler.activate(lease.fencing, lease.predecessor),
+            lambda lease: self.scheduler.activate(
+                lease.fencing, lease.predecessor, lease.orders_until
+            ),
             0.8,
             on_other_holder=lambda other: self.scheduler.stop(f"{other} holds the lease"),
         )
