Tell from the logs what the last item of each step waited for

`pumicedeck timeline LOG...` reads the lines that gateways write and prints each step's way: accepted, adopted, engines that could run it, its last item and all that stood in its way, with sums by cause; `--csv` for tables. The end of a weight load is logged now (one line a load).

Not built: a picture (`--svg`), single calls.

--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import sys
+from csv import writer as csv_writer
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -116,9 +118,7 @@
     from pumicedeck.explanations import explain as explain_identity
     from pumicedeck.log_files import read_lines
 
-    missing_files = [path for path in files if not path.is_file()]
-    if missing_files:
-        exit_on_failure(Err(Failure(ResultCode.BAD_REQUEST, f"{missing_files[0]}: cannot be read")))
+    _require_files(files)
     explanation = explain_identity(identity, read_lines(files))
     if explanation.cause is not None:
         typer.echo(f"cause: {explanation.cause.text()}")
@@ -131,6 +131,38 @@
         exit_on_failure(Err(Failure(ResultCode.NOT_FOUND, f"no log event names the id {identity}")))
 
 
+@app.command()
+def timeline(
+    files: Annotated[list[Path], typer.Argument(help="Log files of all gateways.")],
+    csv: Annotated[bool, typer.Option("--csv", help="Print a row per submission as CSV.")] = False,
+) -> None:
+    """Show for each step what its last item waited for, from the logs of all gateways."""
+    from pumicedeck.log_files import read_lines
+    from pumicedeck.timeline_reports import COLUMNS, timeline_rows, timeline_text
+    from pumicedeck.timelines import build_timeline
+
+    _require_files(files)
+    built = build_timeline(read_lines(files))
+    if not built.submissions:
+        exit_on_failure(Err(Failure(ResultCode.NOT_FOUND, "no log event accepts a submission")))
+    if csv:
+        writer = csv_writer(sys.stdout)
+        writer.writerow(COLUMNS)
+        writer.writerows(timeline_rows(built))
+    else:
+        for line in timeline_text(built):
+            typer.echo(line)
+    if built.unreadable:
+        typer.echo(f"{built.unreadable} lines could not be read", err=True)
+
+
+def _require_files(files: list[Path]) -> None:
+    """End the command if one of the files does not exist."""
+    missing_files = [path for path in files if not path.is_file()]
+    if missing_files:
+        exit_on_failure(Err(Failure(ResultCode.BAD_REQUEST, f"{missing_files[0]}: cannot be read")))
+
+
 @app.command("result-codes")
 def result_codes() -> None:
     """Print the table of result codes."""
--- a/pumicedeck/weight_schedules.py
+++ b/pumicedeck/weight_schedules.py
@@ -138,8 +138,16 @@
         self, load: LoadVersion, endpoint: DirectEndpoint, fencing: int, retain: bool
     ) -> None:
         """Order a load, record the reported versions and plan a retry if it failed."""
+        started = self._timers.now()
         report = await self._orders.load(endpoint, load, fencing, retain)
         self._loading.pop(load.engine, None)
+        _log.info(
+            "weight load ended",
+            engine=load.engine,
+            model=load.model,
+            version=report.version_of(load.model) if report is not None else None,
+            seconds=round(self._timers.now() - started, 3),
+        )
         if report is not None:
             for each in report.models:
                 self.record_version(endpoint, each.model, each.version)
