Pass calls to the store on through a peer while only this process has lost it

Cause: a machine that alone loses the store loses the scheduler's lease; its successor makes the events since the last save again, 1.7 s of each open item, and its callers are refused.

Ruled out: a shorter lease (measured before); handing outputs over by peers (helps the successor, but the lease still changes hands).

Change: after a commit without an answer for 0.25 s, or three times the usual time if that is longer, or a refusal, or a call that timed out, calls go to a peer's relay port, which passes them on as long as it reaches the store itself. A copy of a read tries the direct path once a second. If no peer can, everything is as before. The port is the first of those meant for traffic between the processes; the network between them must keep others out. A commit whose answer is lost stays "outcome unknown".

First forms that failed: reads of a feed as probes (new submissions seen 1.1 s late); status 429 counted as an answer; two connections to a peer (commits waited a second behind feeds).

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -52,6 +52,8 @@
 from pumicedeck.settings_files import load_settings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
+from pumicedeck.store_paths import StorePath
+from pumicedeck.store_relays import RelayedStoreClient, StoreRelay
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.tasks import sleep, spawn
@@ -82,6 +84,13 @@
     acknowledgement_timeout_seconds=1.0,
     connections_per_address=2,
 )
+# Each feed's waiting read holds a connection; commits must not queue behind them.
+RELAY_CLIENT_SETTINGS = HttpClientSettings(
+    connect_seconds=0.25,
+    max_idle_seconds=4.0,
+    acknowledgement_timeout_seconds=1.0,
+    connections_per_address=16,
+)
 SETTINGS_POLL_SECONDS = 1.0
 
 _log = logger.bind(module="gateway_compositions")
@@ -113,14 +122,18 @@
     home = FailureDomain(settings.failure_domain, settings.region)
     store_client = HttpClient(timers, STORE_CLIENT_SETTINGS).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS).register(root)
+    mirror = WorkMirror()
+    path = StorePath()
+    relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS).register(root)
     store = HttpPartitionedStore(
-        store_client,
+        RelayedStoreClient(
+            store_client, relay_client, path, lambda: _relay_addresses(mirror, settings)
+        ),
         settings.store.address,
         settings.store.call_seconds,
         settings.store.longest_call_seconds,
     )
     clock = StoreClock(timers)
-    mirror = WorkMirror()
     directory = EndpointDirectory(home, random)
     endpoint_list = EndpointList(
         timers,
@@ -235,6 +248,11 @@
     if settings.metrics_port:
         metrics_address = Address(settings.readiness.host, settings.metrics_port)
         metrics = HttpListener(metrics_address, timers, lambda call: None).register(root)
+    relay = None
+    if settings.relay_port:
+        relay_address = Address(settings.readiness.host, settings.relay_port)
+        passing_on = StoreRelay(store_client, settings.store.address, path)
+        relay = HttpListener(relay_address, timers, passing_on.handle).register(root)
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
@@ -258,18 +276,30 @@
             finish=finish,
             cores=settings.machine.cores * settings.machine.cpu_share,
             metrics=metrics,
+            relay=relay,
         ),
         GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
     )
 
     def close() -> None:
         gateway.close()
+        relay_client.close()
         store_client.close()
         endpoint_client.close()
 
     return RunningGateway(gateway.start, gateway.drain, close, gateway)
 
 
+def _relay_addresses(mirror: WorkMirror, settings: GatewaySettings) -> list[Address]:
+    """Return the addresses at which peers pass calls to the store on, the next VM by name first."""
+    if not settings.relay_port:
+        return []
+    names = sorted(name for name in mirror.members if name != settings.vm)
+    ordered = sorted(names, key=lambda name: name < settings.vm)
+    hosts = [mirror.members[name].rpartition(":")[0] for name in ordered]
+    return [Address(host, settings.relay_port) for host in hosts]
+
+
 def run_gateway(path: Path) -> Result[None, Failure]:
     """Run a gateway as a process until it has drained; fail if the settings are invalid."""
     loaded = load_settings(GatewaySettings, path)
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -45,7 +45,8 @@
     """A gateway: the addresses for callers and for the balancer, and the platform's store.
 
     `regions` maps failure domains to regions. `metrics_port` is an additional port for metrics on
-    the host of the readiness address, 0 for none.
+    the host of the readiness address, 0 for none. At `relay_port` on that host each gateway passes
+    on calls of peers that cannot reach the store; 0 switches this off. All gateways use one port.
     """
 
     vm: str = Field(min_length=1)
@@ -55,6 +56,7 @@
     callers: ListenAddress
     readiness: ListenAddress
     metrics_port: int = Field(0, ge=0, le=65535)
+    relay_port: int = Field(0, ge=0, le=65535)
     store: StoreSettings
     promises: PromiseSettings = PromiseSettings()
     machine: MachineSettings = MachineSettings()
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -96,6 +96,7 @@
     finish: Callable[[], None]
     cores: float = 1.0
     metrics: HttpListener | None = None
+    relay: HttpListener | None = None
 
 
 def lease_extra_acquisition_delay_seconds(round_trip_seconds: float, cores: float) -> float:
@@ -174,21 +175,16 @@
         parts.readiness.start()
         parts.callers.start()
         if parts.metrics is not None:
-            self._start_metrics(parts.metrics)
+            parts.metrics.handle = self.answer_readiness
+            _start_optional(parts.metrics, "metrics")
+        if parts.relay is not None:
+            _start_optional(parts.relay, "calls of peers to the store")
         for feed in parts.feeds:
             feed.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
         _log.info("started", callers=str(parts.callers.address))
 
-    def _start_metrics(self, listener: HttpListener) -> None:
-        """Serve metrics at their own port; the readiness address serves them all the same."""
-        listener.handle = self.answer_readiness
-        try:
-            listener.start()
-        except OSError as error:
-            _log.warning("cannot listen for metrics; going on without", error=str(error))
-
     def drain(self) -> None:
         """Become unready; call `finish` once open calls have ended or time has run out."""
         if self._drain_phase is not None:
@@ -205,8 +201,9 @@
         self._parts.peers.close()
         self._parts.callers.close()
         self._parts.readiness.close()
-        if self._parts.metrics is not None:
-            self._parts.metrics.close()
+        for listener in (self._parts.metrics, self._parts.relay):
+            if listener is not None:
+                listener.close()
 
     def answer_readiness(self, incoming: IncomingCall) -> None:
         """Answer the balancer, peers and readers of metrics."""
@@ -413,3 +410,11 @@
                 incoming.abort()
             else:
                 self._parts.forwarder.refuse(incoming, call, _CUT_BY_DRAIN, None)
+
+
+def _start_optional(listener: HttpListener, purpose: str) -> None:
+    """Start a listener without which the gateway can serve its callers."""
+    try:
+        listener.start()
+    except OSError as error:
+        _log.warning("cannot listen at an optional port", purpose=purpose, error=str(error))
