Start the short items of a step in turns

Change: items below a quarter of the longest one's expected length are short; so many of them run at once that they end in that quarter if the estimates hold. The longer short ones go first. Begun items and items of unknown length do not wait, and nothing waits once the step is 2.5 s old: beside engines that turned slow, items would else lie while slots are free. `queued_items` is split off the scheduler.

--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -22,6 +22,7 @@
     """An item that waits for an engine; `deadline` in seconds on the process's clock.
 
     `expected_events_left` is the estimated number of events still to come, 0 if unknown.
+    `waits_for_turn` means that the item starts in its turn among the short ones of its step.
     `carried_over` means that an earlier step has started an item of the same group. With
     `single_version` the complete output must come from one weight version. `versions` are the
     weight versions of the output so far. `avoided_engines` are the engines at which the item failed
@@ -36,6 +37,7 @@
     min_version: int
     deadline: float
     expected_events_left: float = 0.0
+    waits_for_turn: bool = False
     carried_over: bool = False
     single_version: bool = False
     versions: tuple[int, ...] = ()
--- /dev/null
+++ b/pumicedeck/queued_items.py
@@ -0,0 +1,74 @@
+"""Builds the queue's view of an item that waits or runs; free of I/O.
+
+The view says until when the item is due, under which weights it may start, and which engines it
+avoids; the queue decides by it where the item runs.
+"""
+
+from random import Random
+
+from pumicedeck.item_queues import QueuedItem
+from pumicedeck.route_tables import Route, choose_pool
+from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.submission_works import ItemWork, SubmissionWork
+
+
+def build_queued_item(
+    parts: SchedulerParts,
+    settings: SchedulerSettings,
+    work: SubmissionWork,
+    route: Route,
+    item_work: ItemWork,
+) -> QueuedItem:
+    """Return the queue's view of an item of `work`.
+
+    The deadline is converted from the store's clock to that of this process.
+    """
+    now = parts.timers.now()
+    item = item_work.item
+    step_age = parts.clock.now() - work.head.accepted
+    events_left = max(1.0, item.expected_length - item_work.progress.last_event)
+    is_begun = bool(item_work.progress.last_event)
+    return QueuedItem(
+        item_id=f"{work.submission_id}/{item.item_id}",
+        submission_id=work.submission_id,
+        model=work.head.model,
+        pool=_choose_item_pool(route, item.item_id),
+        group=item.group,
+        min_version=_min_startable_version(parts, settings, work, item_work, step_age),
+        deadline=parts.clock.to_local_seconds(work.head.accepted)
+        + route.results_due_seconds
+        + settings.overdue_tolerance_seconds,
+        expected_events_left=events_left if item.expected_length else 0.0,
+        waits_for_turn=not is_begun and work.pace.must_wait(item.expected_length, step_age),
+        carried_over=item_work.carried_over,
+        single_version=route.single_version,
+        versions=tuple(item_work.progress.versions),
+        avoided_engines=frozenset(
+            name for name, until in item_work.avoid_until_by_engine.items() if until > now
+        ),
+    )
+
+
+def _min_startable_version(
+    parts: SchedulerParts,
+    settings: SchedulerSettings,
+    work: SubmissionWork,
+    item_work: ItemWork,
+    step_age: float,
+) -> int:
+    """Return the oldest weight version with which an item may start.
+
+    The next step will probably carry an optional group over and reuse its outputs. For a short time
+    such a group therefore waits for the newest announced version.
+    """
+    is_optional = item_work.item.group in work.optional_groups
+    if is_optional and step_age < settings.optional_group_wait_seconds:
+        return max(work.head.min_version, parts.announced_versions.get(work.head.model, 0))
+    return work.head.min_version
+
+
+def _choose_item_pool(route: Route, item_id: str) -> str:
+    """Choose the pool of an item; on a route with several pools, always the same for its id."""
+    if len(route.pools) == 1:
+        return route.pools[0].pool
+    return choose_pool(route, Random(item_id))
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -7,7 +7,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from random import Random
 
 from loguru import logger
 
@@ -15,6 +14,7 @@
 from pumicedeck.engine_views import count_runs, view_engines
 from pumicedeck.event_intervals import EngineEventIntervals
 from pumicedeck.item_endings import ItemEndings
+from pumicedeck.item_pacing import choose_paced_items
 from pumicedeck.item_queues import (
     EngineView,
     QueuedItem,
@@ -24,7 +24,7 @@
 )
 from pumicedeck.item_runs import ItemRun, RunEnd
 from pumicedeck.order_announcements import earliest_order
-from pumicedeck.route_tables import Route, choose_pool
+from pumicedeck.queued_items import build_queued_item
 from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.submission_adoptions import SubmissionAdoptions
 from pumicedeck.submission_works import ItemWork, SubmissionWork
@@ -237,6 +237,10 @@
             for work in tuple(self._works.values())
             for item in self._collect_startable(work, now)
         ]
+        free_short_runs = Counter(
+            {work.submission_id: work.free_short_runs for work in self._works.values()}
+        )
+        items = choose_paced_items(items, free_short_runs, now)
         started = self._start_items(items, engines, now)
         if not started or len(started) == len(items):
             self._move_items(engines, now)
@@ -271,52 +275,11 @@
                 work.running[item_id] = item_work
                 self._endings.begin_scoring(work, item_work)
             elif now >= item_work.not_before:
-                queued.append(self._build_queued_item(work, route, item_work, now))
+                queued.append(
+                    build_queued_item(self._parts, self._settings, work, route, item_work)
+                )
         return queued
 
-    def _build_queued_item(
-        self, work: SubmissionWork, route: Route, item_work: ItemWork, now: float
-    ) -> QueuedItem:
-        """Build the queue's view of a waiting item.
-
-        The deadline is converted from the store's clock to that of this process.
-        """
-        events_left = max(1.0, item_work.item.expected_length - item_work.progress.last_event)
-        return QueuedItem(
-            item_id=f"{work.submission_id}/{item_work.item.item_id}",
-            submission_id=work.submission_id,
-            model=work.head.model,
-            pool=_choose_item_pool(route, item_work.item.item_id),
-            group=item_work.item.group,
-            min_version=self._min_startable_version(work, item_work),
-            deadline=self._parts.clock.to_local_seconds(work.head.accepted)
-            + route.results_due_seconds
-            + self._settings.overdue_tolerance_seconds,
-            expected_events_left=events_left if item_work.item.expected_length else 0.0,
-            carried_over=item_work.carried_over,
-            single_version=route.single_version,
-            versions=tuple(item_work.progress.versions),
-            avoided_engines=frozenset(
-                name for name, until in item_work.avoid_until_by_engine.items() if until > now
-            ),
-        )
-
-    def _min_startable_version(self, work: SubmissionWork, item_work: ItemWork) -> int:
-        """Return the oldest weight version with which an item may start.
-
-        The next step will probably carry an optional group over and reuse its outputs. For a short
-        time such a group therefore waits for the newest announced version.
-        """
-        age = self._parts.clock.now() - work.head.accepted
-        if (
-            item_work.item.group in work.optional_groups
-            and age < self._settings.optional_group_wait_seconds
-        ):
-            return max(
-                work.head.min_version, self._parts.announced_versions.get(work.head.model, 0)
-            )
-        return work.head.min_version
-
     def _start_items(
         self, items: list[QueuedItem], engines: list[EngineView], now: float
     ) -> set[str]:
@@ -431,7 +394,7 @@
             route = self._parts.route(work.head.route) if work is not None else None
             if route is None or run.events < 2:
                 continue
-            queued = self._build_queued_item(work, route, run.item_work, now)
+            queued = build_queued_item(self._parts, self._settings, work, route, run.item_work)
             by_id[queued.item_id] = key
             # Without an estimate of the length, 10 events count as left.
             events_left = queued.expected_events_left or 10.0
@@ -472,10 +435,3 @@
             oldest_allowed = max((work.head.min_version for work in works), default=0)
             demands[model] = ModelDemand(model, version, oldest_allowed, waiting.get(model, 0))
         return demands
-
-
-def _choose_item_pool(route: Route, item_id: str) -> str:
-    """Choose the pool of an item; on a route with several pools, always the same for its id."""
-    if len(route.pools) == 1:
-        return route.pools[0].pool
-    return choose_pool(route, Random(item_id))
--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/submission_adoptions.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.item_pacing import PacingSettings, choose_pace
 from pumicedeck.item_queues import choose_optional_groups
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.results import ResultCode
@@ -34,6 +35,7 @@
     retry_seconds: float = 0.2
     searched_steps: int = 2
     retained_submissions: int = 8
+    pacing: PacingSettings = PacingSettings()
 
 
 class SubmissionAdoptions:
@@ -127,6 +129,10 @@
             ],
             work.head.wanted_groups,
         )
+        work.pace = choose_pace(
+            [item_work.item.expected_length for item_work in work.waiting.values()],
+            self._settings.pacing,
+        )
         _log.info(
             "submission adopted",
             submission=work.submission_id,
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/submission_works.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.item_pacing import NO_PACE
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.submission_rows import (
@@ -92,7 +93,7 @@
 
     `waiting` has the items that wait for an engine, `running` those that an engine runs or a scorer
     scores, both by item id. `results` are the listed results by position. `optional_groups` are the
-    groups that the step can do without.
+    groups that the step can do without, `pace` says how many of its short items run at once.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.results: list[ItemResult] = []
         self.fencing = 0
         self.optional_groups: frozenset[str] = frozenset()
+        self.pace = NO_PACE
         self._owner_revision = 0
         self._pending_results: list[ItemResult] = []
         self._scoring_tasks: dict[str, Task] = {}
@@ -162,6 +164,14 @@
                 self.waiting[item.item_id] = item_work
         return Ok(None)
 
+    @property
+    def free_short_runs(self) -> int:
+        """Return how many more short items may run now."""
+        running = sum(
+            1 for each in self.running.values() if self.pace.is_short(each.item.expected_length)
+        )
+        return self.pace.max_short_runs - running
+
     def close(self) -> None:
         """Stop writing and cancel the reward calls."""
         self._closed = True
