Leave calls their own time-outs while there is no peer to pass them on

Cause: with `relay_port` 0, or before the first peers are known, a call that timed out ended the feeds' waiting reads as well, though there is no other path to send them on.

Change: the path counts as lost only if there are peers. The test fails before (the commit ended after 0.8 s, the feed with it).

--- a/pumicedeck/store_relays.py
+++ b/pumicedeck/store_relays.py
@@ -160,9 +160,14 @@
         self._path.direct_answered(commit_seconds)
 
     def _lose_direct_path(self, reason: str) -> None:
-        """Send the next calls through peers; end the direct calls that are overdue as well."""
+        """Send the next calls through peers; end the direct calls that are overdue as well.
+
+        Without peers there is no other path, and calls wait as long as their time-outs allow.
+        """
+        if not self._peers():
+            return
         now = self.timers.now()
-        if self._path.is_direct and self._peers():
+        if self._path.is_direct:
             _log.info("store not reached directly; calling it through a peer", reason=reason)
         self._path.direct_failed(now)
         overdue = [
--- a/pumicedeck/tests/test_store_relays.py
+++ b/pumicedeck/tests/test_store_relays.py
@@ -48,9 +48,8 @@
         self.path = StorePath()
         self.client = HttpClient(timers).register(self.loop)
         self.relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS).register(self.loop)
-        relayed = RelayedStoreClient(
-            self.client, self.relay_client, self.path, lambda: [self.relay.address]
-        )
+        self.peers = [self.relay.address]
+        relayed = RelayedStoreClient(self.client, self.relay_client, self.path, lambda: self.peers)
         self.store = HttpPartitionedStore(relayed, self.way.address, 0.8, 2.5)
         self.relayed_calls = 0
 
@@ -145,6 +144,18 @@
     assert isinstance(two.commit(b"4")[0], Ok) and two.relayed_calls == relayed
 
 
+def test_without_peers_every_call_waits_for_its_own_time_out(two):
+    two.commit(b"1")
+    two.peers = []
+    two.is_cut = True
+    found = []
+    two.store.read_changes("t", 1, 1.0).then(found.append)
+    two.loop.advance(0.5)
+    outcome, seconds = two.commit(b"2")
+    assert outcome.unwrap_err().code is ResultCode.STORE_OUTCOME_UNKNOWN
+    assert seconds == pytest.approx(0.8, abs=0.02) and found == [] and two.path.is_direct
+
+
 def test_a_peer_without_the_store_refuses_at_once_and_is_left_out(two):
     two.commit(b"1")
     two.is_cut = True
