Send no order with the number of a lease that was acquired again

Cause: an order waits up to a second for its announcement; meanwhile its process may lose the lease and acquire it again with a higher fencing number, and orders with the new number may leave first.

Change: an order leaves only with the fencing number that the lease has now. The test fails without the check (one order sent with number 1 after the lease had number 2).

--- a/pumicedeck/engine_orders.py
+++ b/pumicedeck/engine_orders.py
@@ -85,7 +85,7 @@
             self._sequences[key] = report.order_sequence
         sequence = self._sequences[key]
         order = VersionOrder(load.model, load.version, retain, self._holder, fencing, sequence)
-        if not await self._is_announced():
+        if not await self._may_send(fencing):
             return None
         deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
@@ -120,15 +120,19 @@
             await sleep(self._timers, self._settings.poll_interval_seconds)
         return None
 
-    async def _is_announced(self) -> bool:
-        """Wait until the lease row announces orders; return False if it does not in time."""
+    async def _may_send(self, fencing: int) -> bool:
+        """Wait until the lease row announces orders; return False if it does not in time.
+
+        Also False once the lease was acquired again: an order with the fencing number before must
+        not follow one with the new number.
+        """
         deadline = self._timers.now() + self._settings.announce_seconds
         while not self._lease.may_order(self._timers.now()):
             if self._timers.now() >= deadline or not self._lease.holds(self._timers.now()):
                 return False
             self._announce()
             await sleep(self._timers, self._settings.announce_poll_seconds)
-        return True
+        return self._lease.fencing == fencing
 
     async def report(self, endpoint: DirectEndpoint) -> EngineReport | None:
         """Return an engine's report of its state, None if it did not answer in time."""
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -12,12 +12,16 @@
 from result import Err, Ok
 
 from pumicedeck.clocks import VirtualTime
+from pumicedeck.engine_orders import EngineOrders
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseSettings
 from pumicedeck.order_announcements import OrderAnnouncement, earliest_order
 from pumicedeck.platform_interfaces import Committed, Row, TableStore
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduler_parts import SchedulerSettings
+from pumicedeck.tasks import spawn
+from pumicedeck.tests.scheduler_simulations import FakeCaller, SchedulerSimulation
+from pumicedeck.weight_plans import LoadVersion
 
 LEASE = LeaseSettings(duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2)
 TAKEOVER_SECONDS = SchedulerSettings().takeover_seconds
@@ -217,6 +221,38 @@
     assert world.first_orders["b"] - second.acquired_at <= 0.2
 
 
+class LeaseAcquiredAgain:
+    """A lease that is lost and acquired again while an order waits for its announcement."""
+
+    def __init__(self, timers):
+        self.timers = timers
+
+    @property
+    def fencing(self):
+        return 1 if self.timers.now() < 0.05 else 2
+
+    def holds(self, now):
+        return True
+
+    def may_order(self, now):
+        return now >= 0.1
+
+
+@pytest.mark.parametrize("fencing, sent", [(1, 0), (2, 1)])
+def test_no_order_bears_the_fencing_number_of_a_lease_that_was_acquired_again(fencing, sent):
+    """It would follow orders with the new number, which engines may see as a second holder."""
+    simulation = SchedulerSimulation(engines=1, processes=1)
+    engine = simulation.engines["e0"]
+    timers = VirtualTime()
+    simulation.timers = timers
+    orders = EngineOrders(
+        timers, FakeCaller(simulation), LeaseAcquiredAgain(timers), lambda: None, "p"
+    )
+    spawn(orders.load(engine.endpoint, LoadVersion("e0", "m0", 2), fencing, True), "load")
+    timers.run_until(2.0)
+    assert len(engine.orders) == sent
+
+
 MUTATIONS = {
     "orders without an announcement": {"is_open": property(lambda self: True)},
     "an announcement that counts before it is committed": {
