Let optional groups set no pace for the short items of a step

Cause: the pace of a step's short items was taken from its longest item, also if that item was in a group that the step can do without.

Change: only items of required groups set the pace.

--- a/pumicedeck/item_pacing.py
+++ b/pumicedeck/item_pacing.py
@@ -3,7 +3,8 @@
 The load is steps whose longest items run several times as long as the rest and decide when the step
 ends. If all short items started at once, each would need a connection to its engine, and engines
 would generate the long ones more slowly beside them. Short items therefore start in turns, the
-longer ones first, so that they end long before the longest item.
+longer ones first, so that they end long before the longest item. Items of groups that the step can
+do without decide nothing: however long they are, they delay no other item.
 """
 
 from collections import Counter
@@ -15,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PacingSettings:
-    """The short items of a step end within `share` of the time of its longest item.
+    """The short items of a step end within `share` of the time of its longest required item.
 
     That holds as far as the estimates of their lengths do. Items of at least `share` of the longest
     one's length are not short. With 0 all items start as soon as engines have free slots. Once a
@@ -49,12 +50,15 @@
 NO_PACE = StepPace(0.0, 0)
 
 
-def choose_pace(expected_lengths: list[float], settings: PacingSettings) -> StepPace:
-    """Return the pace of a step from the estimated lengths of its items in events, 0 if unknown."""
-    limit = settings.share * max(expected_lengths, default=0.0)
+def choose_pace(items: list[tuple[float, bool]], settings: PacingSettings) -> StepPace:
+    """Return the pace of a step.
+
+    `items` are tuples (estimated length in events, 0 if unknown; whether its group is optional).
+    """
+    limit = settings.share * max((length for length, optional in items if not optional), default=0)
     if not limit:
         return NO_PACE
-    short_events = sum(length for length in expected_lengths if length < limit)
+    short_events = sum(length for length, _ in items if length < limit)
     max_short_runs = max(1, ceil(short_events / limit))
     return StepPace(limit, max_short_runs, settings.max_wait_seconds)
 
--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/submission_adoptions.py
@@ -130,7 +130,10 @@
             work.head.wanted_groups,
         )
         work.pace = choose_pace(
-            [item_work.item.expected_length for item_work in work.waiting.values()],
+            [
+                (item_work.item.expected_length, item_work.item.group in work.optional_groups)
+                for item_work in work.waiting.values()
+            ],
             self._settings.pacing,
         )
         _log.info(
