Give each mechanism of the gateway a setting that switches it off by itself

The users ask what each mechanism is worth, and only relays of store calls could be switched off. `mechanisms` in the gateway's settings has sixteen switches; `decision_settings` translates them into the settings of the modules that decide, so no decision reads a switch.

With all switches on nothing changes: the defaults are the values of before.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -59,6 +59,8 @@
 
     def handle(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> None:
         """Forward a request; the work is cancelled when its caller disconnects."""
+        if not self._settings.retries:
+            route = replace(route, max_attempts=1)
         if route.kind is RouteKind.STREAM:
             coroutine = _StreamRelay(self, incoming, call, route).run()
         else:
--- a/pumicedeck/call_limits.py
+++ b/pumicedeck/call_limits.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
-    """Limits on attempts; times are in seconds.
+    """Limits on attempts; times are in seconds. Without `retries` each call has one attempt.
 
     While another attempt is left, an endpoint may be silent for `silence_limit_factor` times the
     latency objective, but at least for `min_silence_limit_seconds`. No attempt is started with
@@ -44,6 +44,7 @@
     min_attempt_seconds: float = 0.01
     retry_after_seconds: float = 0.3
     stream_silence_seconds: float = 1.0
+    retries: bool = True
 
     def silence_limit(self, route: Route, seconds_left: float, more_attempts: bool) -> float:
         """Return how many seconds an endpoint may be silent with `seconds_left` for the request."""
--- /dev/null
+++ b/pumicedeck/decision_settings.py
@@ -0,0 +1,67 @@
+"""The settings of the modules that decide, as the switches of the mechanisms ask for them."""
+
+from dataclasses import dataclass
+from math import inf
+
+from pumicedeck.call_limits import RetrySettings
+from pumicedeck.event_intervals import IntervalSettings
+from pumicedeck.gateway_settings import MechanismSettings
+from pumicedeck.item_pacing import PacingSettings
+from pumicedeck.item_queues import MoveSettings, QueueSettings
+from pumicedeck.order_announcements import AnnouncementSettings
+from pumicedeck.peer_checks import PeerCheckSettings
+from pumicedeck.scheduler_parts import SchedulerSettings
+from pumicedeck.submission_adoptions import AdoptionSettings
+from pumicedeck.weight_plans import WeightPlanSettings
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionSettings:
+    """Settings of the decisions of one gateway.
+
+    With `avoids_failed` endpoints that failed a short time ago are chosen last. With
+    `delays_weak_machines` a machine with few CPU cores takes over a lost lease later.
+    """
+
+    scheduler: SchedulerSettings = SchedulerSettings()
+    adoption: AdoptionSettings = AdoptionSettings()
+    plan: WeightPlanSettings = WeightPlanSettings()
+    queue: QueueSettings = QueueSettings()
+    moves: MoveSettings = MoveSettings()
+    intervals: IntervalSettings = IntervalSettings()
+    announcement: AnnouncementSettings = AnnouncementSettings()
+    retries: RetrySettings = RetrySettings()
+    peer_check: PeerCheckSettings = PeerCheckSettings()
+    avoids_failed: bool = True
+    delays_weak_machines: bool = True
+
+
+def choose_decision_settings(mechanisms: MechanismSettings) -> DecisionSettings:
+    """Return the settings with which each mechanism that is switched off has no effect."""
+    on = DecisionSettings()
+    scheduler = SchedulerSettings(
+        optional_group_wait_seconds=(
+            on.scheduler.optional_group_wait_seconds if mechanisms.optional_groups else 0.0
+        ),
+        stall_seconds=on.scheduler.stall_seconds if mechanisms.stalled_engine_ends else inf,
+    )
+    pacing = PacingSettings() if mechanisms.turns_of_short_items else PacingSettings(share=0.0)
+    return DecisionSettings(
+        scheduler=scheduler,
+        adoption=AdoptionSettings(reuses_outputs=mechanisms.reuse_of_outputs, pacing=pacing),
+        plan=on.plan if mechanisms.loads_in_turns else WeightPlanSettings(loads_share=1.0),
+        queue=QueueSettings(mechanisms.longest_first, mechanisms.placement_by_end),
+        moves=on.moves if mechanisms.moves else MoveSettings(max_moves=0),
+        intervals=IntervalSettings(
+            mechanisms.interval_windows, mechanisms.remembered_engine_speeds
+        ),
+        announcement=AnnouncementSettings(trusts_rows=mechanisms.announced_orders),
+        retries=RetrySettings(retries=mechanisms.retries),
+        peer_check=(
+            on.peer_check
+            if mechanisms.peer_checks
+            else PeerCheckSettings(disconnected_after_seconds=inf)
+        ),
+        avoids_failed=mechanisms.outlier_avoidance,
+        delays_weak_machines=mechanisms.weak_machines_later,
+    )
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -75,10 +75,14 @@
 
 @dataclass(slots=True)
 class EndpointDirectory:
-    """All registered endpoints with their states; `home` is this process's failure domain."""
+    """All registered endpoints with their states; `home` is this process's failure domain.
+
+    With `avoids_failed` endpoints that failed or refused a call a short time ago are chosen last.
+    """
 
     home: FailureDomain
     random: Random
+    avoids_failed: bool = True
     _states: dict[str, EndpointState] = field(default_factory=dict)
 
     @property
@@ -155,7 +159,7 @@
     def record_failure(self, name: str, now: float) -> None:
         """Avoid an endpoint; the backoff doubles with each failure in a row."""
         state = self._states.get(name)
-        if state is not None:
+        if state is not None and self.avoids_failed:
             backoff_seconds = min(
                 MAX_FAILURE_BACKOFF_SECONDS, FIRST_FAILURE_BACKOFF_SECONDS * 2**state.failures
             )
@@ -165,7 +169,7 @@
     def record_refusal(self, name: str, now: float) -> None:
         """Briefly avoid an endpoint that refused a call because it was full."""
         state = self._states.get(name)
-        if state is not None:
+        if state is not None and self.avoids_failed:
             state.avoid_until = max(state.avoid_until, now + REFUSAL_BACKOFF_SECONDS)
 
     def _cost(self, state: EndpointState, now: float) -> tuple[bool, float]:
--- a/pumicedeck/event_intervals.py
+++ b/pumicedeck/event_intervals.py
@@ -18,6 +18,21 @@
 _MIN_WINDOWS = 10
 
 
+@dataclass(frozen=True, slots=True)
+class IntervalSettings:
+    """How event intervals are measured.
+
+    With `uses_windows` only the last windows of a run count, otherwise all since its first event.
+    With `remembers_engines` an engine without recent runs counts as being as fast as before.
+    """
+
+    uses_windows: bool = True
+    remembers_engines: bool = True
+
+
+DEFAULT_INTERVAL_SETTINGS = IntervalSettings()
+
+
 @dataclass(slots=True)
 class RunEventInterval:
     """The event interval of one run, measured in windows of at least `WINDOW_SECONDS`.
@@ -27,10 +42,12 @@
     before the second one has ended.
     """
 
+    settings: IntervalSettings = DEFAULT_INTERVAL_SETTINGS
     window_event_seconds: float | None = None
     confirmed_event_seconds: float | None = None
     _window_start: float | None = None
     _window_start_events: int = 0
+    _measured_from: tuple[float, int] | None = None
 
     def sample(self, events: int, now: float) -> bool:
         """Record the run's number of events at `now`; return whether a window has ended.
@@ -40,11 +57,15 @@
         if self._window_start is None:
             if events:
                 self._window_start, self._window_start_events = now, events
+                self._measured_from = (now, events)
             return False
         elapsed = now - self._window_start
         if elapsed < WINDOW_SECONDS:
             return False
-        seconds = elapsed / max(EMPTY_WINDOW_EVENTS, events - self._window_start_events)
+        start, start_events = self._window_start, self._window_start_events
+        if not self.settings.uses_windows:
+            start, start_events = self._measured_from
+        seconds = (now - start) / max(EMPTY_WINDOW_EVENTS, events - start_events)
         if self.window_event_seconds is not None:
             self.confirmed_event_seconds = min(self.window_event_seconds, seconds)
         self.window_event_seconds = seconds
@@ -65,6 +86,7 @@
     interval that it had before; one with fewer than `_MIN_WINDOWS` measurements has the default.
     """
 
+    settings: IntervalSettings = DEFAULT_INTERVAL_SETTINGS
     _intervals: dict[str, tuple[float, float]] = field(default_factory=dict)
     _shortest: dict[str, float] = field(default_factory=dict)
     _windows: Counter[str] = field(default_factory=Counter)
@@ -73,7 +95,7 @@
         """Return the seconds per event at an engine."""
         previous = self._intervals.get(engine)
         if previous is None or now - previous[1] > _MAX_AGE_SECONDS:
-            is_known = self._windows[engine] >= _MIN_WINDOWS
+            is_known = self.settings.remembers_engines and self._windows[engine] >= _MIN_WINDOWS
             return self._shortest[engine] if is_known else DEFAULT_EVENT_SECONDS
         return previous[0]
 
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -14,6 +14,7 @@
 
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.decision_settings import choose_decision_settings
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.endpoint_lists import EndpointList
@@ -120,6 +121,7 @@
     """
     random = Random(f"{settings.vm}/{time.time_ns()}")
     home = FailureDomain(settings.failure_domain, settings.region)
+    decisions = choose_decision_settings(settings.mechanisms)
     store_client = HttpClient(timers, STORE_CLIENT_SETTINGS).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS).register(root)
     mirror = WorkMirror()
@@ -134,7 +136,7 @@
         settings.store.longest_call_seconds,
     )
     clock = StoreClock(timers)
-    directory = EndpointDirectory(home, random)
+    directory = EndpointDirectory(home, random, decisions.avoids_failed)
     endpoint_list = EndpointList(
         timers,
         directory,
@@ -149,6 +151,7 @@
         LEASE_SETTINGS,
         incarnation_prefix,
         store_now=clock.now,
+        announcement=decisions.announcement,
     )
     scheduler = Scheduler(
         SchedulerParts(
@@ -174,7 +177,13 @@
                 mirror,
                 SweepSettings(status_seconds=settings.promises.status_seconds),
             ),
-        )
+            plan=decisions.plan,
+            moves=decisions.moves,
+            queue=decisions.queue,
+            intervals=decisions.intervals,
+            adoption=decisions.adoption,
+        ),
+        decisions.scheduler,
     )
 
     def acquired(lease: LeaseAcquired) -> None:
@@ -236,7 +245,7 @@
         store,
         HttpClient(timers, PEER_CLIENT_SETTINGS).register(root),
         mirror,
-        PeerCheck(incarnation_prefix),
+        PeerCheck(incarnation_prefix, decisions.peer_check),
         settings.vm,
         settings.readiness,
         last_contact_at=lambda: lease_holder.last_contact_at,
@@ -260,7 +269,9 @@
             timers=timers,
             callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
             readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
-            forwarder=CallForwarder(timers, endpoint_caller, directory, dialect, random),
+            forwarder=CallForwarder(
+                timers, endpoint_caller, directory, dialect, random, decisions.retries
+            ),
             intake=SubmissionIntake(timers, store, mirror),
             scheduler=scheduler,
             lease=lease,
@@ -275,6 +286,7 @@
             submission_dialect=PlatformSubmissionDialect(),
             finish=finish,
             cores=settings.machine.cores * settings.machine.cpu_share,
+            delays_few_cores=decisions.delays_weak_machines,
             metrics=metrics,
             relay=relay,
         ),
@@ -292,7 +304,7 @@
 
 def _relay_addresses(mirror: WorkMirror, settings: GatewaySettings) -> list[Address]:
     """Return the addresses at which peers pass calls to the store on, the next VM by name first."""
-    if not settings.relay_port:
+    if not settings.relay_port or not settings.mechanisms.store_relays:
         return []
     names = sorted(name for name in mirror.members if name != settings.vm)
     ordered = sorted(names, key=lambda name: name < settings.vm)
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -41,6 +41,27 @@
     descriptors: int = 1024
 
 
+class MechanismSettings(Section):
+    """Mechanisms that can be switched off one by one, to measure what each is worth."""
+
+    reuse_of_outputs: bool = True
+    loads_in_turns: bool = True
+    longest_first: bool = True
+    turns_of_short_items: bool = True
+    optional_groups: bool = True
+    moves: bool = True
+    remembered_engine_speeds: bool = True
+    placement_by_end: bool = True
+    interval_windows: bool = True
+    announced_orders: bool = True
+    store_relays: bool = True
+    weak_machines_later: bool = True
+    peer_checks: bool = True
+    outlier_avoidance: bool = True
+    retries: bool = True
+    stalled_engine_ends: bool = True
+
+
 class GatewaySettings(Section):
     """A gateway: the addresses for callers and for the balancer, and the platform's store.
 
@@ -60,4 +81,5 @@
     store: StoreSettings
     promises: PromiseSettings = PromiseSettings()
     machine: MachineSettings = MachineSettings()
+    mechanisms: MechanismSettings = MechanismSettings()
     log: LogSettings = LogSettings()
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
 from loguru import logger
 from result import Err, Ok
@@ -75,7 +76,11 @@
 
 @dataclass(slots=True)
 class GatewayParts:
-    """The parts that a gateway is composed of; `cores` is how many CPU cores it may use."""
+    """The parts that a gateway is composed of.
+
+    `cores` is how many CPU cores it may use. With `delays_few_cores` a gateway with few of them
+    takes over a lost lease later than others.
+    """
 
     timers: TimerQueue
     callers: HttpListener
@@ -95,6 +100,7 @@
     submission_dialect: SubmissionDialect
     finish: Callable[[], None]
     cores: float = 1.0
+    delays_few_cores: bool = True
     metrics: HttpListener | None = None
     relay: HttpListener | None = None
 
@@ -344,7 +350,8 @@
             if self.is_ready and not lease_requested:
                 lease_requested = True
                 extra_acquisition_delay_seconds = lease_extra_acquisition_delay_seconds(
-                    self._parts.work_feed.round_trip_seconds, self._parts.cores
+                    self._parts.work_feed.round_trip_seconds,
+                    self._parts.cores if self._parts.delays_few_cores else inf,
                 )
                 self._parts.lease_holder.extra_acquisition_delay_seconds = (
                     extra_acquisition_delay_seconds
--- a/pumicedeck/item_pacing.py
+++ b/pumicedeck/item_pacing.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 from math import ceil
 
-from pumicedeck.item_queues import QueuedItem, order_items
+from pumicedeck.item_queues import (
+    DEFAULT_QUEUE_SETTINGS,
+    QueuedItem,
+    QueueSettings,
+    order_items,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +69,10 @@
 
 
 def choose_paced_items(
-    waiting: list[QueuedItem], free_short_runs: Counter[str], now: float
+    waiting: list[QueuedItem],
+    free_short_runs: Counter[str],
+    now: float,
+    settings: QueueSettings = DEFAULT_QUEUE_SETTINGS,
 ) -> list[QueuedItem]:
     """Return the items that may start now, in their order.
 
@@ -72,7 +80,7 @@
     """
     free = Counter(free_short_runs)
     chosen = []
-    for item in order_items(waiting, now):
+    for item in order_items(waiting, now, settings):
         if item.waits_for_turn:
             if free[item.submission_id] <= 0:
                 continue
--- a/pumicedeck/item_queues.py
+++ b/pumicedeck/item_queues.py
@@ -72,6 +72,22 @@
         return not (item.single_version and item.versions and item.versions != (version,))
 
 
+@dataclass(frozen=True, slots=True)
+class QueueSettings:
+    """By what items are ordered and placed.
+
+    With `longest_first` the longer ones of equally urgent items start first. With
+    `places_by_end` an item goes to the engine at which it ends first, otherwise to the nearest and
+    least busy one.
+    """
+
+    longest_first: bool = True
+    places_by_end: bool = True
+
+
+DEFAULT_QUEUE_SETTINGS = QueueSettings()
+
+
 @dataclass(frozen=True, slots=True)
 class Assignment:
     """An item and the name of the engine that is to run it."""
@@ -80,21 +96,21 @@
     engine: str
 
 
-def order_items(items: list[QueuedItem], now: float) -> list[QueuedItem]:
+def order_items(
+    items: list[QueuedItem], now: float, settings: QueueSettings = DEFAULT_QUEUE_SETTINGS
+) -> list[QueuedItem]:
     """Return the items in the order in which they are to start.
 
     Items before their deadline come first, by deadline; at the same deadline carried-over items
     come first, then the longest ones.
     """
-    return sorted(
-        items,
-        key=lambda item: (
-            item.deadline < now,
-            item.deadline,
-            not item.carried_over,
-            -(item.expected_events_left or DEFAULT_LENGTH_EVENTS),
-        ),
-    )
+
+    def sort_key(item: QueuedItem) -> tuple[bool, float, bool, float]:
+        length = item.expected_events_left or DEFAULT_LENGTH_EVENTS
+        rank = -length if settings.longest_first else 0.0
+        return item.deadline < now, item.deadline, not item.carried_over, rank
+
+    return sorted(items, key=sort_key)
 
 
 def choose_optional_groups(
@@ -117,12 +133,15 @@
 
 
 def assign_items(
-    items: list[QueuedItem], engines: list[EngineView], now: float
+    items: list[QueuedItem],
+    engines: list[EngineView],
+    now: float,
+    settings: QueueSettings = DEFAULT_QUEUE_SETTINGS,
 ) -> list[Assignment]:
     """Return the items that start now; takes their slots off the free slots of `engines`."""
     assignments = []
-    for item in order_items(items, now):
-        engine = _best_engine(item, engines)
+    for item in order_items(items, now, settings):
+        engine = _best_engine(item, engines, settings)
         if engine is None:
             continue
         engine.free_slots -= 1
@@ -131,29 +150,35 @@
     return assignments
 
 
-def _best_engine(item: QueuedItem, engines: list[EngineView]) -> EngineView | None:
+def _best_engine(
+    item: QueuedItem, engines: list[EngineView], settings: QueueSettings
+) -> EngineView | None:
     """Return the cheapest engine with a free slot, one that the item does not avoid if possible."""
     eligible = [each for each in engines if each.free_slots > 0 and each.may_run(item)]
     untried = [each for each in eligible if each.name not in item.avoided_engines]
     candidates = untried or eligible
     if not candidates:
         return None
-    return min(candidates, key=lambda engine: _assignment_cost(item, engine))
+    return min(candidates, key=lambda engine: _assignment_cost(item, engine, settings))
 
 
-def _assignment_cost(item: QueuedItem, engine: EngineView) -> tuple[bool, float]:
+def _assignment_cost(
+    item: QueuedItem, engine: EngineView, settings: QueueSettings
+) -> tuple[bool, float]:
     """Return a sort key: engines assigned to another model last, then by seconds to the end.
 
     The distance counts once, not for each event, so that a long item runs on a fast engine in
     another region rather than on a slow one nearby.
     """
+    assigned_to_other_model = bool(engine.assigned_model) and engine.assigned_model != item.model
     busy = 1.0 - engine.free_slots / max(1, engine.slots)
+    if not settings.places_by_end:
+        return assigned_to_other_model, engine.distance_seconds + busy
     events = item.expected_events_left or DEFAULT_LENGTH_EVENTS
     seconds = events * engine.event_seconds * (1.0 + BUSY_COST_WEIGHT * busy)
     seconds += engine.distance_seconds
     if item.group in engine.groups:
         seconds -= SAME_GROUP_GAIN_SECONDS
-    assigned_to_other_model = bool(engine.assigned_model) and engine.assigned_model != item.model
     return assigned_to_other_model, seconds
 
 
@@ -189,7 +214,10 @@
 
 
 def choose_moves(
-    running: list[RunningItem], engines: list[EngineView], settings: MoveSettings
+    running: list[RunningItem],
+    engines: list[EngineView],
+    settings: MoveSettings,
+    queue: QueueSettings = DEFAULT_QUEUE_SETTINGS,
 ) -> list[Assignment]:
     """Return the items that would end much sooner on another engine with a free slot."""
     by_name = {engine.name: engine for engine in engines}
@@ -199,7 +227,7 @@
         if source is None or run.moves >= settings.max_moves:
             continue
         others = [e for e in engines if e is not source and e.free_slots > 0]
-        target = _best_engine(run.item, others)
+        target = _best_engine(run.item, others, queue)
         if target is None:
             continue
         confirmed = run.event_seconds is not None
--- a/pumicedeck/item_runs.py
+++ b/pumicedeck/item_runs.py
@@ -9,7 +9,11 @@
 from pumicedeck.dialects import AnswerHead, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
-from pumicedeck.event_intervals import RunEventInterval
+from pumicedeck.event_intervals import (
+    DEFAULT_INTERVAL_SETTINGS,
+    IntervalSettings,
+    RunEventInterval,
+)
 from pumicedeck.event_streams import EventSplitter
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.results import Failure
@@ -52,6 +56,7 @@
         item_work: ItemWork,
         endpoint: DirectEndpoint,
         single_version: bool,
+        intervals: IntervalSettings = DEFAULT_INTERVAL_SETTINGS,
     ) -> None:
         """Prepare a run; with `single_version` the output must come from one weight version."""
         self._timers = timers
@@ -66,7 +71,7 @@
         self.started = timers.now()
         self.last_contact_at = self.started
         self.events = 0
-        self.event_interval = RunEventInterval()
+        self.event_interval = RunEventInterval(intervals)
 
     @property
     def item_work(self) -> ItemWork:
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -14,7 +14,7 @@
 
 from result import Result
 
-from pumicedeck.order_announcements import OrderAnnouncement
+from pumicedeck.order_announcements import AnnouncementSettings, OrderAnnouncement
 from pumicedeck.platform_interfaces import Committed, Condition, Row, StoreKey, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
@@ -140,6 +140,7 @@
         settings: LeaseSettings | None = None,
         incarnation_prefix: str = "",
         store_now: Callable[[], float] | None = None,
+        announcement: AnnouncementSettings | None = None,
     ) -> None:
         """Create an idle state machine; `acquire` starts it.
 
@@ -153,7 +154,7 @@
         self._settings = settings or LeaseSettings()
         self._incarnation_prefix = incarnation_prefix
         self._store_now = store_now
-        self._announcement = OrderAnnouncement(store_now) if store_now is not None else None
+        self._announcement = OrderAnnouncement(store_now, announcement) if store_now else None
         self._phase = LeasePhase.IDLE
         self._should_hold = False
         self._row: Row | None = None
--- a/pumicedeck/order_announcements.py
+++ b/pumicedeck/order_announcements.py
@@ -15,11 +15,13 @@
     """Times in seconds.
 
     An announcement allows orders for `window_seconds`. The last `margin_seconds` of it are not
-    used, since the estimate of the store's clock may be behind.
+    used, since the estimate of the store's clock may be behind. With `trusts_rows` a successor
+    waits only for orders that a row announces, otherwise as if every holder had sent some.
     """
 
     window_seconds: float = 0.6
     margin_seconds: float = 0.2
+    trusts_rows: bool = True
 
 
 class OrderAnnouncement:
@@ -63,7 +65,7 @@
 
         A holder whose row announces nothing may have sent an order until now.
         """
-        if orders_until is None:
+        if orders_until is None or not self._settings.trusts_rows:
             orders_until = self._store_now() if was_held else 0.0
         self._inherited_until = max(self._inherited_until, orders_until)
 
--- a/pumicedeck/scheduler_parts.py
+++ b/pumicedeck/scheduler_parts.py
@@ -7,11 +7,13 @@
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.engine_orders import EngineOrders
-from pumicedeck.item_queues import MoveSettings
+from pumicedeck.event_intervals import IntervalSettings
+from pumicedeck.item_queues import MoveSettings, QueueSettings
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.store_clocks import StoreClock
+from pumicedeck.submission_adoptions import AdoptionSettings
 from pumicedeck.submission_sweeps import SubmissionSweep
 from pumicedeck.topology import FailureDomain
 from pumicedeck.weight_plans import WeightPlanSettings
@@ -74,6 +76,9 @@
     sweep: SubmissionSweep
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
+    queue: QueueSettings = field(default_factory=QueueSettings)
+    intervals: IntervalSettings = field(default_factory=IntervalSettings)
+    adoption: AdoptionSettings = field(default_factory=AdoptionSettings)
 
     def route(self, name: str) -> Route | None:
         """Return a route by its name, None if there is none."""
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -56,6 +56,7 @@
             parts.mirror,
             parts.holder,
             self._on_ownership_lost,
+            parts.adoption,
         )
         self._weights = WeightSchedule(
             parts.timers, parts.directory, parts.orders, self._schedule_soon, parts.plan
@@ -63,7 +64,7 @@
         self._endings = ItemEndings(parts, self._settings, self._is_worked_on, self._schedule_soon)
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._schedule_pending = False
-        self._event_intervals = EngineEventIntervals()
+        self._event_intervals = EngineEventIntervals(parts.intervals)
         self._fencing = 0
         self._active = False
         self._orders_allowed_from = 0.0
@@ -240,7 +241,7 @@
         free_short_runs = Counter(
             {work.submission_id: work.free_short_runs for work in self._works.values()}
         )
-        items = choose_paced_items(items, free_short_runs, now)
+        items = choose_paced_items(items, free_short_runs, now, self._parts.queue)
         started = self._start_items(items, engines, now)
         if not started or len(started) == len(items):
             self._move_items(engines, now)
@@ -286,7 +287,7 @@
         """Start the items that get an engine; return their ids in the queue."""
         by_id = {item.item_id: item for item in items}
         started = set()
-        for assignment in assign_items(items, engines, now):
+        for assignment in assign_items(items, engines, now, self._parts.queue):
             item = by_id[assignment.item_id]
             state = self._parts.directory.state(assignment.engine)
             work = self._works.get(item.submission_id)
@@ -309,7 +310,13 @@
         work.running[item_work.item.item_id] = item_work
         item_work.attempts += 1
         run = ItemRun(
-            self._timers, self._parts.caller, work.head, item_work, endpoint, single_version
+            self._timers,
+            self._parts.caller,
+            work.head,
+            item_work,
+            endpoint,
+            single_version,
+            self._parts.intervals,
         )
         key = (work.submission_id, item_work.item.item_id)
         _log.info(
@@ -407,7 +414,7 @@
                     run.event_interval.confirmed_event_seconds,
                 )
             )
-        for move in choose_moves(running, engines, self._parts.moves):
+        for move in choose_moves(running, engines, self._parts.moves, self._parts.queue):
             key = by_id[move.item_id]
             run, _ = self._runs[key]
             run.item_work.moves += 1
--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/submission_adoptions.py
@@ -27,12 +27,13 @@
 class AdoptionSettings:
     """Limits of the search for reusable outputs; `retry_seconds` follows a failed claim.
 
-    The outputs of a model's last `searched_steps` ended steps are reused. The results of the last
-    `retained_submissions` submissions of this process are retained in memory, so that they need not
-    be read from the store.
+    With `reuses_outputs` the outputs of a model's last `searched_steps` ended steps are reused.
+    The results of the last `retained_submissions` submissions of this process are retained in
+    memory, so that they need not be read from the store.
     """
 
     retry_seconds: float = 0.2
+    reuses_outputs: bool = True
     searched_steps: int = 2
     retained_submissions: int = 8
     pacing: PacingSettings = PacingSettings()
@@ -73,6 +74,8 @@
         self._own_results[work.submission_id] = work.results
         while len(self._own_results) > self._settings.retained_submissions:
             self._own_results.popitem(last=False)
+        if not self._settings.reuses_outputs:
+            return
         for item_work in (*work.waiting.values(), *work.running.values()):
             self._reusable_outputs.add_output(item_work.item.item_id, item_work.progress)
 
@@ -116,7 +119,8 @@
             if failure.code is not ResultCode.FENCED:
                 await sleep(self._timers, self._settings.retry_seconds)
             return None
-        await self._collect_reusable_outputs(view)
+        if self._settings.reuses_outputs:
+            await self._collect_reusable_outputs(view)
         return work
 
     def _prepare(self, work: SubmissionWork, single_version: bool) -> None:
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -26,6 +26,7 @@
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.submission_adoptions import AdoptionSettings
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.submission_rows import join_results
 from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
@@ -208,6 +209,7 @@
                 home=HOME,
                 may_claim=lambda: self.holder.holds(timers.now()),
                 sweep=SubmissionSweep(timers, self.store, self.clock, self.mirror, SweepSettings()),
+                adoption=simulation.adoption,
             )
         )
         self.keeper = LeaseKeeper(
@@ -258,10 +260,11 @@
 class SchedulerSimulation:
     """Processes that share a store and engines; the first one acquires the lease first."""
 
-    def __init__(self, engines=3, slots=12, processes=2):
+    def __init__(self, engines=3, slots=12, processes=2, adoption=None):
         self.timers = VirtualTime()
         self.data = PartitionedData()
         self.routes = ROUTES
+        self.adoption = adoption or AdoptionSettings()
         self.announced = {}
         self.refuse_while_loading = True
         self.padding = ""
