Send nothing more to an endpoint whose answer says that it leaves

Cause: the header `Server-Leaving` was read nowhere; only the registration drained an endpoint, and that may say `ready` long after the endpoint's answers have said that it leaves.

Change: the head of each answer (calls, streams, items, reward calls, orders, reports; also errors and answers that belong to another request) drains that incarnation in the directory at once. A late registration that says `ready`, or one that was removed and comes back, does not undo it; a new incarnation does. A 421 says nothing, since another endpoint sent it.

Ruled out: telling the other gateways. The rule asks each machine for its own requests only, each learns it from its first answer, engines get requests from the scheduler alone, and a row for each gateway and endpoint would grow as their product.

--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -48,7 +48,8 @@
     `not_run` means that the endpoint states that the request did not and will not run;
     `misdirected` that another endpoint is now at this address. `signature` proves to the caller
     that the answer comes from the endpoint. `version` is the weight version; `running` and
-    `waiting` are the endpoint's counts of requests. The last three are None if not reported.
+    `waiting` are the endpoint's counts of requests; these three are None if not reported. `leaving`
+    means that the endpoint will end soon and must get no further requests.
     """
 
     status: int
@@ -59,6 +60,7 @@
     version: int | None
     running: int | None
     waiting: int | None
+    leaving: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -5,7 +5,8 @@
 expected wait, nearby endpoints first, and endpoints that failed recently are chosen last.
 """
 
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from pumicedeck.platform_interfaces import LoadedModel
@@ -19,6 +20,8 @@
 OTHER_REGION_COST = 1.5
 LATENCY_SMOOTHING = 0.2
 LOAD_REPORT_MAX_AGE_SECONDS = 1.0
+# Endpoints that leave are forgotten last in, last out; a fleet replaces far fewer at a time.
+MAX_LEAVING_ENDPOINTS = 1000
 
 
 def version_in(models: tuple[LoadedModel, ...], model: str) -> int:
@@ -84,6 +87,7 @@
     random: Random
     avoids_failed: bool = True
     _states: dict[str, EndpointState] = field(default_factory=dict)
+    _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     @property
     def endpoints(self) -> tuple[DirectEndpoint, ...]:
@@ -95,7 +99,12 @@
         return self._states.get(name)
 
     def update(self, endpoint: DirectEndpoint) -> None:
-        """Add or update an endpoint; a new incarnation or address starts with a fresh state."""
+        """Add or update an endpoint; a new incarnation or address starts with a fresh state.
+
+        An incarnation that has said that it leaves stays draining, whatever its registration says.
+        """
+        if self.is_leaving(endpoint):
+            endpoint = replace(endpoint, draining=True)
         state = self._states.get(endpoint.name)
         known = state.endpoint if state is not None else None
         if (
@@ -107,6 +116,23 @@
         else:
             state.endpoint = endpoint
 
+    def is_leaving(self, endpoint: DirectEndpoint) -> bool:
+        """Return whether this incarnation of an endpoint has said in an answer that it leaves."""
+        return self._leaving_incarnations.get(endpoint.name) == endpoint.incarnation
+
+    def record_leaving(self, endpoint: DirectEndpoint) -> bool:
+        """Drain an incarnation that says that it leaves; return False if that was known."""
+        if self.is_leaving(endpoint):
+            return False
+        self._leaving_incarnations[endpoint.name] = endpoint.incarnation
+        self._leaving_incarnations.move_to_end(endpoint.name)
+        while len(self._leaving_incarnations) > MAX_LEAVING_ENDPOINTS:
+            self._leaving_incarnations.popitem(last=False)
+        state = self._states.get(endpoint.name)
+        if state is not None and state.endpoint.incarnation == endpoint.incarnation:
+            state.endpoint = replace(state.endpoint, draining=True)
+        return True
+
     def remove(self, name: str) -> None:
         """Remove an endpoint."""
         self._states.pop(name, None)
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
@@ -13,6 +14,8 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.tasks import Promise
 
+_log = logger.bind(module="endpoint_callers")
+
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
@@ -67,8 +70,7 @@
         """
         started = self._timers.now()
 
-        def check(response: HttpResponse) -> bool:
-            answer = self._dialect.decode_answer_head(response)
+        def check(answer: AnswerHead, response: HttpResponse) -> bool:
             if not _matches_request(answer, call):
                 return False
             if on_head is not None and answer.succeeded:
@@ -78,7 +80,7 @@
         self._directory.call_started(endpoint.name)
         try:
             request = self._dialect.encode_request(call, endpoint, seconds)
-            outcome = await self._exchange(request, silence_seconds, check, on_chunk)
+            outcome = await self._exchange(request, endpoint, silence_seconds, check, on_chunk)
         finally:
             self._directory.call_ended(endpoint)
         result = self._evaluate(endpoint, call, outcome)
@@ -87,25 +89,50 @@
         return result
 
     async def send_request(
-        self, request: HttpRequest, silence_seconds: float
+        self, request: HttpRequest, endpoint: DirectEndpoint, silence_seconds: float
     ) -> Result[HttpResponse, Failure]:
         """Send a request other than a call, such as a version order or a request for a report."""
-        return await self._exchange(request, silence_seconds, None, None)
+        return await self._exchange(request, endpoint, silence_seconds, None, None)
 
     async def _exchange(
         self,
         request: HttpRequest,
+        endpoint: DirectEndpoint,
         silence_seconds: float,
-        check: Callable[[HttpResponse], bool] | None,
+        check: Callable[[AnswerHead, HttpResponse], bool] | None,
         on_chunk: Callable[[bytes], None] | None,
     ) -> Result[HttpResponse, Failure]:
         promise: Promise[Result[HttpResponse, Failure]] = Promise()
-        exchange = self._client.send(request, promise.resolve, on_chunk, silence_seconds, check)
+
+        def check_head(response: HttpResponse) -> bool:
+            answer = self._dialect.decode_answer_head(response)
+            self._record_leaving(endpoint, answer)
+            return check is None or check(answer, response)
+
+        exchange = self._client.send(
+            request, promise.resolve, on_chunk, silence_seconds, check_head
+        )
         try:
             return await promise
         finally:
             exchange.cancel()
 
+    def _record_leaving(self, endpoint: DirectEndpoint, answer: AnswerHead) -> None:
+        """Drain an endpoint whose answer says that it leaves.
+
+        That is known as soon as the head is here, so no request follows while a long answer goes
+        on. A misdirected request was answered by another endpoint at the same address.
+        """
+        if not answer.leaving or answer.misdirected:
+            return
+        if self._directory.record_leaving(endpoint):
+            _log.info(
+                "endpoint leaves; it gets no further requests",
+                endpoint=endpoint.name,
+                born=endpoint.incarnation,
+                status=answer.status,
+            )
+
     def _evaluate(
         self,
         endpoint: DirectEndpoint,
--- a/pumicedeck/engine_orders.py
+++ b/pumicedeck/engine_orders.py
@@ -89,7 +89,7 @@
             return None
         deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
-        outcome = await self._caller.send_request(request, self._settings.answer_seconds)
+        outcome = await self._caller.send_request(request, endpoint, self._settings.answer_seconds)
         accepted = isinstance(outcome, Ok) and outcome.ok_value.status in _ACCEPTED_STATUSES
         _log.info(
             "weight load ordered",
@@ -137,7 +137,7 @@
     async def report(self, endpoint: DirectEndpoint) -> EngineReport | None:
         """Return an engine's report of its state, None if it did not answer in time."""
         request = self._caller.dialect.report_request(endpoint)
-        outcome = await self._caller.send_request(request, self._settings.answer_seconds)
+        outcome = await self._caller.send_request(request, endpoint, self._settings.answer_seconds)
         if isinstance(outcome, Err):
             return None
         return self._caller.dialect.report(outcome.ok_value)
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -16,6 +16,7 @@
     DEADLINE,
     EXPECT_INSTANCE,
     LAST_EVENT,
+    LEAVING,
     LOAD,
     NOT_RUN,
     REQUEST_ID,
@@ -27,6 +28,7 @@
 
 _MILLISECONDS_PER_SECOND = 1000.0
 _MISDIRECTED_STATUS = 421
+_IS_LEAVING = "1"
 _JSON_TYPE = ("Content-Type", "application/json")
 _EVENT_VERSION = f"{VERSIONS.lower()}:"
 
@@ -74,6 +76,7 @@
             version=int(version) if version.isdigit() else None,
             running=running,
             waiting=waiting,
+            leaving=response.header(LEAVING.lower()) == _IS_LEAVING,
         )
 
     def event(self, block: bytes) -> StreamEvent | None:
--- a/pumicedeck/platform/headers.py
+++ b/pumicedeck/platform/headers.py
@@ -8,6 +8,8 @@
 NOT_RUN = "X-Pumicedeck-Not-Run"
 SIGNATURE = "X-Pumicedeck-Response-Signature"
 LOAD = "X-Pumicedeck-Server-Load"
+# An endpoint that leaves sends it with every answer, whatever its status.
+LEAVING = "Server-Leaving"
 VERSIONS = "X-Pumicedeck-Weight-Versions"
 LENGTH_HINT = "X-Pumicedeck-Length-Hint"
 WAIT = "X-Pumicedeck-Wait-Ms"
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -128,7 +128,7 @@
             on_bytes(f"{line}id: {number}\ndata: {data}\n\n".encode())
         return Ok(answered)
 
-    async def send_request(self, request, silence):
+    async def send_request(self, request, endpoint, silence):
         name = dict(request.headers)["X-Pumicedeck-Expect-Instance"]
         engine = self.simulation.engines[name]
         await sleep(self.simulation.timers, 0.005)
