Check that only the leaving endpoint is left when no call may follow

Two tests of leaving endpoints passed with the marking switched off: the endpoint was avoided for its failure or its load. Now the other endpoint drains, and more than the time of avoidance passes.

--- a/pumicedeck/tests/test_leaving_endpoints.py
+++ b/pumicedeck/tests/test_leaving_endpoints.py
@@ -71,14 +71,15 @@
     for _ in range(8):
         assert fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
     fixture.put("servers", leaving.name, {**leaving.entry("ready"), "seq": 2})
-    fixture.loop.advance(0.5)
-    for _ in range(8):
-        assert fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
+    fixture.put("servers", other.name, other.entry("draining"))
+    # Longer than a failed endpoint is avoided.
+    fixture.loop.advance(3.0)
+    assert fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 503")
     assert len(leaving.calls) == 1
 
 
 def test_the_header_of_a_long_stream_counts_while_the_stream_goes_on(fixture):
-    leaving, _ = fixture.endpoints
+    leaving, other = fixture.endpoints
     streams = []
 
     def begin(call):
@@ -91,8 +92,9 @@
     while not streams:
         sockets.append(fixture.open("GET", "/stream/x", headers=ID))
         fixture.loop.advance(0.1)
-    for _ in range(8):
-        assert fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
+    fixture.put("servers", other.name, other.entry("draining"))
+    fixture.loop.advance(0.5)
+    assert fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 503")
     assert len(leaving.calls) == 1
     streams[0].finish()
 
