End answers without end by limits of time, bytes, heads and memory

Cause: a client connection bounded an answer by silence and by 64 MiB of body only. A byte now and then, or interim heads, moved the limit on silence on each time; a few endless bodies filled a machine of 200 MB. An engine that sent bytes but no events kept its item until the submission was given up.

Change: each exchange has a total limit of time (for a call the time left and 0.25 s, for orders and reports their time-out, else 60 s), on received bytes, also of bodies that are passed on, and of 8 interim heads. Bodies that are held share a budget of a fifth of the machine's memory over all clients; when it is used up the largest one is given up. Bodies of endpoints may have 8 MiB. A run counts as in contact by events only, and ends when its stream is unreadable or an event is larger than 256 KiB. All of this is judged as any unreadable answer: outcome unknown, endpoint avoided.

Not changed: an unreadable answer to an order or report does not make the engine avoided for runs; orders have their own pause (weight_schedules).

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -254,7 +254,10 @@
                 return
 
     def _is_complete(self) -> bool:
-        return not self._has_sequence_gap and not self._event_splitter.has_partial_event
+        splitter = self._event_splitter
+        if splitter.has_overflowed or splitter.has_partial_event:
+            return False
+        return not self._has_sequence_gap
 
     def _may_retry(self, retry: bool, attempts: _Attempts) -> bool:
         attempts_remain = len(attempts.tried) < self._route.max_attempts
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -17,6 +17,10 @@
 _log = logger.bind(module="endpoint_callers")
 
 
+# An answer that arrives at the very end of its time is still passed on.
+_ANSWER_SLACK_SECONDS = 0.25
+
+
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
     """A complete answer of an endpoint with its decoded head."""
@@ -65,7 +69,8 @@
     ) -> Result[CompleteAnswer, Failure]:
         """Send a call; it is given up after `silence_seconds` without a byte from the endpoint.
 
-        `seconds` is the time left, which the endpoint is given. The body of a successful answer
+        `seconds` is the time left, which the endpoint is given; soon after it the call is given up
+        even if bytes still arrive. The body of a successful answer
         goes to `on_chunk`, if given, after its head went to `on_head`.
         """
         started = self._timers.now()
@@ -80,7 +85,10 @@
         self._directory.call_started(endpoint.name)
         try:
             request = self._dialect.encode_request(call, endpoint, seconds)
-            outcome = await self._exchange(request, endpoint, silence_seconds, check, on_chunk)
+            total_seconds = None if seconds is None else seconds + _ANSWER_SLACK_SECONDS
+            outcome = await self._exchange(
+                request, endpoint, silence_seconds, total_seconds, check, on_chunk
+            )
         finally:
             self._directory.call_ended(endpoint)
         result = self._evaluate(endpoint, call, outcome)
@@ -91,14 +99,18 @@
     async def send_request(
         self, request: HttpRequest, endpoint: DirectEndpoint, silence_seconds: float
     ) -> Result[HttpResponse, Failure]:
-        """Send a request other than a call, such as a version order or a request for a report."""
-        return await self._exchange(request, endpoint, silence_seconds, None, None)
+        """Send a request other than a call, such as a version order or a request for a report.
+
+        It is given up after `silence_seconds`, whether or not bytes arrive.
+        """
+        return await self._exchange(request, endpoint, silence_seconds, silence_seconds, None, None)
 
     async def _exchange(
         self,
         request: HttpRequest,
         endpoint: DirectEndpoint,
         silence_seconds: float,
+        total_seconds: float | None,
         check: Callable[[AnswerHead, HttpResponse], bool] | None,
         on_chunk: Callable[[bytes], None] | None,
     ) -> Result[HttpResponse, Failure]:
@@ -110,7 +122,7 @@
             return check is None or check(answer, response)
 
         exchange = self._client.send(
-            request, promise.resolve, on_chunk, silence_seconds, check_head
+            request, promise.resolve, on_chunk, silence_seconds, check_head, total_seconds
         )
         try:
             return await promise
--- a/pumicedeck/event_streams.py
+++ b/pumicedeck/event_streams.py
@@ -1,6 +1,9 @@
 """Splits the bytes of an event stream into complete events."""
 
+from pumicedeck.http_messages import KIB
+
 _SEPARATOR = b"\n\n"
+MAX_EVENT_BYTES = 256 * KIB
 
 
 class EventSplitter:
@@ -9,6 +12,12 @@
     def __init__(self) -> None:
         """Create an empty buffer."""
         self._pending = b""
+        self._has_overflowed = False
+
+    @property
+    def has_overflowed(self) -> bool:
+        """Return whether an event was larger than `MAX_EVENT_BYTES`; no event follows it."""
+        return self._has_overflowed
 
     @property
     def has_partial_event(self) -> bool:
@@ -17,9 +26,14 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes and return the events that they complete, without the blank line at the end."""
+        if self._has_overflowed:
+            return []
         self._pending += data
         if b"\r" in self._pending:
             # The "\r\n" of a line end may be split between two calls.
             self._pending = self._pending.replace(b"\r\n", b"\n")
         *blocks, self._pending = self._pending.split(_SEPARATOR)
+        if len(self._pending) > MAX_EVENT_BYTES:
+            self._pending = b""
+            self._has_overflowed = True
         return [block for block in blocks if block.strip()]
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.decision_settings import choose_decision_settings
@@ -24,7 +25,7 @@
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_listeners import HttpListener
-from pumicedeck.http_messages import HttpClientSettings
+from pumicedeck.http_messages import MIB, HttpClientSettings
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
 from pumicedeck.log_writers import LogWriter
@@ -77,6 +78,8 @@
     max_idle_seconds=12.0,
     acknowledgement_timeout_seconds=2.0,
     connections_per_address=40,
+    body_bytes=8 * MIB,
+    received_bytes=32 * MIB,
     accepts_close_delimited_answers=True,
 )
 PEER_CLIENT_SETTINGS = HttpClientSettings(
@@ -93,6 +96,8 @@
     connections_per_address=16,
 )
 SETTINGS_POLL_SECONDS = 1.0
+# A gateway without bodies takes about half of the smallest machine's memory.
+BODIES_SHARE_OF_MEMORY = 0.2
 
 _log = logger.bind(module="gateway_compositions")
 
@@ -122,11 +127,13 @@
     random = Random(f"{settings.vm}/{time.time_ns()}")
     home = FailureDomain(settings.failure_domain, settings.region)
     decisions = choose_decision_settings(settings.mechanisms)
-    store_client = HttpClient(timers, STORE_CLIENT_SETTINGS).register(root)
-    endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS).register(root)
+    memory_bytes = settings.machine.memory_megabytes * MIB
+    budget = BodyBudget(int(memory_bytes * BODIES_SHARE_OF_MEMORY))
+    store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, budget).register(root)
+    endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS, budget).register(root)
     mirror = WorkMirror()
     path = StorePath()
-    relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS).register(root)
+    relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS, budget).register(root)
     store = HttpPartitionedStore(
         RelayedStoreClient(
             store_client, relay_client, path, lambda: _relay_addresses(mirror, settings)
@@ -243,7 +250,7 @@
     peers = PeerQuestions(
         timers,
         store,
-        HttpClient(timers, PEER_CLIENT_SETTINGS).register(root),
+        HttpClient(timers, PEER_CLIENT_SETTINGS, budget).register(root),
         mirror,
         PeerCheck(incarnation_prefix, decisions.peer_check),
         settings.vm,
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -11,7 +11,8 @@
 from circuits.core.utils import findcmp
 from result import Err, Ok, Result
 
-from pumicedeck.clocks import TimerQueue
+from pumicedeck.answer_limits import BodyBudget
+from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.http_connections import (
     BrokenReason,
     ConnectionCallbacks,
@@ -45,6 +46,7 @@
     max_silence_seconds: float
     on_head: Callable[[HttpResponse], bool] | None
     release: Callable[["ClientExchange"], None]
+    time_limit: Timer | None = None
     connection: HttpConnection | None = None
     was_written: bool = False
     response_started: bool = False
@@ -53,10 +55,18 @@
 
     def cancel(self) -> None:
         """End the exchange and close the connection that its request was sent on."""
-        if not self.ended:
-            self.ended = True
+        if self.end():
             self.release(self)
 
+    def end(self) -> bool:
+        """Mark the exchange as ended; return False if it was before."""
+        if self.ended:
+            return False
+        self.ended = True
+        if self.time_limit is not None:
+            self.time_limit.cancel()
+        return True
+
 
 @dataclass(slots=True)
 class _Pool:
@@ -75,11 +85,20 @@
     once more if it is idempotent or none of it was written, and no response has started.
     """
 
-    def __init__(self, timers: TimerQueue, settings: HttpClientSettings | None = None) -> None:
-        """Create a client without connections; its deadlines run on `timers`."""
+    def __init__(
+        self,
+        timers: TimerQueue,
+        settings: HttpClientSettings | None = None,
+        budget: BodyBudget | None = None,
+    ) -> None:
+        """Create a client without connections; its deadlines run on `timers`.
+
+        `budget` limits the bodies that it and other clients hold at once.
+        """
         super().__init__(channel=f"http_client_{next(_CHANNEL_NUMBERS)}")
         self._timers = timers
         self._settings = settings or HttpClientSettings()
+        self._budget = budget or BodyBudget(self._settings.body_bytes)
         self._poller: BasePoller | None = None
         self._pools: dict[Address, _Pool] = {}
         self._connections_by_socket: dict[object, HttpConnection] = {}
@@ -112,13 +131,15 @@
         chunk: Callable[[bytes], None] | None = None,
         silence_seconds: float | None = None,
         head: Callable[[HttpResponse], bool] | None = None,
+        total_seconds: float | None = None,
     ) -> ClientExchange:
         """Send a request and pass its outcome to `done`.
 
         With `chunk` the body of a successful response is passed there in pieces and left out of
         the reported response. `head` gets the response before its body; if it returns False, the
         exchange fails and its connection is closed. The exchange fails after `silence_seconds`
-        without a byte in either direction (default: that of the settings).
+        without a byte in either direction, and after `total_seconds` without its end, however many
+        bytes arrive (defaults: those of the settings).
         """
         max_silence_seconds = (
             self._settings.silence_seconds if silence_seconds is None else silence_seconds
@@ -133,6 +154,10 @@
         if self._closed:
             self._timers.call_later(0.0, lambda: self._fail(exchange, "the client is closed"))
             return exchange
+        total = self._settings.exchange_seconds if total_seconds is None else total_seconds
+        exchange.time_limit = self._timers.call_later(
+            total, lambda: self._time_out(exchange, total)
+        )
         pool = self._pools.setdefault(request.address, _Pool())
         pool.waiting_exchanges.append(exchange)
         self._assign_waiting(request.address)
@@ -203,7 +228,13 @@
     def _open_connection(self, address: Address) -> None:
         poller = self._find_poller()
         connection = HttpConnection(
-            address, self, poller, self._timers, self._settings, self._connection_callbacks
+            address,
+            self,
+            poller,
+            self._timers,
+            self._settings,
+            self._connection_callbacks,
+            self._budget,
         )
         self._pools[address].connections.add(connection)
         try:
@@ -329,6 +360,11 @@
         exchange.response_started = True
         return exchange.ended or head(response)
 
+    def _time_out(self, exchange: ClientExchange, seconds: float) -> None:
+        """Fail an exchange whose response has not ended in time, and close its connection."""
+        self._release_connection(exchange)
+        self._fail(exchange, f"no complete response within {seconds:g} s")
+
     def _release_connection(self, exchange: ClientExchange) -> None:
         """Close the connection of a cancelled exchange, or remove it from the waiting ones."""
         pool = self._pools.get(exchange.request.address)
@@ -360,6 +396,5 @@
     def _end_exchange(
         self, exchange: ClientExchange, outcome: Result[HttpResponse, Failure]
     ) -> None:
-        if not exchange.ended:
-            exchange.ended = True
+        if exchange.end():
             exchange.done(outcome)
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -11,6 +11,7 @@
 import h11
 from circuits.core.pollers import BasePoller
 
+from pumicedeck.answer_limits import AnswerMeter, BodyBudget
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
 from pumicedeck.moving_deadlines import MovingDeadline
@@ -68,14 +69,20 @@
         timers: TimerQueue,
         settings: HttpClientSettings,
         callbacks: ConnectionCallbacks,
+        budget: BodyBudget,
     ) -> None:
-        """Create an unopened connection; `poller` sends the socket's events to `event_target`."""
+        """Create an unopened connection; `poller` sends the socket's events to `event_target`.
+
+        Bodies that the connection holds are counted in `budget`.
+        """
         self._address = address
         self._event_target = event_target
         self._poller = poller
         self._timers = timers
         self._settings = settings
         self._callbacks = callbacks
+        self._budget = budget
+        self._meter = AnswerMeter(self._settings)
         self._state = ConnectionState.CONNECTING
         self._socket: socket.socket | None = None
         self._parser = self._new_parser()
@@ -84,7 +91,8 @@
         self._request_count = 0
         self._deadline = MovingDeadline(timers, self._on_deadline)
         self._response: h11.Response | None = None
-        self._body: list[bytes] = []
+        # One buffer: a list of parts of a few bytes each would take ten times their size.
+        self._body = bytearray()
         self._body_bytes = 0
         self._on_chunk: Callable[[bytes], None] | None = None
         self._on_head: Callable[[HttpResponse], bool] | None = None
@@ -159,8 +167,9 @@
         self._on_head = on_head
         self._max_silence_seconds = max_silence_seconds
         self._response = None
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._meter = AnswerMeter(self._settings)
         self._unsent = memoryview(self._encode(request))
         self._deadline.set(max_silence_seconds)
         self._write()
@@ -171,6 +180,7 @@
             return
         self._state = ConnectionState.CLOSED
         self._deadline.close()
+        self._budget.release(self)
         self._on_chunk = None
         if self._socket is not None:
             self._poller.discard(self._socket)
@@ -198,6 +208,10 @@
             self._break_connection(BrokenReason.CLOSED, "while idle")
             return
         self._deadline.set(self._max_silence_seconds)
+        exceeded = self._meter.add_bytes(len(data))
+        if exceeded:
+            self._break_connection(BrokenReason.TOO_LARGE, exceeded)
+            return
         self._parse(data)
 
     def on_hangup(self) -> None:
@@ -285,6 +299,11 @@
 
     def _handle_event(self, event: object) -> bool:
         """Handle a parser event and return whether parsing goes on."""
+        if isinstance(event, h11.InformationalResponse):
+            exceeded = self._meter.add_interim_head()
+            if exceeded:
+                self._break_connection(BrokenReason.TOO_LARGE, exceeded)
+            return not exceeded
         if isinstance(event, h11.Response):
             return self._handle_head(event)
         if isinstance(event, h11.Data):
@@ -324,15 +343,23 @@
             return False
         if self._on_chunk is not None and self._response.status_code in _SUCCESS_STATUSES:
             self._on_chunk(data)
-        else:
-            self._body.append(data)
-        return True
+            return True
+        self._body += data
+        largest = self._budget.add(self, len(data))
+        if largest is not None:
+            largest.give_up_body()
+        return self._state is ConnectionState.BUSY
+
+    def give_up_body(self) -> None:
+        """Break the connection, whose body is the largest one while memory for bodies is short."""
+        self._break_connection(BrokenReason.TOO_LARGE, "no memory left for bodies of responses")
 
     def _finish_response(self) -> None:
-        response = _build_response(self._response, b"".join(self._body))
+        response = _build_response(self._response, bytes(self._body))
         self._on_chunk = None
         self._on_head = None
-        self._body = []
+        self._body = bytearray()
+        self._budget.release(self)
         self._max_idle_seconds = _idle_limit_seconds(response, self._settings.max_idle_seconds)
         if self._can_reuse():
             self._parser.start_next_cycle()
--- a/pumicedeck/http_messages.py
+++ b/pumicedeck/http_messages.py
@@ -44,7 +44,10 @@
     `silence_seconds` is the longest time without a byte in either direction while a request is
     open, `max_idle_seconds` the longest time that an unused connection is kept.
     `acknowledgement_timeout_seconds` is how long the server's kernel may leave bytes or probes
-    unacknowledged; a slow response does not exceed it, as the kernel still acknowledges. With
+    unacknowledged; a slow response does not exceed it, as the kernel still acknowledges.
+    `exchange_seconds` is the longest time from the request to the end of its response,
+    `received_bytes` the most bytes of a response with heads and framing, also if its body is passed
+    on in pieces, and `interim_heads` the most heads of status 1xx before its own. With
     `accepts_close_delimited_answers` a response without a length ends with its connection.
     """
 
@@ -52,8 +55,11 @@
     silence_seconds: float = 10.0
     max_idle_seconds: float = 15.0
     acknowledgement_timeout_seconds: float = 8.0
+    exchange_seconds: float = 60.0
     header_bytes: int = 16 * KIB
     body_bytes: int = 64 * MIB
+    received_bytes: int = 128 * MIB
+    interim_heads: int = 8
     connections_per_address: int = 64
     accepts_close_delimited_answers: bool = False
 
--- a/pumicedeck/item_runs.py
+++ b/pumicedeck/item_runs.py
@@ -128,7 +128,7 @@
         if not outcome.ok_value.answer.succeeded:
             return RunEnd.ENGINE_ERROR, f"status {status}"
         if (
-            self._out_of_sequence
+            self.is_unreadable
             or self._splitter.has_partial_event
             or not self._item_work.progress.last_event
         ):
@@ -136,6 +136,11 @@
         self._item_work.progress.whole = True
         return RunEnd.WHOLE, ""
 
+    @property
+    def is_unreadable(self) -> bool:
+        """Return whether the stream cannot be continued, whatever the engine still sends."""
+        return self._out_of_sequence or self._splitter.has_overflowed
+
     def _is_allowed(self, version: int) -> bool:
         """Return whether a weight version may be used for the item's output."""
         if version < self._head.min_version:
@@ -150,7 +155,6 @@
 
     def _on_bytes(self, data: bytes) -> None:
         """Handle a part of the event stream."""
-        self.last_contact_at = self._timers.now()
         for block in self._splitter.feed(data):
             self._apply_event(block)
 
@@ -159,6 +163,8 @@
         event = self._caller.dialect.event(block)
         if event is None or self._out_of_sequence or self.wrong_version:
             return
+        # Bytes that are no event show nothing: an engine in trouble may send such without end.
+        self.last_contact_at = self._timers.now()
         progress: Progress = self._item_work.progress
         if event.version is not None:
             self._version = event.version
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -360,10 +360,10 @@
             self._timers.call_later(0.0, self._schedule)
 
     def _end_stalled(self, now: float) -> None:
-        """End runs under a version that may not be used, and all runs of silent engines.
+        """End runs under a version that may not be used, and runs that receive no events.
 
-        An engine is silent if none of its runs has received data for `stall_seconds`, unless it
-        loads weights.
+        An engine is silent if none of its runs has received an event for `stall_seconds`, unless it
+        loads weights. A single run ends after `silence_seconds` without an event.
         """
         last_contact_at: dict[str, float] = {}
         for run, _ in self._runs.values():
@@ -374,6 +374,9 @@
             silent = now - last_contact_at[name] > self._settings.stall_seconds
             if run.wrong_version:
                 reason = RunEnd.WRONG_VERSION
+            elif run.is_unreadable or now - run.last_contact_at > self._settings.silence_seconds:
+                reason = RunEnd.BROKEN
+                self._parts.directory.record_failure(name, now)
             elif silent and not self._weights.is_loading(name):
                 reason = RunEnd.BROKEN
                 self._parts.directory.record_failure(name, now)
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -63,8 +63,8 @@
 class FakeEngine:
     """The state of a simulated engine, and a record of the calls and orders that it received.
 
-    `dead` makes it silent. The next `late_orders` orders take effect only after `late_seconds` and
-    get no answer.
+    `dead` makes it silent, `babbles` has it send bytes that are no events. The next `late_orders`
+    orders take effect only after `late_seconds` and get no answer.
     """
 
     endpoint: DirectEndpoint
@@ -72,6 +72,7 @@
     version: int = 1
     sequence: int = 0
     dead: bool = False
+    babbles: bool = False
     busy: bool = False
     late_orders: int = 0
     late_seconds: float = 3.0
@@ -120,6 +121,9 @@
                 return Err(Failure(ResultCode.ENDPOINT_FAILED, "silent"))
             while engine.busy:
                 await sleep(self.simulation.timers, 0.05)
+            while engine.babbles:
+                on_bytes(b"\n")
+                await sleep(self.simulation.timers, 0.3)
             line = ""
             if engine.version != version:
                 version = engine.version
