Announce orders by engine, and keep the wait when a lapsed lease is acquired again

Cause: a successor waited 3.7 s with its loads at all engines because the holder before it had announced an order to some of them.

Change: the lease row names the engines to which orders may be sent and until when; the others get theirs at once. The exhaustive check now plays two engines and judges the orders to each.

Found by that check: a holder that lost its lease for a moment and acquired it again found its own row, which asks for no wait, and sent orders 2.65 s after those of the holder before it (fate "late 1.5", pause of 1.4 s at 1.999 s, second loss). The same held for a process that starts again on the VM of the last holder. The row now tells apart its holder's own announcements and those before it; the wait for earlier ones stays whoever acquires it. A released lease asks for no wait for its own. Rows of programs that name no engines stand for all; such programs still find their field.

--- a/pumicedeck/engine_orders.py
+++ b/pumicedeck/engine_orders.py
@@ -53,13 +53,13 @@
         timers: TimerQueue,
         caller: EndpointCaller,
         lease: LeaseHolder,
-        announce: Callable[[], None],
+        announce: Callable[[str], None],
         holder: str,
         settings: EngineOrderSettings | None = None,
     ) -> None:
         """Send orders in the name of `holder`, only while `lease` is held and announces them.
 
-        `announce` starts to announce orders in the lease's row.
+        `announce` starts to announce orders to an engine in the lease's row.
         """
         self._timers = timers
         self._caller = caller
@@ -85,7 +85,7 @@
             self._sequences[key] = report.order_sequence
         sequence = self._sequences[key]
         order = VersionOrder(load.model, load.version, retain, self._holder, fencing, sequence)
-        if not await self._may_send(fencing):
+        if not await self._may_send(endpoint.name, fencing):
             return None
         deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
@@ -120,17 +120,17 @@
             await sleep(self._timers, self._settings.poll_interval_seconds)
         return None
 
-    async def _may_send(self, fencing: int) -> bool:
-        """Wait until the lease row announces orders; return False if it does not in time.
+    async def _may_send(self, engine: str, fencing: int) -> bool:
+        """Wait until the lease row announces orders to an engine; return False if it does not.
 
         Also False once the lease was acquired again: an order with the fencing number before must
         not follow one with the new number.
         """
         deadline = self._timers.now() + self._settings.announce_seconds
-        while not self._lease.may_order(self._timers.now()):
+        while not self._lease.may_order(self._timers.now(), engine):
             if self._timers.now() >= deadline or not self._lease.holds(self._timers.now()):
                 return False
-            self._announce()
+            self._announce(engine)
             await sleep(self._timers, self._settings.announce_poll_seconds)
         return self._lease.fencing == fencing
 
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -170,7 +170,11 @@
             caller=endpoint_caller,
             rewards=RewardCaller(timers, endpoint_caller, directory, random),
             orders=EngineOrders(
-                timers, endpoint_caller, lease_holder, lambda: lease.announce_orders(), settings.vm
+                timers,
+                endpoint_caller,
+                lease_holder,
+                lambda name: lease.announce_orders(name),
+                settings.vm,
             ),
             routes=lambda: gateway.routes,
             announced_versions=announced_versions,
--- a/pumicedeck/lease_keepers.py
+++ b/pumicedeck/lease_keepers.py
@@ -58,9 +58,9 @@
         if self._holder.should_hold:
             self._carry_out(self._holder.release(self._timers.now()))
 
-    def announce_orders(self) -> None:
-        """Have the lease row announce orders, unless it announces some for now."""
-        self._carry_out(self._holder.announce_orders(self._timers.now()))
+    def announce_orders(self, endpoint: str) -> None:
+        """Have the lease row announce orders to an endpoint, unless it announces some for now."""
+        self._carry_out(self._holder.announce_orders(self._timers.now(), endpoint))
 
     def close(self) -> None:
         """Release the lease and cancel the timers."""
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -9,12 +9,18 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from result import Result
 
-from pumicedeck.order_announcements import AnnouncementSettings, OrderAnnouncement
+from pumicedeck.order_announcements import (
+    ANY_ENDPOINT,
+    AnnouncedOrders,
+    AnnouncementSettings,
+    FormerHolder,
+    OrderAnnouncement,
+)
 from pumicedeck.platform_interfaces import Committed, Condition, Row, StoreKey, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
@@ -42,23 +48,27 @@
     """The value of a lease row; an empty `holder` means that the lease was released.
 
     `duration` is in seconds. `sent` is the holder's estimate of the store's time, in seconds, at
-    which it sent the row, or None. `orders_until` is the store's time until which this holder and
-    those before it may send orders, None if they do not announce orders.
+    which it sent the row, or None. `orders` is what the holder and those before it announce, None
+    if they do not announce orders.
     """
 
     holder: str
     fencing: int
     duration: float
     sent: float | None = None
-    orders_until: float | None = None
+    orders: AnnouncedOrders | None = None
 
     def encode(self) -> bytes:
         """Return the row's value as JSON."""
         document = {"holder": self.holder, "fencing": self.fencing, "duration": self.duration}
         if self.sent is not None:
             document["sent"] = self.sent
-        if self.orders_until is not None:
-            document["orders_until"] = self.orders_until
+        if self.orders is not None:
+            document["orders"] = dict(self.orders.own)
+            document["earlier_orders"] = dict(self.orders.earlier)
+            # Read by programs that know no announcements by endpoint.
+            times = (*self.orders.own.values(), *self.orders.earlier.values())
+            document["orders_until"] = max(times, default=0.0)
         return json.dumps(document, sort_keys=True).encode()
 
 
@@ -72,10 +82,18 @@
         document["fencing"],
         document["duration"],
         document.get("sent"),
-        document.get("orders_until"),
+        _decode_orders(document),
     )
 
 
+def _decode_orders(document: dict) -> AnnouncedOrders | None:
+    """Return what a row announces; one of a program that names no endpoints stands for all."""
+    if "orders" in document:
+        return AnnouncedOrders(document["orders"], document["earlier_orders"])
+    until = document.get("orders_until")
+    return None if until is None else AnnouncedOrders({ANY_ENDPOINT: until})
+
+
 @dataclass(frozen=True, slots=True)
 class ReadLease:
     """A request to read the lease row."""
@@ -95,13 +113,14 @@
     """The lease is held now.
 
     `predecessor` is the incarnation of the former holder if its lease expired, empty if the lease
-    was free or last held by this process or an earlier one with the same prefix. `orders_until` is
-    the store's time, in seconds, until which earlier holders may have sent orders.
+    was free or last held by this process or an earlier one with the same prefix. `orders_until` has
+    by endpoint the store's time, in seconds, until which those earlier holders may have sent orders
+    that this one must keep a distance from.
     """
 
     fencing: int
     predecessor: str
-    orders_until: float = 0.0
+    orders_until: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,16 +225,16 @@
         """Return whether the lease is held and an order may be sent now."""
         return self._fencing > 0 and now < self._valid_until - self._settings.margin
 
-    def may_order(self, now: float) -> bool:
-        """Return whether the lease is held and the stored row announces orders for now."""
-        announced = self._announcement is None or self._announcement.is_open
+    def may_order(self, now: float, endpoint: str) -> bool:
+        """Return whether the lease is held and the stored row announces orders to an endpoint."""
+        announced = self._announcement is None or self._announcement.is_open(endpoint)
         return announced and self.holds(now)
 
-    def announce_orders(self, now: float) -> list[LeaseAction]:
-        """Have the row announce orders; `may_order` is true once that is committed."""
-        if self._announcement is None or self._announcement.is_open:
+    def announce_orders(self, now: float, endpoint: str) -> list[LeaseAction]:
+        """Have the row announce orders to an endpoint; `may_order` is true once it is committed."""
+        if self._announcement is None or self._announcement.is_open(endpoint):
             return []
-        self._announcement.request()
+        self._announcement.request(endpoint)
         if self._phase is not LeasePhase.HELD or not self._should_hold or not self.holds(now):
             return []
         return [self._renew(now)]
@@ -325,7 +344,7 @@
             self._incarnation, fencing, self._settings.duration, sent, self._announced()
         )
 
-    def _announced(self) -> float | None:
+    def _announced(self) -> AnnouncedOrders | None:
         """Return what this process's next row announces about orders."""
         return self._announcement.row_value if self._announcement is not None else None
 
@@ -347,7 +366,7 @@
         newly_acquired = lease.fencing != self._fencing or not self._valid_until
         self._fencing = lease.fencing
         if self._announcement is not None:
-            self._announcement.confirm(lease.orders_until)
+            self._announcement.confirm(lease.orders)
         self._valid_until = self._commit_sent_at + lease.duration
         self._phase = LeasePhase.HELD
         self._wakeup_at = self._commit_sent_at + self._settings.renew_after
@@ -357,7 +376,7 @@
             return self._expire(now)
         if not newly_acquired:
             return []
-        orders_until = self._announcement.inherited_until if self._announcement else 0.0
+        orders_until = self._announcement.waits_for if self._announcement else {}
         return [LeaseAcquired(lease.fencing, self._predecessor, orders_until)]
 
     def _try_acquire(self, now: float) -> list[LeaseAction]:
@@ -378,11 +397,20 @@
             actions = []
             self._predecessor = ""
         if self._announcement is not None:
-            self._announcement.inherit(current.orders_until, bool(current.holder))
+            self._announcement.inherit(current.orders, self._former_holder(current))
         self._phase = LeasePhase.COMMITTING
         lease = self._build_row(current.fencing + 1)
         return [*actions, self._commit(now, lease)]
 
+    def _former_holder(self, current: LeaseRow) -> FormerHolder:
+        """Return whose row this process replaces."""
+        if not current.fencing:
+            return FormerHolder.NOBODY
+        if not current.holder:
+            return FormerHolder.RELEASED
+        is_same = self._is_same_process(current.holder)
+        return FormerHolder.ITSELF if is_same else FormerHolder.LOST
+
     def _is_same_process(self, holder: str) -> bool:
         """Return whether a holder is this process or an earlier one with the same prefix."""
         if holder == self._incarnation:
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/schedulers.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 
@@ -67,7 +67,7 @@
         self._event_intervals = EngineEventIntervals(parts.intervals)
         self._fencing = 0
         self._active = False
-        self._orders_allowed_from = 0.0
+        self._earlier_orders_until: dict[str, float] = {}
         self._progress_saved_at = 0.0
         self._ticker: Task | None = None
         self._watcher: Task | None = None
@@ -99,19 +99,18 @@
         """Return the number of items that run, by engine name."""
         return count_runs([run for run, _ in self._runs.values()])
 
-    def activate(self, fencing: int, predecessor: str, orders_until: float) -> None:
+    def activate(self, fencing: int, predecessor: str, orders_until: Mapping[str, float]) -> None:
         """Claim all open submissions under a new fencing number.
 
         `predecessor` is the incarnation of the former lease holder if its lease expired, empty
-        otherwise; after a predecessor the first order waits. Earlier holders may have sent orders
-        until `orders_until`, in seconds of the store's clock.
+        otherwise. `orders_until` has by engine until when earlier holders may have sent orders that
+        those of this one must keep a distance from, in seconds of the store's clock.
         """
         self._fencing = fencing
-        if not self._active:
-            earlier_orders_until = self._parts.clock.to_local_seconds(orders_until)
-            self._orders_allowed_from = earliest_order(
-                predecessor, earlier_orders_until, self._settings.takeover_seconds
-            )
+        self._earlier_orders_until = {
+            engine: self._parts.clock.to_local_seconds(until)
+            for engine, until in orders_until.items()
+        }
         self._active = True
         _log.info(
             "scheduling started",
@@ -424,7 +423,7 @@
             self._end_run(key, RunEnd.BROKEN, "moved to a faster engine")
 
     def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
-        """Assign models to engines and order loads, without orders soon after a takeover."""
+        """Assign models to engines and order loads."""
         announced = self._parts.announced_versions
         works = self._works.values()
         routes = [self._parts.route(work.head.route) for work in works]
@@ -432,10 +431,15 @@
             running=count_runs(runs),
             models=sorted({work.head.model for work in works} | set(announced)),
             demands=self._collect_demands(announced),
-            fencing=self._fencing if now >= self._orders_allowed_from else None,
+            fencing=self._fencing,
+            may_order=lambda engine: now >= self._earliest_order(engine),
             retain=all(route is None or not route.single_version for route in routes),
         )
 
+    def _earliest_order(self, engine: str) -> float:
+        """Return from when this scheduler may send orders to an engine."""
+        return earliest_order(self._earlier_orders_until, engine, self._settings.takeover_seconds)
+
     def _collect_demands(self, announced: dict[str, int]) -> dict[str, ModelDemand]:
         """Return the weight versions that each announced model needs."""
         demands = {}
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -205,7 +205,11 @@
                 caller=self.caller,
                 rewards=RewardCaller(timers, self.caller, directory, Random(1)),
                 orders=EngineOrders(
-                    timers, self.caller, self.holder, lambda: self.keeper.announce_orders(), name
+                    timers,
+                    self.caller,
+                    self.holder,
+                    lambda engine: self.keeper.announce_orders(engine),
+                    name,
                 ),
                 routes=lambda: simulation.routes,
                 announced_versions=self.announced,
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -14,7 +14,13 @@
 from pumicedeck.event_intervals import EngineEventIntervals, IntervalSettings, RunEventInterval
 from pumicedeck.gateway_settings import MechanismSettings
 from pumicedeck.item_queues import EngineView, QueueSettings, assign_items, order_items
-from pumicedeck.order_announcements import AnnouncementSettings, OrderAnnouncement
+from pumicedeck.order_announcements import (
+    ANY_ENDPOINT,
+    AnnouncedOrders,
+    AnnouncementSettings,
+    FormerHolder,
+    OrderAnnouncement,
+)
 from pumicedeck.submission_adoptions import AdoptionSettings
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.tests.test_direct_endpoints import HOME
@@ -105,8 +111,8 @@
 
 def test_without_announced_orders_a_successor_waits_as_if_orders_were_sent_until_now():
     announcement = OrderAnnouncement(lambda: 7.0, AnnouncementSettings(trusts_rows=False))
-    announcement.inherit(0.0, was_held=True)
-    assert announcement.inherited_until == 7.0
+    announcement.inherit(AnnouncedOrders(), FormerHolder.LOST)
+    assert announcement.waits_for == {ANY_ENDPOINT: 7.0}
 
 
 def test_without_outlier_avoidance_a_failure_changes_no_choice():
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -5,6 +5,7 @@
 these faults around the first order, and checks that it sees each condition of the protocol missing.
 """
 
+import json
 from dataclasses import dataclass, field
 from itertools import product
 
@@ -14,8 +15,16 @@
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.engine_orders import EngineOrders
 from pumicedeck.lease_keepers import LeaseKeeper
-from pumicedeck.leases import LeaseHolder, LeaseSettings
-from pumicedeck.order_announcements import OrderAnnouncement, earliest_order
+from pumicedeck.leases import LeaseHolder, LeaseRow, LeaseSettings, decode_lease
+from pumicedeck.order_announcements import (
+    ANY_ENDPOINT,
+    KEEP_SECONDS,
+    AnnouncedOrders,
+    FormerHolder,
+    OrderAnnouncement,
+    earliest_order,
+    merge_latest,
+)
 from pumicedeck.platform_interfaces import Committed, Row, TableStore
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduler_parts import SchedulerSettings
@@ -32,6 +41,8 @@
 FIRST_ORDER_AT = 2.0
 ORDER_INTERVAL_SECONDS = 0.05
 RUN_SECONDS = 9.0
+ENGINES = ("e1", "e2")
+SECOND_ENGINE_LATER_SECONDS = 0.02
 
 COMMIT_FATES = ("ok", "lost", "refused", "late 0.5", "late 1.5")
 CUTS = (None, 1.95, 2.0, 2.003, 2.008, 2.05, 2.4)
@@ -118,27 +129,34 @@
         self.lag = lag
         self.send_delay = send_delay
         self.acquired_at = None
-        self.orders_from = None
+        self.lease = None
 
-    def start(self, acquire_at, order_at):
+    def start(self, acquire_at, order_at, engines=ENGINES):
+        """Acquire the lease; send orders to the first engine from `order_at` on, others later."""
         self.timers.call_at(acquire_at, self.keeper.acquire)
-        self.timers.call_at(order_at, self._order)
+        for number, engine in enumerate(engines):
+            first_at = order_at + number * SECOND_ENGINE_LATER_SECONDS
+            self.timers.call_at(first_at, lambda engine=engine: self._order(engine))
 
     def _acquired(self, lease):
         self.acquired_at = self.world.time.now()
-        until = lease.orders_until + self.lag
-        self.orders_from = earliest_order(lease.predecessor, until, TAKEOVER_SECONDS)
+        self.lease = lease
 
-    def _order(self):
+    def _orders_from(self, engine):
+        until = {name: time + self.lag for name, time in self.lease.orders_until.items()}
+        return earliest_order(until, engine, TAKEOVER_SECONDS)
+
+    def _order(self, engine):
         now = self.timers.now()
-        self.timers.call_later(ORDER_INTERVAL_SECONDS, self._order)
-        if self.orders_from is None or now < self.orders_from or not self.holder.holds(now):
+        self.timers.call_later(ORDER_INTERVAL_SECONDS, lambda: self._order(engine))
+        if self.lease is None or now < self._orders_from(engine) or not self.holder.holds(now):
             return
-        if self.holder.may_order(now):
-            self.world.orders.append((now + self.send_delay, self.name, self.holder.fencing))
-            self.world.first_orders.setdefault(self.name, now)
+        if self.holder.may_order(now, engine):
+            order = (now + self.send_delay, self.name, self.holder.fencing, engine)
+            self.world.orders.append(order)
+            self.world.first_orders.setdefault((self.name, engine), now)
         else:
-            self.keeper.announce_orders()
+            self.keeper.announce_orders(engine)
 
 
 @dataclass
@@ -183,13 +201,17 @@
 
 
 def violations(world):
-    """Return pairs of orders of two holders that are too close, or out of order of fencing."""
+    """Return pairs of orders to one engine that are too close or out of order of fencing.
+
+    Two orders are too close if they come from two holders within `MIN_GAP_SECONDS`.
+    """
     found = []
-    ordered = sorted(world.orders)
-    for earlier, later in zip(ordered, ordered[1:], strict=False):
-        too_close = earlier[1] != later[1] and later[0] - earlier[0] < MIN_GAP_SECONDS
-        if too_close or later[2] < earlier[2]:
-            found.append((earlier, later))
+    for engine in ENGINES:
+        ordered = sorted(order for order in world.orders if order[3] == engine)
+        for earlier, later in zip(ordered, ordered[1:], strict=False):
+            too_close = earlier[1] != later[1] and later[0] - earlier[0] < MIN_GAP_SECONDS
+            if too_close or later[2] < earlier[2]:
+                found.append((earlier, later))
     return found
 
 
@@ -218,7 +240,66 @@
     first.store.cut = True
     world.time.run_until(8.0)
     assert second.acquired_at is not None
-    assert world.first_orders["b"] - second.acquired_at <= 0.2
+    assert world.first_orders["b", "e1"] - second.acquired_at <= 0.2
+
+
+def test_a_successor_waits_only_with_engines_to_which_orders_were_announced():
+    """After a power cut all engines waited 3.7 s with their loads because one had had an order."""
+    world = World()
+    first = OrderingProcess(world, "a", 0.0, 0.0)
+    second = OrderingProcess(world, "b", 0.0, 0.0)
+    first.start(0.0, FIRST_ORDER_AT, engines=("e1",))
+    second.start(0.5, 0.6)
+    world.time.run_until(4.0)
+    first.store.cut = True
+    world.time.run_until(12.0)
+    lost_at = max(order[0] for order in world.orders if order[1] == "a")
+    assert world.first_orders["b", "e2"] - second.acquired_at <= 0.2
+    assert world.first_orders["b", "e1"] - lost_at >= MIN_GAP_SECONDS
+    assert violations(world) == []
+
+
+def test_a_lapsed_lease_that_is_acquired_again_keeps_its_wait():
+    """A holder that lost contact for 1.1 s acquired its own lease again and sent orders 2.6 s after
+    those of the holder before it, since its own row asks for no wait."""
+    announcement = OrderAnnouncement(lambda: 5.0)
+    announcement.inherit(AnnouncedOrders({"e1": 4.5}), FormerHolder.LOST)
+    announcement.inherit(announcement.row_value, FormerHolder.ITSELF)
+    assert announcement.waits_for == {"e1": 4.5}
+    restarted = OrderAnnouncement(lambda: 6.0)
+    restarted.inherit(announcement.row_value, FormerHolder.ITSELF)
+    assert restarted.waits_for == {"e1": 4.5}
+
+
+def test_a_released_lease_asks_for_no_wait_but_hands_its_announcements_on():
+    released = OrderAnnouncement(lambda: 5.0)
+    released.request("e1")
+    successor = OrderAnnouncement(lambda: 5.0)
+    successor.inherit(released.row_value, FormerHolder.RELEASED)
+    assert successor.waits_for == {}
+    third = OrderAnnouncement(lambda: 5.0)
+    third.inherit(successor.row_value, FormerHolder.LOST)
+    assert third.waits_for == {"e1": 5.6}
+
+
+def test_a_row_that_names_no_endpoints_stands_for_all():
+    """Programs of the version before announce no endpoints; during an upgrade both are at work."""
+    value = b'{"holder": "a", "fencing": 3, "duration": 1.1, "orders_until": 20.0}'
+    assert decode_lease(value).orders == AnnouncedOrders({ANY_ENDPOINT: 20.0})
+    assert earliest_order({ANY_ENDPOINT: 20.0}, "e1", 3.7) == 23.7
+    row = LeaseRow("b", 4, 1.1, None, AnnouncedOrders({"e1": 20.0}, {"e2": 21.0}))
+    assert decode_lease(row.encode()) == row
+    assert json.loads(row.encode())["orders_until"] == 21.0
+
+
+def test_old_announcements_leave_the_row():
+    now = 5.0
+    announcement = OrderAnnouncement(lambda: now)
+    announcement.inherit(AnnouncedOrders({"e1": 5.6}), FormerHolder.LOST)
+    assert announcement.row_value == AnnouncedOrders(earlier={"e1": 5.6})
+    now = 5.6 + KEEP_SECONDS
+    assert announcement.row_value == AnnouncedOrders()
+    assert KEEP_SECONDS > TAKEOVER_SECONDS + 1.0
 
 
 class LeaseAcquiredAgain:
@@ -234,7 +315,7 @@
     def holds(self, now):
         return True
 
-    def may_order(self, now):
+    def may_order(self, now, endpoint):
         return now >= 0.1
 
 
@@ -246,21 +327,35 @@
     timers = VirtualTime()
     simulation.timers = timers
     orders = EngineOrders(
-        timers, FakeCaller(simulation), LeaseAcquiredAgain(timers), lambda: None, "p"
+        timers, FakeCaller(simulation), LeaseAcquiredAgain(timers), lambda engine: None, "p"
     )
     spawn(orders.load(engine.endpoint, LoadVersion("e0", "m0", 2), fencing, True), "load")
     timers.run_until(2.0)
     assert len(engine.orders) == sent
 
 
+inherit = OrderAnnouncement.inherit
+
 MUTATIONS = {
-    "orders without an announcement": {"is_open": property(lambda self: True)},
+    "orders without an announcement": {"is_open": lambda self, endpoint: True},
     "an announcement that counts before it is committed": {
-        "is_open": property(lambda self: self._store_now() <= self._requested_until)
+        "is_open": lambda self, endpoint: self._store_now() <= self._requested.get(endpoint, 0.0)
     },
-    "a successor that ignores what was announced": {"inherit": lambda self, until, held: None},
+    "a successor that ignores what was announced": {"inherit": lambda self, orders, former: None},
     "a successor that forgets what it inherited": {
-        "row_value": property(lambda self: max(self._requested_until, self._committed_until)),
+        "row_value": property(
+            lambda self: AnnouncedOrders(merge_latest(self._requested, self._committed))
+        ),
+    },
+    "a holder that forgets its wait when it acquires its lapsed lease again": {
+        "inherit": lambda self, orders, former: inherit(
+            self, AnnouncedOrders(orders.own) if former is FormerHolder.ITSELF else orders, former
+        )
+    },
+    "an announcement that counts for other engines": {
+        "is_open": lambda self, endpoint: (
+            self._store_now() + 0.2 <= max(self._committed.values(), default=0.0)
+        )
     },
 }
 
--- a/pumicedeck/weight_schedules.py
+++ b/pumicedeck/weight_schedules.py
@@ -84,12 +84,14 @@
         running: dict[str, int],
         models: list[str],
         demands: dict[str, ModelDemand],
-        fencing: int | None,
+        fencing: int,
+        may_order: Callable[[str], bool],
         retain: bool,
     ) -> None:
         """Assign the engines to `models` and order loads with the fencing number `fencing`.
 
-        With `fencing` None nothing is ordered. `running` counts the running items by engine name.
+        Nothing is ordered from engines for which `may_order` returns False. `running` counts the
+        running items by engine name.
         With `retain` runs continue under the new version.
         """
         now = self._timers.now()
@@ -107,9 +109,11 @@
         if not models:
             return
         self._assigned = assign_models(statuses, models, self._assigned)
-        if fencing is None:
-            return
-        free = [status for status in statuses if self._may_load(status.name, now)]
+        free = [
+            status
+            for status in statuses
+            if self._may_load(status.name, now) and may_order(status.name)
+        ]
         for load in plan_loads(free, self._assigned, demands, len(self._loading), self._settings):
             self._start(load, fencing, retain)
 
