Move the scheduling of submissions into a package of its own

185 modules lay flat in one folder. The eighteen that decide and carry out which item runs where and which engine loads what now lie in pumicedeck/scheduling/; only files moved and imports follow. The lease, the announcements in its row and the mirror of submissions stay outside: others use them too.

--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -4,15 +4,15 @@
 from math import inf
 
 from pumicedeck.call_limits import RetrySettings
-from pumicedeck.event_intervals import IntervalSettings
 from pumicedeck.gateway_settings import MechanismSettings
-from pumicedeck.item_pacing import PacingSettings
-from pumicedeck.item_queues import MoveSettings, QueueSettings
 from pumicedeck.order_announcements import AnnouncementSettings
 from pumicedeck.peer_checks import PeerCheckSettings
-from pumicedeck.scheduler_parts import SchedulerSettings
-from pumicedeck.submission_adoptions import AdoptionSettings
-from pumicedeck.weight_plans import WeightPlanSettings
+from pumicedeck.scheduling.event_intervals import IntervalSettings
+from pumicedeck.scheduling.item_pacing import PacingSettings
+from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
+from pumicedeck.scheduling.scheduler_parts import SchedulerSettings
+from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
+from pumicedeck.scheduling.weight_plans import WeightPlanSettings
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -19,7 +19,6 @@
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.endpoint_lists import EndpointList
-from pumicedeck.engine_orders import EngineOrders
 from pumicedeck.gateway_drains import DrainTimes
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
@@ -48,16 +47,17 @@
 from pumicedeck.platform.stores import HttpPartitionedStore
 from pumicedeck.processes import Process
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.reward_calls import RewardCaller
-from pumicedeck.scheduler_parts import SchedulerParts
-from pumicedeck.schedulers import Scheduler
+from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.scheduler_parts import SchedulerParts
+from pumicedeck.scheduling.schedulers import Scheduler
+from pumicedeck.scheduling.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.settings_files import load_settings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
 from pumicedeck.store_paths import StorePath
 from pumicedeck.store_relays import RelayedStoreClient, StoreRelay
 from pumicedeck.submission_intakes import SubmissionIntake
-from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
--- a/pumicedeck/gateway_metrics.py
+++ b/pumicedeck/gateway_metrics.py
@@ -7,7 +7,7 @@
 from pumicedeck.leases import LeaseHolder
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.route_tables import RouteTable
-from pumicedeck.schedulers import Scheduler
+from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.store_feeds import StoreFeed
 
 
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -32,7 +32,7 @@
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, RouteKind, RouteTable
-from pumicedeck.schedulers import Scheduler
+from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.submission_intakes import SubmissionIntake
--- a/pumicedeck/peer_questions.py
+++ b/pumicedeck/peer_questions.py
@@ -12,7 +12,7 @@
 from pumicedeck.http_messages import HttpRequest
 from pumicedeck.partitioned_stores import Change, PartitionedStore, Put
 from pumicedeck.peer_checks import PeerCheck, PeerReport
-from pumicedeck.schedulers import Scheduler
+from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.tasks import Promise, Task, sleep, spawn, within
 from pumicedeck.topology import Address
 from pumicedeck.work_mirrors import WorkMirror, member_row
--- a/pumicedeck/engine_orders.py
+++ b/pumicedeck/scheduling/engine_orders.py
@@ -14,8 +14,8 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.leases import LeaseHolder
+from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import sleep
-from pumicedeck.weight_plans import LoadVersion
 
 _log = logger.bind(module="engine_orders")
 
--- a/pumicedeck/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -1,15 +1,15 @@
 """Builds an `EngineView` of each engine: slots, versions and speed, by which items are placed."""
 
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.event_intervals import EngineEventIntervals
-from pumicedeck.item_queues import (
+from pumicedeck.scheduling.event_intervals import EngineEventIntervals
+from pumicedeck.scheduling.item_queues import (
     OTHER_DOMAIN_DELAY_SECONDS,
     OTHER_REGION_DELAY_SECONDS,
     EngineView,
 )
-from pumicedeck.item_runs import ItemRun
+from pumicedeck.scheduling.item_runs import ItemRun
+from pumicedeck.scheduling.weight_schedules import WeightSchedule
 from pumicedeck.topology import FailureDomain
-from pumicedeck.weight_schedules import WeightSchedule
 
 
 def view_engines(
--- a/pumicedeck/event_intervals.py
+++ b/pumicedeck/scheduling/event_intervals.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from pumicedeck.item_queues import DEFAULT_EVENT_SECONDS
+from pumicedeck.scheduling.item_queues import DEFAULT_EVENT_SECONDS
 
 WINDOW_SECONDS = 0.4
 # A window without events counts as one with half an event, since the interval divides by events.
--- a/pumicedeck/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -5,10 +5,10 @@
 from loguru import logger
 
 from pumicedeck.direct_endpoints import DirectEndpoint
-from pumicedeck.item_runs import RunEnd
 from pumicedeck.route_tables import Route
-from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
-from pumicedeck.submission_works import ItemWork, SubmissionWork
+from pumicedeck.scheduling.item_runs import RunEnd
+from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 from pumicedeck.submissions import ItemResult
 
 _log = logger.bind(module="item_endings")
--- a/pumicedeck/item_pacing.py
+++ b/pumicedeck/scheduling/item_pacing.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from math import ceil
 
-from pumicedeck.item_queues import (
+from pumicedeck.scheduling.item_queues import (
     DEFAULT_QUEUE_SETTINGS,
     QueuedItem,
     QueueSettings,
--- a/pumicedeck/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -9,15 +9,15 @@
 from pumicedeck.dialects import AnswerHead, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
-from pumicedeck.event_intervals import (
+from pumicedeck.event_streams import EventSplitter
+from pumicedeck.http_messages import HttpResponse
+from pumicedeck.results import Failure
+from pumicedeck.scheduling.event_intervals import (
     DEFAULT_INTERVAL_SETTINGS,
     IntervalSettings,
     RunEventInterval,
 )
-from pumicedeck.event_streams import EventSplitter
-from pumicedeck.http_messages import HttpResponse
-from pumicedeck.results import Failure
-from pumicedeck.submission_works import ItemWork
+from pumicedeck.scheduling.submission_works import ItemWork
 from pumicedeck.submissions import Progress, SubmissionHead
 
 _log = logger.bind(module="item_runs")
--- a/pumicedeck/queued_items.py
+++ b/pumicedeck/scheduling/queued_items.py
@@ -6,10 +6,10 @@
 
 from random import Random
 
-from pumicedeck.item_queues import QueuedItem
 from pumicedeck.route_tables import Route, choose_pool
-from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
-from pumicedeck.submission_works import ItemWork, SubmissionWork
+from pumicedeck.scheduling.item_queues import QueuedItem
+from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 
 
 def build_queued_item(
--- a/pumicedeck/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -6,17 +6,17 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
-from pumicedeck.engine_orders import EngineOrders
-from pumicedeck.event_intervals import IntervalSettings
-from pumicedeck.item_queues import MoveSettings, QueueSettings
 from pumicedeck.partitioned_stores import PartitionedStore
-from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import Route, RouteTable
+from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.event_intervals import IntervalSettings
+from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
+from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
+from pumicedeck.scheduling.submission_sweeps import SubmissionSweep
+from pumicedeck.scheduling.weight_plans import WeightPlanSettings
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_adoptions import AdoptionSettings
-from pumicedeck.submission_sweeps import SubmissionSweep
 from pumicedeck.topology import FailureDomain
-from pumicedeck.weight_plans import WeightPlanSettings
 from pumicedeck.work_mirrors import WorkMirror
 
 
--- a/pumicedeck/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -11,26 +11,26 @@
 from loguru import logger
 
 from pumicedeck.direct_endpoints import DirectEndpoint
-from pumicedeck.engine_views import count_runs, view_engines
-from pumicedeck.event_intervals import EngineEventIntervals
-from pumicedeck.item_endings import ItemEndings
-from pumicedeck.item_pacing import choose_paced_items
-from pumicedeck.item_queues import (
+from pumicedeck.order_announcements import earliest_order
+from pumicedeck.scheduling.engine_views import count_runs, view_engines
+from pumicedeck.scheduling.event_intervals import EngineEventIntervals
+from pumicedeck.scheduling.item_endings import ItemEndings
+from pumicedeck.scheduling.item_pacing import choose_paced_items
+from pumicedeck.scheduling.item_queues import (
     EngineView,
     QueuedItem,
     RunningItem,
     assign_items,
     choose_moves,
 )
-from pumicedeck.item_runs import ItemRun, RunEnd
-from pumicedeck.order_announcements import earliest_order
-from pumicedeck.queued_items import build_queued_item
-from pumicedeck.scheduler_parts import SchedulerParts, SchedulerSettings
-from pumicedeck.submission_adoptions import SubmissionAdoptions
-from pumicedeck.submission_works import ItemWork, SubmissionWork
+from pumicedeck.scheduling.item_runs import ItemRun, RunEnd
+from pumicedeck.scheduling.queued_items import build_queued_item
+from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.scheduling.submission_adoptions import SubmissionAdoptions
+from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
+from pumicedeck.scheduling.weight_plans import ModelDemand
+from pumicedeck.scheduling.weight_schedules import WeightSchedule
 from pumicedeck.tasks import Task, sleep, spawn
-from pumicedeck.weight_plans import ModelDemand
-from pumicedeck.weight_schedules import WeightSchedule
 from pumicedeck.work_mirrors import SubmissionView
 
 _log = logger.bind(module="schedulers")
--- a/pumicedeck/submission_adoptions.py
+++ b/pumicedeck/scheduling/submission_adoptions.py
@@ -8,14 +8,14 @@
 from result import Err
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.item_pacing import PacingSettings, choose_pace
-from pumicedeck.item_queues import choose_optional_groups
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.results import ResultCode
-from pumicedeck.reusable_outputs import ReusableOutputs
+from pumicedeck.scheduling.item_pacing import PacingSettings, choose_pace
+from pumicedeck.scheduling.item_queues import choose_optional_groups
+from pumicedeck.scheduling.reusable_outputs import ReusableOutputs
+from pumicedeck.scheduling.submission_rows import read_progress, read_results
+from pumicedeck.scheduling.submission_works import SubmissionWork
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_rows import read_progress, read_results
-from pumicedeck.submission_works import SubmissionWork
 from pumicedeck.submissions import ItemResult
 from pumicedeck.tasks import sleep
 from pumicedeck.work_mirrors import SubmissionView, WorkMirror
--- a/pumicedeck/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -8,10 +8,10 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.item_pacing import NO_PACE
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.submission_rows import (
+from pumicedeck.scheduling.item_pacing import NO_PACE
+from pumicedeck.scheduling.submission_rows import (
     read_items,
     read_progress,
     read_results,
--- a/pumicedeck/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -6,9 +6,8 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.engine_orders import EngineOrders
-from pumicedeck.tasks import Task
-from pumicedeck.weight_plans import (
+from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.weight_plans import (
     EngineStatus,
     LoadVersion,
     ModelDemand,
@@ -16,6 +15,7 @@
     assign_models,
     plan_loads,
 )
+from pumicedeck.tasks import Task
 
 LOAD_RETRY_SECONDS = 0.4
 MAX_LOAD_RETRY_SECONDS = 1.6
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -12,7 +12,7 @@
 from pumicedeck.page_caches import PageCache
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.submission_rows import read_items, read_results_after
+from pumicedeck.scheduling.submission_rows import read_items, read_results_after
 from pumicedeck.submissions import ItemResult, Submission, encode_items
 from pumicedeck.tasks import sleep, within
 from pumicedeck.work_mirrors import (
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -11,7 +11,6 @@
 from pumicedeck.dialects import AnswerHead
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.endpoint_callers import CompleteAnswer
-from pumicedeck.engine_orders import EngineOrders
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseSettings
@@ -19,17 +18,18 @@
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.reward_calls import RewardCaller
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
-from pumicedeck.scheduler_parts import SchedulerParts
-from pumicedeck.schedulers import Scheduler
+from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.scheduler_parts import SchedulerParts
+from pumicedeck.scheduling.schedulers import Scheduler
+from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
+from pumicedeck.scheduling.submission_rows import join_results
+from pumicedeck.scheduling.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
-from pumicedeck.submission_adoptions import AdoptionSettings
 from pumicedeck.submission_intakes import SubmissionIntake
-from pumicedeck.submission_rows import join_results
-from pumicedeck.submission_sweeps import SubmissionSweep, SweepSettings
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -11,9 +11,7 @@
 
 from pumicedeck.decision_settings import DecisionSettings, choose_decision_settings
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.event_intervals import EngineEventIntervals, IntervalSettings, RunEventInterval
 from pumicedeck.gateway_settings import MechanismSettings
-from pumicedeck.item_queues import EngineView, QueueSettings, assign_items, order_items
 from pumicedeck.order_announcements import (
     ANY_ENDPOINT,
     AnnouncedOrders,
@@ -21,7 +19,13 @@
     FormerHolder,
     OrderAnnouncement,
 )
-from pumicedeck.submission_adoptions import AdoptionSettings
+from pumicedeck.scheduling.event_intervals import (
+    EngineEventIntervals,
+    IntervalSettings,
+    RunEventInterval,
+)
+from pumicedeck.scheduling.item_queues import EngineView, QueueSettings, assign_items, order_items
+from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.tests.test_direct_endpoints import HOME
 from pumicedeck.tests.test_item_queues import item
--- a/pumicedeck/tests/test_direct_endpoints.py
+++ b/pumicedeck/tests/test_direct_endpoints.py
@@ -11,11 +11,11 @@
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.endpoint_lists import MAX_LOGGED_NAMES, EndpointList
-from pumicedeck.event_intervals import EngineEventIntervals
 from pumicedeck.event_streams import EventSplitter
-from pumicedeck.item_queues import DEFAULT_EVENT_SECONDS
 from pumicedeck.partitioned_stores import RowKey, StoredRow
-from pumicedeck.reusable_outputs import ReusableOutputs
+from pumicedeck.scheduling.event_intervals import EngineEventIntervals
+from pumicedeck.scheduling.item_queues import DEFAULT_EVENT_SECONDS
+from pumicedeck.scheduling.reusable_outputs import ReusableOutputs
 from pumicedeck.submissions import ItemResult, Progress
 from pumicedeck.topology import Address, FailureDomain
 
--- a/pumicedeck/tests/test_import_directions.py
+++ b/pumicedeck/tests/test_import_directions.py
@@ -50,7 +50,13 @@
 
 
 def test_the_decisions_are_known():
-    for name in ("item_queues", "weight_plans", "leases", "call_limits", "soaks/oracles"):
+    for name in (
+        "scheduling/item_queues",
+        "scheduling/weight_plans",
+        "leases",
+        "call_limits",
+        "soaks/oracles",
+    ):
         assert name in PURE
 
 
--- a/pumicedeck/tests/test_item_pacing.py
+++ b/pumicedeck/tests/test_item_pacing.py
@@ -6,7 +6,12 @@
 
 from collections import Counter
 
-from pumicedeck.item_pacing import NO_PACE, PacingSettings, choose_pace, choose_paced_items
+from pumicedeck.scheduling.item_pacing import (
+    NO_PACE,
+    PacingSettings,
+    choose_pace,
+    choose_paced_items,
+)
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.tests.test_item_queues import item
 from pumicedeck.tests.test_schedulers import check_complete
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from pumicedeck.event_intervals import WINDOW_SECONDS, RunEventInterval
-from pumicedeck.item_queues import (
+from pumicedeck.scheduling.event_intervals import WINDOW_SECONDS, RunEventInterval
+from pumicedeck.scheduling.item_queues import (
     EngineView,
     MoveSettings,
     QueuedItem,
--- a/pumicedeck/tests/test_leaving_endpoints.py
+++ b/pumicedeck/tests/test_leaving_endpoints.py
@@ -14,11 +14,11 @@
     EndpointDirectory,
 )
 from pumicedeck.endpoint_callers import EndpointCaller
-from pumicedeck.engine_views import view_engines
-from pumicedeck.event_intervals import EngineEventIntervals
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform_interfaces import LoadedModel
+from pumicedeck.scheduling.engine_views import view_engines
+from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.loop_harnesses import LoopHarness, RawServer
 from pumicedeck.tests.test_direct_endpoints import HOME, directory, endpoint
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -13,7 +13,6 @@
 from result import Err, Ok
 
 from pumicedeck.clocks import VirtualTime
-from pumicedeck.engine_orders import EngineOrders
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseRow, LeaseSettings, decode_lease
 from pumicedeck.order_announcements import (
@@ -27,10 +26,11 @@
 )
 from pumicedeck.platform_interfaces import Committed, Row, TableStore
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.scheduler_parts import SchedulerSettings
+from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.scheduler_parts import SchedulerSettings
+from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.scheduler_simulations import FakeCaller, SchedulerSimulation
-from pumicedeck.weight_plans import LoadVersion
 
 LEASE = LeaseSettings(duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2)
 TAKEOVER_SECONDS = SchedulerSettings().takeover_seconds
--- a/pumicedeck/tests/test_submission_intakes.py
+++ b/pumicedeck/tests/test_submission_intakes.py
@@ -10,13 +10,13 @@
 from pumicedeck.partitioned_stores import Change, Put, StoredRow
 from pumicedeck.platform.caller_calls import PlatformSubmissionDialect
 from pumicedeck.results import ResultCode
+from pumicedeck.scheduling.submission_rows import results_puts
 from pumicedeck.standin_partitioned_stores import (
     DEFAULT_PAGE_ROWS,
     PartitionedData,
     StandinPartitionedStore,
 )
 from pumicedeck.submission_intakes import SubmissionIntake
-from pumicedeck.submission_rows import results_puts
 from pumicedeck.submissions import (
     Item,
     ItemResult,
--- a/pumicedeck/tests/test_weight_plans.py
+++ b/pumicedeck/tests/test_weight_plans.py
@@ -1,6 +1,6 @@
 """Tests of the weight plan: which engine serves which model and which one loads next."""
 
-from pumicedeck.weight_plans import (
+from pumicedeck.scheduling.weight_plans import (
     EngineStatus,
     ModelDemand,
     WeightPlanSettings,
