--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -3,7 +3,9 @@
 import json
 import os
 import sys
+from collections.abc import Iterator
 from csv import writer as csv_writer
+from math import inf
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -26,6 +28,11 @@
 app.add_typer(experiment_app, name="experiment")
 app.command()(soak)
 
+LogFilesArgument = Annotated[
+    list[Path], typer.Argument(help="Log files of gateways, packed (.gz) or not, or folders.")
+]
+SinceOption = Annotated[float, typer.Option(help="First time `at` to read, in Unix seconds.")]
+UntilOption = Annotated[float, typer.Option(help="Last time `at` to read, in Unix seconds.")]
 SettingsArgument = Annotated[Path, typer.Argument(help="The settings file, in YAML.")]
 
 
@@ -112,14 +119,14 @@
 @app.command()
 def explain(
     identity: Annotated[str, typer.Argument(help="The id of a request, submission or item.")],
-    files: Annotated[list[Path], typer.Argument(help="Log files of one or more processes.")],
+    files: LogFilesArgument,
+    since: SinceOption = -inf,
+    until: UntilOption = inf,
 ) -> None:
     """Show the log events that name an id, with the cause of its failure first."""
     from pumicedeck.explanations import explain as explain_identity
-    from pumicedeck.log_files import read_lines
 
-    _require_files(files)
-    explanation = explain_identity(identity, read_lines(files))
+    explanation = explain_identity(identity, _read_logs(files, since, until))
     if explanation.cause is not None:
         typer.echo(f"cause: {explanation.cause.text()}")
     for line in explanation.lines:
@@ -133,16 +140,16 @@
 
 @app.command()
 def timeline(
-    files: Annotated[list[Path], typer.Argument(help="Log files of all gateways.")],
+    files: LogFilesArgument,
+    since: SinceOption = -inf,
+    until: UntilOption = inf,
     csv: Annotated[bool, typer.Option("--csv", help="Print a row per submission as CSV.")] = False,
 ) -> None:
     """Show for each step what its last item waited for, from the logs of all gateways."""
-    from pumicedeck.log_files import read_lines
     from pumicedeck.timeline_reports import COLUMNS, timeline_rows, timeline_text
     from pumicedeck.timelines import build_timeline
 
-    _require_files(files)
-    built = build_timeline(read_lines(files))
+    built = build_timeline(_read_logs(files, since, until))
     if not built.submissions:
         exit_on_failure(Err(Failure(ResultCode.NOT_FOUND, "no log event accepts a submission")))
     if csv:
@@ -156,11 +163,14 @@
         typer.echo(f"{built.unreadable} lines could not be read", err=True)
 
 
-def _require_files(files: list[Path]) -> None:
-    """End the command if one of the files does not exist."""
-    missing_files = [path for path in files if not path.is_file()]
-    if missing_files:
-        exit_on_failure(Err(Failure(ResultCode.BAD_REQUEST, f"{missing_files[0]}: cannot be read")))
+def _read_logs(paths: list[Path], since: float, until: float) -> Iterator[str]:
+    """Return the lines of log files in a window; end the command if a file does not exist."""
+    from pumicedeck.log_files import TimeWindow, read_lines
+
+    missing = [path for path in paths if not path.exists()]
+    if missing:
+        exit_on_failure(Err(Failure(ResultCode.BAD_REQUEST, f"{missing[0]}: cannot be read")))
+    return read_lines(paths, TimeWindow(since, until))
 
 
 @app.command("result-codes")
--- a/pumicedeck/explanations.py
+++ b/pumicedeck/explanations.py
@@ -80,7 +80,12 @@
 
 
 def _text_values(fields: dict) -> Iterator[str]:
-    return (value for value in fields.values() if isinstance(value, str))
+    """Yield the texts among the fields, also those in lists, such as names of endpoints."""
+    for value in fields.values():
+        if isinstance(value, str):
+            yield value
+        elif isinstance(value, list):
+            yield from (each for each in value if isinstance(each, str))
 
 
 def _cause(lines: list[LogLine]) -> LogLine | None:
--- a/pumicedeck/tests/test_explanations.py
+++ b/pumicedeck/tests/test_explanations.py
@@ -1,9 +1,13 @@
 """Finding the events and the cause of a failure for an id in logs."""
 
+import gzip
+import json
+
 from typer.testing import CliRunner
 
 from pumicedeck.cli import app
 from pumicedeck.explanations import explain
+from pumicedeck.log_files import TimeWindow
 
 LINES = [
     '{"at": 2.0, "vm": "f2", "level": "INFO", "module": "m", "event": "run ended early", '
@@ -44,3 +48,41 @@
     assert missing.exit_code != 0
     unknown = CliRunner().invoke(app, ["explain", "zz", str(first)])
     assert unknown.exit_code != 0
+
+
+def write_logs(folder, count=3):
+    """Write a file for each process, every second one packed; each names one request."""
+    folder.mkdir()
+    for number in range(count):
+        event = {"at": 100.0 + number, "vm": f"v{number}", "event": "refused", "request": "r7"}
+        line = json.dumps(event) + "\n"
+        path = folder / f"v{number}.log"
+        if number % 2:
+            with gzip.open(f"{path}.gz", "wt", encoding="utf-8") as file:
+                file.write(line)
+        else:
+            path.write_text(line, encoding="utf-8")
+
+
+def test_a_folder_of_logs_is_read_whole_with_its_packed_files(tmp_path):
+    write_logs(tmp_path / "logs")
+    result = CliRunner().invoke(app, ["explain", "r7", str(tmp_path / "logs")])
+    assert result.exit_code == 0
+    assert [line[:10] for line in result.stdout.splitlines()[1:]] == [
+        "100.000 v0",
+        "101.000 v1",
+        "102.000 v2",
+    ]
+
+
+def test_only_the_lines_of_a_time_window_are_read(tmp_path):
+    write_logs(tmp_path / "logs")
+    window = ["--since", "101", "--until", "101.5"]
+    result = CliRunner().invoke(app, ["explain", "r7", str(tmp_path / "logs"), *window])
+    assert result.stdout.splitlines()[1:] == ["101.000 v1 refused: request=r7"]
+    assert TimeWindow(0.0, 1.0).admits("a line without a time")
+
+
+def test_an_endpoint_in_a_list_of_names_is_found():
+    line = json.dumps({"at": 1.0, "vm": "v", "event": "e", "removed_names": ["e1", "e2"]})
+    assert len(explain("e2", [line]).lines) == 1
