--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -20,7 +20,7 @@
 OTHER_REGION_COST = 1.5
 LATENCY_SMOOTHING = 0.2
 LOAD_REPORT_MAX_AGE_SECONDS = 1.0
-# Endpoints that leave are forgotten last in, last out; a fleet replaces far fewer at a time.
+# The oldest are forgotten first; a fleet replaces far fewer endpoints at a time.
 MAX_LEAVING_ENDPOINTS = 1000
 
 
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -96,7 +96,7 @@
     connections_per_address=16,
 )
 SETTINGS_POLL_SECONDS = 1.0
-# A gateway without bodies takes about half of the smallest machine's memory.
+# The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 BODIES_SHARE_OF_MEMORY = 0.2
 
 _log = logger.bind(module="gateway_compositions")
