--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -42,7 +42,10 @@
 
 
 class MechanismSettings(Section):
-    """Mechanisms that can be switched off one by one, to measure what each is worth."""
+    """Mechanisms that can be switched off one by one, to measure what each is worth.
+
+    `engines_by_work` is off until its measurement and hunts are done (docs/LARGE-ROUNDS.md).
+    """
 
     reuse_of_outputs: bool = True
     loads_in_turns: bool = True
@@ -60,6 +63,7 @@
     outlier_avoidance: bool = True
     retries: bool = True
     stalled_engine_ends: bool = True
+    engines_by_work: bool = False
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/scheduling/weight_plans.py
+++ b/pumicedeck/scheduling/weight_plans.py
@@ -63,9 +63,12 @@
 
 
 def assign_models(
-    engines: list[EngineStatus], models: list[str], previous: dict[str, str]
+    engines: list[EngineStatus],
+    models: list[str],
+    previous: dict[str, str],
+    shares: dict[str, int],
 ) -> dict[str, str]:
-    """Return the model of each engine, in equal shares.
+    """Return the model of each engine; `shares` has the number of engines by model.
 
     An engine keeps its model from `previous` as far as the shares allow; another one gets the model
     of which it has the newest version.
@@ -73,8 +76,7 @@
     if not models:
         return {}
     ordered = sorted(engines, key=lambda engine: engine.name)
-    base, extra = divmod(len(ordered), len(models))
-    open_shares = {model: base + (index < extra) for index, model in enumerate(sorted(models))}
+    open_shares = {model: shares[model] for model in models}
     assigned: dict[str, str] = {}
     for engine in ordered:
         model = previous.get(engine.name)
