--- a/pumicedeck/tests/test_timelines.py
+++ b/pumicedeck/tests/test_timelines.py
@@ -12,7 +12,11 @@
 
 from pumicedeck.cli import app
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
-from pumicedeck.timelines import build_timeline, find_interruptions
+from pumicedeck.timelines import (
+    build_timeline,
+    find_interruptions,
+    find_usual_event_seconds,
+)
 
 LENGTHS = [[150, 10], [20, 20]]
 
@@ -72,6 +76,38 @@
     assert float(row["last_item_completed"]) > 6.0
 
 
+def run_lines(item, engine, started, ended, events):
+    common = {"vm": "p", "submission": "s", "item": item}
+    return [
+        {**common, "at": started, "event": "item started", "engine": engine, "after_event": 0},
+        {**common, "at": ended, "event": "item completed", "events": events},
+    ]
+
+
+def load_lines(engine, started, ended):
+    common = {"vm": "p", "engine": engine, "version": 2}
+    return [
+        {**common, "at": started, "event": "weight load ordered"},
+        {**common, "at": ended, "event": "weight load ended"},
+    ]
+
+
+def test_a_load_counts_only_for_what_the_run_took_longer():
+    """Runs go on during a load: 39 s of a day were counted as lost to loads that cost 2.6 s."""
+    accepted = {"event": "submission accepted", "submission": "s", "step": 0, "items": 4}
+    documents = [{"at": 0.0, "vm": "p", **accepted}]
+    for number in range(3):
+        documents += run_lines(f"quick-{number}", f"e{number}", 0.0, 4.0, 100)
+    documents += run_lines("last", "e9", 0.0, 6.2, 150)
+    documents += load_lines("e9", 1.0, 2.1)
+    timeline = build_timeline([json.dumps(each) for each in documents])
+    usual = find_usual_event_seconds(timeline)
+    assert usual == pytest.approx(0.04)
+    (submission,) = timeline.submissions
+    (load,) = find_interruptions(submission, submission.last_completed, timeline.loads, usual)
+    assert load.cause == "weight load" and load.seconds == pytest.approx(0.2)
+
+
 def test_logs_without_a_submission_are_an_error(tmp_path):
     path = tmp_path / "gateway.log"
     path.write_text('{"at": 1.0, "vm": "p", "event": "started"}')
--- a/pumicedeck/timeline_reports.py
+++ b/pumicedeck/timeline_reports.py
@@ -9,6 +9,7 @@
     Timeline,
     able_engines,
     find_interruptions,
+    find_usual_event_seconds,
 )
 
 COLUMNS = (
@@ -42,15 +43,19 @@
     """Return lines that tell of each submission what its last item waited for, and the sums."""
     lines = []
     sums: Counter[str] = Counter()
+    usual_seconds = find_usual_event_seconds(timeline)
     for submission in timeline.submissions:
-        lines += _submission_lines(submission, timeline, sums)
+        lines += _submission_lines(submission, timeline, usual_seconds, sums)
     lines.append("seconds by cause, of the last item of each submission:")
     lines += [f"  {seconds:8.2f}  {cause}" for cause, seconds in sums.most_common()]
     return lines
 
 
 def _submission_lines(
-    submission: SubmissionRecord, timeline: Timeline, sums: Counter[str]
+    submission: SubmissionRecord,
+    timeline: Timeline,
+    usual_seconds: float | None,
+    sums: Counter[str],
 ) -> list[str]:
     row = dict(zip(COLUMNS, _row(submission, timeline), strict=True))
     lines = [
@@ -67,7 +72,7 @@
             f"  {_since(submission, item.completed)} last item {item.item} complete, "
             f"{item.events} events"
         )
-        for interruption in find_interruptions(submission, item, timeline.loads):
+        for interruption in find_interruptions(submission, item, timeline.loads, usual_seconds):
             sums[interruption.cause] += interruption.seconds
             lines.append(_interruption_line(interruption))
     if submission.ended is not None:
--- a/pumicedeck/timelines.py
+++ b/pumicedeck/timelines.py
@@ -7,13 +7,16 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
+from statistics import median
 
 from pumicedeck.explanations import LogLine, parse_line
 
 # How a run can end, beside the reasons that the logs give.
 WHOLE = "whole"
 TAKEN_OVER = "taken over"
+MIN_USUAL_EVENTS = 10
 
 
 @dataclass(slots=True)
@@ -230,14 +233,35 @@
     return Timeline(tuple(ordered), loads, builder.announced, unreadable)
 
 
+def find_usual_event_seconds(timeline: Timeline) -> float | None:
+    """Return the median seconds per event of runs during which their engine loaded nothing.
+
+    Only whole items of at least `MIN_USUAL_EVENTS` events that ran once count; None without any.
+    """
+    seconds = [
+        _event_seconds(item)
+        for submission in timeline.submissions
+        for item in submission.items.values()
+        if len(item.runs) == 1
+        and item.events >= MIN_USUAL_EVENTS
+        and item.runs[0].ended is not None
+        and not _loads_during(item.runs[0], item.runs[0].ended, timeline.loads)
+    ]
+    return median(seconds) if seconds else None
+
+
 def find_interruptions(
-    submission: SubmissionRecord, item: ItemRecord, loads: tuple[LoadRecord, ...]
+    submission: SubmissionRecord,
+    item: ItemRecord,
+    loads: tuple[LoadRecord, ...],
+    usual_event_seconds: float | None = None,
 ) -> list[Interruption]:
     """Return what stood in the way of an item, in order of time.
 
     Waits before a run count from the submission's acceptance or the end of the run before. A load
-    counts for as long as it overlaps with a run on its engine. A run that was taken over counts
-    with the seconds whose events the next run had to generate again.
+    counts for as long as it overlaps with a run on its engine, but not for longer than the run took
+    beyond its events at `usual_event_seconds`, as runs go on during a load. A run that was taken
+    over counts with the seconds whose events the next run had to generate again.
     """
     found = []
     free_since = submission.accepted
@@ -249,7 +273,8 @@
         run_end = run.ended if run.ended is not None else submission.ended
         if run_end is None:
             break
-        found += _loads_during(run, run_end, loads)
+        delay = _delay_of_run(item, number, run_end, usual_event_seconds)
+        found += _limit_seconds(_loads_during(run, run_end, loads), delay)
         if run.end == TAKEN_OVER and number + 1 < len(item.runs):
             events = item.runs[number + 1].after_event - run.after_event
             useful = events * _event_seconds(item)
@@ -260,6 +285,29 @@
     return found
 
 
+def _delay_of_run(
+    item: ItemRecord, number: int, run_end: float, usual_event_seconds: float | None
+) -> float:
+    """Return how much longer a run took than its events usually do, infinity if unknown."""
+    if usual_event_seconds is None:
+        return inf
+    run = item.runs[number]
+    is_last = number + 1 == len(item.runs)
+    last_event = item.events if is_last else item.runs[number + 1].after_event
+    events = last_event - run.after_event
+    return max(0.0, run_end - run.started - events * usual_event_seconds)
+
+
+def _limit_seconds(interruptions: list[Interruption], limit: float) -> list[Interruption]:
+    """Shorten interruptions so that together they take `limit` seconds at most."""
+    limited = []
+    for each in interruptions:
+        seconds = min(each.seconds, limit)
+        limit -= seconds
+        limited.append(replace(each, seconds=seconds))
+    return limited
+
+
 def _event_seconds(item: ItemRecord) -> float:
     """Return the seconds per event of an item's last run, 0 if it had none."""
     last = item.runs[-1]
