--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -6,7 +6,7 @@
 
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.route_tables import Route
-from pumicedeck.scheduling.item_runs import RunEnd
+from pumicedeck.scheduling.run_ends import RunEnd
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 from pumicedeck.submissions import ItemResult
--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -1,7 +1,5 @@
 """One run of an item at an engine: appends the streamed events to the item's output."""
 
-from enum import StrEnum
-
 from loguru import logger
 from result import Err, Result
 
@@ -17,6 +15,7 @@
     IntervalSettings,
     RunEventInterval,
 )
+from pumicedeck.scheduling.run_ends import RunContact, RunEnd
 from pumicedeck.scheduling.submission_works import ItemWork
 from pumicedeck.submissions import Progress, SubmissionHead
 
@@ -25,22 +24,6 @@
 UNPROCESSABLE_STATUS = 422
 
 
-class RunEnd(StrEnum):
-    """How a run ended; the values are written to the log.
-
-    NOT_TAKEN is a request that the engine provably did not run, BROKEN a stream that ended early or
-    out of sequence. IMPOSSIBLE is an item that the engine cannot process. WRONG_VERSION is a weight
-    version that may not be used for the item's output.
-    """
-
-    WHOLE = "whole"
-    BROKEN = "broken"
-    NOT_TAKEN = "not taken"
-    ENGINE_ERROR = "engine error"
-    IMPOSSIBLE = "impossible"
-    WRONG_VERSION = "wrong version"
-
-
 class ItemRun:
     """Calls an engine for an item and appends each event to the item's progress.
 
@@ -136,6 +119,12 @@
         self._item_work.progress.whole = True
         return RunEnd.WHOLE, ""
 
+    def contact(self, key: tuple[str, str]) -> RunContact:
+        """Return what this run, which the scheduler keeps under `key`, has received."""
+        return RunContact(
+            key, self.endpoint.name, self.last_contact_at, self.is_unreadable, self.wrong_version
+        )
+
     @property
     def is_unreadable(self) -> bool:
         """Return whether the stream cannot be continued, whatever the engine still sends."""
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -23,8 +23,9 @@
     assign_items,
     choose_moves,
 )
-from pumicedeck.scheduling.item_runs import ItemRun, RunEnd
+from pumicedeck.scheduling.item_runs import ItemRun
 from pumicedeck.scheduling.queued_items import build_queued_item
+from pumicedeck.scheduling.run_ends import RunEnd, choose_runs_to_end
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_adoptions import SubmissionAdoptions
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
@@ -366,30 +367,22 @@
             self._timers.call_later(0.0, self._schedule)
 
     def _end_stalled(self, now: float) -> None:
-        """End runs under a version that may not be used, and runs that receive no events.
-
-        An engine is silent if none of its runs has received an event for `stall_seconds`, unless it
-        loads weights. A single run ends after `silence_seconds` without an event.
-        """
-        last_contact_at: dict[str, float] = {}
-        for run, _ in self._runs.values():
-            name = run.endpoint.name
-            last_contact_at[name] = max(last_contact_at.get(name, 0.0), run.last_contact_at)
-        for key, (run, _) in tuple(self._runs.items()):
-            name = run.endpoint.name
-            silent = now - last_contact_at[name] > self._settings.stall_seconds
-            if run.wrong_version:
-                reason = RunEnd.WRONG_VERSION
-            elif run.is_unreadable or now - run.last_contact_at > self._settings.silence_seconds:
-                reason = RunEnd.BROKEN
-                self._parts.directory.record_failure(name, now)
-            elif silent and not self._weights.is_loading(name):
-                reason = RunEnd.BROKEN
-                self._parts.directory.record_failure(name, now)
-                self._parts.caller.close_idle_connections(run.endpoint)
-            else:
-                continue
-            self._end_run(key, reason, "ended by the scheduler")
+        """End runs under a version that may not be used, and runs that receive no events."""
+        contacts = [run.contact(key) for key, (run, _) in self._runs.items()]
+        settings = self._settings
+        for each in choose_runs_to_end(
+            contacts,
+            self._weights.is_loading,
+            now,
+            settings.silence_seconds,
+            settings.stall_seconds,
+        ):
+            endpoint = self._runs[each.key][0].endpoint
+            if each.engine_failed:
+                self._parts.directory.record_failure(endpoint.name, now)
+            if each.engine_silent:
+                self._parts.caller.close_idle_connections(endpoint)
+            self._end_run(each.key, each.end, "ended by the scheduler")
 
     def _end_run(self, key: tuple[str, str], end: RunEnd, detail: str) -> None:
         """Cancel a run and put its item back among the waiting ones."""
