--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -7,7 +7,6 @@
 from pumicedeck.gateway_settings import MechanismSettings
 from pumicedeck.order_announcements import AnnouncementSettings
 from pumicedeck.peer_checks import PeerCheckSettings
-from pumicedeck.scheduling.engine_shares import EngineShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_pacing import PacingSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
@@ -29,7 +28,6 @@
     plan: WeightPlanSettings = WeightPlanSettings()
     queue: QueueSettings = QueueSettings()
     moves: MoveSettings = MoveSettings()
-    shares: EngineShareSettings = EngineShareSettings(by_work=False)
     intervals: IntervalSettings = IntervalSettings()
     announcement: AnnouncementSettings = AnnouncementSettings()
     retries: RetrySettings = RetrySettings()
@@ -53,7 +51,6 @@
         adoption=AdoptionSettings(reuses_outputs=mechanisms.reuse_of_outputs, pacing=pacing),
         plan=on.plan if mechanisms.loads_in_turns else WeightPlanSettings(loads_share=1.0),
         queue=QueueSettings(mechanisms.longest_first, mechanisms.placement_by_end),
-        shares=EngineShareSettings(by_work=mechanisms.engines_by_work),
         moves=on.moves if mechanisms.moves else MoveSettings(max_moves=0),
         intervals=IntervalSettings(
             mechanisms.interval_windows, mechanisms.remembered_engine_speeds
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -190,7 +190,6 @@
             ),
             plan=decisions.plan,
             moves=decisions.moves,
-            shares=decisions.shares,
             queue=decisions.queue,
             intervals=decisions.intervals,
             adoption=decisions.adoption,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -42,10 +42,7 @@
 
 
 class MechanismSettings(Section):
-    """Mechanisms that can be switched off one by one, to measure what each is worth.
-
-    `engines_by_work` is off until its measurement and hunts are done (docs/LARGE-ROUNDS.md).
-    """
+    """Mechanisms that can be switched off one by one, to measure what each is worth."""
 
     reuse_of_outputs: bool = True
     loads_in_turns: bool = True
@@ -63,7 +60,6 @@
     outlier_avoidance: bool = True
     retries: bool = True
     stalled_engine_ends: bool = True
-    engines_by_work: bool = False
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -9,7 +9,6 @@
 from pumicedeck.partitioned_stores import PartitionedStore
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
-from pumicedeck.scheduling.engine_shares import EngineShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
 from pumicedeck.scheduling.reward_calls import RewardCaller
@@ -76,7 +75,6 @@
     may_claim: Callable[[], bool]
     sweep: SubmissionSweep
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
-    shares: EngineShareSettings = field(default_factory=EngineShareSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
     queue: QueueSettings = field(default_factory=QueueSettings)
     intervals: IntervalSettings = field(default_factory=IntervalSettings)
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -60,12 +60,7 @@
             parts.adoption,
         )
         self._weights = WeightSchedule(
-            parts.timers,
-            parts.directory,
-            parts.orders,
-            self._schedule_soon,
-            parts.plan,
-            parts.shares,
+            parts.timers, parts.directory, parts.orders, self._schedule_soon, parts.plan
         )
         self._endings = ItemEndings(parts, self._settings, self._is_worked_on, self._schedule_soon)
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
@@ -197,7 +192,6 @@
         if not self._active or work.fencing != self._fencing or view is None or not view.is_open:
             return False
         self._works[work.submission_id] = work
-        self._weights.record_step(work.head.model, work.expected_events)
         self._schedule_soon()
         return True
 
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -11,7 +11,6 @@
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.item_pacing import NO_PACE
-from pumicedeck.scheduling.item_queues import DEFAULT_LENGTH_EVENTS
 from pumicedeck.scheduling.submission_rows import (
     read_items,
     read_progress,
@@ -134,14 +133,6 @@
         """Return the number of listed results."""
         return len(self.results)
 
-    @property
-    def expected_events(self) -> float:
-        """Return the estimated events of the whole step, by the mean of its unlisted items."""
-        lengths = [
-            each.item.expected_length or DEFAULT_LENGTH_EVENTS for each in self.waiting.values()
-        ]
-        return self.head.total * sum(lengths) / len(lengths) if lengths else 0.0
-
     @property
     def submission_id(self) -> str:
         """Return the submission's id."""
--- a/pumicedeck/scheduling/weight_plans.py
+++ b/pumicedeck/scheduling/weight_plans.py
@@ -63,12 +63,9 @@
 
 
 def assign_models(
-    engines: list[EngineStatus],
-    models: list[str],
-    previous: dict[str, str],
-    shares: dict[str, int],
+    engines: list[EngineStatus], models: list[str], previous: dict[str, str]
 ) -> dict[str, str]:
-    """Return the model of each engine; `shares` has the number of engines by model.
+    """Return the model of each engine, in equal shares.
 
     An engine keeps its model from `previous` as far as the shares allow; another one gets the model
     of which it has the newest version.
@@ -76,7 +73,8 @@
     if not models:
         return {}
     ordered = sorted(engines, key=lambda engine: engine.name)
-    open_shares = {model: shares[model] for model in models}
+    base, extra = divmod(len(ordered), len(models))
+    open_shares = {model: base + (index < extra) for index, model in enumerate(sorted(models))}
     assigned: dict[str, str] = {}
     for engine in ordered:
         model = previous.get(engine.name)
--- a/pumicedeck/scheduling/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -7,7 +7,6 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.scheduling.engine_orders import EngineOrders
-from pumicedeck.scheduling.engine_shares import EngineShares, EngineShareSettings
 from pumicedeck.scheduling.weight_plans import (
     EngineStatus,
     LoadVersion,
@@ -34,7 +33,6 @@
         orders: EngineOrders,
         on_changed: Callable[[], None],
         settings: WeightPlanSettings,
-        share_settings: EngineShareSettings,
     ) -> None:
         """Call `on_changed` after an engine has reported at the end of a load."""
         self._timers = timers
@@ -42,7 +40,6 @@
         self._orders = orders
         self._on_changed = on_changed
         self._settings = settings
-        self._shares = EngineShares(share_settings)
         self._loading: dict[str, Task] = {}
         self._next_load_at: dict[str, float] = {}
         self._unanswered_retries: dict[str, int] = {}
@@ -68,10 +65,6 @@
         key = (endpoint.name, endpoint.incarnation, model)
         self._observed_versions[key] = max(version, self._observed_versions.get(key, 0))
 
-    def record_step(self, model: str, expected_events: float) -> None:
-        """Record the work of a new step; engines are dealt to models by it."""
-        self._shares.record_step(model, expected_events)
-
     def is_loading(self, engine: str) -> bool:
         """Return whether a load of an engine is under way."""
         return engine in self._loading
@@ -115,8 +108,7 @@
         ]
         if not models:
             return
-        shares = self._shares.choose(models, len(statuses))
-        self._assigned = assign_models(statuses, models, self._assigned, shares)
+        self._assigned = assign_models(statuses, models, self._assigned)
         free = [
             status
             for status in statuses
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -47,17 +47,14 @@
     "outlier_avoidance": "avoids_failed",
     "retries": "retries",
     "stalled_engine_ends": "scheduler",
-    "engines_by_work": "shares",
 }
-OFF_BY_DEFAULT = {"engines_by_work"}
 # These are switched off where the gateway is composed.
 SWITCHED_IN_COMPOSITION = {"store_relays"}
 
 
-def test_by_default_all_mechanisms_but_those_on_trial_work():
+def test_by_default_all_mechanisms_work():
     assert choose_decision_settings(MechanismSettings()) == DecisionSettings()
-    off = {name for name, is_on in MechanismSettings().model_dump().items() if not is_on}
-    assert off == OFF_BY_DEFAULT
+    assert all(MechanismSettings().model_dump().values())
 
 
 def test_each_mechanism_has_a_switch_and_a_row_here():
@@ -68,9 +65,7 @@
 
 @pytest.mark.parametrize("mechanism", sorted(CHANGED_FIELD_BY_MECHANISM))
 def test_a_switch_changes_its_own_settings_only(mechanism):
-    switched = choose_decision_settings(
-        MechanismSettings(**{mechanism: mechanism in OFF_BY_DEFAULT})
-    )
+    switched = choose_decision_settings(MechanismSettings(**{mechanism: False}))
     changed = {
         each.name
         for each in fields(DecisionSettings)
--- a/pumicedeck/tests/test_weight_plans.py
+++ b/pumicedeck/tests/test_weight_plans.py
@@ -27,10 +27,10 @@
 
 def test_two_models_share_the_engines_equally_and_keep_them():
     statuses = [EngineStatus(f"e{n}", {"m": 1, "n": 1}, 0) for n in range(6)]
-    first = assign_models(statuses, ["m", "n"], {}, {"m": 3, "n": 3})
+    first = assign_models(statuses, ["m", "n"], {})
     assert sorted(first.values()) == ["m"] * 3 + ["n"] * 3
     without = [status for status in statuses if status.name != "e0"]
-    again = assign_models(without, ["m", "n"], first, {"m": 3, "n": 2})
+    again = assign_models(without, ["m", "n"], first)
     assert sum(again[name] != first[name] for name in again) <= 1
 
 
--- a/trials/play_ablations.py
+++ b/trials/play_ablations.py
@@ -30,7 +30,7 @@
 
 
 def make_copy(folder: Path, mechanism: str) -> None:
-    """Clone the repository and switch a mechanism in the clone: off, or on if it is on trial."""
+    """Clone the repository and switch a mechanism off in the clone."""
     if folder.exists():
         return
     subprocess.run(["git", "clone", "-q", ".", str(folder)], check=True)
@@ -38,8 +38,7 @@
         shutil.copytree("target", folder / "target")
     if mechanism != ALL:
         with (folder / TEMPLATE).open("a", encoding="utf-8") as template:
-            switched = "false" if getattr(MechanismSettings(), mechanism) else "true"
-            template.write(f"mechanisms:\n  {mechanism}: {switched}\n")
+            template.write(f"mechanisms:\n  {mechanism}: false\n")
 
 
 def play(bench: Path, site: Path, day: str, seed: str, folder: Path, why: str) -> None:
