--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -9,23 +9,15 @@
 PAGE = (ROOT.parent / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 MODULES = (
     "call_forwarders",
+    "endpoint_callers",
     "endpoint_lists",
-    "engine_orders",
     "gateway_compositions",
     "gateways",
-    "item_endings",
-    "item_runs",
     "peer_questions",
-    "reward_calls",
-    "scheduler_parts",
-    "schedulers",
     "store_feeds",
-    "submission_adoptions",
+    "store_relays",
     "submission_intakes",
-    "submission_rows",
-    "submission_sweeps",
-    "submission_works",
-    "weight_schedules",
+    *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
 )
 EVENT = re.compile(r"_log\.(?:info|warning|error)\(\s*\"([^\"]+)\"")
 
