--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -49,7 +49,8 @@
     `misdirected` that another endpoint is now at this address. `signature` proves to the caller
     that the answer comes from the endpoint. `version` is the weight version; `running` and
     `waiting` are the endpoint's counts of requests; these three are None if not reported. `leaving`
-    means that the endpoint will end soon and must get no further requests.
+    means that the endpoint will end soon and must get no further requests. `request_limit` is how
+    many requests per second the endpoint accepts from all gateways together, None if it names none.
     """
 
     status: int
@@ -61,6 +62,7 @@
     running: int | None
     waiting: int | None
     leaving: bool = False
+    request_limit: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -52,7 +52,8 @@
     """What is known of an endpoint from calls to it; times in seconds of the injected clock.
 
     `in_flight` counts the calls of this process, `latency` is the smoothed duration of calls, 0
-    before the first, and until `avoid_until` the endpoint is chosen last.
+    before the first, and until `avoid_until` the endpoint is chosen last. `request_limit` is how
+    many requests per second the endpoint accepts from all gateways together, None if it names none.
     """
 
     endpoint: DirectEndpoint
@@ -63,6 +64,7 @@
     latency: float = 0.0
     failures: int = 0
     avoid_until: float = 0.0
+    request_limit: float | None = None
 
     def load(self, now: float) -> float:
         """Return the number of calls per slot.
@@ -133,6 +135,20 @@
             state.endpoint = replace(state.endpoint, draining=True)
         return True
 
+    def request_limit(self, name: str) -> float | None:
+        """Return the request limit that an endpoint named last, None if it has none."""
+        state = self._states.get(name)
+        return state.request_limit if state is not None else None
+
+    def record_request_limit(self, endpoint: DirectEndpoint, limit: float | None) -> bool:
+        """Record the request limit in an answer of an endpoint; return whether it is a change."""
+        state = self._states.get(endpoint.name)
+        if state is None or state.endpoint.incarnation != endpoint.incarnation:
+            return False
+        changed = state.request_limit != limit
+        state.request_limit = limit
+        return changed
+
     def remove(self, name: str) -> None:
         """Remove an endpoint."""
         self._states.pop(name, None)
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -86,6 +86,7 @@
         try:
             request = self._dialect.encode_request(call, endpoint, seconds)
             total_seconds = None if seconds is None else seconds + _ANSWER_SLACK_SECONDS
+            self._log_limited_request(endpoint, call.request_id)
             outcome = await self._exchange(
                 request, endpoint, silence_seconds, total_seconds, check, on_chunk
             )
@@ -103,6 +104,7 @@
 
         It is given up after `silence_seconds`, whether or not bytes arrive.
         """
+        self._log_limited_request(endpoint, request.path)
         return await self._exchange(request, endpoint, silence_seconds, silence_seconds, None, None)
 
     async def _exchange(
@@ -119,6 +121,7 @@
         def check_head(response: HttpResponse) -> bool:
             answer = self._dialect.decode_answer_head(response)
             self._record_leaving(endpoint, answer)
+            self._record_request_limit(endpoint, answer)
             return check is None or check(answer, response)
 
         exchange = self._client.send(
@@ -145,6 +148,28 @@
                 status=answer.status,
             )
 
+    def _record_request_limit(self, endpoint: DirectEndpoint, answer: AnswerHead) -> None:
+        """Record the request limit that an endpoint names, or that it no longer names one."""
+        if answer.misdirected:
+            return
+        if self._directory.record_request_limit(endpoint, answer.request_limit):
+            _log.info(
+                "endpoint changed its request limit",
+                endpoint=endpoint.name,
+                limit=answer.request_limit,
+                status=answer.status,
+            )
+
+    def _log_limited_request(self, endpoint: DirectEndpoint, request: str) -> None:
+        limit = self._directory.request_limit(endpoint.name)
+        if limit is not None:
+            _log.info(
+                "request sent to a limited endpoint",
+                endpoint=endpoint.name,
+                limit=limit,
+                request=request,
+            )
+
     def _evaluate(
         self,
         endpoint: DirectEndpoint,
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -1,6 +1,7 @@
 """Encodes requests to endpoints of the deployment platform; decodes answers and events."""
 
 import json
+from math import isfinite
 
 from pumicedeck.dialects import (
     AnswerHead,
@@ -17,6 +18,7 @@
     EXPECT_INSTANCE,
     LAST_EVENT,
     LEAVING,
+    LIMIT,
     LOAD,
     NOT_RUN,
     REQUEST_ID,
@@ -77,6 +79,7 @@
             running=running,
             waiting=waiting,
             leaving=response.header(LEAVING.lower()) == _IS_LEAVING,
+            request_limit=_decode_limit(response.header(LIMIT.lower())),
         )
 
     def event(self, block: bytes) -> StreamEvent | None:
@@ -126,6 +129,15 @@
             return None
 
 
+def _decode_limit(text: str) -> float | None:
+    """Return the requests per second from a limit header, None if it is missing or invalid."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if isfinite(limit) and limit >= 0 else None
+
+
 def _decode_load(text: str) -> tuple[int | None, int | None]:
     """Return the running and waiting requests from a load header, None for each if it is invalid.
 
--- a/pumicedeck/platform/headers.py
+++ b/pumicedeck/platform/headers.py
@@ -10,6 +10,8 @@
 LOAD = "X-Pumicedeck-Server-Load"
 # An endpoint that leaves sends it with every answer, whatever its status.
 LEAVING = "Server-Leaving"
+# Requests per second from all gateways together; valid while the answers of the endpoint carry it.
+LIMIT = "Server-Limit"
 VERSIONS = "X-Pumicedeck-Weight-Versions"
 LENGTH_HINT = "X-Pumicedeck-Length-Hint"
 WAIT = "X-Pumicedeck-Wait-Ms"
