--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -64,7 +64,8 @@
     """The state of a simulated engine, and a record of the calls and orders that it received.
 
     `dead` makes it silent, `babbles` has it send bytes that are no events. The next `late_orders`
-    orders take effect only after `late_seconds` and get no answer.
+    orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
+    requests per second, unless it is None; `requests` has the time of each request that it got.
     """
 
     endpoint: DirectEndpoint
@@ -73,10 +74,12 @@
     sequence: int = 0
     dead: bool = False
     babbles: bool = False
+    limit: float | None = None
     busy: bool = False
     late_orders: int = 0
     late_seconds: float = 3.0
     starts: list = field(default_factory=list)
+    requests: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     loads: int = 0
     working: Counter = field(default_factory=Counter)
@@ -85,19 +88,24 @@
 class FakeCaller:
     """Replaces the calls of one process to engines and scorers."""
 
-    def __init__(self, simulation):
+    def __init__(self, simulation, directory):
         self.simulation = simulation
+        self.directory = directory
         self.dialect = PlatformEndpointDialect()
 
     async def call(self, call, endpoint, seconds, silence, on_head=None, on_bytes=None):
         if endpoint.pool == "apps":
             self.simulation.score_calls.append(call.request_id)
+            self.simulation.score_times.append((self.simulation.timers.now(), endpoint.name))
+            self.directory.record_request_limit(endpoint, self.simulation.scorer_limit)
             await sleep(self.simulation.timers, 0.2)
             if self.simulation.scores_fail:
                 return Err(Failure(ResultCode.ENDPOINT_FAILED, "broken"))
             return self._answered(200, f"mac-{call.request_id}", None)
         engine = self.simulation.engines[endpoint.name]
         engine.starts.append((self.simulation.timers.now(), call.request_id, call.resume_after))
+        engine.requests.append(self.simulation.timers.now())
+        self.directory.record_request_limit(endpoint, engine.limit)
         engine.working[call.request_id] += 1
         try:
             return await self._generate(engine, call, silence, on_head, on_bytes)
@@ -135,6 +143,8 @@
     async def send_request(self, request, endpoint, silence):
         name = dict(request.headers)["X-Pumicedeck-Expect-Instance"]
         engine = self.simulation.engines[name]
+        engine.requests.append(self.simulation.timers.now())
+        self.directory.record_request_limit(endpoint, engine.limit)
         await sleep(self.simulation.timers, 0.005)
         if engine.dead:
             await sleep(self.simulation.timers, silence)
@@ -193,7 +203,7 @@
         directory.update(
             DirectEndpoint("app", "apps", Address("10.0.0.9", 1), HOME, 8, incarnation=1)
         )
-        self.caller = FakeCaller(simulation)
+        self.caller = FakeCaller(simulation, directory)
         self.holder = LeaseHolder("scheduler", name, LEASE, store_now=self.clock.now)
         self.scheduler = Scheduler(
             SchedulerParts(
@@ -278,6 +288,8 @@
         self.padding = ""
         self.scores_fail = False
         self.score_calls = []
+        self.score_times = []
+        self.scorer_limit = None
         self.engines = {}
         for number in range(engines):
             name = f"e{number}"
--- /dev/null
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -0,0 +1,145 @@
+"""Endpoints that name a request limit, and gateways that together send more than that.
+
+Guards against a limit that nobody reads, and against one that each gateway keeps by itself while
+all of them together exceed it: an endpoint in need got 117 requests within 4 s at a limit of 2.1
+per second, most of them the reward calls of one step, and others got the sum of four gateways.
+"""
+
+from collections import Counter
+
+import pytest
+
+from pumicedeck.gateway_compositions import build_gateway
+from pumicedeck.gateway_settings import GatewaySettings, StoreSettings
+from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
+from pumicedeck.tests.test_gateways import LOCAL, SIGNATURE, GatewayFixture, id_header
+from pumicedeck.topology import Address
+
+LIMIT_KNOWN_SECONDS = 4.0
+WINDOW_SECONDS = 4.0
+
+
+def allowed_requests(limit):
+    return 1.5 * limit * WINDOW_SECONDS + 5
+
+
+def most_in_window(times):
+    return max(
+        (sum(start <= time < start + WINDOW_SECONDS for time in times) for start in times),
+        default=0,
+    )
+
+
+class LimitedFixture(GatewayFixture):
+    """Several gateways before two endpoints whose answers name `limits` by endpoint name."""
+
+    def __init__(self, gateways, limits):
+        super().__init__()
+        self.limits = limits
+        self.arrivals = {endpoint.name: [] for endpoint in self.endpoints}
+        for endpoint in self.endpoints:
+            endpoint.on_call = self.answering(endpoint)
+        self.listeners = [self.gateway.caller_listener]
+        self.others = [self.build(f"front-{number}") for number in range(2, gateways + 1)]
+        self.loop.until(lambda: all(other.gateway.is_ready for other in self.others))
+        self.loop.advance(0.5)
+
+    def build(self, vm):
+        settings = GatewaySettings(
+            vm=vm,
+            failure_domain="tn-a",
+            region="south",
+            regions={"tn-a": "south"},
+            callers=Address(LOCAL, 0),
+            readiness=Address(LOCAL, 0),
+            store=StoreSettings(address=self.store.address),
+        )
+        built = build_gateway(settings, self.loop, self.loop.timers, lambda: None)
+        built.start()
+        self.listeners.append(built.gateway.caller_listener)
+        return built
+
+    def answering(self, endpoint):
+        def answer(call):
+            self.arrivals[endpoint.name].append(self.loop.timers.now())
+            limit = self.limits.get(endpoint.name)
+            named = () if limit is None else (("Server-Limit", str(limit)),)
+            call.answer(200, (id_header(call), SIGNATURE, *named), b"x")
+
+        return answer
+
+    def send_calls(self, seconds, per_second, target="/safe/x"):
+        """Send calls to the gateways in turn, without waiting for answers; return the sockets."""
+        sockets = []
+        for number in range(round(seconds * per_second)):
+            headers = (
+                ("X-Pumicedeck-Request-Id", f"c{number}"),
+                ("X-Pumicedeck-Deadline-Ms", "1400"),
+            )
+            listener = self.listeners[number % len(self.listeners)]
+            sockets.append(self.open("GET", target, headers=headers, listener=listener))
+            self.loop.advance(1.0 / per_second)
+        return sockets
+
+    def statuses(self, sockets):
+        """Return how many answers there are of each status."""
+        return Counter(self.read(sock).split(b" ", 2)[1] for sock in sockets)
+
+    def close(self):
+        for other in self.others:
+            other.close()
+        super().close()
+
+
+@pytest.fixture
+def make_fixture():
+    made = []
+
+    def make(*arguments):
+        made.append(LimitedFixture(*arguments))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+@pytest.mark.parametrize("gateways", [1, 3])
+def test_gateways_together_do_not_exceed_the_limits_that_endpoints_name(make_fixture, gateways):
+    fixture = make_fixture(gateways, {"i-0": 1.0, "i-1": 2.0})
+    sockets = fixture.send_calls(12.0, 10)
+    for name, limit in fixture.limits.items():
+        times = [time for time in fixture.arrivals[name] if time >= LIMIT_KNOWN_SECONDS]
+        assert most_in_window(times) <= allowed_requests(limit), name
+        # The limit is used, not avoided.
+        assert len(times) >= 0.7 * limit * 8.0, name
+    assert fixture.statuses(sockets)[b"200"] == sum(map(len, fixture.arrivals.values()))
+
+
+def test_the_items_of_a_step_do_not_exceed_the_limits_that_engines_name():
+    simulation = SchedulerSimulation(engines=2, slots=8)
+    limits = {"e0": 1.5, "e1": None}
+    for name, limit in limits.items():
+        simulation.engines[name].limit = limit
+    simulation.announced["m0"] = 2
+    for step in range(3):
+        lengths = [[10, 14, 18, 25] for _ in range(20)]
+        simulation.submit(simulation.processes[0], lengths, f"s{step}", step=step)
+        simulation.run(4.0)
+    requests = [time for time in simulation.engines["e0"].requests if time >= LIMIT_KNOWN_SECONDS]
+    assert most_in_window(requests) <= allowed_requests(1.5)
+    assert len(requests) >= 0.7 * 1.5 * 8.0
+    simulation.run(20.0)
+    results = simulation.results(simulation.processes[0], "s0")
+    assert len(results) == 80
+
+
+def test_the_reward_calls_of_a_step_do_not_exceed_the_limit_that_their_endpoint_names():
+    simulation = SchedulerSimulation(engines=4)
+    simulation.scorer_limit = 3.0
+    for step in range(2):
+        simulation.submit(simulation.processes[0], [[10, 12]] * 15, f"s{step}", step=step)
+        simulation.run(6.0)
+    times = [time for time, _ in simulation.score_times if time >= LIMIT_KNOWN_SECONDS]
+    assert most_in_window(times) <= allowed_requests(3.0)
+    assert len(times) >= 0.7 * 3.0 * 8.0
