Share the turns of an endpoint that names a request limit among all gateways

What callers and endpoints saw: an endpoint in need that accepts 2.1 requests a second got 117 in 4 s, another with 1.0 got 18, engines with 1.2 to 2.8 got 36 to 50.

Cause: the limit is a bound on the sum over all gateways, and nothing that gateways decide by is shared between them; none read the limit at all. Ruled out by the log lines: reports and weight orders (10 of 134 requests at most), retries.

Change: a request to a limited endpoint takes a turn from a row of the store, changed under its revision, so that gateways need not know of one another. Calls choose such an endpoint once others are busy, wait for a turn only if the pool has no endpoint without a limit, and are refused at once with the seconds until the next turn. Reward calls and items take only free turns. Without the store a gateway uses the turns of its own rank.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -14,8 +14,9 @@
 from pumicedeck.call_limits import Outcome, RetrySettings, next_step
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.dialects import AnswerHead, CallerDialect, ForwardedCall
-from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
+from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.event_streams import EventSplitter
 from pumicedeck.http_listeners import IncomingCall
 from pumicedeck.http_messages import HttpResponse
@@ -44,15 +45,15 @@
         self,
         timers: TimerQueue,
         endpoint_caller: EndpointCaller,
-        directory: EndpointDirectory,
+        selector: EndpointSelector,
         dialect: CallerDialect,
         random: Random,
         settings: RetrySettings | None = None,
     ) -> None:
-        """Forward calls with `endpoint_caller` to the endpoints in `directory`."""
+        """Forward calls with `endpoint_caller` to the endpoints that `selector` selects."""
         self._timers = timers
         self._endpoint_caller = endpoint_caller
-        self._directory = directory
+        self._selector = selector
         self._dialect = dialect
         self._random = random
         self._settings = settings or RetrySettings()
@@ -110,13 +111,25 @@
             self.refuse(incoming, call, Failure(code, last_failure.detail), None)
             return
         failure = Failure(ResultCode.NO_ENDPOINT, last_failure.detail, proven_not_run=True)
-        self.refuse(incoming, call, failure, self._settings.retry_after_seconds)
+        retry_after = last_failure.retry_after
+        if retry_after is None:
+            retry_after = self._settings.retry_after_seconds
+        self.refuse(incoming, call, failure, retry_after)
 
-    def choose_endpoint(self, pool: str, tried: tuple[str, ...]) -> DirectEndpoint | None:
-        """Return the best endpoint of a pool, preferring endpoints not in `tried`."""
-        now = self._timers.now()
-        state = self._directory.choose(pool, tried, now) or self._directory.choose(pool, (), now)
-        return state.endpoint if state is not None else None
+    async def select_endpoint(
+        self, pool: str, attempts: _Attempts, seconds_left: float
+    ) -> DirectEndpoint | None:
+        """Return the best endpoint of a pool, None if none can take the request in time.
+
+        Half of the time that is left may pass until a turn at an endpoint with a request limit.
+        """
+        if seconds_left <= self._settings.min_attempt_seconds:
+            return None
+        selected = await self._selector.select(pool, attempts.tried, seconds_left / 2)
+        if isinstance(selected, Ok):
+            return selected.ok_value
+        attempts.last_failure = attempts.last_failure or selected.err_value
+        return None
 
     def relay(
         self, incoming: IncomingCall, call: ForwardedCall, complete_answer: CompleteAnswer
@@ -130,10 +143,11 @@
         pool = choose_pool(route, self._random)
         attempts = _Attempts()
         while True:
+            endpoint = await self.select_endpoint(pool, attempts, deadline - self._timers.now())
             seconds_left = deadline - self._timers.now()
-            endpoint = self.choose_endpoint(pool, attempts.tried)
-            if seconds_left <= self._settings.min_attempt_seconds or endpoint is None:
-                self.refuse_unserved(incoming, call, attempts, timed_out=endpoint is not None)
+            if endpoint is None:
+                timed_out = seconds_left <= self._settings.min_attempt_seconds
+                self.refuse_unserved(incoming, call, attempts, timed_out)
                 return
             attempts_left = len(attempts.tried) + 1 < route.max_attempts
             silence_seconds = self._settings.silence_limit(route, seconds_left, attempts_left)
@@ -235,10 +249,13 @@
         pool = choose_pool(route, forwarder.random)
         attempts = _Attempts()
         while True:
+            endpoint = await forwarder.select_endpoint(
+                pool, attempts, deadline - forwarder.timers.now()
+            )
             seconds_left = deadline - forwarder.timers.now()
-            endpoint = forwarder.choose_endpoint(pool, attempts.tried)
-            if seconds_left <= forwarder.settings.min_attempt_seconds or endpoint is None:
-                self._fail(attempts, timed_out=endpoint is not None)
+            if endpoint is None:
+                timed_out = seconds_left <= forwarder.settings.min_attempt_seconds
+                self._fail(attempts, timed_out)
                 return
             result = await self._attempt(endpoint, seconds_left)
             outcome = forwarder.record_attempt(attempts, endpoint, self._call, result)
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -18,6 +19,8 @@
 # In calls per slot.
 OTHER_DOMAIN_COST = 0.35
 OTHER_REGION_COST = 1.5
+# A turn at a limited endpoint costs a call to the store, so others are chosen until they are busy.
+LIMITED_COST = 1.0
 LATENCY_SMOOTHING = 0.2
 LOAD_REPORT_MAX_AGE_SECONDS = 1.0
 # The oldest are forgotten first; a fleet replaces far fewer endpoints at a time.
@@ -161,12 +164,22 @@
             if state.endpoint.pool == pool and not state.endpoint.draining
         ]
 
-    def choose(self, pool: str, tried: tuple[str, ...], now: float) -> EndpointState | None:
-        """Return the endpoint of lowest cost that is not in `tried`, None if there is none."""
+    def choose(
+        self,
+        pool: str,
+        tried: tuple[str, ...],
+        now: float,
+        expected_wait: Callable[[str], float] = lambda name: 0.0,
+    ) -> EndpointState | None:
+        """Return the endpoint of lowest cost that is not in `tried`, None if there is none.
+
+        `expected_wait` returns for how many seconds a request to an endpoint with a request limit
+        has to wait for its turn.
+        """
         candidates = [s for s in self.accepting_endpoints(pool) if s.endpoint.name not in tried]
         if not candidates:
             return None
-        return min(candidates, key=lambda state: self._cost(state, now))
+        return min(candidates, key=lambda state: self._cost(state, now, expected_wait))
 
     def call_started(self, name: str) -> None:
         """Count a call in flight."""
@@ -214,7 +227,9 @@
         if state is not None and self.avoids_failed:
             state.avoid_until = max(state.avoid_until, now + REFUSAL_BACKOFF_SECONDS)
 
-    def _cost(self, state: EndpointState, now: float) -> tuple[bool, float]:
+    def _cost(
+        self, state: EndpointState, now: float, expected_wait: Callable[[str], float]
+    ) -> tuple[bool, float]:
         domain = state.endpoint.failure_domain
         distance_cost = 0.0
         if domain.region != self.home.region:
@@ -223,7 +238,14 @@
             distance_cost = OTHER_DOMAIN_COST
         # A latency of 0.25 s, twice the usual latency, costs as much as one call per slot.
         latency_cost = state.latency * 4.0
+        limit_cost = 0.0
+        if state.request_limit is not None:
+            limit_cost = LIMITED_COST + expected_wait(state.endpoint.name) * 4.0
         return (
             now < state.avoid_until,
-            distance_cost + state.load(now) + latency_cost + self.random.random() * 0.1,
+            distance_cost
+            + state.load(now)
+            + latency_cost
+            + limit_cost
+            + self.random.random() * 0.1,
         )
--- /dev/null
+++ b/pumicedeck/endpoint_selections.py
@@ -0,0 +1,83 @@
+"""Selects the endpoint for a call and, if that endpoint names a request limit, takes a turn."""
+
+from math import inf
+
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory, EndpointState
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.turn_takers import TurnTaker
+
+_NO_ENDPOINT = Failure(ResultCode.NO_ENDPOINT, "no endpoint available or no time left")
+
+
+class EndpointSelector:
+    """Selects endpoints for the calls of one gateway."""
+
+    def __init__(self, timers: TimerQueue, directory: EndpointDirectory, turns: TurnTaker) -> None:
+        """Select from `directory`; `turns` has the turns at endpoints with a request limit."""
+        self._timers = timers
+        self._directory = directory
+        self._turns = turns
+
+    async def select(
+        self, pool: str, tried: tuple[str, ...], longest_wait: float
+    ) -> Result[DirectEndpoint, Failure]:
+        """Return the best endpoint of a pool at which a request may start now.
+
+        Endpoints in `tried` are selected only if there are no others. While an endpoint without a
+        request limit is left, no time is spent on waiting for a turn; otherwise up to
+        `longest_wait` seconds. Fails with NO_ENDPOINT or, if all turns are later, with OVERLOADED
+        and the seconds until the first.
+        """
+        denied: tuple[str, ...] = ()
+        retry_after = inf
+        until = self._timers.now() + longest_wait
+        while True:
+            state = self._choose(pool, tried, denied)
+            if state is None:
+                return Err(_refusal(retry_after))
+            endpoint = state.endpoint
+            may_wait = not self._has_unlimited(pool, tried + denied)
+            wait = max(0.0, until - self._timers.now()) if may_wait else 0.0
+            taken = await self._turns.take(endpoint, wait)
+            if isinstance(taken, Ok) and self._accepts(endpoint):
+                return Ok(endpoint)
+            if isinstance(taken, Err):
+                retry_after = min(retry_after, taken.err_value.retry_after)
+            denied += (endpoint.name,)
+
+    def _choose(
+        self, pool: str, tried: tuple[str, ...], denied: tuple[str, ...]
+    ) -> EndpointState | None:
+        now = self._timers.now()
+        wait = self._turns.expected_wait
+        untried = self._directory.choose(pool, tried + denied, now, wait)
+        return untried or self._directory.choose(pool, denied, now, wait)
+
+    def _has_unlimited(self, pool: str, excluded: tuple[str, ...]) -> bool:
+        return any(
+            state.request_limit is None and state.endpoint.name not in excluded
+            for state in self._directory.accepting_endpoints(pool)
+        )
+
+    def _accepts(self, endpoint: DirectEndpoint) -> bool:
+        """Return whether an endpoint has neither left nor restarted during the wait for a turn."""
+        state = self._directory.state(endpoint.name)
+        return (
+            state is not None
+            and not state.endpoint.draining
+            and state.endpoint.incarnation == endpoint.incarnation
+        )
+
+
+def _refusal(retry_after: float) -> Failure:
+    if retry_after == inf:
+        return _NO_ENDPOINT
+    return Failure(
+        ResultCode.OVERLOADED,
+        "every endpoint of the pool is at the request limit that it named",
+        retry_after,
+        proven_not_run=True,
+    )
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -19,6 +19,7 @@
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.endpoint_lists import EndpointList
+from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.gateway_drains import DrainTimes
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
@@ -60,6 +61,7 @@
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
+from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
 
 SCHEDULER_LEASE_NAME = "scheduler"
@@ -150,6 +152,8 @@
         lambda name, value: decode_endpoint(name, value, settings.regions),
     )
     endpoint_caller = EndpointCaller(timers, endpoint_client, PlatformEndpointDialect(), directory)
+    turns = TurnTaker(timers, store, clock, directory, settings.vm, lambda: mirror.members)
+    selector = EndpointSelector(timers, directory, turns)
     announced_versions: dict[str, int] = {}
     incarnation_prefix = f"{settings.vm}/"
     lease_holder = LeaseHolder(
@@ -168,7 +172,7 @@
             mirror=mirror,
             directory=directory,
             caller=endpoint_caller,
-            rewards=RewardCaller(timers, endpoint_caller, directory, random),
+            rewards=RewardCaller(timers, endpoint_caller, selector, random),
             orders=EngineOrders(
                 timers,
                 endpoint_caller,
@@ -176,6 +180,7 @@
                 lambda name: lease.announce_orders(name),
                 settings.vm,
             ),
+            turns=turns,
             routes=lambda: gateway.routes,
             announced_versions=announced_versions,
             holder=settings.vm,
@@ -282,7 +287,7 @@
             callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
             readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
             forwarder=CallForwarder(
-                timers, endpoint_caller, directory, dialect, random, decisions.retries
+                timers, endpoint_caller, selector, dialect, random, decisions.retries
             ),
             intake=SubmissionIntake(timers, store, mirror),
             scheduler=scheduler,
--- /dev/null
+++ b/pumicedeck/request_turns.py
@@ -0,0 +1,69 @@
+"""Spaces the requests of all gateways to an endpoint that names a request limit; free of I/O.
+
+The load is an endpoint in need that accepts a few requests per second from all gateways together,
+while one gateway has the hundred reward calls of a step to send and the others a call now and then.
+Each request takes a turn, and a row that all gateways share has the time of the next free one. A
+gateway that cannot reach the store takes only turns that belong to its rank among the gateways, so
+that gateways which know nothing of one another still stay within the limit.
+"""
+
+import json
+import math
+from dataclasses import dataclass
+from zlib import crc32
+
+# Requests that may follow at once after an endpoint got none for a while.
+BURST_REQUESTS = 2
+# An endpoint that accepts nothing still gets a request at times: its answer tells when that ends.
+MIN_REQUESTS_PER_SECOND = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A turn at time `at`; the next free turn is at `next_at`, in seconds of the same clock."""
+
+    at: float
+    next_at: float
+
+
+def spacing_seconds(limit: float) -> float:
+    """Return the seconds between two turns; `limit` is in requests per second."""
+    return 1.0 / max(limit, MIN_REQUESTS_PER_SECOND)
+
+
+def choose_turn(next_at: float, now: float, limit: float) -> Turn:
+    """Return the first turn that is free if the shared row says `next_at`."""
+    spacing = spacing_seconds(limit)
+    earliest = max(next_at, now - (BURST_REQUESTS - 1) * spacing)
+    return Turn(max(now, earliest), earliest + spacing)
+
+
+def choose_own_turn(
+    after: float, limit: float, endpoint: str, vm: str, members: frozenset[str]
+) -> Turn:
+    """Return the first turn from `after` on that belongs to `vm` without any coordination.
+
+    The turns of an endpoint go round the gateways `members` in the order of their names; different
+    endpoints begin with different gateways. All gateways must use the same clock.
+    """
+    spacing = spacing_seconds(limit)
+    names = sorted(members | {vm})
+    rank = (names.index(vm) + crc32(endpoint.encode())) % len(names)
+    # A turn that has begun may be used in its first half, so that it keeps its distance.
+    number = math.ceil(after / spacing - 0.5)
+    number += (rank - number) % len(names)
+    return Turn(max(after, number * spacing), (number + 1) * spacing)
+
+
+def encode_next_turn(next_at: float) -> bytes:
+    """Encode the value of the row of an endpoint; `next_at` is in seconds of the store's clock."""
+    return json.dumps({"next_at": round(next_at, 4)}).encode()
+
+
+def decode_next_turn(value: bytes) -> float:
+    """Decode the value of the row of an endpoint; 0 if it is invalid."""
+    try:
+        next_at = float(json.loads(value)["next_at"])
+    except (ValueError, KeyError, TypeError):
+        return 0.0
+    return next_at if math.isfinite(next_at) else 0.0
--- a/pumicedeck/scheduling/engine_orders.py
+++ b/pumicedeck/scheduling/engine_orders.py
@@ -14,6 +14,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.leases import LeaseHolder
+from pumicedeck.request_turns import spacing_seconds
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import sleep
 
@@ -117,9 +118,15 @@
                     return report
             elif not accepted:
                 return None
-            await sleep(self._timers, self._settings.poll_interval_seconds)
+            await sleep(self._timers, self._poll_interval_seconds(endpoint))
         return None
 
+    def _poll_interval_seconds(self, endpoint: DirectEndpoint) -> float:
+        """Return the pause between reports, longer for an engine that names a request limit."""
+        limit = self._caller.request_limit(endpoint)
+        pause = 0.0 if limit is None else spacing_seconds(limit)
+        return max(self._settings.poll_interval_seconds, pause)
+
     async def _may_send(self, engine: str, fencing: int) -> bool:
         """Wait until the lease row announces orders to an engine; return False if it does not.
 
--- a/pumicedeck/scheduling/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -1,6 +1,7 @@
 """Builds an `EngineView` of each engine: slots, versions and speed, by which items are placed."""
 
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.scheduling.engine_turns import EngineTurns
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_queues import (
     OTHER_DOMAIN_DELAY_SECONDS,
@@ -15,6 +16,7 @@
 def view_engines(
     directory: EndpointDirectory,
     weights: WeightSchedule,
+    turns: EngineTurns,
     event_intervals: EngineEventIntervals,
     runs: list[ItemRun],
     home: FailureDomain,
@@ -22,8 +24,8 @@
 ) -> list[EngineView]:
     """Return a view of each engine that has models and is not draining.
 
-    An engine that loads weights or failed a short time ago is shown without free slots. `home` is
-    the failure domain of this process.
+    An engine that loads weights or failed a short time ago is shown without free slots, one with a
+    request limit with as many as `turns` has for it. `home` is the failure domain of this process.
     """
     counts = count_runs(runs)
     groups: dict[str, set[str]] = {}
@@ -35,12 +37,13 @@
             continue
         name = endpoint.name
         state = directory.state(name)
+        free_slots = max(0, endpoint.slots - counts.get(name, 0))
         blocked = weights.is_loading(name) or (state is not None and now < state.avoid_until)
         views.append(
             EngineView(
                 name=name,
                 pool=endpoint.pool,
-                free_slots=0 if blocked else max(0, endpoint.slots - counts.get(name, 0)),
+                free_slots=0 if blocked else turns.free_slots(name, free_slots),
                 slots=endpoint.slots,
                 versions=weights.versions(endpoint),
                 event_seconds=event_intervals.seconds(name, now),
--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -4,13 +4,14 @@
 from random import Random
 
 from loguru import logger
-from result import Ok
+from result import Err, Ok
 
 from pumicedeck.call_limits import Outcome, RetrySettings
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.dialects import ForwardedCall
-from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
+from pumicedeck.endpoint_selections import EndpointSelector
+from pumicedeck.results import Failure
 from pumicedeck.route_tables import RouteTable, choose_pool
 from pumicedeck.submissions import RewardCall
 from pumicedeck.tasks import sleep
@@ -19,6 +20,7 @@
 
 _MAX_CALL_SECONDS = 3.0
 _RETRY_PAUSE_SECONDS = 0.1
+_MAX_RETRY_PAUSE_SECONDS = 0.5
 
 
 class RewardCaller:
@@ -28,14 +30,14 @@
         self,
         timers: TimerQueue,
         caller: EndpointCaller,
-        directory: EndpointDirectory,
+        selector: EndpointSelector,
         random: Random,
         settings: RetrySettings | None = None,
     ) -> None:
         """Create a caller; `settings` determine how long an endpoint may stay silent."""
         self._timers = timers
         self._caller = caller
-        self._directory = directory
+        self._selector = selector
         self._random = random
         self._settings = settings or RetrySettings()
 
@@ -61,21 +63,20 @@
                 _log.warning("no route matches reward call", request=reward.request_id)
                 return None
             pool = choose_pool(route, self._random)
-            now = self._timers.now()
-            state = self._directory.choose(pool, tried, now)
-            if state is None:
+            # Callers may reserve later turns at limited endpoints, so they go before reward calls.
+            selected = await self._selector.select(pool, tried, longest_wait=0.0)
+            if isinstance(selected, Err):
                 tried = ()
-                state = self._directory.choose(pool, tried, now)
-            if state is None:
-                await sleep(self._timers, _RETRY_PAUSE_SECONDS)
+                await sleep(self._timers, _retry_pause_seconds(selected.err_value))
                 continue
+            endpoint = selected.ok_value
             call = ForwardedCall(
                 reward.request_id, "POST", reward.path, reward.host, (), reward.body
             )
             seconds = min(_MAX_CALL_SECONDS, route.longest_wait)
             silence = self._settings.silence_limit(route, seconds, more_attempts=True)
-            result = await self._caller.call(call, state.endpoint, seconds, silence)
-            tried += (state.endpoint.name,)
+            result = await self._caller.call(call, endpoint, seconds, silence)
+            tried += (endpoint.name,)
             if isinstance(result, Ok) and result.ok_value.answer.succeeded:
                 return result.ok_value.answer.signature
             if isinstance(result, Ok):
@@ -87,10 +88,16 @@
                 _log.info(
                     "attempt failed",
                     request=reward.request_id,
-                    endpoint=state.endpoint.name,
+                    endpoint=endpoint.name,
                     attempt=len(tried),
                     outcome=Outcome.UNKNOWN.value,
                     detail=result.err_value.detail,
                 )
                 await sleep(self._timers, _RETRY_PAUSE_SECONDS)
         return None
+
+
+def _retry_pause_seconds(failure: Failure) -> float:
+    """Return the pause after which a reward call looks for an endpoint again."""
+    pause = failure.retry_after or 0.0
+    return min(_MAX_RETRY_PAUSE_SECONDS, max(_RETRY_PAUSE_SECONDS, pause))
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -17,6 +17,7 @@
 from pumicedeck.scheduling.weight_plans import WeightPlanSettings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.topology import FailureDomain
+from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import WorkMirror
 
 
@@ -68,6 +69,7 @@
     caller: EndpointCaller
     rewards: RewardCaller
     orders: EngineOrders
+    turns: TurnTaker
     routes: Callable[[], RouteTable | None]
     announced_versions: dict[str, int]
     holder: str
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -11,6 +11,7 @@
 from pumicedeck.dialects import AnswerHead
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.endpoint_callers import CompleteAnswer
+from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseSettings
@@ -33,6 +34,7 @@
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
+from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import RESULTS_TABLE, WORK_TABLE, WorkMirror
 
 HOME = FailureDomain("tn-a", "tw-south")
@@ -112,6 +114,9 @@
         finally:
             engine.working[call.request_id] -= 1
 
+    def request_limit(self, endpoint):
+        return self.directory.request_limit(endpoint.name)
+
     def close_idle_connections(self, endpoint):
         pass
 
@@ -205,6 +210,10 @@
         )
         self.caller = FakeCaller(simulation, directory)
         self.holder = LeaseHolder("scheduler", name, LEASE, store_now=self.clock.now)
+        turns = TurnTaker(
+            timers, self.store, self.clock, directory, name, lambda: self.mirror.members
+        )
+        selector = EndpointSelector(timers, directory, turns)
         self.scheduler = Scheduler(
             SchedulerParts(
                 timers=timers,
@@ -213,7 +222,8 @@
                 mirror=self.mirror,
                 directory=directory,
                 caller=self.caller,
-                rewards=RewardCaller(timers, self.caller, directory, Random(1)),
+                rewards=RewardCaller(timers, self.caller, selector, Random(1)),
+                turns=turns,
                 orders=EngineOrders(
                     timers,
                     self.caller,
--- a/pumicedeck/tests/test_limited_endpoints.py
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -143,3 +143,42 @@
     times = [time for time, _ in simulation.score_times if time >= LIMIT_KNOWN_SECONDS]
     assert most_in_window(times) <= allowed_requests(3.0)
     assert len(times) >= 0.7 * 3.0 * 8.0
+
+
+def test_reports_of_a_long_weight_load_keep_to_the_limit_of_their_engine(monkeypatch):
+    monkeypatch.setattr("pumicedeck.tests.scheduler_simulations.LOAD_SECONDS", 3.4)
+    simulation = SchedulerSimulation(engines=2)
+    simulation.engines["e0"].limit = 0.5
+    simulation.submit(simulation.processes[0], [[30, 40]] * 40, "s0")
+    simulation.run(1.0)
+    simulation.announced["m0"] = 2
+    simulation.run(20.0)
+    engine = simulation.engines["e0"]
+    assert engine.version == 2 and len(engine.starts) >= 5
+    requests = [time for time in engine.requests if time >= LIMIT_KNOWN_SECONDS]
+    assert most_in_window(requests) <= allowed_requests(0.5)
+
+
+def test_a_call_beyond_all_limits_is_refused_at_once_with_the_time_of_the_next_turn(make_fixture):
+    fixture = make_fixture(1, {"i-0": 0.5, "i-1": 0.5})
+    fixture.statuses(fixture.send_calls(3.0, 10))
+    before = sum(map(len, fixture.arrivals.values()))
+    started = fixture.loop.timers.now()
+    headers = (("X-Pumicedeck-Request-Id", "last"), ("X-Pumicedeck-Deadline-Ms", "200"))
+    answer = fixture.ask("GET", "/safe/x", headers=headers)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert fixture.loop.timers.now() - started < 0.1
+    retry_after = float(answer.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
+    # Turns are 2 s apart; the estimate of the store's clock is off by less than a round trip.
+    assert 0.1 < retry_after <= 2.0 + 0.05
+    assert sum(map(len, fixture.arrivals.values())) == before
+    fixture.loop.advance(retry_after + 0.1)
+    assert fixture.ask("GET", "/safe/x", headers=headers).startswith(b"HTTP/1.1 200")
+
+
+def test_streams_take_turns_too(make_fixture):
+    fixture = make_fixture(2, {"i-0": 1.0, "i-1": 1.0})
+    fixture.send_calls(10.0, 8, "/stream/x")
+    for times in fixture.arrivals.values():
+        known = [time for time in times if time >= LIMIT_KNOWN_SECONDS]
+        assert most_in_window(known) <= allowed_requests(1.0)
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -8,11 +8,13 @@
 import json
 from dataclasses import dataclass, field
 from itertools import product
+from random import Random
 
 import pytest
 from result import Err, Ok
 
 from pumicedeck.clocks import VirtualTime
+from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseRow, LeaseSettings, decode_lease
 from pumicedeck.order_announcements import (
@@ -30,7 +32,7 @@
 from pumicedeck.scheduling.scheduler_parts import SchedulerSettings
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import spawn
-from pumicedeck.tests.scheduler_simulations import FakeCaller, SchedulerSimulation
+from pumicedeck.tests.scheduler_simulations import HOME, FakeCaller, SchedulerSimulation
 
 LEASE = LeaseSettings(duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2)
 TAKEOVER_SECONDS = SchedulerSettings().takeover_seconds
@@ -330,7 +332,11 @@
     timers = VirtualTime()
     simulation.timers = timers
     orders = EngineOrders(
-        timers, FakeCaller(simulation), LeaseAcquiredAgain(timers), lambda engine: None, "p"
+        timers,
+        FakeCaller(simulation, EndpointDirectory(HOME, Random(1))),
+        LeaseAcquiredAgain(timers),
+        lambda engine: None,
+        "p",
     )
     spawn(orders.load(engine.endpoint, LoadVersion("e0", "m0", 2), fencing, True), "load")
     timers.run_until(2.0)
