Log what attempts at one request have in common, and whether the endpoint closed the connection

Cause for the change: a request that comes again has a new id, so no log line could tell whether endpoints end under the same request or under whatever happens to run there. `attempt failed` has the request's fingerprint and connection_lost; nothing is decided by them yet.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from loguru import logger
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from pumicedeck.call_limits import Outcome, RetrySettings, next_step
 from pumicedeck.clocks import TimerQueue
@@ -20,6 +20,7 @@
 from pumicedeck.event_streams import EventSplitter
 from pumicedeck.http_listeners import IncomingCall
 from pumicedeck.http_messages import HttpResponse
+from pumicedeck.request_fingerprints import fingerprint_request
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, RouteKind, choose_pool
 from pumicedeck.tasks import spawn
@@ -181,6 +182,8 @@
                 attempt=len(attempts.tried),
                 outcome=outcome.value,
                 detail=attempts.last_failure.detail if attempts.last_failure else "",
+                fingerprint=fingerprint_request(call),
+                connection_lost=isinstance(result, Err) and result.err_value.connection_lost,
             )
         return outcome
 
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -296,7 +296,7 @@
         full_detail = f"{reason.value}: {detail}"
         if exchange is not None:
             exchange.was_written = exchange.was_written or connection.written_bytes > 0
-            self._retry_or_fail(exchange, connection, full_detail)
+            self._retry_or_fail(exchange, connection, reason, full_detail)
         elif reason is BrokenReason.REFUSED:
             self._fail_first_waiting(connection.address, full_detail)
         self._assign_waiting(connection.address)
@@ -310,7 +310,11 @@
             self._stats.broken += 1
 
     def _retry_or_fail(
-        self, exchange: ClientExchange, connection: HttpConnection, detail: str
+        self,
+        exchange: ClientExchange,
+        connection: HttpConnection,
+        reason: BrokenReason,
+        detail: str,
     ) -> None:
         exchange.connection = None
         is_repeatable = exchange.request.idempotent or not exchange.was_written
@@ -325,7 +329,7 @@
             self._close_idle(connection.address)
             self._pools[connection.address].waiting_exchanges.appendleft(exchange)
             return
-        self._fail(exchange, detail)
+        self._fail(exchange, detail, connection_lost=reason is BrokenReason.CLOSED)
 
     def _fail_first_waiting(self, address: Address, detail: str) -> None:
         """Fail the first waiting exchange unless another connection is being opened for it."""
@@ -384,11 +388,12 @@
             pool.idle_connections.remove(connection)
         connection.close()
 
-    def _fail(self, exchange: ClientExchange, detail: str) -> None:
+    def _fail(self, exchange: ClientExchange, detail: str, connection_lost: bool = False) -> None:
         """End an exchange with a failure that tells whether a byte of its request was written."""
         connection = exchange.connection
         if exchange.was_written or (connection is not None and connection.written_bytes > 0):
-            self._end_exchange(exchange, Err(Failure(ResultCode.ENDPOINT_FAILED, detail)))
+            failure = Failure(ResultCode.ENDPOINT_FAILED, detail, connection_lost=connection_lost)
+            self._end_exchange(exchange, Err(failure))
             return
         code = ResultCode.ENDPOINT_UNREACHABLE
         self._end_exchange(exchange, Err(Failure(code, detail, proven_not_run=True)))
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -158,13 +158,15 @@
 class Failure:
     """An error of one result code; `retry_after` is in seconds, None if no time is known.
 
-    `proven_not_run` overrides what the code says about execution.
+    `proven_not_run` overrides what the code says about execution. `connection_lost` means that the
+    other side closed or reset the connection after at least a part of the request was sent.
     """
 
     code: ResultCode
     detail: str = ""
     retry_after: float | None = None
     proven_not_run: bool = False
+    connection_lost: bool = False
 
     @property
     def execution(self) -> Execution:
