--- /dev/null
+++ b/pumicedeck/tests/test_crashing_requests.py
@@ -0,0 +1,112 @@
+"""A request under which endpoints crash, and which comes again and again at any gateway.
+
+Guards against gateways that send it on each time: every endpoint of a pool ended within a second,
+again each time that they had come back, and nobody else was served either.
+"""
+
+import pytest
+
+from pumicedeck.tests.test_gateways import FakeEndpoint
+from pumicedeck.tests.test_limited_endpoints import LimitedFixture
+
+RESTART_SECONDS = 2.0
+HEARTBEATS_SECONDS = 3.6
+CONTACT_SECONDS = 4.0
+ALLOWED_RETRIES = 3
+POISON = "/safe/poison"
+
+
+class CrashingEndpoint(FakeEndpoint):
+    """An endpoint that ends under some requests and comes back under another name."""
+
+    def __init__(self, fixture, number, incarnation=1):
+        self.number = number
+        self.incarnation = incarnation
+        super().__init__(fixture, f"i-{number}-{incarnation}", "apps")
+        self.fixture = fixture
+        self.on_call = self.run
+        fixture.put("servers", self.name, {**self.entry(), "born": incarnation})
+
+    def run(self, call):
+        if call.target in self.fixture.crash_targets and call.body not in self.fixture.harmless:
+            self.fixture.crashes.append((self.fixture.loop.timers.now(), self.name, call.target))
+            # The request runs for a moment before the process ends under it.
+            self.fixture.loop.timers.call_later(0.03, self.crash)
+        else:
+            self.fixture.loop.timers.call_later(0.01, lambda: self.succeed(call))
+
+    def crash(self):
+        if self not in self.fixture.endpoints:
+            return
+        timers = self.fixture.loop.timers
+        self.listener.close()
+        self.listener.unregister()
+        self.fixture.endpoints.remove(self)
+        timers.call_later(HEARTBEATS_SECONDS, lambda: self.fixture.put("servers", self.name, None))
+        timers.call_later(RESTART_SECONDS, self.restart)
+
+    def restart(self):
+        self.fixture.endpoints.append(
+            CrashingEndpoint(self.fixture, self.number, self.incarnation + 1)
+        )
+
+
+class CrashFixture(LimitedFixture):
+    """Three gateways before three endpoints that end under requests for `crash_targets`."""
+
+    def __init__(self, gateways=3):
+        super().__init__(gateways, {})
+        self.crash_targets = {POISON}
+        self.harmless = set()
+        self.crashes = []
+        self.sent = 0
+        for endpoint in self.endpoints:
+            endpoint.listener.close()
+            self.put("servers", endpoint.name, None)
+        self.endpoints = []
+        self.endpoints += [CrashingEndpoint(self, number) for number in range(3)]
+        self.loop.advance(0.5)
+
+    def send(self, target, body=b""):
+        """Send a call with a new id to the next gateway; return its socket."""
+        self.sent += 1
+        headers = (
+            ("X-Pumicedeck-Request-Id", f"c{self.sent}"),
+            ("X-Pumicedeck-Deadline-Ms", "1400"),
+        )
+        listener = self.listeners[self.sent % len(self.listeners)]
+        return self.open("POST", target, body, headers, listener)
+
+    def retries_after_the_third_crash(self, target=POISON):
+        times = [time for time, _, crashed in self.crashes if crashed == target]
+        known_from = times[2] + CONTACT_SECONDS if len(times) > 2 else float("inf")
+        return [time for time in times if time > known_from]
+
+
+@pytest.fixture
+def make_crashes():
+    made = []
+
+    def make(*arguments):
+        made.append(CrashFixture(*arguments))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+@pytest.mark.parametrize("every", [0.4, 3.1])
+def test_a_request_that_crashed_three_endpoints_reaches_hardly_any_more(make_crashes, every):
+    fixture = make_crashes()
+    sockets = []
+    for number in range(round(30.0 / every)):
+        fixture.send(POISON, b"p")
+        for _ in range(4):
+            fixture.loop.advance(every / 4)
+            if number * every > 15.0:
+                sockets.append(fixture.send("/safe/x", str(len(sockets)).encode()))
+    assert len(fixture.retries_after_the_third_crash()) <= ALLOWED_RETRIES
+    assert len(fixture.crashes) <= 3 + ALLOWED_RETRIES
+    fixture.loop.advance(2.0)
+    assert fixture.statuses(sockets)[b"200"] == len(sockets)
