Quarantine a request at all gateways once three endpoints ended under it one after the other

What callers saw: a request ended one invoicing server after the other, the three of them within a second, again whenever they had come back (12 in all); meanwhile previews and reward calls were refused, as no server was left.

Cause: nothing tied an attempt to earlier ones of the same request, at this gateway or another. Ruled out: servers that end by themselves (each of the 18 that ended up to 44 s broke a connection of ours, all on one route, right after a run began); retries within a gateway alone (they explain the second server of a round, not the next round).

Change: requests have a fingerprint; a gateway whose connection is closed under one records that and tells all others by a row which they follow. After three endpoints no gateway sends the request for an hour: 503, code QUARANTINED, with the seconds that are left. Crashes do not count once the endpoint answers again or the request is served, several at once count as one event.

Further tests: requests beside it are served, broken connections of a living endpoint and endpoints that all end at once quarantine nothing, a gateway that starts later knows, crashes during an outage of the store are reported after it.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -13,6 +13,7 @@
 
 from pumicedeck.call_limits import Outcome, RetrySettings, next_step
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.crash_reports import CrashReports
 from pumicedeck.dialects import AnswerHead, CallerDialect, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
@@ -32,8 +33,12 @@
 
 @dataclass(slots=True)
 class _Attempts:
-    """Attempts made so far for one request: names of the endpoints tried and the last failure."""
+    """Attempts made so far for one request: names of the endpoints tried and the last failure.
 
+    `fingerprint` is the same for earlier requests that this one repeats.
+    """
+
+    fingerprint: str
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     last_failure: Failure | None = None
@@ -47,14 +52,19 @@
         timers: TimerQueue,
         endpoint_caller: EndpointCaller,
         selector: EndpointSelector,
+        crashes: CrashReports,
         dialect: CallerDialect,
         random: Random,
         settings: RetrySettings | None = None,
     ) -> None:
-        """Forward calls with `endpoint_caller` to the endpoints that `selector` selects."""
+        """Forward calls with `endpoint_caller` to the endpoints that `selector` selects.
+
+        `crashes` has the requests that no endpoint may get, since several ended under them.
+        """
         self._timers = timers
         self._endpoint_caller = endpoint_caller
         self._selector = selector
+        self._crashes = crashes
         self._dialect = dialect
         self._random = random
         self._settings = settings or RetrySettings()
@@ -111,7 +121,10 @@
             code = ResultCode.DEADLINE_EXCEEDED if timed_out else ResultCode.OUTCOME_UNKNOWN
             self.refuse(incoming, call, Failure(code, last_failure.detail), None)
             return
-        failure = Failure(ResultCode.NO_ENDPOINT, last_failure.detail, proven_not_run=True)
+        code = ResultCode.NO_ENDPOINT
+        if last_failure.code is ResultCode.QUARANTINED:
+            code = last_failure.code
+        failure = Failure(code, last_failure.detail, proven_not_run=True)
         retry_after = last_failure.retry_after
         if retry_after is None:
             retry_after = self._settings.retry_after_seconds
@@ -122,9 +135,18 @@
     ) -> DirectEndpoint | None:
         """Return the best endpoint of a pool, None if none can take the request in time.
 
-        Half of the time that is left may pass until a turn at an endpoint with a request limit.
+        None also for a request under which several endpoints ended. Half of the time that is left
+        may pass until a turn at an endpoint with a request limit.
         """
-        if seconds_left <= self._settings.min_attempt_seconds:
+        quarantined = self._crashes.quarantine_seconds(attempts.fingerprint)
+        if quarantined > 0:
+            attempts.last_failure = Failure(
+                ResultCode.QUARANTINED,
+                "several endpoints ended while they ran this request",
+                quarantined,
+                proven_not_run=True,
+            )
+        if quarantined > 0 or seconds_left <= self._settings.min_attempt_seconds:
             return None
         selected = await self._selector.select(pool, attempts.tried, seconds_left / 2)
         if isinstance(selected, Ok):
@@ -142,7 +164,7 @@
     async def _serve(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> None:
         deadline = self.deadline(incoming, call, route)
         pool = choose_pool(route, self._random)
-        attempts = _Attempts()
+        attempts = _Attempts(fingerprint_request(call))
         while True:
             endpoint = await self.select_endpoint(pool, attempts, deadline - self._timers.now())
             seconds_left = deadline - self._timers.now()
@@ -152,8 +174,9 @@
                 return
             attempts_left = len(attempts.tried) + 1 < route.max_attempts
             silence_seconds = self._settings.silence_limit(route, seconds_left, attempts_left)
+            began_at = self._timers.now()
             result = await self._endpoint_caller.call(call, endpoint, seconds_left, silence_seconds)
-            outcome = self.record_attempt(attempts, endpoint, call, result)
+            outcome = self.record_attempt(attempts, endpoint, call, result, began_at)
             step = next_step(outcome, len(attempts.tried), route, attempts.may_have_run)
             if step.relay:
                 self.relay(incoming, call, result.ok_value)
@@ -170,10 +193,16 @@
         endpoint: DirectEndpoint,
         call: ForwardedCall,
         result: Result[CompleteAnswer, Failure],
+        began_at: float,
     ) -> Outcome:
-        """Record how an attempt at `endpoint` ended and return its outcome."""
+        """Record how an attempt at `endpoint`, sent at `began_at`, ended and return its outcome."""
         attempts.tried += (endpoint.name,)
         outcome = _record_result(attempts, result)
+        connection_lost = isinstance(result, Err) and result.err_value.connection_lost
+        if connection_lost:
+            self._crashes.record_lost(attempts.fingerprint, endpoint, began_at)
+        if outcome is Outcome.SERVED:
+            self._crashes.record_served(attempts.fingerprint)
         if outcome is not Outcome.SERVED:
             _log.info(
                 "attempt failed",
@@ -182,8 +211,8 @@
                 attempt=len(attempts.tried),
                 outcome=outcome.value,
                 detail=attempts.last_failure.detail if attempts.last_failure else "",
-                fingerprint=fingerprint_request(call),
-                connection_lost=isinstance(result, Err) and result.err_value.connection_lost,
+                fingerprint=attempts.fingerprint,
+                connection_lost=connection_lost,
             )
         return outcome
 
@@ -250,7 +279,7 @@
         forwarder, route = self._forwarder, self._route
         deadline = forwarder.deadline(self._incoming, self._call, route)
         pool = choose_pool(route, forwarder.random)
-        attempts = _Attempts()
+        attempts = _Attempts(fingerprint_request(self._call))
         while True:
             endpoint = await forwarder.select_endpoint(
                 pool, attempts, deadline - forwarder.timers.now()
@@ -260,8 +289,9 @@
                 timed_out = seconds_left <= forwarder.settings.min_attempt_seconds
                 self._fail(attempts, timed_out)
                 return
+            began_at = forwarder.timers.now()
             result = await self._attempt(endpoint, seconds_left)
-            outcome = forwarder.record_attempt(attempts, endpoint, self._call, result)
+            outcome = forwarder.record_attempt(attempts, endpoint, self._call, result, began_at)
             if self._incoming.is_head_sent and outcome is Outcome.SERVED and self._is_complete():
                 self._incoming.finish()
                 return
--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -7,6 +7,7 @@
 from pumicedeck.gateway_settings import MechanismSettings
 from pumicedeck.order_announcements import AnnouncementSettings
 from pumicedeck.peer_checks import PeerCheckSettings
+from pumicedeck.request_quarantines import QuarantineSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_pacing import PacingSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
@@ -32,6 +33,7 @@
     announcement: AnnouncementSettings = AnnouncementSettings()
     retries: RetrySettings = RetrySettings()
     peer_check: PeerCheckSettings = PeerCheckSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     avoids_failed: bool = True
     delays_weak_machines: bool = True
 
@@ -62,6 +64,9 @@
             if mechanisms.peer_checks
             else PeerCheckSettings(disconnected_after_seconds=inf)
         ),
+        quarantine=(
+            on.quarantine if mechanisms.request_quarantine else QuarantineSettings(max_crashes=inf)
+        ),
         avoids_failed=mechanisms.outlier_avoidance,
         delays_weak_machines=mechanisms.weak_machines_later,
     )
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -42,12 +42,17 @@
         client: HttpClient,
         dialect: EndpointDialect,
         directory: EndpointDirectory,
+        on_answer: Callable[[DirectEndpoint, float], None] = lambda endpoint, sent_at: None,
     ) -> None:
-        """Use `client`, which the owner of this object must close."""
+        """Use `client`, which the owner of this object must close.
+
+        `on_answer` gets each endpoint that answers and when the request was sent to it.
+        """
         self._timers = timers
         self._client = client
         self._dialect = dialect
         self._directory = directory
+        self._on_answer = on_answer
 
     @property
     def dialect(self) -> EndpointDialect:
@@ -121,9 +126,12 @@
         on_chunk: Callable[[bytes], None] | None,
     ) -> Result[HttpResponse, Failure]:
         promise: Promise[Result[HttpResponse, Failure]] = Promise()
+        sent_at = self._timers.now()
 
         def check_head(response: HttpResponse) -> bool:
             answer = self._dialect.decode_answer_head(response)
+            if not answer.misdirected:
+                self._on_answer(endpoint, sent_at)
             self._record_leaving(endpoint, answer)
             self._record_request_limit(endpoint, answer)
             return check is None or check(answer, response)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -15,6 +15,7 @@
 from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.crash_reports import CrashReports
 from pumicedeck.decision_settings import choose_decision_settings
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
@@ -47,6 +48,7 @@
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
 from pumicedeck.processes import Process
+from pumicedeck.request_quarantines import RequestQuarantine
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.engine_orders import EngineOrders
 from pumicedeck.scheduling.reward_calls import RewardCaller
@@ -151,7 +153,16 @@
         directory,
         lambda name, value: decode_endpoint(name, value, settings.regions),
     )
-    endpoint_caller = EndpointCaller(timers, endpoint_client, PlatformEndpointDialect(), directory)
+    crashes = CrashReports(
+        timers,
+        store,
+        clock,
+        RequestQuarantine(decisions.quarantine),
+        sweeps=lambda: scheduler.is_active,
+    )
+    endpoint_caller = EndpointCaller(
+        timers, endpoint_client, PlatformEndpointDialect(), directory, crashes.record_answer
+    )
     turns = TurnTaker(timers, store, clock, directory, settings.vm, lambda: mirror.members)
     selector = EndpointSelector(timers, directory, turns)
     announced_versions: dict[str, int] = {}
@@ -246,9 +257,12 @@
     endpoint_feed = StoreFeed(
         timers, store, clock, ENDPOINT_TABLE, endpoint_list.apply, long_poll_settings, ("",)
     )
-    work_feed = StoreFeed(
-        timers, store, clock, WORK_TABLE, lambda rows, is_snapshot: mirror.apply(rows)
-    )
+
+    def apply_work_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
+        crashes.apply(rows, is_snapshot)
+        mirror.apply(rows)
+
+    work_feed = StoreFeed(timers, store, clock, WORK_TABLE, apply_work_rows)
     recorded_contact_at = 0.0
 
     def record_store_contact() -> None:
@@ -287,7 +301,7 @@
             callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
             readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
             forwarder=CallForwarder(
-                timers, endpoint_caller, selector, dialect, random, decisions.retries
+                timers, endpoint_caller, selector, crashes, dialect, random, decisions.retries
             ),
             intake=SubmissionIntake(timers, store, mirror),
             scheduler=scheduler,
@@ -296,6 +310,7 @@
             peers=peers,
             mirror=mirror,
             clock=clock,
+            crashes=crashes,
             feeds=(operator_feed, endpoint_feed, work_feed),
             work_feed=work_feed,
             record_store_contact=record_store_contact,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -60,6 +60,7 @@
     outlier_avoidance: bool = True
     retries: bool = True
     stalled_engine_ends: bool = True
+    request_quarantine: bool = True
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -14,6 +14,7 @@
 from pumicedeck.call_figures import CallMetrics, CallSeries
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.crash_reports import CrashReports
 from pumicedeck.dialects import (
     CallerDialect,
     EndSubmission,
@@ -93,6 +94,7 @@
     peers: PeerQuestions
     mirror: WorkMirror
     clock: StoreClock
+    crashes: CrashReports
     feeds: tuple[StoreFeed, ...]
     work_feed: StoreFeed
     record_store_contact: Callable[[], None]
@@ -187,6 +189,7 @@
             _start_optional(parts.relay, "calls of peers to the store")
         for feed in parts.feeds:
             feed.start()
+        parts.crashes.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
         _log.info("started", callers=str(parts.callers.address))
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -40,6 +40,7 @@
     CLAIM_LOST = 210
     ENDPOINT_REFUSED = 211
     NO_ROUTE = 212
+    QUARANTINED = 213
 
     OUTCOME_UNKNOWN = 300
     STREAM_BROKEN = 301
@@ -112,6 +113,9 @@
     ResultCode.CLAIM_LOST: CodeInfo(_NOT, 409, 3, "Another entry VM holds this request id."),
     ResultCode.ENDPOINT_REFUSED: CodeInfo(_NOT, 503, 3, "The endpoint did not take the request."),
     ResultCode.NO_ROUTE: CodeInfo(_NOT, 404, 3, "No route of the configuration fits the request."),
+    ResultCode.QUARANTINED: CodeInfo(
+        _NOT, 503, 3, "Several endpoints ended while they ran this request."
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(_MAY, 502, 4, "The outcome of the attempt is unknown."),
     ResultCode.STREAM_BROKEN: CodeInfo(_MAY, 502, 4, "The stream ended before it was whole."),
     ResultCode.IN_PROGRESS: CodeInfo(_MAY, 409, 4, "The same request id is being worked on."),
--- a/pumicedeck/tests/test_crashing_requests.py
+++ b/pumicedeck/tests/test_crashing_requests.py
@@ -8,6 +8,7 @@
 
 from pumicedeck.tests.test_gateways import FakeEndpoint
 from pumicedeck.tests.test_limited_endpoints import LimitedFixture
+from pumicedeck.work_mirrors import CRASHES_PARTITION, WORK_TABLE
 
 RESTART_SECONDS = 2.0
 HEARTBEATS_SECONDS = 3.6
@@ -110,3 +111,115 @@
     assert len(fixture.crashes) <= 3 + ALLOWED_RETRIES
     fixture.loop.advance(2.0)
     assert fixture.statuses(sockets)[b"200"] == len(sockets)
+
+
+def test_requests_that_run_beside_it_are_served_again(make_crashes):
+    """One request that all gateways get again and again loses its endpoint at each crash."""
+    fixture = make_crashes()
+    for number in range(100):
+        fixture.send("/safe/popular", b"same")
+        if number % 7 == 0:
+            fixture.send(POISON, b"p")
+        fixture.loop.advance(0.05)
+    fixture.loop.advance(3.0)
+    assert len(fixture.crashes) >= 3
+    sockets = [fixture.send("/safe/popular", b"same") for _ in range(6)]
+    assert fixture.statuses(sockets)[b"200"] == 6
+
+
+def test_a_quarantined_request_is_refused_as_not_run_with_a_time_to_return(make_crashes):
+    fixture = make_crashes()
+    while len(fixture.crashes) < 3:
+        fixture.send(POISON)
+        fixture.loop.advance(1.0)
+    fixture.loop.advance(4.0)
+    answer = fixture.read(fixture.send(POISON), until=b'"detail"')
+    assert answer.startswith(b"HTTP/1.1 503") and b'"code": 213' in answer
+    retry_after = float(answer.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
+    assert 3000.0 < retry_after <= 3600.0
+    assert len(fixture.crashes) == 3
+    for target, body in ((POISON, b"another body"), ("/safe/other", b"")):
+        fixture.harmless.add(body)
+        assert fixture.read(fixture.send(target, body)).startswith(b"HTTP/1.1 200")
+
+
+def test_a_gateway_that_starts_later_knows_of_it(make_crashes):
+    fixture = make_crashes()
+    while len(fixture.crashes) < 3:
+        fixture.send(POISON)
+        fixture.loop.advance(1.0)
+    fixture.others.append(fixture.build("front-9"))
+    fixture.listeners = fixture.listeners[-1:]
+    fixture.loop.until(lambda: fixture.others[-1].gateway.is_ready)
+    fixture.loop.advance(4.0)
+    assert fixture.read(fixture.send(POISON)).startswith(b"HTTP/1.1 503")
+    assert len(fixture.crashes) == 3
+
+
+def test_crashes_while_the_store_is_away_are_reported_later(make_crashes):
+    fixture = make_crashes()
+    fixture.standin.faults.down = True
+    fixture.send(POISON)
+    fixture.loop.advance(2.0)
+    assert len(fixture.crashes) >= 2
+    fixture.standin.faults.down = False
+    fixture.loop.advance(3.0)
+    for _ in range(20):
+        fixture.send(POISON)
+        fixture.loop.advance(0.6)
+    assert len(fixture.crashes) <= 4
+
+
+def test_connections_that_break_while_the_endpoint_lives_quarantine_nothing(make_crashes):
+    fixture = make_crashes()
+    fixture.crash_targets = set()
+
+    def breaking(endpoint):
+        def handle(call):
+            if call.target == "/safe/broken":
+                call.abort()
+            else:
+                endpoint.succeed(call)
+
+        return handle
+
+    for endpoint in fixture.endpoints:
+        endpoint.on_call = breaking(endpoint)
+    for number in range(30):
+        fixture.send("/safe/broken")
+        for other in range(6):
+            fixture.send("/safe/x", f"{number}/{other}".encode())
+            fixture.loop.advance(0.1)
+    for endpoint in fixture.endpoints:
+        endpoint.on_call = endpoint.succeed
+    assert fixture.read(fixture.send("/safe/broken")).startswith(b"HTTP/1.1 200")
+    rows = fixture.data.read(WORK_TABLE, CRASHES_PARTITION, "", 100)
+    fixture.loop.advance(1.0)
+    assert fixture.data.read(WORK_TABLE, CRASHES_PARTITION, "", 100) == ()
+    assert len(rows) <= 3
+
+
+def test_endpoints_that_all_end_at_once_quarantine_no_request(make_crashes):
+    fixture = make_crashes()
+    fixture.crash_targets = set()
+    for _ in range(3):
+        for endpoint in fixture.endpoints:
+            endpoint.on_call = lambda call: None
+        for _ in range(9):
+            fixture.send("/safe/popular", b"same")
+        fixture.loop.advance(0.2)
+        for endpoint in tuple(fixture.endpoints):
+            endpoint.crash()
+        fixture.loop.advance(8.0)
+        sockets = [fixture.send("/safe/popular", b"same") for _ in range(3)]
+        assert fixture.statuses(sockets)[b"200"] == 3
+
+
+def test_a_stream_that_crashes_endpoints_is_quarantined_too(make_crashes):
+    fixture = make_crashes()
+    target = "/stream/poison"
+    fixture.crash_targets = {target}
+    for _ in range(20):
+        fixture.send(target)
+        fixture.loop.advance(0.8)
+    assert len(fixture.crashes) <= 4
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -46,6 +46,7 @@
     "peer_checks": "peer_check",
     "outlier_avoidance": "avoids_failed",
     "retries": "retries",
+    "request_quarantine": "quarantine",
     "stalled_engine_ends": "scheduler",
 }
 # These are switched off where the gateway is composed.
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -21,6 +21,8 @@
 END_KEY = "end"
 LISTED_KEY = "listed"
 MEMBERS_PARTITION = "members"
+# Followed by all gateways, like the submissions, but not a part of the mirror.
+CRASHES_PARTITION = "crashes"
 
 
 def head_row(submission_id: str) -> RowKey:
@@ -141,6 +143,8 @@
             if partition_key == MEMBERS_PARTITION:
                 self._apply_member_row(row)
                 continue
+            if partition_key == CRASHES_PARTITION:
+                continue
             if row.value is None:
                 if row.row.key == HEAD_KEY:
                     self._views.pop(partition_key, None)
