End a request limit only by an answer to a request that was sent after it was named

Cause: answers on different connections overtake one another, and one without a limit, made before the endpoint named it, would let every waiting reward call go at once.

The test fails without the comparison (the limit is gone).

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -151,7 +151,8 @@
         selected = await self._selector.select(pool, attempts.tried, seconds_left / 2)
         if isinstance(selected, Ok):
             return selected.ok_value
-        attempts.last_failure = attempts.last_failure or selected.err_value
+        if attempts.last_failure is None or selected.err_value.retry_after is not None:
+            attempts.last_failure = selected.err_value
         return None
 
     def relay(
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from math import inf
 from random import Random
 
 from pumicedeck.platform_interfaces import LoadedModel
@@ -56,7 +57,8 @@
 
     `in_flight` counts the calls of this process, `latency` is the smoothed duration of calls, 0
     before the first, and until `avoid_until` the endpoint is chosen last. `request_limit` is how
-    many requests per second the endpoint accepts from all gateways together, None if it names none.
+    many requests per second the endpoint accepts from all gateways together, None if it names none;
+    it was named last at `limit_named_at`.
     """
 
     endpoint: DirectEndpoint
@@ -68,6 +70,7 @@
     failures: int = 0
     avoid_until: float = 0.0
     request_limit: float | None = None
+    limit_named_at: float = -inf
 
     def load(self, now: float) -> float:
         """Return the number of calls per slot.
@@ -143,11 +146,21 @@
         state = self._states.get(name)
         return state.request_limit if state is not None else None
 
-    def record_request_limit(self, endpoint: DirectEndpoint, limit: float | None) -> bool:
-        """Record the request limit in an answer of an endpoint; return whether it is a change."""
+    def record_request_limit(
+        self, endpoint: DirectEndpoint, limit: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Record the request limit in an answer of an endpoint; return whether it is a change.
+
+        An answer that names none ends the limit only if its request was sent, at `sent_at`, after
+        the limit was named last: answers on different connections overtake one another.
+        """
         state = self._states.get(endpoint.name)
         if state is None or state.endpoint.incarnation != endpoint.incarnation:
             return False
+        if limit is None and sent_at < state.limit_named_at:
+            return False
+        if limit is not None:
+            state.limit_named_at = now
         changed = state.request_limit != limit
         state.request_limit = limit
         return changed
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -133,7 +133,7 @@
             if not answer.misdirected:
                 self._on_answer(endpoint, sent_at)
             self._record_leaving(endpoint, answer)
-            self._record_request_limit(endpoint, answer)
+            self._record_request_limit(endpoint, answer, sent_at)
             return check is None or check(answer, response)
 
         exchange = self._client.send(
@@ -160,11 +160,14 @@
                 status=answer.status,
             )
 
-    def _record_request_limit(self, endpoint: DirectEndpoint, answer: AnswerHead) -> None:
+    def _record_request_limit(
+        self, endpoint: DirectEndpoint, answer: AnswerHead, sent_at: float
+    ) -> None:
         """Record the request limit that an endpoint names, or that it no longer names one."""
         if answer.misdirected:
             return
-        if self._directory.record_request_limit(endpoint, answer.request_limit):
+        now = self._timers.now()
+        if self._directory.record_request_limit(endpoint, answer.request_limit, sent_at, now):
             _log.info(
                 "endpoint changed its request limit",
                 endpoint=endpoint.name,
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -99,7 +99,7 @@
         if endpoint.pool == "apps":
             self.simulation.score_calls.append(call.request_id)
             self.simulation.score_times.append((self.simulation.timers.now(), endpoint.name))
-            self.directory.record_request_limit(endpoint, self.simulation.scorer_limit)
+            self._record_limit(endpoint, self.simulation.scorer_limit)
             await sleep(self.simulation.timers, 0.2)
             if self.simulation.scores_fail:
                 return Err(Failure(ResultCode.ENDPOINT_FAILED, "broken"))
@@ -107,7 +107,7 @@
         engine = self.simulation.engines[endpoint.name]
         engine.starts.append((self.simulation.timers.now(), call.request_id, call.resume_after))
         engine.requests.append(self.simulation.timers.now())
-        self.directory.record_request_limit(endpoint, engine.limit)
+        self._record_limit(endpoint, engine.limit)
         engine.working[call.request_id] += 1
         try:
             return await self._generate(engine, call, silence, on_head, on_bytes)
@@ -117,6 +117,10 @@
     def request_limit(self, endpoint):
         return self.directory.request_limit(endpoint.name)
 
+    def _record_limit(self, endpoint, limit):
+        now = self.simulation.timers.now()
+        self.directory.record_request_limit(endpoint, limit, now, now)
+
     def close_idle_connections(self, endpoint):
         pass
 
@@ -149,7 +153,7 @@
         name = dict(request.headers)["X-Pumicedeck-Expect-Instance"]
         engine = self.simulation.engines[name]
         engine.requests.append(self.simulation.timers.now())
-        self.directory.record_request_limit(endpoint, engine.limit)
+        self._record_limit(endpoint, engine.limit)
         await sleep(self.simulation.timers, 0.005)
         if engine.dead:
             await sleep(self.simulation.timers, silence)
--- a/pumicedeck/tests/test_request_turns.py
+++ b/pumicedeck/tests/test_request_turns.py
@@ -99,7 +99,7 @@
             directory = EndpointDirectory(HOME, Random(vm))
             for name, limit in limits.items():
                 directory.update(endpoint(name))
-                directory.record_request_limit(endpoint(name), limit)
+                directory.record_request_limit(endpoint(name), limit, 0.0, 0.0)
             taker = TurnTaker(self.timers, store, clock, directory, vm, lambda: members)
             self.stores.append(store)
             self.directories.append(directory)
@@ -178,7 +178,8 @@
         simulation.call(0.0)
     simulation.run(1.0)
     assert len(simulation.sent["a"]) < 5
-    simulation.directories[0].record_request_limit(endpoint("a"), None)
+    now = simulation.timers.now()
+    simulation.directories[0].record_request_limit(endpoint("a"), None, now, now)
     for _ in range(20):
         simulation.call(0.0)
     assert len(simulation.sent["a"]) >= 20
@@ -215,3 +216,13 @@
     simulation.call(0.5)
     simulation.run(0.5)
     assert len(simulation.sent["a"]) == 1
+
+
+def test_an_answer_that_was_overtaken_does_not_end_a_limit():
+    simulation = TakerSimulation({"a": None})
+    (directory,) = simulation.directories
+    assert directory.record_request_limit(endpoint("a"), 2.0, sent_at=1.0, now=1.2)
+    assert not directory.record_request_limit(endpoint("a"), None, sent_at=1.1, now=1.3)
+    assert directory.request_limit("a") == 2.0
+    assert directory.record_request_limit(endpoint("a"), None, sent_at=1.2, now=1.4)
+    assert directory.request_limit("a") is None
