--- a/pumicedeck/turn_takers.py
+++ b/pumicedeck/turn_takers.py
@@ -107,7 +107,10 @@
         return Ok(None)
 
     def release_row(self, endpoint: str) -> None:
-        """Remove the row of an endpoint whose limit has ended, unless another gateway did so."""
+        """Remove the row of an endpoint whose limit has ended, unless another gateway did so.
+
+        A row that stays has no effect, since its turn is in the past.
+        """
         row = self._rows.pop(endpoint, None)
         if row is not None and row.revision:
             key = _row_key(endpoint)
