Build the gateways of all fixtures from one set of settings

Change: GatewayFixture has a method for them. Tests only; test_limited_endpoints and test_gateways pass (23).

--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -90,8 +90,17 @@
         )
         for endpoint in self.endpoints:
             self.put("servers", endpoint.name, endpoint.entry())
-        settings = GatewaySettings(
-            vm="front-1",
+        settings = self.make_settings("front-1", metrics_port)
+        self.running = build_gateway(settings, self.loop, timers, lambda: self.on_finished())
+        self.gateway = self.running.gateway
+        self.running.start()
+        self.caller_address = self.gateway.caller_listener.address
+        self.loop.until(lambda: self.gateway.is_ready)
+        self.sockets = []
+
+    def make_settings(self, vm, metrics_port=0):
+        return GatewaySettings(
+            vm=vm,
             failure_domain="tn-a",
             region="south",
             regions={"tn-a": "south"},
@@ -100,12 +109,6 @@
             store=StoreSettings(address=self.store.address),
             metrics_port=metrics_port,
         )
-        self.running = build_gateway(settings, self.loop, timers, lambda: self.on_finished())
-        self.gateway = self.running.gateway
-        self.running.start()
-        self.caller_address = self.gateway.caller_listener.address
-        self.loop.until(lambda: self.gateway.is_ready)
-        self.sockets = []
 
     def put(self, table, key, document):
         value = None if document is None else json.dumps(document).encode()
--- a/pumicedeck/tests/test_limited_endpoints.py
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -10,10 +10,8 @@
 import pytest
 
 from pumicedeck.gateway_compositions import build_gateway
-from pumicedeck.gateway_settings import GatewaySettings, StoreSettings
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
-from pumicedeck.tests.test_gateways import LOCAL, SIGNATURE, GatewayFixture, id_header
-from pumicedeck.topology import Address
+from pumicedeck.tests.test_gateways import SIGNATURE, GatewayFixture, id_header
 
 LIMIT_KNOWN_SECONDS = 4.0
 WINDOW_SECONDS = 4.0
@@ -45,16 +43,7 @@
         self.loop.advance(0.5)
 
     def build(self, vm):
-        settings = GatewaySettings(
-            vm=vm,
-            failure_domain="tn-a",
-            region="south",
-            regions={"tn-a": "south"},
-            callers=Address(LOCAL, 0),
-            readiness=Address(LOCAL, 0),
-            store=StoreSettings(address=self.store.address),
-        )
-        built = build_gateway(settings, self.loop, self.loop.timers, lambda: None)
+        built = build_gateway(self.make_settings(vm), self.loop, self.loop.timers, lambda: None)
         built.start()
         self.listeners.append(built.gateway.caller_listener)
         return built
