Let reward calls that fail go round the endpoints again

Cause: since requests take turns a reward call kept the list of endpoints that it had tried for good; once all had been tried it went to the cheapest one each time, where it used to begin a new round.

--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -76,7 +76,8 @@
             seconds = min(_MAX_CALL_SECONDS, route.longest_wait)
             silence = self._settings.silence_limit(route, seconds, more_attempts=True)
             result = await self._caller.call(call, endpoint, seconds, silence)
-            tried += (endpoint.name,)
+            # Once all endpoints were tried, the next round over them begins.
+            tried = (endpoint.name,) if endpoint.name in tried else (*tried, endpoint.name)
             if isinstance(result, Ok) and result.ok_value.answer.succeeded:
                 return result.ok_value.answer.signature
             if isinstance(result, Ok):
