--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -89,7 +89,7 @@
             self._reply(done, lambda: Ok((Row(keys[0].table, keys[0].key, *self.world.row),)))
 
     def scan(self, table, prefix, limit, done):
-        raise NotImplementedError("a lease reads one row")
+        raise AssertionError("a lease reads its one row; got a scan of a range")
 
     def commit(self, transaction, done):
         if self.cut:
