Give the turns at limited endpoints a switch of their own

Cause: the quarantine can be switched off by itself, the turns could not, so what they cost or are worth could not be measured. Change: mechanisms.request_turns; without it no endpoint counts as having a limit.

--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -21,6 +21,7 @@
     """Settings of the decisions of one gateway.
 
     With `avoids_failed` endpoints that failed a short time ago are chosen last. With
+    `observes_limits` requests take turns at endpoints that name a request limit. With
     `delays_weak_machines` a machine with few CPU cores takes over a lost lease later.
     """
 
@@ -35,6 +36,7 @@
     peer_check: PeerCheckSettings = PeerCheckSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     avoids_failed: bool = True
+    observes_limits: bool = True
     delays_weak_machines: bool = True
 
 
@@ -68,5 +70,6 @@
             on.quarantine if mechanisms.request_quarantine else QuarantineSettings(max_crashes=inf)
         ),
         avoids_failed=mechanisms.outlier_avoidance,
+        observes_limits=mechanisms.request_turns,
         delays_weak_machines=mechanisms.weak_machines_later,
     )
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -89,11 +89,13 @@
     """All registered endpoints with their states; `home` is this process's failure domain.
 
     With `avoids_failed` endpoints that failed or refused a call a short time ago are chosen last.
+    Without `observes_limits` no endpoint counts as having a request limit.
     """
 
     home: FailureDomain
     random: Random
     avoids_failed: bool = True
+    observes_limits: bool = True
     _states: dict[str, EndpointState] = field(default_factory=dict)
     _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
@@ -157,6 +159,8 @@
         state = self._states.get(endpoint.name)
         if state is None or state.endpoint.incarnation != endpoint.incarnation:
             return False
+        if not self.observes_limits:
+            return False
         if limit is None and sent_at < state.limit_named_at:
             return False
         if limit is not None:
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -147,7 +147,7 @@
         settings.store.longest_call_seconds,
     )
     clock = StoreClock(timers)
-    directory = EndpointDirectory(home, random, decisions.avoids_failed)
+    directory = EndpointDirectory(home, random, decisions.avoids_failed, decisions.observes_limits)
     endpoint_list = EndpointList(
         timers,
         directory,
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -19,6 +19,7 @@
     FormerHolder,
     OrderAnnouncement,
 )
+from pumicedeck.request_quarantines import Crash, RequestQuarantine
 from pumicedeck.scheduling.event_intervals import (
     EngineEventIntervals,
     IntervalSettings,
@@ -47,6 +48,7 @@
     "outlier_avoidance": "avoids_failed",
     "retries": "retries",
     "request_quarantine": "quarantine",
+    "request_turns": "observes_limits",
     "stalled_engine_ends": "scheduler",
 }
 # These are switched off where the gateway is composed.
@@ -128,6 +130,22 @@
     assert directory.state("a").avoid_until == 0.0
 
 
+def test_without_request_turns_no_endpoint_has_a_limit():
+    directory = EndpointDirectory(HOME, Random(1), observes_limits=False)
+    endpoint = DirectEndpoint("a", "p", Address("10.0.0.1", 1), HOME, 4)
+    directory.update(endpoint)
+    assert not directory.record_request_limit(endpoint, 2.0, 0.0, 0.0)
+    assert directory.request_limit("a") is None
+
+
+def test_without_the_quarantine_a_request_may_crash_any_number_of_endpoints():
+    settings = choose_decision_settings(MechanismSettings(request_quarantine=False)).quarantine
+    quarantine = RequestQuarantine(settings)
+    for number in range(9):
+        quarantine.add(Crash("f", f"e{number}", 1, float(number), number + 0.1))
+    assert quarantine.seconds_left("f", 9.0) == 0
+
+
 @pytest.mark.parametrize(("reuses", "starts"), [(True, 1), (False, 2)])
 def test_without_reuse_a_group_that_comes_again_is_generated_again(reuses, starts):
     simulation = SchedulerSimulation(processes=1, adoption=AdoptionSettings(reuses_outputs=reuses))
