Have weight orders and reports take turns at engines that name a request limit

An engine that refuses its order is asked again after 0.4 to 1.6 s, each time with two reports and an order: 17 requests in 4 s at a limit of 1.0, allowed are 11.

Cause: orders and reports were only slowed between the reports of one load, not counted with what else goes to the engine. Change: each takes a turn and may reserve a later one, so that it goes before items; the slower reports are needed no more. The new test failed before (17 of 11); the test of reports during a long load passes as before.

--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -59,10 +59,6 @@
         """Return the dialect, which encodes requests to endpoints and decodes answers."""
         return self._dialect
 
-    def request_limit(self, endpoint: DirectEndpoint) -> float | None:
-        """Return the requests per second that an endpoint accepts, None if it names no limit."""
-        return self._directory.request_limit(endpoint.name)
-
     def close_idle_connections(self, endpoint: DirectEndpoint) -> None:
         """Close the idle connections to an endpoint that has stopped answering."""
         self._client.close_idle_connections(endpoint.address)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -187,6 +187,7 @@
             orders=EngineOrders(
                 timers,
                 endpoint_caller,
+                turns,
                 lease_holder,
                 lambda name: lease.announce_orders(name),
                 settings.vm,
--- a/pumicedeck/scheduling/engine_orders.py
+++ b/pumicedeck/scheduling/engine_orders.py
@@ -14,9 +14,9 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.leases import LeaseHolder
-from pumicedeck.request_turns import spacing_seconds
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import sleep
+from pumicedeck.turn_takers import TurnTaker
 
 _log = logger.bind(module="engine_orders")
 
@@ -30,7 +30,8 @@
     `answer_seconds` is the time-out of one request. The lease row must announce the order within
     `announce_seconds`, which is checked every `announce_poll_seconds`. After an accepted order the
     engine's report is first read after `first_poll_delay_seconds`, then every
-    `poll_interval_seconds`. The scheduler stops waiting after `load_timeout_seconds`; the next
+    `poll_interval_seconds`. A turn at an engine with a request limit may come up to `turn_seconds`
+    later. The scheduler stops waiting after `load_timeout_seconds`; the next
     weight plan then decides again.
     """
 
@@ -39,6 +40,7 @@
     announce_poll_seconds: float = 0.01
     first_poll_delay_seconds: float = 0.93
     poll_interval_seconds: float = 0.2
+    turn_seconds: float = 4.0
     load_timeout_seconds: float = 4.0
 
 
@@ -53,6 +55,7 @@
         self,
         timers: TimerQueue,
         caller: EndpointCaller,
+        turns: TurnTaker,
         lease: LeaseHolder,
         announce: Callable[[str], None],
         holder: str,
@@ -60,10 +63,12 @@
     ) -> None:
         """Send orders in the name of `holder`, only while `lease` is held and announces them.
 
-        `announce` starts to announce orders to an engine in the lease's row.
+        `announce` starts to announce orders to an engine in the lease's row. At an engine with a
+        request limit each order and each report takes one of the `turns`.
         """
         self._timers = timers
         self._caller = caller
+        self._turns = turns
         self._lease = lease
         self._announce = announce
         self._holder = holder
@@ -86,7 +91,7 @@
             self._sequences[key] = report.order_sequence
         sequence = self._sequences[key]
         order = VersionOrder(load.model, load.version, retain, self._holder, fencing, sequence)
-        if not await self._may_send(endpoint.name, fencing):
+        if not await self._take_turn(endpoint) or not await self._may_send(endpoint.name, fencing):
             return None
         deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
@@ -118,15 +123,9 @@
                     return report
             elif not accepted:
                 return None
-            await sleep(self._timers, self._poll_interval_seconds(endpoint))
+            await sleep(self._timers, self._settings.poll_interval_seconds)
         return None
 
-    def _poll_interval_seconds(self, endpoint: DirectEndpoint) -> float:
-        """Return the pause between reports, longer for an engine that names a request limit."""
-        limit = self._caller.request_limit(endpoint)
-        pause = 0.0 if limit is None else spacing_seconds(limit)
-        return max(self._settings.poll_interval_seconds, pause)
-
     async def _may_send(self, engine: str, fencing: int) -> bool:
         """Wait until the lease row announces orders to an engine; return False if it does not.
 
@@ -141,8 +140,14 @@
             await sleep(self._timers, self._settings.announce_poll_seconds)
         return self._lease.fencing == fencing
 
+    async def _take_turn(self, endpoint: DirectEndpoint) -> bool:
+        """Wait for a turn at an engine that names a request limit; return False if none comes."""
+        return isinstance(await self._turns.take(endpoint, self._settings.turn_seconds), Ok)
+
     async def report(self, endpoint: DirectEndpoint) -> EngineReport | None:
         """Return an engine's report of its state, None if it did not answer in time."""
+        if not await self._take_turn(endpoint):
+            return None
         request = self._caller.dialect.report_request(endpoint)
         outcome = await self._caller.send_request(request, endpoint, self._settings.answer_seconds)
         if isinstance(outcome, Err):
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -65,7 +65,8 @@
 class FakeEngine:
     """The state of a simulated engine, and a record of the calls and orders that it received.
 
-    `dead` makes it silent, `babbles` has it send bytes that are no events. The next `late_orders`
+    `dead` makes it silent, `babbles` has it send bytes that are no events, and `refuses_orders` has
+    it refuse each weight order. The next `late_orders`
     orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
     requests per second, unless it is None; `requests` has the time of each request that it got.
     """
@@ -76,6 +77,7 @@
     sequence: int = 0
     dead: bool = False
     babbles: bool = False
+    refuses_orders: bool = False
     limit: float | None = None
     busy: bool = False
     late_orders: int = 0
@@ -114,9 +116,6 @@
         finally:
             engine.working[call.request_id] -= 1
 
-    def request_limit(self, endpoint):
-        return self.directory.request_limit(endpoint.name)
-
     def _record_limit(self, endpoint, limit):
         now = self.simulation.timers.now()
         self.directory.record_request_limit(endpoint, limit, now, now)
@@ -162,6 +161,8 @@
             return Ok(HttpResponse(200, (), json.dumps(self._report(engine)).encode()))
         document = json.loads(request.body)
         engine.orders.append((self.simulation.timers.now(), document["holder"], document["fence"]))
+        if engine.refuses_orders:
+            return Ok(HttpResponse(409, (), b""))
         if engine.late_orders:
             engine.late_orders -= 1
             self.simulation.timers.call_later(
@@ -231,6 +232,7 @@
                 orders=EngineOrders(
                     timers,
                     self.caller,
+                    turns,
                     self.holder,
                     lambda engine: self.keeper.announce_orders(engine),
                     name,
--- a/pumicedeck/tests/test_limited_endpoints.py
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -148,6 +148,20 @@
     assert most_in_window(requests) <= allowed_requests(0.5)
 
 
+def test_weight_orders_that_an_engine_refuses_keep_to_its_limit():
+    simulation = SchedulerSimulation(engines=2)
+    simulation.engines["e0"].limit = 1.0
+    simulation.engines["e0"].refuses_orders = True
+    simulation.announced["m0"] = 2
+    simulation.run(14.0)
+    requests = [time for time in simulation.engines["e0"].requests if time >= LIMIT_KNOWN_SECONDS]
+    assert most_in_window(requests) <= allowed_requests(1.0)
+    assert len(simulation.engines["e0"].orders) >= 3
+    simulation.engines["e0"].refuses_orders = False
+    simulation.run(8.0)
+    assert simulation.engines["e0"].version == 2
+
+
 def test_a_call_beyond_all_limits_is_refused_at_once_with_the_time_of_the_next_turn(make_fixture):
     fixture = make_fixture(1, {"i-0": 0.5, "i-1": 0.5})
     fixture.statuses(fixture.send_calls(3.0, 10))
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -33,6 +33,7 @@
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.scheduler_simulations import HOME, FakeCaller, SchedulerSimulation
+from pumicedeck.turn_takers import TurnTaker
 
 LEASE = LeaseSettings(duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2)
 TAKEOVER_SECONDS = SchedulerSettings().takeover_seconds
@@ -331,9 +332,11 @@
     engine = simulation.engines["e0"]
     timers = VirtualTime()
     simulation.timers = timers
+    directory = EndpointDirectory(HOME, Random(1))
     orders = EngineOrders(
         timers,
-        FakeCaller(simulation, EndpointDirectory(HOME, Random(1))),
+        FakeCaller(simulation, directory),
+        TurnTaker(timers, None, None, directory, "p", lambda: ()),
         LeaseAcquiredAgain(timers),
         lambda engine: None,
         "p",
