Tell all gateways which endpoints name a request limit

What an endpoint in need would see: a burst from each gateway that starts and from a scheduler that takes over, since these know of no limit before their first answer: 24 requests in 4 s at a limit of 1.0 after a takeover, 20 by three new gateways, allowed are 11. The rule excuses them, the endpoint is not spared. Found by asking which state only one process knows.

Change: the first gateway that hears a limit begin or end writes a row that all follow; a number that a gateway heard itself goes before it. A limited endpoint that was asked last 10 s ago is chosen like the others again, with a turn: at low load nobody would notice the end of its limit otherwise (the test of that failed too). Rows of endpoints that left, also their turns, are swept.

--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -22,6 +22,8 @@
 OTHER_REGION_COST = 1.5
 # A turn at a limited endpoint costs a call to the store, so others are chosen until they are busy.
 LIMITED_COST = 1.0
+# After this time one is chosen like the others: its answer tells whether the limit still holds.
+LIMIT_RECHECK_SECONDS = 10.0
 LATENCY_SMOOTHING = 0.2
 LOAD_REPORT_MAX_AGE_SECONDS = 1.0
 # The oldest are forgotten first; a fleet replaces far fewer endpoints at a time.
@@ -84,6 +86,14 @@
         return calls / max(1, self.endpoint.slots)
 
 
+@dataclass(frozen=True, slots=True)
+class SharedLimit:
+    """The request limit, per second, of an endpoint's incarnation, as a gateway reported it."""
+
+    incarnation: int
+    limit: float
+
+
 @dataclass(slots=True)
 class EndpointDirectory:
     """All registered endpoints with their states; `home` is this process's failure domain.
@@ -98,6 +108,7 @@
     observes_limits: bool = True
     _states: dict[str, EndpointState] = field(default_factory=dict)
     _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _shared_limits: dict[str, SharedLimit] = field(default_factory=dict)
 
     @property
     def endpoints(self) -> tuple[DirectEndpoint, ...]:
@@ -123,6 +134,7 @@
             or known.address != endpoint.address
         ):
             self._states[endpoint.name] = EndpointState(endpoint)
+            self._apply_shared_limit(endpoint.name, -inf)
         else:
             state.endpoint = endpoint
 
@@ -169,6 +181,33 @@
         state.request_limit = limit
         return changed
 
+    def share_limit(self, name: str, shared: SharedLimit | None, now: float) -> None:
+        """Apply the limit that a gateway reported, or with None that the endpoint has none.
+
+        A limit that this process has heard itself is kept, as it may be newer.
+        """
+        if not self.observes_limits:
+            return
+        state = self._states.get(name)
+        if shared is not None:
+            self._shared_limits[name] = shared
+            self._apply_shared_limit(name, now)
+        elif self._shared_limits.pop(name, None) is not None and state is not None:
+            state.request_limit = None
+
+    def _apply_shared_limit(self, name: str, now: float) -> None:
+        state, shared = self._states.get(name), self._shared_limits.get(name)
+        if state is None or shared is None or shared.incarnation != state.endpoint.incarnation:
+            return
+        if state.request_limit is None:
+            state.request_limit = shared.limit
+            state.limit_named_at = now
+
+    def is_incarnation(self, name: str, incarnation: int) -> bool:
+        """Return whether an endpoint is registered with this incarnation."""
+        state = self._states.get(name)
+        return state is not None and state.endpoint.incarnation == incarnation
+
     def remove(self, name: str) -> None:
         """Remove an endpoint."""
         self._states.pop(name, None)
@@ -257,7 +296,9 @@
         latency_cost = state.latency * 4.0
         limit_cost = 0.0
         if state.request_limit is not None:
-            limit_cost = LIMITED_COST + expected_wait(state.endpoint.name) * 4.0
+            limit_cost = expected_wait(state.endpoint.name) * 4.0
+            if now - state.limit_named_at < LIMIT_RECHECK_SECONDS:
+                limit_cost += LIMITED_COST
         return (
             now < state.avoid_until,
             distance_cost
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -43,16 +43,19 @@
         dialect: EndpointDialect,
         directory: EndpointDirectory,
         on_answer: Callable[[DirectEndpoint, float], None] = lambda endpoint, sent_at: None,
+        on_limit_change: Callable[[DirectEndpoint], None] = lambda endpoint: None,
     ) -> None:
         """Use `client`, which the owner of this object must close.
 
-        `on_answer` gets each endpoint that answers and when the request was sent to it.
+        `on_answer` gets each endpoint that answers and when the request was sent to it,
+        `on_limit_change` each endpoint whose answer names another request limit than before.
         """
         self._timers = timers
         self._client = client
         self._dialect = dialect
         self._directory = directory
         self._on_answer = on_answer
+        self._on_limit_change = on_limit_change
 
     @property
     def dialect(self) -> EndpointDialect:
@@ -170,6 +173,7 @@
                 limit=answer.request_limit,
                 status=answer.status,
             )
+            self._on_limit_change(endpoint)
 
     def _log_limited_request(self, endpoint: DirectEndpoint, request: str) -> None:
         limit = self._directory.request_limit(endpoint.name)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -29,6 +29,7 @@
 from pumicedeck.http_messages import MIB, HttpClientSettings
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
+from pumicedeck.limit_reports import LimitReports
 from pumicedeck.log_writers import LogWriter
 from pumicedeck.logs import set_up_event_logs
 from pumicedeck.partitioned_stores import StoredRow
@@ -160,8 +161,14 @@
         RequestQuarantine(decisions.quarantine),
         sweeps=lambda: scheduler.is_active,
     )
+    limits = LimitReports(timers, store, directory, sweeps=lambda: scheduler.is_active)
     endpoint_caller = EndpointCaller(
-        timers, endpoint_client, PlatformEndpointDialect(), directory, crashes.record_answer
+        timers,
+        endpoint_client,
+        PlatformEndpointDialect(),
+        directory,
+        crashes.record_answer,
+        limits.record_change,
     )
     turns = TurnTaker(timers, store, clock, directory, settings.vm, lambda: mirror.members)
     selector = EndpointSelector(timers, directory, turns)
@@ -261,6 +268,7 @@
 
     def apply_work_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
         crashes.apply(rows, is_snapshot)
+        limits.apply(rows, is_snapshot)
         mirror.apply(rows)
 
     work_feed = StoreFeed(timers, store, clock, WORK_TABLE, apply_work_rows)
@@ -312,6 +320,7 @@
             mirror=mirror,
             clock=clock,
             crashes=crashes,
+            limits=limits,
             feeds=(operator_feed, endpoint_feed, work_feed),
             work_feed=work_feed,
             record_store_contact=record_store_contact,
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -29,6 +29,7 @@
 from pumicedeck.http_listeners import CALLER_DISCONNECTED, HttpListener, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder
+from pumicedeck.limit_reports import LimitReports
 from pumicedeck.peer_questions import PEER_PATH, PeerQuestions
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
@@ -95,6 +96,7 @@
     mirror: WorkMirror
     clock: StoreClock
     crashes: CrashReports
+    limits: LimitReports
     feeds: tuple[StoreFeed, ...]
     work_feed: StoreFeed
     record_store_contact: Callable[[], None]
@@ -190,6 +192,7 @@
         for feed in parts.feeds:
             feed.start()
         parts.crashes.start()
+        parts.limits.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
         _log.info("started", callers=str(parts.callers.address))
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -15,6 +15,7 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder, LeaseSettings
+from pumicedeck.limit_reports import LimitReports
 from pumicedeck.partitioned_tables import PartitionedTableStore
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform_interfaces import LoadedModel
@@ -92,9 +93,10 @@
 class FakeCaller:
     """Replaces the calls of one process to engines and scorers."""
 
-    def __init__(self, simulation, directory):
+    def __init__(self, simulation, directory, limits=None):
         self.simulation = simulation
         self.directory = directory
+        self.limits = limits
         self.dialect = PlatformEndpointDialect()
 
     async def call(self, call, endpoint, seconds, silence, on_head=None, on_bytes=None):
@@ -118,7 +120,9 @@
 
     def _record_limit(self, endpoint, limit):
         now = self.simulation.timers.now()
-        self.directory.record_request_limit(endpoint, limit, now, now)
+        changed = self.directory.record_request_limit(endpoint, limit, now, now)
+        if changed and self.limits is not None:
+            self.limits.record_change(endpoint)
 
     def close_idle_connections(self, endpoint):
         pass
@@ -213,7 +217,8 @@
         directory.update(
             DirectEndpoint("app", "apps", Address("10.0.0.9", 1), HOME, 8, incarnation=1)
         )
-        self.caller = FakeCaller(simulation, directory)
+        self.limits = LimitReports(timers, self.store, directory, lambda: False)
+        self.caller = FakeCaller(simulation, directory, self.limits)
         self.holder = LeaseHolder("scheduler", name, LEASE, store_now=self.clock.now)
         turns = TurnTaker(
             timers, self.store, self.clock, directory, name, lambda: self.mirror.members
@@ -261,11 +266,15 @@
             self.store,
             self.clock,
             WORK_TABLE,
-            lambda rows, full: self.mirror.apply(rows),
+            self.apply_work_rows,
         )
         self.feed.start()
         self.intake = SubmissionIntake(timers, self.store, self.mirror)
 
+    def apply_work_rows(self, rows, is_whole_table):
+        self.limits.apply(rows, is_whole_table)
+        self.mirror.apply(rows)
+
     def acquire(self):
         self.keeper.acquire()
 
--- a/pumicedeck/tests/test_direct_endpoints.py
+++ b/pumicedeck/tests/test_direct_endpoints.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from pumicedeck.clocks import VirtualTime
-from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.direct_endpoints import (
+    LIMIT_RECHECK_SECONDS,
+    DirectEndpoint,
+    EndpointDirectory,
+    SharedLimit,
+)
 from pumicedeck.endpoint_lists import MAX_LOGGED_NAMES, EndpointList
 from pumicedeck.event_streams import EventSplitter
 from pumicedeck.partitioned_stores import RowKey, StoredRow
@@ -185,3 +190,27 @@
     outputs.add_output("c", Progress(1, False, ["x"], [6]))
     assert len(outputs) == 2 and not outputs.contains("a")
     assert outputs.find("c", 6, False) is not outputs.find("c", 6, False)
+
+
+def test_a_limited_endpoint_is_asked_again_after_a_while_even_if_others_are_free():
+    candidates = directory(endpoint("a"), endpoint("b", NEAR))
+    candidates.record_request_limit(endpoint("a"), 1.0, 0.0, 0.0)
+    assert chosen(candidates, 1.0) == {"b"}
+    assert chosen(candidates, LIMIT_RECHECK_SECONDS + 0.1) == {"a"}
+    candidates.record_request_limit(endpoint("a"), 1.0, 11.0, 11.0)
+    assert chosen(candidates, 12.0) == {"b"}
+
+
+def test_a_limit_that_another_gateway_reported_counts_until_this_one_hears_its_own():
+    candidates = directory()
+    candidates.share_limit("a", SharedLimit(3, 2.0), 1.0)
+    candidates.update(endpoint("a", incarnation=3))
+    assert candidates.request_limit("a") == 2.0
+    candidates.record_request_limit(endpoint("a", incarnation=3), 1.5, 2.0, 2.1)
+    candidates.share_limit("a", SharedLimit(3, 2.5), 3.0)
+    assert candidates.request_limit("a") == 1.5
+    candidates.share_limit("a", None, 4.0)
+    assert candidates.request_limit("a") is None
+    candidates.share_limit("a", SharedLimit(3, 2.0), 5.0)
+    candidates.update(endpoint("a", incarnation=4))
+    assert candidates.request_limit("a") is None
--- a/pumicedeck/tests/test_limited_endpoints.py
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -9,9 +9,11 @@
 
 import pytest
 
+from pumicedeck.direct_endpoints import LIMIT_RECHECK_SECONDS
 from pumicedeck.gateway_compositions import build_gateway
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.tests.test_gateways import SIGNATURE, GatewayFixture, id_header
+from pumicedeck.work_mirrors import LIMITS_PARTITION, WORK_TABLE
 
 LIMIT_KNOWN_SECONDS = 4.0
 WINDOW_SECONDS = 4.0
@@ -185,3 +187,42 @@
     for times in fixture.arrivals.values():
         known = [time for time in times if time >= LIMIT_KNOWN_SECONDS]
         assert most_in_window(known) <= allowed_requests(1.0)
+
+
+def test_a_scheduler_that_takes_over_knows_the_limits_of_engines_that_it_never_called():
+    simulation = SchedulerSimulation(engines=2, slots=20)
+    simulation.engines["e0"].limit = 1.0
+    for step in range(3):
+        simulation.submit(simulation.processes[0], [[30, 40]] * 40, f"s{step}", step=step)
+    simulation.run(6.0)
+    simulation.processes[0].kill()
+    simulation.run(8.0)
+    assert simulation.processes[1].scheduler.is_active
+    requests = [time for time in simulation.engines["e0"].requests if time >= LIMIT_KNOWN_SECONDS]
+    assert most_in_window(requests) <= allowed_requests(1.0)
+    assert len(requests) >= 0.7 * 1.0 * 8.0
+
+
+def test_gateways_that_start_later_know_the_limits_before_their_first_answer(make_fixture):
+    fixture = make_fixture(1, {"i-0": 1.0, "i-1": 1.0})
+    fixture.send_calls(5.0, 4)
+    fixture.others += [fixture.build(f"front-{number}") for number in (7, 8, 9)]
+    fixture.loop.until(lambda: all(other.gateway.is_ready for other in fixture.others))
+    fixture.loop.advance(0.3)
+    for number in range(36):
+        listener = fixture.listeners[1 + number % 3]
+        headers = (("X-Pumicedeck-Request-Id", f"n{number}"), ("X-Pumicedeck-Deadline-Ms", "900"))
+        fixture.open("GET", "/safe/x", headers=headers, listener=listener)
+    fixture.loop.advance(3.0)
+    for times in fixture.arrivals.values():
+        assert most_in_window([time for time in times if time >= 4.0]) <= allowed_requests(1.0)
+
+
+def test_a_limit_ends_at_all_gateways_and_leaves_no_rows(make_fixture):
+    fixture = make_fixture(3, {"i-0": 0.5, "i-1": 0.5})
+    fixture.statuses(fixture.send_calls(3.0, 6))
+    fixture.limits.clear()
+    fixture.send_calls(LIMIT_RECHECK_SECONDS + 2.0, 4)
+    answers = fixture.statuses(fixture.send_calls(2.0, 30))
+    assert answers[b"200"] == 60
+    assert fixture.data.read(WORK_TABLE, LIMITS_PARTITION, "", 10) == ()
--- a/pumicedeck/turn_takers.py
+++ b/pumicedeck/turn_takers.py
@@ -113,7 +113,7 @@
         """
         row = self._rows.pop(endpoint, None)
         if row is not None and row.revision:
-            key = _row_key(endpoint)
+            key = turn_row(endpoint)
             self._store.commit(Change((Expectation(key, row.revision),), (Put(key, None),)))
 
     @property
@@ -162,7 +162,7 @@
         return None
 
     async def _commit(self, endpoint: str, row: _KnownRow, turn: Turn) -> Result[int, Failure]:
-        key = _row_key(endpoint)
+        key = turn_row(endpoint)
         change = Change(
             (Expectation(key, row.revision),), (Put(key, encode_next_turn(turn.next_at)),)
         )
@@ -203,5 +203,6 @@
         return turn
 
 
-def _row_key(endpoint: str) -> RowKey:
+def turn_row(endpoint: str) -> RowKey:
+    """Return the key of the row with the next turn at an endpoint."""
     return RowKey(TURNS_TABLE, endpoint, TURN_KEY)
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -21,8 +21,9 @@
 END_KEY = "end"
 LISTED_KEY = "listed"
 MEMBERS_PARTITION = "members"
-# Followed by all gateways, like the submissions, but not a part of the mirror.
+# Followed by all gateways, like the submissions, but not parts of the mirror.
 CRASHES_PARTITION = "crashes"
+LIMITS_PARTITION = "limits"
 
 
 def head_row(submission_id: str) -> RowKey:
@@ -143,7 +144,7 @@
             if partition_key == MEMBERS_PARTITION:
                 self._apply_member_row(row)
                 continue
-            if partition_key == CRASHES_PARTITION:
+            if partition_key in (CRASHES_PARTITION, LIMITS_PARTITION):
                 continue
             if row.value is None:
                 if row.row.key == HEAD_KEY:
