Split the listener for callers into listener, connection and call

Moves and imports only; decisions may not import the new module with sockets either. The tests of listeners, gateways, drains, relays and endless answers pass as before.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -19,8 +19,8 @@
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
 from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.event_streams import EventSplitter
-from pumicedeck.http_listeners import IncomingCall
 from pumicedeck.http_messages import HttpResponse
+from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.request_fingerprints import fingerprint_request
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, RouteKind, choose_pool
--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -11,8 +11,8 @@
 from result import Result
 
 from pumicedeck.direct_endpoints import DirectEndpoint, version_in
-from pumicedeck.http_listeners import Headers, IncomingCall
 from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.incoming_calls import Headers, IncomingCall
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.results import Failure
 from pumicedeck.submissions import Submission
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -26,7 +26,8 @@
 )
 from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
 from pumicedeck.gateway_metrics import GatewayMetrics
-from pumicedeck.http_listeners import CALLER_DISCONNECTED, HttpListener, IncomingCall
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.incoming_calls import CALLER_DISCONNECTED, IncomingCall
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseHolder
 from pumicedeck.limit_reports import LimitReports
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -16,8 +16,8 @@
     SubmissionDialect,
     SubmissionRequest,
 )
-from pumicedeck.http_listeners import Headers, IncomingCall
 from pumicedeck.http_messages import HttpResponse
+from pumicedeck.incoming_calls import Headers, IncomingCall
 from pumicedeck.platform.headers import (
     DEADLINE,
     LAST_EVENT,
--- a/pumicedeck/platform/headers.py
+++ b/pumicedeck/platform/headers.py
@@ -1,6 +1,6 @@
 """Header names of the deployment platform, and the removal of hop-by-hop headers."""
 
-from pumicedeck.http_listeners import Headers
+from pumicedeck.incoming_calls import Headers
 
 REQUEST_ID = "X-Pumicedeck-Request-Id"
 DEADLINE = "X-Pumicedeck-Deadline-Ms"
--- a/pumicedeck/platform/standin_endpoints.py
+++ b/pumicedeck/platform/standin_endpoints.py
@@ -8,7 +8,8 @@
 from circuits import BaseComponent
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.http_listeners import HttpListener, IncomingCall
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.platform.headers import LAST_EVENT, REQUEST_ID, SIGNATURE, VERSIONS
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.topology import Address
--- a/pumicedeck/platform/standin_stores.py
+++ b/pumicedeck/platform/standin_stores.py
@@ -9,7 +9,8 @@
 
 from result import Err
 
-from pumicedeck.http_listeners import HttpListener, IncomingCall
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.partitioned_stores import Change, Expectation, Page, Put, RowKey, StoredRow
 from pumicedeck.results import ResultCode
 from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
--- a/pumicedeck/store_relays.py
+++ b/pumicedeck/store_relays.py
@@ -8,8 +8,8 @@
 
 from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.http_clients import ClientExchange, HttpClient
-from pumicedeck.http_listeners import IncomingCall
 from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.platform_interfaces import ResultCallback
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.store_paths import DIRECT, StorePath
--- a/pumicedeck/tests/test_http_listeners.py
+++ b/pumicedeck/tests/test_http_listeners.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from pumicedeck.http_listeners import HttpListener, ListenerSettings
+from pumicedeck.caller_connections import ListenerSettings
+from pumicedeck.http_listeners import HttpListener
 from pumicedeck.tests.loop_harnesses import LoopHarness
 from pumicedeck.topology import Address
 
--- a/pumicedeck/tests/test_import_directions.py
+++ b/pumicedeck/tests/test_import_directions.py
@@ -12,6 +12,7 @@
 PURE_MARKS = ("free of I/O", "no I/O")
 IO_PACKAGES = {"circuits", "socket", "select", "subprocess", "threading", "thrift", "typer"}
 IO_MODULES = {
+    "caller_connections",
     "http_clients",
     "http_connections",
     "http_listeners",
