Use the rate limiter's terms: permits of a request limiter, local permits

Cause: "turn", "taker" and "own turn" are not the field's words for a rate limiter that issues permits. Change: request_turns is request_permits, turn_takers request_limiters (RequestLimiter, acquire), engine_turns engine_permits, the store's table, the setting and the log event likewise; a factor that stood twice in the cost of an endpoint has a name. No behaviour changed: the tests of limits, schedulers, settings and log lines pass as before (744).

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -136,7 +136,7 @@
         """Return the best endpoint of a pool, None if none can take the request in time.
 
         None also for a request under which several endpoints ended. Half of the time that is left
-        may pass until a turn at an endpoint with a request limit.
+        may pass until a permit at an endpoint with a request limit.
         """
         quarantined = self._crashes.quarantine_seconds(attempts.fingerprint)
         if quarantined > 0:
--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -21,7 +21,7 @@
     """Settings of the decisions of one gateway.
 
     With `avoids_failed` endpoints that failed a short time ago are chosen last. With
-    `observes_limits` requests take turns at endpoints that name a request limit. With
+    `observes_limits` requests acquire permits at endpoints that name a request limit. With
     `delays_weak_machines` a machine with few CPU cores takes over a lost lease later.
     """
 
@@ -70,6 +70,6 @@
             on.quarantine if mechanisms.request_quarantine else QuarantineSettings(max_crashes=inf)
         ),
         avoids_failed=mechanisms.outlier_avoidance,
-        observes_limits=mechanisms.request_turns,
+        observes_limits=mechanisms.request_permits,
         delays_weak_machines=mechanisms.weak_machines_later,
     )
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -20,7 +20,9 @@
 # In calls per slot.
 OTHER_DOMAIN_COST = 0.35
 OTHER_REGION_COST = 1.5
-# A turn at a limited endpoint costs a call to the store, so others are chosen until they are busy.
+# A latency of 0.25 s, twice the usual latency, costs as much as one call per slot.
+COST_PER_SECOND = 4.0
+# A permit for a limited endpoint costs a call to the store; others are chosen until they are busy.
 LIMITED_COST = 1.0
 # After this time one is chosen like the others: its answer tells whether the limit still holds.
 LIMIT_RECHECK_SECONDS = 10.0
@@ -230,7 +232,7 @@
         """Return the endpoint of lowest cost that is not in `tried`, None if there is none.
 
         `expected_wait` returns for how many seconds a request to an endpoint with a request limit
-        has to wait for its turn.
+        has to wait for a permit.
         """
         candidates = [s for s in self.accepting_endpoints(pool) if s.endpoint.name not in tried]
         if not candidates:
@@ -292,11 +294,10 @@
             distance_cost = OTHER_REGION_COST
         elif domain.name != self.home.name:
             distance_cost = OTHER_DOMAIN_COST
-        # A latency of 0.25 s, twice the usual latency, costs as much as one call per slot.
-        latency_cost = state.latency * 4.0
+        latency_cost = state.latency * COST_PER_SECOND
         limit_cost = 0.0
         if state.request_limit is not None:
-            limit_cost = expected_wait(state.endpoint.name) * 4.0
+            limit_cost = expected_wait(state.endpoint.name) * COST_PER_SECOND
             if now - state.limit_named_at < LIMIT_RECHECK_SECONDS:
                 limit_cost += LIMITED_COST
         return (
--- a/pumicedeck/endpoint_selections.py
+++ b/pumicedeck/endpoint_selections.py
@@ -1,4 +1,4 @@
-"""Selects the endpoint for a call and, if that endpoint names a request limit, takes a turn."""
+"""Selects the endpoint for a call; acquires a permit if that endpoint names a request limit."""
 
 from math import inf
 
@@ -6,8 +6,8 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory, EndpointState
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.turn_takers import TurnTaker
 
 _NO_ENDPOINT = Failure(ResultCode.NO_ENDPOINT, "no endpoint available or no time left")
 
@@ -15,11 +15,13 @@
 class EndpointSelector:
     """Selects endpoints for the calls of one gateway."""
 
-    def __init__(self, timers: TimerQueue, directory: EndpointDirectory, turns: TurnTaker) -> None:
-        """Select from `directory`; `turns` has the turns at endpoints with a request limit."""
+    def __init__(
+        self, timers: TimerQueue, directory: EndpointDirectory, limiter: RequestLimiter
+    ) -> None:
+        """Select from `directory`; `limiter` issues permits for endpoints with a request limit."""
         self._timers = timers
         self._directory = directory
-        self._turns = turns
+        self._limiter = limiter
 
     async def select(
         self, pool: str, tried: tuple[str, ...], longest_wait: float
@@ -27,8 +29,8 @@
         """Return the best endpoint of a pool at which a request may start now.
 
         Endpoints in `tried` are selected only if there are no others. While an endpoint without a
-        request limit is left, no time is spent on waiting for a turn; otherwise up to
-        `longest_wait` seconds. Fails with NO_ENDPOINT or, if all turns are later, with OVERLOADED
+        request limit is left, no time is spent on waiting for a permit; otherwise up to
+        `longest_wait` seconds. Fails with NO_ENDPOINT or, if all permits are later, with OVERLOADED
         and the seconds until the first.
         """
         denied: tuple[str, ...] = ()
@@ -41,18 +43,18 @@
             endpoint = state.endpoint
             may_wait = not self._has_unlimited(pool, tried + denied)
             wait = max(0.0, until - self._timers.now()) if may_wait else 0.0
-            taken = await self._turns.take(endpoint, wait)
-            if isinstance(taken, Ok) and self._accepts(endpoint):
+            acquired = await self._limiter.acquire(endpoint, wait)
+            if isinstance(acquired, Ok) and self._accepts(endpoint):
                 return Ok(endpoint)
-            if isinstance(taken, Err):
-                retry_after = min(retry_after, taken.err_value.retry_after)
+            if isinstance(acquired, Err):
+                retry_after = min(retry_after, acquired.err_value.retry_after)
             denied += (endpoint.name,)
 
     def _choose(
         self, pool: str, tried: tuple[str, ...], denied: tuple[str, ...]
     ) -> EndpointState | None:
         now = self._timers.now()
-        wait = self._turns.expected_wait
+        wait = self._limiter.expected_wait
         untried = self._directory.choose(pool, tried + denied, now, wait)
         return untried or self._directory.choose(pool, denied, now, wait)
 
@@ -63,7 +65,7 @@
         )
 
     def _accepts(self, endpoint: DirectEndpoint) -> bool:
-        """Return whether an endpoint has neither left nor restarted during the wait for a turn."""
+        """Return whether an endpoint neither left nor restarted during the wait for a permit."""
         state = self._directory.state(endpoint.name)
         return (
             state is not None
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -49,6 +49,7 @@
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
 from pumicedeck.processes import Process
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.request_quarantines import RequestQuarantine
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.engine_orders import EngineOrders
@@ -64,7 +65,6 @@
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
-from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import WORK_TABLE, WorkMirror
 
 SCHEDULER_LEASE_NAME = "scheduler"
@@ -170,8 +170,8 @@
         crashes.record_answer,
         limits.record_change,
     )
-    turns = TurnTaker(timers, store, clock, directory, settings.vm, lambda: mirror.members)
-    selector = EndpointSelector(timers, directory, turns)
+    limiter = RequestLimiter(timers, store, clock, directory, settings.vm, lambda: mirror.members)
+    selector = EndpointSelector(timers, directory, limiter)
     announced_versions: dict[str, int] = {}
     incarnation_prefix = f"{settings.vm}/"
     lease_holder = LeaseHolder(
@@ -194,12 +194,12 @@
             orders=EngineOrders(
                 timers,
                 endpoint_caller,
-                turns,
+                limiter,
                 lease_holder,
                 lambda name: lease.announce_orders(name),
                 settings.vm,
             ),
-            turns=turns,
+            limiter=limiter,
             routes=lambda: gateway.routes,
             announced_versions=announced_versions,
             holder=settings.vm,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -61,7 +61,7 @@
     retries: bool = True
     stalled_engine_ends: bool = True
     request_quarantine: bool = True
-    request_turns: bool = True
+    request_permits: bool = True
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/limit_reports.py
+++ b/pumicedeck/limit_reports.py
@@ -9,8 +9,8 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory, SharedLimit
 from pumicedeck.partitioned_stores import Change, PartitionedStore, Put, RowKey, StoredRow
+from pumicedeck.request_limiters import permit_row
 from pumicedeck.tasks import sleep, spawn
-from pumicedeck.turn_takers import turn_row
 from pumicedeck.work_mirrors import LIMITS_PARTITION, WORK_TABLE
 
 # Gateways that hear the same limit at once wait for the row of the first one.
@@ -112,7 +112,7 @@
 
     async def _remove(self, name: str) -> None:
         """Remove the rows of an endpoint that has left; the next sweep repeats what fails."""
-        for row in (turn_row(name), _row(name)):
+        for row in (permit_row(name), _row(name)):
             removed = await self._store.commit(Change((), (Put(row, None),)))
             if isinstance(removed, Err):
                 detail = removed.err_value.detail
--- a/pumicedeck/scheduling/engine_orders.py
+++ b/pumicedeck/scheduling/engine_orders.py
@@ -14,9 +14,9 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.leases import LeaseHolder
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import sleep
-from pumicedeck.turn_takers import TurnTaker
 
 _log = logger.bind(module="engine_orders")
 
@@ -30,9 +30,9 @@
     `answer_seconds` is the time-out of one request. The lease row must announce the order within
     `announce_seconds`, which is checked every `announce_poll_seconds`. After an accepted order the
     engine's report is first read after `first_poll_delay_seconds`, then every
-    `poll_interval_seconds`. A turn at an engine with a request limit may come up to `turn_seconds`
-    later. The scheduler stops waiting after `load_timeout_seconds`; the next
-    weight plan then decides again.
+    `poll_interval_seconds`. At an engine with a request limit each waits up to `permit_seconds` for
+    a permit. The scheduler stops waiting after `load_timeout_seconds`; the next weight plan then
+    decides again.
     """
 
     answer_seconds: float = 0.8
@@ -40,7 +40,7 @@
     announce_poll_seconds: float = 0.01
     first_poll_delay_seconds: float = 0.93
     poll_interval_seconds: float = 0.2
-    turn_seconds: float = 4.0
+    permit_seconds: float = 4.0
     load_timeout_seconds: float = 4.0
 
 
@@ -55,7 +55,7 @@
         self,
         timers: TimerQueue,
         caller: EndpointCaller,
-        turns: TurnTaker,
+        limiter: RequestLimiter,
         lease: LeaseHolder,
         announce: Callable[[str], None],
         holder: str,
@@ -64,11 +64,11 @@
         """Send orders in the name of `holder`, only while `lease` is held and announces them.
 
         `announce` starts to announce orders to an engine in the lease's row. At an engine with a
-        request limit each order and each report takes one of the `turns`.
+        request limit each order and each report needs a permit of `limiter`.
         """
         self._timers = timers
         self._caller = caller
-        self._turns = turns
+        self._limiter = limiter
         self._lease = lease
         self._announce = announce
         self._holder = holder
@@ -91,7 +91,9 @@
             self._sequences[key] = report.order_sequence
         sequence = self._sequences[key]
         order = VersionOrder(load.model, load.version, retain, self._holder, fencing, sequence)
-        if not await self._take_turn(endpoint) or not await self._may_send(endpoint.name, fencing):
+        if not await self._acquire_permit(endpoint):
+            return None
+        if not await self._may_send(endpoint.name, fencing):
             return None
         deadline = self._timers.now() + self._settings.load_timeout_seconds
         request = self._caller.dialect.order(endpoint, order)
@@ -140,13 +142,13 @@
             await sleep(self._timers, self._settings.announce_poll_seconds)
         return self._lease.fencing == fencing
 
-    async def _take_turn(self, endpoint: DirectEndpoint) -> bool:
-        """Wait for a turn at an engine that names a request limit; return False if none comes."""
-        return isinstance(await self._turns.take(endpoint, self._settings.turn_seconds), Ok)
+    async def _acquire_permit(self, endpoint: DirectEndpoint) -> bool:
+        """Wait for a permit at an engine that names a request limit; return False if none comes."""
+        return isinstance(await self._limiter.acquire(endpoint, self._settings.permit_seconds), Ok)
 
     async def report(self, endpoint: DirectEndpoint) -> EngineReport | None:
         """Return an engine's report of its state, None if it did not answer in time."""
-        if not await self._take_turn(endpoint):
+        if not await self._acquire_permit(endpoint):
             return None
         request = self._caller.dialect.report_request(endpoint)
         outcome = await self._caller.send_request(request, endpoint, self._settings.answer_seconds)
--- a/pumicedeck/scheduling/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -1,7 +1,7 @@
 """Builds an `EngineView` of each engine: slots, versions and speed, by which items are placed."""
 
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.scheduling.engine_turns import EngineTurns
+from pumicedeck.scheduling.engine_permits import EnginePermits
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_queues import (
     OTHER_DOMAIN_DELAY_SECONDS,
@@ -16,7 +16,7 @@
 def view_engines(
     directory: EndpointDirectory,
     weights: WeightSchedule,
-    turns: EngineTurns,
+    permits: EnginePermits,
     event_intervals: EngineEventIntervals,
     runs: list[ItemRun],
     home: FailureDomain,
@@ -25,7 +25,8 @@
     """Return a view of each engine that has models and is not draining.
 
     An engine that loads weights or failed a short time ago is shown without free slots, one with a
-    request limit with as many as `turns` has for it. `home` is the failure domain of this process.
+    request limit with as many as `permits` holds for it. `home` is the failure domain of this
+    process.
     """
     counts = count_runs(runs)
     groups: dict[str, set[str]] = {}
@@ -43,7 +44,7 @@
             EngineView(
                 name=name,
                 pool=endpoint.pool,
-                free_slots=0 if blocked else turns.free_slots(name, free_slots),
+                free_slots=0 if blocked else permits.free_slots(name, free_slots),
                 slots=endpoint.slots,
                 versions=weights.versions(endpoint),
                 event_seconds=event_intervals.seconds(name, now),
--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -63,7 +63,7 @@
                 _log.warning("no route matches reward call", request=reward.request_id)
                 return None
             pool = choose_pool(route, self._random)
-            # Callers may reserve later turns at limited endpoints, so they go before reward calls.
+            # Callers may reserve later permits, so at limited endpoints they go before this.
             selected = await self._selector.select(pool, tried, longest_wait=0.0)
             if isinstance(selected, Err):
                 tried = ()
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -7,6 +7,7 @@
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.partitioned_stores import PartitionedStore
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
 from pumicedeck.scheduling.event_intervals import IntervalSettings
@@ -17,7 +18,6 @@
 from pumicedeck.scheduling.weight_plans import WeightPlanSettings
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.topology import FailureDomain
-from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import WorkMirror
 
 
@@ -69,7 +69,7 @@
     caller: EndpointCaller
     rewards: RewardCaller
     orders: EngineOrders
-    turns: TurnTaker
+    limiter: RequestLimiter
     routes: Callable[[], RouteTable | None]
     announced_versions: dict[str, int]
     holder: str
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -12,7 +12,7 @@
 
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.order_announcements import earliest_order
-from pumicedeck.scheduling.engine_turns import EngineTurns
+from pumicedeck.scheduling.engine_permits import EnginePermits
 from pumicedeck.scheduling.engine_views import count_runs, view_engines
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_endings import ItemEndings
@@ -63,7 +63,9 @@
         self._weights = WeightSchedule(
             parts.timers, parts.directory, parts.orders, self._schedule_soon, parts.plan
         )
-        self._turns = EngineTurns(parts.timers, parts.directory, parts.turns, self._schedule_soon)
+        self._engine_permits = EnginePermits(
+            parts.timers, parts.directory, parts.limiter, self._schedule_soon
+        )
         self._endings = ItemEndings(parts, self._settings, self._is_worked_on, self._schedule_soon)
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._schedule_pending = False
@@ -236,7 +238,7 @@
         engines = view_engines(
             self._parts.directory,
             self._weights,
-            self._turns,
+            self._engine_permits,
             self._event_intervals,
             runs,
             self._parts.home,
@@ -253,7 +255,7 @@
         items = choose_paced_items(items, free_short_runs, now, self._parts.queue)
         started = self._start_items(items, engines, now)
         if len(started) < len(items):
-            self._request_turns(runs)
+            self._request_permits(runs)
         if not started or len(started) == len(items):
             self._move_items(engines, now)
         self._plan_weights([run for run, _ in self._runs.values()], now)
@@ -306,17 +308,17 @@
                 continue
             item_work = work.waiting[item.item_id.partition("/")[2]]
             started.add(item.item_id)
-            self._turns.use(assignment.engine)
+            self._engine_permits.use(assignment.engine)
             self._start(work, item_work, state.endpoint, item.single_version)
         return started
 
-    def _request_turns(self, runs: list[ItemRun]) -> None:
-        """Request a turn at each engine that only its limit keeps from running a waiting item."""
+    def _request_permits(self, runs: list[ItemRun]) -> None:
+        """Request a permit at each engine that only its limit keeps from running a waiting item."""
         counts = count_runs(runs)
         for endpoint in self._parts.directory.endpoints:
             has_free_slot = counts.get(endpoint.name, 0) < endpoint.slots
             if endpoint.models and not endpoint.draining and has_free_slot:
-                self._turns.request(endpoint)
+                self._engine_permits.request(endpoint)
 
     def _start(
         self,
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -19,6 +19,7 @@
 from pumicedeck.partitioned_tables import PartitionedTableStore
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform_interfaces import LoadedModel
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
@@ -35,7 +36,6 @@
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
-from pumicedeck.turn_takers import TurnTaker
 from pumicedeck.work_mirrors import RESULTS_TABLE, WORK_TABLE, WorkMirror
 
 HOME = FailureDomain("tn-a", "tw-south")
@@ -220,10 +220,10 @@
         self.limits = LimitReports(timers, self.store, directory, lambda: False)
         self.caller = FakeCaller(simulation, directory, self.limits)
         self.holder = LeaseHolder("scheduler", name, LEASE, store_now=self.clock.now)
-        turns = TurnTaker(
+        limiter = RequestLimiter(
             timers, self.store, self.clock, directory, name, lambda: self.mirror.members
         )
-        selector = EndpointSelector(timers, directory, turns)
+        selector = EndpointSelector(timers, directory, limiter)
         self.scheduler = Scheduler(
             SchedulerParts(
                 timers=timers,
@@ -233,11 +233,11 @@
                 directory=directory,
                 caller=self.caller,
                 rewards=RewardCaller(timers, self.caller, selector, Random(1)),
-                turns=turns,
+                limiter=limiter,
                 orders=EngineOrders(
                     timers,
                     self.caller,
-                    turns,
+                    limiter,
                     self.holder,
                     lambda engine: self.keeper.announce_orders(engine),
                     name,
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -48,7 +48,7 @@
     "outlier_avoidance": "avoids_failed",
     "retries": "retries",
     "request_quarantine": "quarantine",
-    "request_turns": "observes_limits",
+    "request_permits": "observes_limits",
     "stalled_engine_ends": "scheduler",
 }
 # These are switched off where the gateway is composed.
@@ -130,7 +130,7 @@
     assert directory.state("a").avoid_until == 0.0
 
 
-def test_without_request_turns_no_endpoint_has_a_limit():
+def test_without_request_permits_no_endpoint_has_a_limit():
     directory = EndpointDirectory(HOME, Random(1), observes_limits=False)
     endpoint = DirectEndpoint("a", "p", Address("10.0.0.1", 1), HOME, 4)
     directory.update(endpoint)
--- a/pumicedeck/tests/test_leaving_endpoints.py
+++ b/pumicedeck/tests/test_leaving_endpoints.py
@@ -17,7 +17,7 @@
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform_interfaces import LoadedModel
-from pumicedeck.scheduling.engine_turns import EngineTurns
+from pumicedeck.scheduling.engine_permits import EnginePermits
 from pumicedeck.scheduling.engine_views import view_engines
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.tasks import spawn
@@ -195,9 +195,9 @@
     if kind == "order":
         request = harness.dialect.order(harness.engine, order)
     harness.send(request)
-    turns = EngineTurns(harness.loop.timers, harness.directory, None, lambda: None)
+    permits = EnginePermits(harness.loop.timers, harness.directory, None, lambda: None)
     views = view_engines(
-        harness.directory, NoWeights(), turns, EngineEventIntervals(), [], HOME, 0.0
+        harness.directory, NoWeights(), permits, EngineEventIntervals(), [], HOME, 0.0
     )
     assert views == []
     harness.close()
--- a/pumicedeck/tests/test_limit_reports.py
+++ b/pumicedeck/tests/test_limit_reports.py
@@ -12,9 +12,9 @@
 from pumicedeck.direct_endpoints import EndpointDirectory
 from pumicedeck.limit_reports import SWEEP_SECONDS, LimitReports
 from pumicedeck.partitioned_stores import Change, Put, RowKey, StoredRow
+from pumicedeck.request_limiters import PERMITS_TABLE, permit_row
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.tests.test_direct_endpoints import HOME, endpoint
-from pumicedeck.turn_takers import TURNS_TABLE, turn_row
 from pumicedeck.work_mirrors import LIMITS_PARTITION, WORK_TABLE
 
 
@@ -107,7 +107,7 @@
     for reports in simulation.reports:
         reports.start()
     simulation.hear(2.0)
-    simulation.data.commit(Change((), (Put(turn_row("a"), b"{}"),)))
+    simulation.data.commit(Change((), (Put(permit_row("a"), b"{}"),)))
     simulation.run(1.0)
     simulation.run(2 * SWEEP_SECONDS)
     assert len(simulation.rows()) == 1
@@ -117,7 +117,7 @@
             directory.update(endpoint("a", incarnation=2))
     simulation.run(2 * SWEEP_SECONDS + 1.0)
     assert simulation.rows() == ()
-    assert simulation.data.partitions(TURNS_TABLE, "") == ()
+    assert simulation.data.partitions(PERMITS_TABLE, "") == ()
 
 
 def test_after_a_read_of_the_whole_table_only_its_rows_count():
--- a/pumicedeck/tests/test_limited_endpoints.py
+++ b/pumicedeck/tests/test_limited_endpoints.py
@@ -174,14 +174,14 @@
     assert answer.startswith(b"HTTP/1.1 503")
     assert fixture.loop.timers.now() - started < 0.1
     retry_after = float(answer.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
-    # Turns are 2 s apart; the estimate of the store's clock is off by less than a round trip.
+    # Permits are 2 s apart; the estimate of the store's clock is off by less than a round trip.
     assert 0.1 < retry_after <= 2.0 + 0.05
     assert sum(map(len, fixture.arrivals.values())) == before
     fixture.loop.advance(retry_after + 0.1)
     assert fixture.ask("GET", "/safe/x", headers=headers).startswith(b"HTTP/1.1 200")
 
 
-def test_streams_take_turns_too(make_fixture):
+def test_streams_acquire_permits_too(make_fixture):
     fixture = make_fixture(2, {"i-0": 1.0, "i-1": 1.0})
     fixture.send_calls(9.0, 6, "/stream/x")
     for times in fixture.arrivals.values():
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -27,13 +27,13 @@
     merge_latest,
 )
 from pumicedeck.platform_interfaces import Committed, Row, TableStore
+from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.engine_orders import EngineOrders
 from pumicedeck.scheduling.scheduler_parts import SchedulerSettings
 from pumicedeck.scheduling.weight_plans import LoadVersion
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.scheduler_simulations import HOME, FakeCaller, SchedulerSimulation
-from pumicedeck.turn_takers import TurnTaker
 
 LEASE = LeaseSettings(duration=1.1, margin=0.2, renew_after=0.3, retry=0.12, observe_every=0.2)
 TAKEOVER_SECONDS = SchedulerSettings().takeover_seconds
@@ -336,7 +336,7 @@
     orders = EngineOrders(
         timers,
         FakeCaller(simulation, directory),
-        TurnTaker(timers, None, None, directory, "p", lambda: ()),
+        RequestLimiter(timers, None, None, directory, "p", lambda: ()),
         LeaseAcquiredAgain(timers),
         lambda engine: None,
         "p",
--- a/pumicedeck/tests/test_reward_calls.py
+++ b/pumicedeck/tests/test_reward_calls.py
@@ -12,7 +12,7 @@
 from pumicedeck.scheduling.reward_calls import RewardCaller
 from pumicedeck.submissions import RewardCall
 from pumicedeck.tasks import spawn
-from pumicedeck.tests.test_request_turns import TakerSimulation
+from pumicedeck.tests.test_request_permits import PermitSimulation
 
 ROUTES = RouteTable(
     1, (Route("scores", "h", "/s/", RouteKind.IDEMPOTENT, (PoolShare("s"),), max_attempts=4),), {}
@@ -31,7 +31,7 @@
 
 
 def test_a_call_that_keeps_failing_reaches_all_endpoints_in_each_round():
-    simulation = TakerSimulation({"a": None, "b": None, "c": None})
+    simulation = PermitSimulation({"a": None, "b": None, "c": None})
     caller = BrokenCaller()
     rewards = RewardCaller(simulation.timers, caller, simulation.selectors[0], Random(1))
     reward = RewardCall("r", "h", "/s/x", b"score")
