Name software versions in the log lines of registrations and runs, and log resumed streams

The version of a registration is decoded, as is the id by which a caller names the stream that it resumes; no decision uses either.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -322,6 +322,15 @@
         self._event_splitter = EventSplitter()
         self._has_sequence_gap = False
         call = replace(self._call, resume_after=self._last_event_number)
+        if call.resume_after:
+            _log.info(
+                "stream resumed",
+                request=call.request_id,
+                stream=call.stream_id,
+                endpoint=endpoint.name,
+                software=endpoint.software_version,
+                after_event=call.resume_after,
+            )
         silence_seconds = seconds_left
         if self._route.resumable:
             silence_seconds = min(seconds_left, self._forwarder.settings.stream_silence_seconds)
--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -24,6 +24,8 @@
 
     `budget_seconds` is how long the caller waits, None if it gives no limit; `resume_after` is the
     number of the last event that the caller of a stream received, None to start at the first.
+    `stream_id` is then the request id of the caller's attempt that received the first event, empty
+    if the caller does not name it.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     body: bytes
     budget_seconds: float | None = None
     resume_after: int | None = None
+    stream_id: str = ""
 
     @property
     def path(self) -> str:
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -39,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectEndpoint:
-    """An endpoint as it registered itself; `incarnation` changes when the endpoint restarts."""
+    """An endpoint as it registered itself; `incarnation` changes when the endpoint restarts.
+
+    `software_version` names the software that it runs, unlike the versions of the weights in
+    `models`. Several may serve one pool at a time; they have no order.
+    """
 
     name: str
     pool: str
@@ -49,6 +53,7 @@
     draining: bool = False
     incarnation: int = 0
     models: tuple[LoadedModel, ...] = ()
+    software_version: str = ""
 
     def version_of(self, model: str) -> int:
         """Return the weight version of a model, 0 if the endpoint does not hold it."""
--- a/pumicedeck/endpoint_lists.py
+++ b/pumicedeck/endpoint_lists.py
@@ -22,9 +22,13 @@
 
 @dataclass(slots=True)
 class EndpointChanges:
-    """The names of endpoints that were added or restarted, began to drain, or were removed."""
+    """The names of endpoints that were added or restarted, began to drain, or were removed.
+
+    `added_software` has the software versions of the added ones, in the same order.
+    """
 
     added: list[str] = field(default_factory=list)
+    added_software: list[str] = field(default_factory=list)
     draining: list[str] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
 
@@ -36,6 +40,8 @@
             if names:
                 fields[kind] = len(names)
                 fields[f"{kind}_names"] = names[:MAX_LOGGED_NAMES]
+        if self.added:
+            fields["added_software"] = self.added_software[:MAX_LOGGED_NAMES]
         if fields:
             _log.info("endpoint registrations changed", **fields)
 
@@ -100,6 +106,7 @@
             changes.draining.append(endpoint.name)
         elif known is None or known.endpoint.incarnation != endpoint.incarnation:
             changes.added.append(endpoint.name)
+            changes.added_software.append(endpoint.software_version)
 
     def _remove(self, name: str, changes: EndpointChanges) -> None:
         if self._directory.state(name) is None:
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -23,6 +23,7 @@
     LAST_EVENT,
     LENGTH_HINT,
     REQUEST_ID,
+    RESUMES,
     WAIT,
     without_hop_by_hop_headers,
 )
@@ -53,6 +54,7 @@
                 float(deadline_ms) / _MILLISECONDS_PER_SECOND if deadline_ms.isdigit() else None
             ),
             resume_after=int(last_event_id) if last_event_id.isdigit() else None,
+            stream_id=incoming.header(RESUMES.lower()),
         )
 
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
--- a/pumicedeck/platform/headers.py
+++ b/pumicedeck/platform/headers.py
@@ -16,6 +16,8 @@
 LENGTH_HINT = "X-Pumicedeck-Length-Hint"
 WAIT = "X-Pumicedeck-Wait-Ms"
 LAST_EVENT = "Last-Event-Id"
+# The request id of the attempt that received the first event of the stream that is resumed.
+RESUMES = "Resumes"
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -78,6 +78,7 @@
             draining=document["state"] == "draining",
             incarnation=document["born"],
             models=decode_models(document.get("models") or ()),
+            software_version=str(document.get("version", "")),
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -346,6 +346,7 @@
             submission=work.submission_id,
             item=item_work.item.item_id,
             engine=endpoint.name,
+            software=endpoint.software_version,
             attempt=item_work.attempts,
             after_event=item_work.progress.last_event,
         )
