--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from result import Err, Ok
@@ -70,6 +70,7 @@
     it refuse each weight order. The next `late_orders`
     orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
     requests per second, unless it is None; `requests` has the time of each request that it got.
+    `starts` has the time, item and `resume_after` of each run, `ends` counts its restarts.
     """
 
     endpoint: DirectEndpoint
@@ -88,6 +89,7 @@
     orders: list = field(default_factory=list)
     loads: int = 0
     working: Counter = field(default_factory=Counter)
+    ends: int = 0
 
 
 class FakeCaller:
@@ -133,9 +135,11 @@
         length = int(call.body)
         answered = self._answered(200, "mac", engine.version).unwrap()
         on_head(answered.response, answered.answer)
-        version = engine.version
+        version, ends = engine.version, engine.ends
         for number in range((call.resume_after or 0) + 1, length + 1):
             await sleep(self.simulation.timers, engine.event_seconds)
+            if engine.ends != ends:
+                return Err(Failure(ResultCode.ENDPOINT_FAILED, "connection closed"))
             if engine.dead:
                 await sleep(self.simulation.timers, silence)
                 return Err(Failure(ResultCode.ENDPOINT_FAILED, "silent"))
@@ -148,7 +152,8 @@
             if engine.version != version:
                 version = engine.version
                 line = f"x-pumicedeck-weight-versions: {version}\n"
-            data = f"{call.request_id}.{number}{self.simulation.padding}"
+            mark = f"@{engine.endpoint.software_version}" if self.simulation.marks_software else ""
+            data = f"{call.request_id}.{number}{mark}{self.simulation.padding}"
             on_bytes(f"{line}id: {number}\ndata: {data}\n\n".encode())
         return Ok(answered)
 
@@ -303,7 +308,12 @@
 class SchedulerSimulation:
     """Processes that share a store and engines; the first one acquires the lease first."""
 
-    def __init__(self, engines=3, slots=12, processes=2, adoption=None):
+    def __init__(self, engines=3, slots=12, processes=2, adoption=None, software=()):
+        """Create engines with the software versions in `software`, each event marked with its own.
+
+        Without `software` all engines run v1, and events have no mark.
+        """
+        self.marks_software = bool(software)
         self.timers = VirtualTime()
         self.data = PartitionedData()
         self.routes = ROUTES
@@ -327,6 +337,7 @@
                 slots,
                 incarnation=1,
                 models=(LoadedModel(MODEL, 1),),
+                software_version=software[number] if software else "v1",
             )
             self.engines[name] = FakeEngine(endpoint)
         self.processes = [SchedulerProcess(self, f"p{n}") for n in range(processes)]
@@ -401,6 +412,32 @@
             found += [(*each, engine.endpoint.name) for each in engine.starts if each[1] == item_id]
         return sorted(found)
 
+    def remove_engine(self, name):
+        """End an engine and remove its registration."""
+        self.engines[name].ends += 1
+        self.engines[name].dead = True
+        for process in self.processes:
+            process.directory.remove(name)
+
+    def replace_software(self, name, software, registered_after):
+        """Restart an engine under its name with another software version.
+
+        It accepts calls at once and registers after `registered_after` seconds.
+        """
+        engine = self.engines[name]
+        engine.ends += 1
+        engine.endpoint = replace(
+            engine.endpoint,
+            software_version=software,
+            incarnation=engine.endpoint.incarnation + 1,
+        )
+
+        def register():
+            for process in self.processes:
+                process.directory.update(engine.endpoint)
+
+        self.timers.call_later(registered_after, register)
+
     def active(self):
         return [process for process in self.processes if process.scheduler.is_active]
 
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -22,8 +22,9 @@
 class FakeEndpoint:
     """An endpoint whose answers each test defines in `on_call`."""
 
-    def __init__(self, gateway_fixture, name, pool):
+    def __init__(self, gateway_fixture, name, pool, software="v1"):
         self.calls = []
+        self.software = software
         self.name = name
         self.pool = pool
         self.on_call = self.succeed
@@ -40,6 +41,7 @@
             "service": self.pool,
             "address": f"{address.host}:{address.port}",
             "zone": "tn-a",
+            "version": self.software,
             "slots": 6,
             "state": state,
             "born": 1,
