Let the output of items go on only at the software version that began it

Cause: partial outputs did not name the version that began them, so every path on which they go on (loss, move, cut by a weight order, successor, earlier step, engine back under its name) placed them by slots and weights alone. Ruled out: weights that keep the versions apart; they do not.

Change: partial outputs carry the version, in memory and in the store; the queue lets them go on only there. An item waits for a slot at its version as long as its output took to generate, then begins anew at any; at once if no engine of the version is left; a move pays for events that are generated anew. Events of an engine that turns out to have restarted with other software are discarded, also in the store. Partial outputs stored by earlier releases name no version and are not continued.

--- a/pumicedeck/scheduling/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -46,6 +46,7 @@
                 pool=endpoint.pool,
                 free_slots=0 if blocked else permits.free_slots(name, free_slots),
                 slots=endpoint.slots,
+                software=endpoint.software_version,
                 versions=weights.versions(endpoint),
                 event_seconds=event_intervals.seconds(name, now),
                 distance_seconds=_distance_seconds(endpoint, home),
--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -135,5 +135,6 @@
             pause = self._settings.refusal_pause_seconds
             item_work.not_before = now + self._settings.refusal_pause_seconds
         item_work.avoid_until_by_engine[endpoint.name] = now + pause
+        item_work.waiting_since = now
         work.waiting[item_work.item.item_id] = item_work
         self._on_requeued()
--- a/pumicedeck/scheduling/item_queues.py
+++ b/pumicedeck/scheduling/item_queues.py
@@ -4,6 +4,10 @@
 step, and a few items run several times as long as the rest. The longest items start first, so that
 the item that ends a step does not start late, and the shorter ones are left for slow engines. Steps
 that can still meet their deadline go before those that have missed it.
+
+During a release the engines run two software versions. Output goes on only at the version that
+began it: an item waits for a slot there as long as its output took to generate, then it begins anew
+at any version. It begins anew at once if no engine of that version is left.
 """
 
 from dataclasses import dataclass, field
@@ -25,8 +29,9 @@
     `waits_for_turn` means that the item starts in its turn among the short ones of its step.
     `carried_over` means that an earlier step has started an item of the same group. With
     `single_version` the complete output must come from one weight version. `versions` are the
-    weight versions of the output so far. `avoided_engines` are the engines at which the item failed
-    a short time ago.
+    weight versions of the output so far, `software` the software version that generated it and
+    `events_done` its length. The item has waited for an engine for `waited_seconds`.
+    `avoided_engines` are the engines at which the item failed a short time ago.
     """
 
     item_id: str
@@ -41,8 +46,16 @@
     carried_over: bool = False
     single_version: bool = False
     versions: tuple[int, ...] = ()
+    software: str = ""
+    events_done: int = 0
+    waited_seconds: float = 0.0
     avoided_engines: frozenset[str] = frozenset()
 
+    @property
+    def has_waited_enough(self) -> bool:
+        """Return whether waiting has cost as much as generating the output anew would."""
+        return self.waited_seconds >= self.events_done * DEFAULT_EVENT_SECONDS
+
 
 @dataclass(slots=True)
 class EngineView:
@@ -51,7 +64,7 @@
     `versions` has the loaded weight version by model. `event_seconds` is the seconds per event.
     `distance_seconds` is what the way to the engine adds to an item. `assigned_model` is the
     model that the weight plan has chosen for the engine, empty if none. `groups` are the groups of
-    the items that it runs.
+    the items that it runs. `software` is its software version.
     """
 
     name: str
@@ -63,14 +76,29 @@
     distance_seconds: float = 0.0
     assigned_model: str = ""
     groups: set[str] = field(default_factory=set)
+    software: str = ""
 
-    def may_run(self, item: QueuedItem) -> bool:
-        """Return whether the engine's pool and weight version allow an item to run on it."""
+    def may_run(self, item: QueuedItem, begins_anew: bool) -> bool:
+        """Return whether pool, weight and software version allow an item to run on the engine.
+
+        With `begins_anew` an output that another software version began may be discarded.
+        """
         version = self.versions.get(item.model, 0)
         if self.pool != item.pool or version < item.min_version or not version:
             return False
+        if not self.has_software_of(item):
+            return begins_anew
         return not (item.single_version and item.versions and item.versions != (version,))
 
+    def has_software_of(self, item: QueuedItem) -> bool:
+        """Return whether the engine runs the software that began the item's output, if any."""
+        return not item.events_done or self.software == item.software
+
+    def events_to_generate(self, item: QueuedItem) -> float:
+        """Return how many events the engine would have to generate for an item."""
+        events = item.expected_events_left or DEFAULT_LENGTH_EVENTS
+        return events if self.has_software_of(item) else events + item.events_done
+
 
 @dataclass(frozen=True, slots=True)
 class QueueSettings:
@@ -141,7 +169,9 @@
     """Return the items that start now; takes their slots off the free slots of `engines`."""
     assignments = []
     for item in order_items(items, now, settings):
-        engine = _best_engine(item, engines, settings)
+        can_continue = any(each.may_run(item, begins_anew=False) for each in engines)
+        begins_anew = item.has_waited_enough or not can_continue
+        engine = _best_engine(item, engines, settings, begins_anew)
         if engine is None:
             continue
         engine.free_slots -= 1
@@ -151,10 +181,13 @@
 
 
 def _best_engine(
-    item: QueuedItem, engines: list[EngineView], settings: QueueSettings
+    item: QueuedItem, engines: list[EngineView], settings: QueueSettings, begins_anew: bool
 ) -> EngineView | None:
-    """Return the cheapest engine with a free slot, one that the item does not avoid if possible."""
-    eligible = [each for each in engines if each.free_slots > 0 and each.may_run(item)]
+    """Return the cheapest engine with a free slot, one that the item does not avoid if possible.
+
+    With `begins_anew` also engines at which the item would have to begin anew are considered.
+    """
+    eligible = [each for each in engines if each.free_slots > 0 and each.may_run(item, begins_anew)]
     untried = [each for each in eligible if each.name not in item.avoided_engines]
     candidates = untried or eligible
     if not candidates:
@@ -174,7 +207,7 @@
     busy = 1.0 - engine.free_slots / max(1, engine.slots)
     if not settings.places_by_end:
         return assigned_to_other_model, engine.distance_seconds + busy
-    events = item.expected_events_left or DEFAULT_LENGTH_EVENTS
+    events = engine.events_to_generate(item)
     seconds = events * engine.event_seconds * (1.0 + BUSY_COST_WEIGHT * busy)
     seconds += engine.distance_seconds
     if item.group in engine.groups:
@@ -227,7 +260,7 @@
         if source is None or run.moves >= settings.max_moves:
             continue
         others = [e for e in engines if e is not source and e.free_slots > 0]
-        target = _best_engine(run.item, others, queue)
+        target = _best_engine(run.item, others, queue, begins_anew=True)
         if target is None:
             continue
         confirmed = run.event_seconds is not None
@@ -235,7 +268,9 @@
         slowdown = settings.min_slowdown if confirmed else settings.min_unconfirmed_slowdown
         if run_event_seconds < slowdown * target.event_seconds:
             continue
-        gain = run.events_left * (run_event_seconds - target.event_seconds)
+        events_anew = 0 if target.has_software_of(run.item) else run.item.events_done
+        gain = run.events_left * run_event_seconds
+        gain -= (run.events_left + events_anew) * target.event_seconds
         if gain >= settings.min_gain_seconds:
             target.free_slots -= 1
             moves.append(Assignment(run.item.item_id, target.name))
--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -49,6 +49,10 @@
         self._single_version = single_version
         self._splitter = EventSplitter()
         self._version = 0
+        self._initial_event = item_work.progress.last_event
+        self._initial_versions = tuple(item_work.progress.versions)
+        if not self._initial_event:
+            item_work.progress.software = endpoint.software_version
         self._out_of_sequence = False
         self.endpoint = endpoint
         self.started = timers.now()
@@ -119,12 +123,26 @@
         self._item_work.progress.whole = True
         return RunEnd.WHOLE, ""
 
-    def contact(self, key: tuple[str, str]) -> RunContact:
+    def contact(self, key: tuple[str, str], has_other_software: bool = False) -> RunContact:
         """Return what this run, which the scheduler keeps under `key`, has received."""
         return RunContact(
-            key, self.endpoint.name, self.last_contact_at, self.is_unreadable, self.wrong_version
+            key,
+            self.endpoint.name,
+            self.last_contact_at,
+            self.is_unreadable,
+            self.wrong_version,
+            has_other_software,
         )
 
+    def discard_events(self) -> None:
+        """Remove the events of this run from the item's output."""
+        progress = self._item_work.progress
+        del progress.parts[self._initial_event :]
+        progress.last_event = self._initial_event
+        progress.versions[:] = self._initial_versions
+        progress.whole = False
+        self._item_work.replace_saved_output()
+
     @property
     def is_unreadable(self) -> bool:
         """Return whether the stream cannot be continued, whatever the engine still sends."""
--- a/pumicedeck/scheduling/queued_items.py
+++ b/pumicedeck/scheduling/queued_items.py
@@ -27,7 +27,8 @@
     item = item_work.item
     step_age = parts.clock.now() - work.head.accepted
     events_left = max(1.0, item.expected_length - item_work.progress.last_event)
-    is_begun = bool(item_work.progress.last_event)
+    progress = item_work.progress
+    is_begun = bool(progress.last_event)
     return QueuedItem(
         item_id=f"{work.submission_id}/{item.item_id}",
         submission_id=work.submission_id,
@@ -42,7 +43,10 @@
         waits_for_turn=not is_begun and work.pace.must_wait(item.expected_length, step_age),
         carried_over=item_work.carried_over,
         single_version=route.single_version,
-        versions=tuple(item_work.progress.versions),
+        versions=tuple(progress.versions),
+        software=progress.software,
+        events_done=progress.last_event,
+        waited_seconds=now - item_work.waiting_since,
         avoided_engines=frozenset(
             name for name, until in item_work.avoid_until_by_engine.items() if until > now
         ),
--- a/pumicedeck/scheduling/run_ends.py
+++ b/pumicedeck/scheduling/run_ends.py
@@ -14,7 +14,8 @@
 
     NOT_TAKEN is a request that the engine provably did not run, BROKEN a stream that ended early or
     out of sequence. IMPOSSIBLE is an item that the engine cannot process. WRONG_VERSION is a weight
-    version that may not be used for the item's output.
+    version that may not be used for the item's output, OTHER_SOFTWARE an engine that has restarted
+    with another software version.
     """
 
     WHOLE = "whole"
@@ -23,6 +24,7 @@
     ENGINE_ERROR = "engine error"
     IMPOSSIBLE = "impossible"
     WRONG_VERSION = "wrong version"
+    OTHER_SOFTWARE = "other software"
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +32,8 @@
     """What a run has received: `last_event_at` is when its last event came, or when it started.
 
     `is_unreadable` means that its stream cannot be continued, `has_wrong_version` that its engine
-    uses a weight version that the item may not have.
+    uses a weight version that the item may not have, `has_other_software` that its engine has
+    restarted with another software version.
     """
 
     key: tuple[str, str]
@@ -38,6 +41,7 @@
     last_event_at: float
     is_unreadable: bool = False
     has_wrong_version: bool = False
+    has_other_software: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +74,9 @@
     chosen = []
     for each in contacts:
         engine_silent = now - engine_events[each.engine] > stall_seconds
-        if each.has_wrong_version:
+        if each.has_other_software:
+            chosen.append(RunToEnd(each.key, RunEnd.OTHER_SOFTWARE))
+        elif each.has_wrong_version:
             chosen.append(RunToEnd(each.key, RunEnd.WRONG_VERSION))
         elif each.is_unreadable or now - each.last_event_at > silence_seconds:
             chosen.append(RunToEnd(each.key, RunEnd.BROKEN, engine_failed=True))
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -331,6 +331,7 @@
         del work.waiting[item_work.item.item_id]
         work.running[item_work.item.item_id] = item_work
         item_work.attempts += 1
+        self._discard_unusable_output(work, item_work, endpoint)
         run = ItemRun(
             self._timers,
             self._parts.caller,
@@ -354,6 +355,23 @@
         if not task.is_done and item_work.item.item_id in work.running:
             self._runs[key] = (run, task)
 
+    def _discard_unusable_output(
+        self, work: SubmissionWork, item_work: ItemWork, endpoint: DirectEndpoint
+    ) -> None:
+        """Let an item begin anew if its output cannot go on at the engine that it starts on."""
+        progress = item_work.progress
+        if not progress.last_event or progress.software == endpoint.software_version:
+            return
+        _log.info(
+            "output discarded; no engine of its software version is free",
+            submission=work.submission_id,
+            item=item_work.item.item_id,
+            software=progress.software,
+            events=progress.last_event,
+            waited=round(self._timers.now() - item_work.waiting_since, 3),
+        )
+        item_work.discard_output()
+
     async def _run_item(
         self, work: SubmissionWork, item_work: ItemWork, run: ItemRun, key: tuple[str, str]
     ) -> None:
@@ -365,6 +383,9 @@
         end, detail = await run.run(seconds, self._settings.silence_seconds)
         self._runs.pop(key, None)
         self._record_observed_version(run)
+        if self._has_other_software(run):
+            run.discard_events()
+            end, detail = RunEnd.OTHER_SOFTWARE, "the engine has restarted with other software"
         if end is RunEnd.WHOLE:
             # The engine's slot is free while the output is scored, so another item can start.
             self._schedule_soon()
@@ -372,6 +393,16 @@
             return
         self._endings.requeue(work, item_work, run.endpoint, end, detail)
 
+    def _has_other_software(self, run: ItemRun) -> bool:
+        """Return whether a run's engine has registered anew with another software version.
+
+        Such an engine may have accepted the run before its registration was known.
+        """
+        state = self._parts.directory.state(run.endpoint.name)
+        if state is None or state.endpoint.incarnation == run.endpoint.incarnation:
+            return False
+        return state.endpoint.software_version != run.endpoint.software_version
+
     def _record_observed_version(self, run: ItemRun) -> None:
         if run.observed_version:
             self._weights.record_version(run.endpoint, run.head.model, run.observed_version)
@@ -384,7 +415,9 @@
 
     def _end_stalled(self, now: float) -> None:
         """End runs under a version that may not be used, and runs that receive no events."""
-        contacts = [run.contact(key) for key, (run, _) in self._runs.items()]
+        contacts = [
+            run.contact(key, self._has_other_software(run)) for key, (run, _) in self._runs.items()
+        ]
         settings = self._settings
         for each in choose_runs_to_end(
             contacts,
@@ -407,6 +440,8 @@
         run, task = self._runs.pop(key)
         task.cancel()
         self._record_observed_version(run)
+        if end is RunEnd.OTHER_SOFTWARE:
+            run.discard_events()
         work = self._works.get(key[0])
         if work is not None:
             self._endings.requeue(work, run.item_work, run.endpoint, end, detail)
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -36,6 +36,9 @@
     progress_row,
 )
 
+# A number of saved events that makes every output count as grown.
+REPLACE_SAVED = -1_000_000
+
 _log = logger.bind(module="submission_works")
 
 
@@ -68,8 +71,10 @@
     `errors` counts runs that the engine answered with an error, `attempts` all runs, `moves` those
     ended to move the item to a faster engine. `avoid_until_by_engine` has the time until which the
     item avoids an engine, `not_before` is the earliest time of its next run; both are in seconds on
-    the process's clock. `saved_event` and `saved_complete` are the state of the output last saved.
+    the process's clock. `saved_event` and `saved_complete` are the state of the output last saved;
+    `saved_event` is negative if what is saved must be replaced.
     `carried_over` means that an earlier step has started an item of the same group.
+    `waiting_since` is when the item began to wait for an engine, on the process's clock.
     """
 
     item: Item
@@ -82,6 +87,18 @@
     saved_complete: bool = False
     carried_over: bool = False
     not_before: float = 0.0
+    waiting_since: float = 0.0
+
+    def discard_output(self) -> None:
+        """Discard the output so far, so that the next run begins anew."""
+        self.progress = Progress()
+        self.saved_event = 0
+        self.saved_complete = False
+
+    def replace_saved_output(self) -> None:
+        """Have the output saved as it is now, whatever has been saved of it."""
+        self.saved_event = REPLACE_SAVED
+        self.saved_complete = False
 
 
 class SubmissionWork:
@@ -159,7 +176,11 @@
         listed_ids = {result.item_id for result in self.results}
         for item in items.ok_value:
             if item.item_id not in listed_ids:
-                item_work = ItemWork(item, progress.get(item.item_id, Progress()))
+                item_work = ItemWork(
+                    item,
+                    progress.get(item.item_id, Progress()),
+                    waiting_since=self._timers.now(),
+                )
                 item_work.saved_event = item_work.progress.last_event
                 self.waiting[item.item_id] = item_work
         return Ok(None)
@@ -301,7 +322,7 @@
             return
         owner = Expectation(owner_row(self.submission_id), self._owner_revision)
         saved_states = [
-            (item_work, item_work.progress.last_event, item_work.progress.whole)
+            (item_work, item_work.progress, item_work.progress.last_event, item_work.progress.whole)
             for item_work in grown
         ]
         encoded_outputs = [(item_work, encode_progress(item_work.progress)) for item_work in grown]
@@ -316,8 +337,9 @@
         finally:
             self._saving = False
         if isinstance(outcome, Ok):
-            for item_work, event, complete in saved_states:
-                item_work.saved_event = event
-                item_work.saved_complete = complete
+            for item_work, progress, event, complete in saved_states:
+                if item_work.progress is progress:
+                    item_work.saved_event = event
+                    item_work.saved_complete = complete
         else:
             _log.debug("progress not saved", id=self.submission_id)
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -103,13 +103,15 @@
     """The output of an item so far; `whole` once the engine has completed it.
 
     `last_event` is the number of the last event, `parts` has the data of each event, and `versions`
-    the weight versions in the order in which they first occurred.
+    the weight versions in the order in which they first occurred. `software` is the software
+    version of the engine that began the output; only engines that run the same may continue it.
     """
 
     last_event: int = 0
     whole: bool = False
     parts: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
+    software: str = ""
 
     @property
     def text(self) -> str:
@@ -118,7 +120,9 @@
 
     def copy(self) -> "Progress":
         """Return an independent copy."""
-        return Progress(self.last_event, self.whole, list(self.parts), list(self.versions))
+        return Progress(
+            self.last_event, self.whole, list(self.parts), list(self.versions), self.software
+        )
 
     def document(self) -> dict:
         """Return the progress as a document that JSON can represent."""
@@ -127,6 +131,7 @@
             "whole": self.whole,
             "parts": self.parts,
             "versions": self.versions,
+            "software": self.software,
         }
 
 
@@ -163,9 +168,22 @@
 
 
 def decode_progress(value: bytes) -> Progress:
-    """Decode the value of a progress row."""
+    """Decode the value of a progress row.
+
+    A partial output without a software version, as earlier releases wrote it, cannot be continued:
+    the result is an empty output.
+    """
     document = json.loads(zlib.decompress(value))
-    return Progress(document["last"], document["whole"], document["parts"], document["versions"])
+    software = document.get("software")
+    if software is None and not document["whole"]:
+        return Progress()
+    return Progress(
+        document["last"],
+        document["whole"],
+        document["parts"],
+        document["versions"],
+        software or "",
+    )
 
 
 def encode_items(items: tuple[Item, ...]) -> tuple[bytes, ...]:
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -159,3 +159,40 @@
     assert choose_optional_groups(items, 2) == frozenset({"b"})
     assert choose_optional_groups(items, 3) == frozenset()
     assert choose_optional_groups(items, 0) == frozenset()
+
+
+def test_an_output_waits_for_a_slot_at_its_software_version_as_long_as_it_took_to_generate():
+    """A release leaves both versions in service; the engines of one are full for a moment."""
+    engines = [engine("full", free=0, software="v1"), engine("free", software="v2")]
+    begun = {"software": "v1", "events_done": 50}
+    assert assigned_engines([item("a", waited_seconds=1.9, **begun)], engines) == {}
+    assert assigned_engines([item("a", waited_seconds=2.1, **begun)], engines) == {"a": "free"}
+    assert assigned_engines([item("a", software="v1")], engines) == {"a": "free"}
+
+
+def test_an_output_is_discarded_at_once_if_no_engine_of_its_software_version_is_left():
+    engines = [engine("old", version=1, software="v1"), engine("new", version=3, software="v2")]
+    begun = {"software": "v1", "events_done": 50, "min_version": 2}
+    assert assigned_engines([item("a", **begun)], engines) == {"a": "new"}
+
+
+def test_an_output_goes_on_rather_than_begin_anew_at_a_faster_engine():
+    slow = engine("slow", software="v1", event_seconds=0.05)
+    fast = engine("fast", software="v2", event_seconds=0.03)
+    waited = item("a", 60.0, software="v1", events_done=60, waited_seconds=9.0)
+    assert assigned_engines([waited], [fast, slow]) == {"a": "slow"}
+    short = item("a", 60.0, software="v1", events_done=5, waited_seconds=9.0)
+    assert assigned_engines([short], [fast, slow]) == {"a": "fast"}
+
+
+def test_a_move_to_another_software_version_pays_for_generating_the_output_anew():
+    source = engine("source", software="v1", event_seconds=0.1)
+    target = engine("target", software="v2", event_seconds=0.03)
+
+    def moves(events_done):
+        running = item("a", 50.0, software="v1", events_done=events_done)
+        run = RunningItem(running, "source", 50.0, 0, 0.1)
+        return choose_moves([run], [source, target], MoveSettings())
+
+    assert [each.engine for each in moves(20)] == ["target"]
+    assert moves(110) == []
--- a/pumicedeck/tests/test_items_across_software_versions.py
+++ b/pumicedeck/tests/test_items_across_software_versions.py
@@ -134,3 +134,13 @@
     simulation.processes[0].kill()
     simulation.run(14.0)
     check_one_version_each(simulation, 40)
+
+
+def test_output_of_a_restarted_engine_is_not_left_in_the_store_under_the_earlier_version():
+    simulation = SchedulerSimulation(software=("v1",), engines=1)
+    start_one_item(simulation)
+    simulation.replace_software("e0", "v2", 0.9)
+    simulation.run(1.4)
+    simulation.processes[0].kill()
+    simulation.run(14.0)
+    check_one_version_each(simulation)
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -13,7 +13,9 @@
 
 
 @pytest.fixture
-def make_streams():
+def make_streams(monkeypatch):
+    """Return a function that makes fixtures whose gateways draw the same random numbers."""
+    monkeypatch.setattr("pumicedeck.gateway_compositions.time.time_ns", lambda: 7)
     made = []
 
     def make(gateways=2, software=MIXED):
