--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.answer_limits import BodyBudget
+from pumicedeck.call_attempts import CallAttempts
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
@@ -310,7 +311,11 @@
             callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
             readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
             forwarder=CallForwarder(
-                timers, endpoint_caller, selector, crashes, dialect, random, decisions.retries
+                timers,
+                CallAttempts(
+                    timers, endpoint_caller, selector, crashes, dialect, decisions.retries
+                ),
+                random,
             ),
             intake=SubmissionIntake(timers, store, mirror),
             scheduler=scheduler,
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -8,6 +8,7 @@
 ROOT = Path(__file__).parents[1]
 PAGE = (ROOT.parent / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 MODULES = (
+    "call_attempts",
     "call_forwarders",
     "endpoint_callers",
     "endpoint_lists",
@@ -16,6 +17,7 @@
     "peer_questions",
     "store_feeds",
     "store_relays",
+    "stream_relays",
     "submission_intakes",
     *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
 )
