Let a stream go on within its answer only at the software version that began it

What callers got (ORDER): when an endpoint broke a resumable stream, the gateway resumed it at the endpoint of lowest load, of whatever software version, so that one answer held events of two.

Change: the version whose head the caller has received is kept with the relay, and only endpoints that run it are selected; if none is left the stream is broken at once, so that its caller can begin anew. Before anything is passed on, any version may begin it.

--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -4,6 +4,7 @@
 requests while callers wait.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -124,11 +125,15 @@
         self.refuse(incoming, call, failure, retry_after)
 
     async def select_endpoint(
-        self, pool: str, attempts: Attempts, seconds_left: float
+        self,
+        pool: str,
+        attempts: Attempts,
+        seconds_left: float,
+        may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True,
     ) -> DirectEndpoint | None:
         """Return the best endpoint of a pool, None if none can take the request in time.
 
-        None also for a request under which several endpoints ended. Half of the time that is left
+        Only endpoints that `may_use` allows are selected. None also for a request under which several endpoints ended. Half of the time that is left
         may pass until a permit at an endpoint with a request limit.
         """
         quarantined = self._crashes.quarantine_seconds(attempts.fingerprint)
@@ -141,13 +146,17 @@
             )
         if quarantined > 0 or seconds_left <= self._settings.min_attempt_seconds:
             return None
-        selected = await self._selector.select(pool, attempts.tried, seconds_left / 2)
+        selected = await self._selector.select(pool, attempts.tried, seconds_left / 2, may_use)
         if isinstance(selected, Ok):
             return selected.ok_value
         if attempts.last_failure is None or selected.err_value.retry_after is not None:
             attempts.last_failure = selected.err_value
         return None
 
+    def has_endpoint(self, pool: str, may_use: Callable[[DirectEndpoint], bool]) -> bool:
+        """Return whether `may_use` allows an endpoint of a pool that does not drain."""
+        return self._selector.has_endpoint(pool, may_use)
+
     def relay(
         self, incoming: IncomingCall, call: ForwardedCall, complete_answer: CompleteAnswer
     ) -> None:
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -219,12 +219,21 @@
         """Remove an endpoint."""
         self._states.pop(name, None)
 
-    def accepting_endpoints(self, pool: str) -> list[EndpointState]:
-        """Return the endpoints of a pool that are not draining."""
+    def software_versions(self, pool: str) -> list[str]:
+        """Return the software version of each endpoint of a pool, including draining ones."""
+        endpoints = (state.endpoint for state in self._states.values())
+        return [each.software_version for each in endpoints if each.pool == pool]
+
+    def accepting_endpoints(
+        self, pool: str, may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True
+    ) -> list[EndpointState]:
+        """Return the endpoints of a pool that are not draining and that `may_use` allows."""
         return [
             state
             for state in self._states.values()
-            if state.endpoint.pool == pool and not state.endpoint.draining
+            if state.endpoint.pool == pool
+            and not state.endpoint.draining
+            and may_use(state.endpoint)
         ]
 
     def choose(
@@ -233,13 +242,15 @@
         tried: tuple[str, ...],
         now: float,
         expected_wait: Callable[[str], float] = lambda name: 0.0,
+        may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True,
     ) -> EndpointState | None:
         """Return the endpoint of lowest cost that is not in `tried`, None if there is none.
 
         `expected_wait` returns for how many seconds a request to an endpoint with a request limit
-        has to wait for a permit.
+        has to wait for a permit. Only endpoints that `may_use` allows are considered.
         """
-        candidates = [s for s in self.accepting_endpoints(pool) if s.endpoint.name not in tried]
+        accepting = self.accepting_endpoints(pool, may_use)
+        candidates = [state for state in accepting if state.endpoint.name not in tried]
         if not candidates:
             return None
         return min(candidates, key=lambda state: self._cost(state, now, expected_wait))
--- a/pumicedeck/endpoint_selections.py
+++ b/pumicedeck/endpoint_selections.py
@@ -1,5 +1,6 @@
 """Selects the endpoint for a call; acquires a permit if that endpoint names a request limit."""
 
+from collections.abc import Callable
 from math import inf
 
 from result import Err, Ok, Result
@@ -24,11 +25,16 @@
         self._limiter = limiter
 
     async def select(
-        self, pool: str, tried: tuple[str, ...], longest_wait: float
+        self,
+        pool: str,
+        tried: tuple[str, ...],
+        longest_wait: float,
+        may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True,
     ) -> Result[DirectEndpoint, Failure]:
         """Return the best endpoint of a pool at which a request may start now.
 
-        Endpoints in `tried` are selected only if there are no others. While an endpoint without a
+        Only endpoints that `may_use` allows are selected, those in `tried` only if there are no
+        others. While an endpoint without a
         request limit is left, no time is spent on waiting for a permit; otherwise up to
         `longest_wait` seconds. Fails with NO_ENDPOINT or, if all permits are later, with OVERLOADED
         and the seconds until the first.
@@ -37,11 +43,11 @@
         retry_after = inf
         until = self._timers.now() + longest_wait
         while True:
-            state = self._choose(pool, tried, denied)
+            state = self._choose(pool, tried, denied, may_use)
             if state is None:
                 return Err(_refusal(retry_after))
             endpoint = state.endpoint
-            may_wait = not self._has_unlimited(pool, tried + denied)
+            may_wait = not self._has_unlimited(pool, tried + denied, may_use)
             wait = max(0.0, until - self._timers.now()) if may_wait else 0.0
             acquired = await self._limiter.acquire(endpoint, wait)
             if isinstance(acquired, Ok) and self._accepts(endpoint):
@@ -50,18 +56,28 @@
                 retry_after = min(retry_after, acquired.err_value.retry_after)
             denied += (endpoint.name,)
 
+    def has_endpoint(self, pool: str, may_use: Callable[[DirectEndpoint], bool]) -> bool:
+        """Return whether `may_use` allows an endpoint of a pool that does not drain."""
+        return bool(self._directory.accepting_endpoints(pool, may_use))
+
     def _choose(
-        self, pool: str, tried: tuple[str, ...], denied: tuple[str, ...]
+        self,
+        pool: str,
+        tried: tuple[str, ...],
+        denied: tuple[str, ...],
+        may_use: Callable[[DirectEndpoint], bool],
     ) -> EndpointState | None:
         now = self._timers.now()
         wait = self._limiter.expected_wait
-        untried = self._directory.choose(pool, tried + denied, now, wait)
-        return untried or self._directory.choose(pool, denied, now, wait)
+        untried = self._directory.choose(pool, tried + denied, now, wait, may_use)
+        return untried or self._directory.choose(pool, denied, now, wait, may_use)
 
-    def _has_unlimited(self, pool: str, excluded: tuple[str, ...]) -> bool:
+    def _has_unlimited(
+        self, pool: str, excluded: tuple[str, ...], may_use: Callable[[DirectEndpoint], bool]
+    ) -> bool:
         return any(
             state.request_limit is None and state.endpoint.name not in excluded
-            for state in self._directory.accepting_endpoints(pool)
+            for state in self._directory.accepting_endpoints(pool, may_use)
         )
 
     def _accepts(self, endpoint: DirectEndpoint) -> bool:
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -1,7 +1,8 @@
 """Relays streams of events to callers.
 
-Handles endpoints that crash or fall silent in the middle of a stream: a resumable stream goes on at
-another endpoint after its last event.
+Handles endpoints that crash or fall silent in the middle of a stream, also during a release: a
+resumable stream goes on after its last event at another endpoint that runs the same software
+version.
 """
 
 from dataclasses import replace
@@ -47,6 +48,8 @@
         self._last_event_number = call.resume_after
         self._event_splitter = EventSplitter()
         self._has_sequence_gap = False
+        # The software version of what the caller has received, None while that is nothing.
+        self._software: str | None = None
 
     async def run(self) -> None:
         """Relay until the stream is complete or can no longer be completed."""
@@ -56,7 +59,7 @@
         attempts = Attempts(fingerprint_request(self._call))
         while True:
             endpoint = await call_attempts.select_endpoint(
-                pool, attempts, deadline - call_attempts.timers.now()
+                pool, attempts, deadline - call_attempts.timers.now(), self._may_use
             )
             seconds_left = deadline - call_attempts.timers.now()
             if endpoint is None:
@@ -77,6 +80,10 @@
                 self._fail(attempts, timed_out=deadline <= call_attempts.timers.now())
                 return
 
+    def _may_use(self, endpoint: DirectEndpoint) -> bool:
+        """Return whether the stream may begin or go on at an endpoint."""
+        return self._software in (None, endpoint.software_version)
+
     def _is_complete(self) -> bool:
         splitter = self._event_splitter
         if splitter.has_overflowed or splitter.has_partial_event:
@@ -107,15 +114,17 @@
         silence_seconds = seconds_left
         if self._route.resumable:
             silence_seconds = min(seconds_left, self._call_attempts.settings.stream_silence_seconds)
+
+        def on_head(response: HttpResponse, answer: AnswerHead) -> None:
+            if answer.signature and not answer.not_run:
+                # A stream that is resumed at another endpoint keeps the head of the first one.
+                self._software = endpoint.software_version
+                self._call_attempts.send_stream_head(self._incoming, self._call, response)
+
         return await self._call_attempts.endpoint_caller.call(
-            call, endpoint, seconds_left, silence_seconds, self._on_head, self._on_bytes
+            call, endpoint, seconds_left, silence_seconds, on_head, self._on_bytes
         )
 
-    def _on_head(self, response: HttpResponse, answer: AnswerHead) -> None:
-        if answer.signature and not answer.not_run:
-            # A stream that is resumed at another endpoint keeps the head of the first one.
-            self._call_attempts.send_stream_head(self._incoming, self._call, response)
-
     def _on_bytes(self, data: bytes) -> None:
         for event_bytes in self._event_splitter.feed(data):
             event = self._call_attempts.endpoint_caller.dialect.event(event_bytes)
