Let resumed streams go on only at the software version that began them, at any gateway

What callers got (ORDER): a stream taken up again (Last-Event-Id, Resumes), at the same gateway or another one, went on at the endpoint of lowest load: events 1 to 5 of v1, 6 to 10 of v2.

Cause: which version began a stream was known to nobody once its first answer had ended; Resumes was not read.

Change: each pool with resumable streams has a base version in the store; a stream that begins at any other has a record before its request is sent; a gateway that resumes a stream reads it, or refuses the stream (215) if it cannot. Streams of a version without an endpoint are refused at once (214, Retry-After 0). With one version: one row a pool, no record, no read. Refusals of full endpoints do not count as attempts for a stream that can go on nowhere else (LOST). Streams of a route with several pools keep to the pool that their id draws, as items do. Setting mechanisms.software_versions switches all of it off.

--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -24,6 +24,13 @@
 
 _log = logger.bind(module="call_attempts")
 
+# They say what the caller can do; any other reason for a refusal is shown as NO_ENDPOINT.
+_CODES_SHOWN = (
+    ResultCode.QUARANTINED,
+    ResultCode.STREAM_VERSION_GONE,
+    ResultCode.STREAM_VERSION_UNKNOWN,
+)
+
 
 @dataclass(slots=True)
 class Attempts:
@@ -116,7 +123,7 @@
             self.refuse(incoming, call, Failure(code, last_failure.detail), None)
             return
         code = ResultCode.NO_ENDPOINT
-        if last_failure.code is ResultCode.QUARANTINED:
+        if last_failure.code in _CODES_SHOWN:
             code = last_failure.code
         failure = Failure(code, last_failure.detail, proven_not_run=True)
         retry_after = last_failure.retry_after
@@ -133,8 +140,9 @@
     ) -> DirectEndpoint | None:
         """Return the best endpoint of a pool, None if none can take the request in time.
 
-        Only endpoints that `may_use` allows are selected. None also for a request under which several endpoints ended. Half of the time that is left
-        may pass until a permit at an endpoint with a request limit.
+        Only endpoints that `may_use` allows are selected. None also for a request under which
+        several endpoints ended. Half of the time that is left may pass until a permit at an
+        endpoint with a request limit.
         """
         quarantined = self._crashes.quarantine_seconds(attempts.fingerprint)
         if quarantined > 0:
--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -16,6 +16,7 @@
 from pumicedeck.request_fingerprints import fingerprint_request
 from pumicedeck.results import Failure
 from pumicedeck.route_tables import Route, RouteKind, choose_pool
+from pumicedeck.stream_records import StreamRecords
 from pumicedeck.stream_relays import StreamRelay
 from pumicedeck.tasks import spawn
 
@@ -23,10 +24,20 @@
 class CallForwarder:
     """Forwards callers' requests to endpoints; refuses a request that no endpoint served."""
 
-    def __init__(self, timers: TimerQueue, call_attempts: CallAttempts, random: Random) -> None:
-        """Forward calls by `call_attempts`; `random` chooses among the pools of a route."""
+    def __init__(
+        self,
+        timers: TimerQueue,
+        call_attempts: CallAttempts,
+        records: StreamRecords,
+        random: Random,
+    ) -> None:
+        """Forward calls by `call_attempts`; `random` chooses among the pools of a route.
+
+        `records` has the software versions that began streams.
+        """
         self._timers = timers
         self._call_attempts = call_attempts
+        self._records = records
         self._settings = call_attempts.settings
         self._random = random
 
@@ -35,7 +46,7 @@
         if not self._settings.retries:
             route = replace(route, max_attempts=1)
         if route.kind is RouteKind.STREAM:
-            relay = StreamRelay(self._call_attempts, incoming, call, route, self._random)
+            relay = StreamRelay(self._call_attempts, self._records, incoming, call, route)
             coroutine = relay.run()
         else:
             coroutine = self._serve(incoming, call, route)
--- a/pumicedeck/call_limits.py
+++ b/pumicedeck/call_limits.py
@@ -36,7 +36,8 @@
     latency objective, but at least for `min_silence_limit_seconds`. No attempt is started with
     `min_attempt_seconds` or less left. `retry_after_seconds` is sent to callers that no endpoint
     could serve. A resumable stream is given up at an endpoint that sends nothing for
-    `stream_silence_seconds`.
+    `stream_silence_seconds`. A stream that goes on waits up to `resume_wait_seconds` for a free
+    slot at its software version, and asks again every `resume_retry_seconds`.
     """
 
     silence_limit_factor: float = 1.2
@@ -44,6 +45,8 @@
     min_attempt_seconds: float = 0.01
     retry_after_seconds: float = 0.3
     stream_silence_seconds: float = 1.0
+    resume_wait_seconds: float = 1.0
+    resume_retry_seconds: float = 0.1
     retries: bool = True
 
     def silence_limit(self, route: Route, seconds_left: float, more_attempts: bool) -> float:
--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -14,6 +14,7 @@
 from pumicedeck.scheduling.scheduler_parts import SchedulerSettings
 from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
 from pumicedeck.scheduling.weight_plans import WeightPlanSettings
+from pumicedeck.stream_versions import StreamVersionSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,7 @@
 
     With `avoids_failed` endpoints that failed a short time ago are chosen last. With
     `observes_limits` requests acquire permits at endpoints that name a request limit. With
+    `observes_software` output goes on only at the software version that began it. With
     `delays_weak_machines` a machine with few CPU cores takes over a lost lease later.
     """
 
@@ -35,8 +37,10 @@
     retries: RetrySettings = RetrySettings()
     peer_check: PeerCheckSettings = PeerCheckSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    stream_versions: StreamVersionSettings = StreamVersionSettings()
     avoids_failed: bool = True
     observes_limits: bool = True
+    observes_software: bool = True
     delays_weak_machines: bool = True
 
 
@@ -71,5 +75,6 @@
         ),
         avoids_failed=mechanisms.outlier_avoidance,
         observes_limits=mechanisms.request_permits,
+        observes_software=mechanisms.software_versions,
         delays_weak_machines=mechanisms.weak_machines_later,
     )
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -106,13 +106,15 @@
     """All registered endpoints with their states; `home` is this process's failure domain.
 
     With `avoids_failed` endpoints that failed or refused a call a short time ago are chosen last.
-    Without `observes_limits` no endpoint counts as having a request limit.
+    Without `observes_limits` no endpoint counts as having a request limit, without
+    `observes_software` all count as running the same software version.
     """
 
     home: FailureDomain
     random: Random
     avoids_failed: bool = True
     observes_limits: bool = True
+    observes_software: bool = True
     _states: dict[str, EndpointState] = field(default_factory=dict)
     _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _shared_limits: dict[str, SharedLimit] = field(default_factory=dict)
@@ -131,6 +133,8 @@
 
         An incarnation that has said that it leaves stays draining, whatever its registration says.
         """
+        if not self.observes_software:
+            endpoint = replace(endpoint, software_version="")
         if self.is_leaving(endpoint):
             endpoint = replace(endpoint, draining=True)
         state = self._states.get(endpoint.name)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -63,6 +63,7 @@
 from pumicedeck.store_feeds import FeedSettings, StoreFeed
 from pumicedeck.store_paths import StorePath
 from pumicedeck.store_relays import RelayedStoreClient, StoreRelay
+from pumicedeck.stream_records import StreamRecords
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.topology import Address, FailureDomain
@@ -149,7 +150,13 @@
         settings.store.longest_call_seconds,
     )
     clock = StoreClock(timers)
-    directory = EndpointDirectory(home, random, decisions.avoids_failed, decisions.observes_limits)
+    directory = EndpointDirectory(
+        home,
+        random,
+        decisions.avoids_failed,
+        decisions.observes_limits,
+        decisions.observes_software,
+    )
     endpoint_list = EndpointList(
         timers,
         directory,
@@ -270,9 +277,21 @@
     def apply_work_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
         crashes.apply(rows, is_snapshot)
         limits.apply(rows, is_snapshot)
+        stream_records.apply(rows)
         mirror.apply(rows)
 
     work_feed = StoreFeed(timers, store, clock, WORK_TABLE, apply_work_rows)
+    stream_records = StreamRecords(
+        timers,
+        store,
+        clock,
+        directory,
+        random,
+        decisions.stream_versions,
+        pools=lambda: gateway.routes.resumable_pools if gateway.routes is not None else (),
+        last_contact_at=lambda: work_feed.last_contact_at,
+        sweeps=lambda: scheduler.is_active,
+    )
     recorded_contact_at = 0.0
 
     def record_store_contact() -> None:
@@ -315,6 +334,7 @@
                 CallAttempts(
                     timers, endpoint_caller, selector, crashes, dialect, decisions.retries
                 ),
+                stream_records,
                 random,
             ),
             intake=SubmissionIntake(timers, store, mirror),
@@ -326,6 +346,7 @@
             clock=clock,
             crashes=crashes,
             limits=limits,
+            stream_records=stream_records,
             feeds=(operator_feed, endpoint_feed, work_feed),
             work_feed=work_feed,
             record_store_contact=record_store_contact,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -62,6 +62,7 @@
     stalled_engine_ends: bool = True
     request_quarantine: bool = True
     request_permits: bool = True
+    software_versions: bool = True
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -38,6 +38,7 @@
 from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.stream_records import StreamRecords
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WorkMirror
@@ -98,6 +99,7 @@
     clock: StoreClock
     crashes: CrashReports
     limits: LimitReports
+    stream_records: StreamRecords
     feeds: tuple[StoreFeed, ...]
     work_feed: StoreFeed
     record_store_contact: Callable[[], None]
@@ -194,6 +196,7 @@
             feed.start()
         parts.crashes.start()
         parts.limits.start()
+        parts.stream_records.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
         _log.info("started", callers=str(parts.callers.address))
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -41,6 +41,8 @@
     ENDPOINT_REFUSED = 211
     NO_ROUTE = 212
     QUARANTINED = 213
+    STREAM_VERSION_GONE = 214
+    STREAM_VERSION_UNKNOWN = 215
 
     OUTCOME_UNKNOWN = 300
     STREAM_BROKEN = 301
@@ -116,6 +118,12 @@
     ResultCode.QUARANTINED: CodeInfo(
         _NOT, 503, 3, "Several endpoints ended while they ran this request."
     ),
+    ResultCode.STREAM_VERSION_GONE: CodeInfo(
+        _NOT, 503, 3, "No endpoint runs the software version that began the stream; begin anew."
+    ),
+    ResultCode.STREAM_VERSION_UNKNOWN: CodeInfo(
+        _NOT, 503, 3, "The software version that began the stream cannot be read now."
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(_MAY, 502, 4, "The outcome of the attempt is unknown."),
     ResultCode.STREAM_BROKEN: CodeInfo(_MAY, 502, 4, "The stream ended before it was whole."),
     ResultCode.IN_PROGRESS: CodeInfo(_MAY, 409, 4, "The same request id is being worked on."),
--- a/pumicedeck/route_tables.py
+++ b/pumicedeck/route_tables.py
@@ -77,12 +77,16 @@
 
 @dataclass(frozen=True)
 class RouteTable:
-    """One version of the operators' configuration: routes, pools and limits."""
+    """One version of the operators' configuration: routes, pools and limits.
+
+    `resumable_pools` are the pools of the routes whose streams callers may resume.
+    """
 
     version: int
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
     limits: CallerLimits | None = None
+    resumable_pools: frozenset[str] = field(init=False, repr=False, compare=False)
     _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -91,6 +95,9 @@
         for route in self.routes:
             by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         object.__setattr__(self, "_by_host", by_host)
+        resumable = [route for route in self.routes if route.resumable]
+        pools = frozenset(share.pool for route in resumable for share in route.pools)
+        object.__setattr__(self, "resumable_pools", pools)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if no prefix matches.
--- /dev/null
+++ b/pumicedeck/stream_records.py
@@ -0,0 +1,343 @@
+"""Keeps in the store which software version began a stream, and which versions a pool has."""
+
+import json
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable
+from hashlib import sha256
+from random import Random
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.direct_endpoints import EndpointDirectory
+from pumicedeck.partitioned_stores import (
+    Change,
+    Expectation,
+    PartitionedStore,
+    Put,
+    RowKey,
+    StoredRow,
+    read_partition,
+)
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.store_clocks import StoreClock
+from pumicedeck.stream_versions import (
+    PoolKnowledge,
+    StreamVersionSettings,
+    announce_versions,
+    decode_pool_versions,
+    retire_versions,
+)
+from pumicedeck.tasks import Promise, sleep, spawn, within
+from pumicedeck.work_mirrors import SOFTWARE_PARTITION, WORK_TABLE
+
+STREAMS_TABLE = "streams"
+# The store writes one transaction of a partition at a time.
+STREAM_PARTITIONS = 16
+CHECK_SECONDS = 0.25
+# Gateways that see a version at once wait for the row of the first one.
+MAX_ANNOUNCEMENT_DELAY_SECONDS = 0.5
+SWEEP_SECONDS = 60.0
+ROWS_PER_CHANGE = 80
+# Callers wait for these calls: they abandon a stream after a gap of two seconds.
+READ_SECONDS = 0.8
+WRITE_SECONDS = 0.8
+MAX_KNOWN_STREAMS = 5000
+
+_log = logger.bind(module="stream_records")
+
+_READ_TIMED_OUT = Failure(ResultCode.STORE_UNAVAILABLE, "the store did not answer in time")
+
+
+class StreamRecords:
+    """The software versions of the streams of one gateway and, through the store, of all others."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        store: PartitionedStore,
+        clock: StoreClock,
+        directory: EndpointDirectory,
+        random: Random,
+        settings: StreamVersionSettings,
+        pools: Callable[[], Iterable[str]],
+        last_contact_at: Callable[[], float],
+        sweeps: Callable[[], bool],
+    ) -> None:
+        """Announce the versions of `pools`, whose streams callers may resume.
+
+        `last_contact_at` returns when the rows given to `apply` were complete, on the process's
+        clock. Old rows are removed while `sweeps` is True.
+        """
+        self._timers = timers
+        self._store = store
+        self._clock = clock
+        self._directory = directory
+        self._random = random
+        self._settings = settings
+        self._get_pools = pools
+        self._last_contact_at = last_contact_at
+        self._sweeps = sweeps
+        self._known: dict[str, PoolKnowledge] = {}
+        self._revisions: dict[str, int] = {}
+        self._registered_at: dict[tuple[str, str], float] = {}
+        self._own_streams: OrderedDict[str, str] = OrderedDict()
+
+    @property
+    def _is_fresh(self) -> bool:
+        """Return whether this process knows of all versions at which streams may have begun."""
+        staleness = self._timers.now() - self._last_contact_at()
+        return staleness <= self._settings.max_staleness_seconds
+
+    def start(self) -> None:
+        """Announce versions as they register, and remove old rows at regular intervals."""
+        spawn(self._announce_periodically(), "software versions")
+        spawn(self._sweep_periodically(), "stream record sweep")
+
+    def apply(self, rows: tuple[StoredRow, ...]) -> None:
+        """Apply changed rows of the work table; skip those of other partitions."""
+        for stored in rows:
+            if stored.row.partition_key != SOFTWARE_PARTITION or stored.value is None:
+                continue
+            versions = decode_pool_versions(stored.value)
+            if versions is None:
+                continue
+            pool = stored.row.key
+            self._revisions[pool] = stored.revision
+            known = self._known.setdefault(pool, PoolKnowledge(versions))
+            known.update(versions, self._timers.now())
+
+    def may_begin(self, pool: str, version: str) -> bool:
+        """Return whether a stream may begin at a version while others have endpoints.
+
+        Only at the base version while the store is away, since others need a record.
+        """
+        known = self._known.get(pool)
+        if known is None or version == known.versions.base:
+            return True
+        return self._is_fresh and known.may_begin(version, self._timers.now(), self._settings)
+
+    def is_base(self, pool: str, version: str) -> bool:
+        """Return whether a stream without a record counts as begun at a version."""
+        known = self._known.get(pool)
+        return known is not None and known.versions.base == version
+
+    def has_base_endpoint(self, pool: str) -> bool:
+        """Return whether an endpoint of the pool's base version is registered."""
+        return any(self.is_base(pool, each) for each in self._directory.software_versions(pool))
+
+    def remember(self, stream_id: str, version: str) -> None:
+        """Remember the version of a stream of which a caller of this gateway got something."""
+        self._own_streams[stream_id] = version
+        self._own_streams.move_to_end(stream_id)
+        while len(self._own_streams) > MAX_KNOWN_STREAMS:
+            self._own_streams.popitem(last=False)
+
+    async def find(self, stream_id: str, pool: str) -> Result[str, Failure]:
+        """Return the version that began a stream; STREAM_VERSION_UNKNOWN if nobody can tell now."""
+        own = self._own_streams.get(stream_id)
+        if own is not None:
+            return Ok(own)
+        known = self._known.get(pool)
+        if known is not None and known.versions.has_one and self._is_fresh:
+            return Ok(known.versions.base)
+        if not stream_id:
+            return _unknown("the caller does not name the stream")
+        read = await self.read(stream_id)
+        if isinstance(read, Err):
+            return _unknown(read.err_value.detail)
+        if read.ok_value is not None:
+            return Ok(read.ok_value[0])
+        known = self._known.get(pool)
+        if known is None:
+            return _unknown("the versions of the pool have not been read yet")
+        return Ok(known.versions.base)
+
+    async def read(self, stream_id: str) -> Result[tuple[str, int] | None, Failure]:
+        """Read the record of a stream: version and revision, None if there is none."""
+        row = stream_row(stream_id)
+        promise = self._store.read(row.table, row.partition_key, row.key, 1)
+        page = await within(self._timers, READ_SECONDS, promise, Err(_READ_TIMED_OUT))
+        if isinstance(page, Err):
+            return page
+        for stored in page.ok_value.rows:
+            if stored.row == row and stored.value:
+                return Ok((str(json.loads(stored.value)["version"]), stored.revision))
+        return Ok(None)
+
+    def write(self, stream_id: str, version: str, revision: int) -> Promise[Result[int, Failure]]:
+        """Write the record of a stream if its row is at `revision`."""
+        row = stream_row(stream_id)
+        value = json.dumps({"version": version, "at": round(self._clock.now(), 3)}).encode()
+        change = Change((Expectation(row, revision),), (Put(row, value),))
+        timed_out = Err(Failure(ResultCode.STORE_OUTCOME_UNKNOWN, "the store did not answer"))
+        return within(self._timers, WRITE_SECONDS, self._store.commit(change), timed_out)
+
+    async def _announce_periodically(self) -> None:
+        while True:
+            await sleep(self._timers, CHECK_SECONDS)
+            for pool in self._get_pools():
+                if self._unannounced(pool):
+                    await self._announce(pool)
+
+    def _unannounced(self, pool: str) -> set[str]:
+        known = self._known.get(pool)
+        announced = known.versions.announced if known is not None else frozenset()
+        return set(self._directory.software_versions(pool)) - announced
+
+    async def _announce(self, pool: str) -> None:
+        """Add the registered versions of a pool to its row, unless another gateway does."""
+        delay = self._random.random() * MAX_ANNOUNCEMENT_DELAY_SECONDS
+        await sleep(self._timers, delay)
+        if not self._unannounced(pool):
+            return
+        known = self._known.get(pool)
+        registered = Counter(self._directory.software_versions(pool))
+        versions = announce_versions(known.versions if known is not None else None, registered)
+        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
+        expected = Expectation(row, self._revisions.get(pool, 0))
+        # A conflict means that another gateway was first; its row arrives by the feed.
+        written = await self._store.commit(Change((expected,), (Put(row, versions.encode()),)))
+        if isinstance(written, Ok):
+            _log.info(
+                "software versions announced",
+                pool=pool,
+                base=versions.base,
+                versions=sorted(versions.announced),
+            )
+
+    async def _sweep_periodically(self) -> None:
+        while True:
+            await sleep(self._timers, SWEEP_SECONDS)
+            self._note_registered()
+            if not self._sweeps():
+                continue
+            if any(not known.versions.has_one for known in self._known.values()):
+                await self._sweep_records()
+            for pool in tuple(self._known):
+                await self._retire(pool)
+
+    def _note_registered(self) -> None:
+        """Note which versions have endpoints now."""
+        now = self._timers.now()
+        for pool, known in self._known.items():
+            registered = set(self._directory.software_versions(pool))
+            for version in known.versions.announced:
+                if version in registered or (pool, version) not in self._registered_at:
+                    self._registered_at[pool, version] = now
+
+    async def _retire(self, pool: str) -> None:
+        """Remove the versions of a pool that have had no endpoint for a long time."""
+        known = self._known[pool].versions
+        oldest = self._timers.now() - self._settings.retired_seconds
+        recent = {v for v in known.announced if self._registered_at.get((pool, v), 0.0) > oldest}
+        versions = retire_versions(known, recent)
+        if versions == known:
+            return
+        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
+        expected = Expectation(row, self._revisions.get(pool, 0))
+        written = await self._store.commit(Change((expected,), (Put(row, versions.encode()),)))
+        _log.info(
+            "software versions retired",
+            pool=pool,
+            base=versions.base,
+            versions=sorted(versions.announced),
+            written=isinstance(written, Ok),
+        )
+
+    async def _sweep_records(self) -> None:
+        """Remove the records of streams that have ended long ago."""
+        oldest = self._clock.now() - self._settings.retired_seconds
+        for number in range(STREAM_PARTITIONS):
+            found = await read_partition(self._store, STREAMS_TABLE, _partition(number))
+            if isinstance(found, Err):
+                return
+            old = [r for r in found.ok_value if r.value and json.loads(r.value)["at"] < oldest]
+            for at in range(0, len(old), ROWS_PER_CHANGE):
+                puts = tuple(Put(each.row, None) for each in old[at : at + ROWS_PER_CHANGE])
+                if isinstance(await self._store.commit(Change((), puts)), Err):
+                    return
+
+
+class StreamOrigin:
+    """Where one stream begins: makes sure that its version is known before its first event."""
+
+    def __init__(self, records: StreamRecords, timers: TimerQueue, stream_id: str, pool: str):
+        """Create the origin of a stream that has not begun."""
+        self._records = records
+        self._timers = timers
+        self._stream_id = stream_id
+        self._pool = pool
+        self._recorded = ""
+        self._revision = 0
+        self._is_uncertain = False
+
+    @property
+    def recorded_version(self) -> str:
+        """Return the version in the record, empty if there is none."""
+        return self._recorded
+
+    @property
+    def is_uncertain(self) -> bool:
+        """Return whether a record may exist that this process could not confirm."""
+        return self._is_uncertain
+
+    async def record(self, version: str) -> Result[None, Failure]:
+        """Make sure that the stream counts as begun at a version.
+
+        The base version needs no record. The record is written again until its outcome is known,
+        since the store may have written a record whose answer was lost.
+        """
+        if self._recorded == version and not self._is_uncertain:
+            return Ok(None)
+        is_untouched = not self._recorded and not self._is_uncertain
+        if not self._stream_id or (is_untouched and self._records.is_base(self._pool, version)):
+            return Ok(None)
+        until = self._timers.now() + WRITE_SECONDS
+        while True:
+            outcome = await self._records.write(self._stream_id, version, self._revision)
+            if isinstance(outcome, Ok):
+                self._confirm(version, outcome.ok_value)
+                return Ok(None)
+            failure = outcome.err_value
+            if failure.code is ResultCode.STORE_CONFLICT:
+                found = await self._records.read(self._stream_id)
+                if isinstance(found, Err):
+                    self._is_uncertain = True
+                    return found
+                stored_version, self._revision = found.ok_value or ("", 0)
+                if stored_version == version:
+                    self._confirm(version, self._revision)
+                    return Ok(None)
+                continue
+            if failure.code is ResultCode.STORE_OUTCOME_UNKNOWN:
+                self._is_uncertain = True
+            if not self._is_uncertain or self._timers.now() >= until:
+                return Err(failure)
+            await sleep(self._timers, 0.02)
+
+    def _confirm(self, version: str, revision: int) -> None:
+        self._recorded = version
+        self._revision = revision
+        self._is_uncertain = False
+
+
+def stream_row(stream_id: str) -> RowKey:
+    """Return the key of a stream's record; ids of any length and content have one."""
+    digest = sha256(stream_id.encode()).hexdigest()
+    number = int(digest[:8], 16) % STREAM_PARTITIONS
+    return RowKey(STREAMS_TABLE, _partition(number), digest[:32])
+
+
+def _partition(number: int) -> str:
+    return f"{number:x}"
+
+
+def _unknown(detail: str) -> Result[str, Failure]:
+    failure = Failure(
+        ResultCode.STREAM_VERSION_UNKNOWN,
+        f"the software version that began the stream cannot be read: {detail}",
+        proven_not_run=True,
+    )
+    return Err(failure)
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -2,14 +2,15 @@
 
 Handles endpoints that crash or fall silent in the middle of a stream, also during a release: a
 resumable stream goes on after its last event at another endpoint that runs the same software
-version.
+version, within its answer or when its caller resumes it at any gateway.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
 from loguru import logger
-from result import Result
+from result import Ok, Result
 
 from pumicedeck.call_attempts import Attempts, CallAttempts
 from pumicedeck.call_limits import Outcome, next_step
@@ -20,8 +21,10 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.request_fingerprints import fingerprint_request
-from pumicedeck.results import Failure
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, choose_pool
+from pumicedeck.stream_records import StreamOrigin, StreamRecords
+from pumicedeck.tasks import sleep
 
 _log = logger.bind(module="stream_relays")
 
@@ -34,17 +37,29 @@
     def __init__(
         self,
         call_attempts: CallAttempts,
+        records: StreamRecords,
         incoming: IncomingCall,
         call: ForwardedCall,
         route: Route,
-        random: Random,
     ) -> None:
-        """Relay the answer to `call`; `random` chooses the pool of a route that has several."""
+        """Relay the answer to `call`; `records` has the software versions that began streams."""
         self._call_attempts = call_attempts
-        self._random = random
+        self._records = records
+        self._timers = call_attempts.timers
+        self._settings = call_attempts.settings
         self._incoming = incoming
         self._call = call
         self._route = route
+        self._is_resumed = bool(call.resume_after) and route.resumable
+        stream_id = call.stream_id if self._is_resumed else call.request_id
+        self._stream_id = stream_id
+        # Each gateway chooses the same pool for a stream that is resumed.
+        self._pool = choose_pool(route, Random(stream_id))
+        self._origin = StreamOrigin(records, self._timers, stream_id, self._pool)
+        self._deadline = call_attempts.deadline(incoming, call, route)
+        self._attempts = Attempts(fingerprint_request(call))
+        self._runs = 0
+        self._waits_until = self._timers.now() + self._settings.resume_wait_seconds
         self._last_event_number = call.resume_after
         self._event_splitter = EventSplitter()
         self._has_sequence_gap = False
@@ -53,36 +68,92 @@
 
     async def run(self) -> None:
         """Relay until the stream is complete or can no longer be completed."""
-        call_attempts, route = self._call_attempts, self._route
-        deadline = call_attempts.deadline(self._incoming, self._call, route)
-        pool = choose_pool(route, self._random)
-        attempts = Attempts(fingerprint_request(self._call))
+        if self._is_resumed and not await self._find_software():
+            return
         while True:
-            endpoint = await call_attempts.select_endpoint(
-                pool, attempts, deadline - call_attempts.timers.now(), self._may_use
-            )
-            seconds_left = deadline - call_attempts.timers.now()
+            endpoint = await self._choose_endpoint()
+            seconds_left = self._deadline - self._timers.now()
             if endpoint is None:
-                timed_out = seconds_left <= call_attempts.settings.min_attempt_seconds
-                self._fail(attempts, timed_out)
+                self._fail(timed_out=seconds_left <= self._settings.min_attempt_seconds)
                 return
-            began_at = call_attempts.timers.now()
+            began_at = self._timers.now()
             result = await self._attempt(endpoint, seconds_left)
-            outcome = call_attempts.record_attempt(attempts, endpoint, self._call, result, began_at)
+            outcome = self._call_attempts.record_attempt(
+                self._attempts, endpoint, self._call, result, began_at
+            )
             if self._incoming.is_head_sent and outcome is Outcome.SERVED and self._is_complete():
                 self._incoming.finish()
                 return
             if outcome is Outcome.SERVED and not self._incoming.is_head_sent:
-                call_attempts.relay(self._incoming, self._call, result.ok_value)
+                self._call_attempts.relay(self._incoming, self._call, result.ok_value)
                 return
-            step = next_step(outcome, len(attempts.tried), route, attempts.may_have_run)
-            if not self._may_retry(step.retry, attempts):
-                self._fail(attempts, timed_out=deadline <= call_attempts.timers.now())
+            if not await self._may_retry(outcome):
+                self._fail(timed_out=self._deadline <= self._timers.now())
                 return
 
-    def _may_use(self, endpoint: DirectEndpoint) -> bool:
-        """Return whether the stream may begin or go on at an endpoint."""
-        return self._software in (None, endpoint.software_version)
+    async def _find_software(self) -> bool:
+        """Find the version that began a resumed stream; refuse the stream if nobody knows it."""
+        found = await self._records.find(self._stream_id, self._pool)
+        if isinstance(found, Ok):
+            self._software = found.ok_value
+            return True
+        failure, retry_after = found.err_value, self._settings.retry_after_seconds
+        self._call_attempts.refuse(self._incoming, self._call, failure, retry_after)
+        return False
+
+    async def _choose_endpoint(self) -> DirectEndpoint | None:
+        """Return an endpoint at which the stream may begin or go on, None if there is none."""
+        if self._software is not None:
+            return await self._select(self._runs_software(self._software))
+        if not self._route.resumable:
+            return await self._select(lambda endpoint: True)
+        endpoint = await self._select_beginning()
+        if endpoint is None:
+            return None
+        recorded = await self._origin.record(endpoint.software_version)
+        if isinstance(recorded, Ok):
+            return endpoint
+        _log.warning(
+            "stream version not recorded",
+            request=self._call.request_id,
+            software=endpoint.software_version,
+            detail=recorded.err_value.detail,
+        )
+        self._attempts.last_failure = replace(recorded.err_value, proven_not_run=True)
+        if self._origin.is_uncertain:
+            return None
+        if not self._records.has_base_endpoint(self._pool):
+            # A gateway that resumes it expects the base version, and refuses it: none is left.
+            return endpoint
+        return await self._select(
+            lambda each: self._records.is_base(self._pool, each.software_version)
+        )
+
+    async def _select_beginning(self) -> DirectEndpoint | None:
+        """Return an endpoint at which the stream may begin.
+
+        One of the recorded version comes first, since another one needs another record. Versions
+        that other gateways may not know of yet come last.
+        """
+        preferences = [
+            lambda each: self._records.may_begin(self._pool, each.software_version),
+            lambda each: True,
+        ]
+        if self._origin.recorded_version:
+            preferences.insert(0, self._runs_software(self._origin.recorded_version))
+        for may_use in preferences:
+            if self._call_attempts.has_endpoint(self._pool, may_use):
+                return await self._select(may_use)
+        return await self._select(lambda endpoint: True)
+
+    async def _select(self, may_use: Callable[[DirectEndpoint], bool]) -> DirectEndpoint | None:
+        seconds_left = self._deadline - self._timers.now()
+        return await self._call_attempts.select_endpoint(
+            self._pool, self._attempts, seconds_left, may_use
+        )
+
+    def _runs_software(self, version: str) -> Callable[[DirectEndpoint], bool]:
+        return lambda endpoint: endpoint.software_version == version
 
     def _is_complete(self) -> bool:
         splitter = self._event_splitter
@@ -90,11 +161,32 @@
             return False
         return not self._has_sequence_gap
 
-    def _may_retry(self, retry: bool, attempts: Attempts) -> bool:
-        attempts_remain = len(attempts.tried) < self._route.max_attempts
-        if self._route.resumable:
-            return attempts_remain
-        return retry and not self._incoming.is_head_sent
+    async def _may_retry(self, outcome: Outcome) -> bool:
+        """Return whether to make another attempt, after a pause if no slot is free."""
+        if outcome is not Outcome.NOT_RUN:
+            self._runs += 1
+            self._waits_until = self._timers.now() + self._settings.resume_wait_seconds
+        if not self._route.resumable:
+            step = next_step(
+                outcome, len(self._attempts.tried), self._route, self._attempts.may_have_run
+            )
+            return step.retry and not self._incoming.is_head_sent
+        if self._software is None:
+            return len(self._attempts.tried) < self._route.max_attempts
+        if outcome is not Outcome.NOT_RUN:
+            return self._runs < self._route.max_attempts
+        return await self._wait_for_slot()
+
+    async def _wait_for_slot(self) -> bool:
+        """Return whether to ask the endpoints of the stream's version once more.
+
+        Only they can serve it, so that refusals do not count as attempts.
+        """
+        if self._runs >= self._route.max_attempts or self._timers.now() >= self._waits_until:
+            return False
+        if len(self._attempts.tried) != len(set(self._attempts.tried)):
+            await sleep(self._timers, self._settings.resume_retry_seconds)
+        return True
 
     async def _attempt(
         self, endpoint: DirectEndpoint, seconds_left: float
@@ -119,6 +211,8 @@
             if answer.signature and not answer.not_run:
                 # A stream that is resumed at another endpoint keeps the head of the first one.
                 self._software = endpoint.software_version
+                if self._route.resumable:
+                    self._records.remember(self._stream_id, endpoint.software_version)
                 self._call_attempts.send_stream_head(self._incoming, self._call, response)
 
         return await self._call_attempts.endpoint_caller.call(
@@ -142,14 +236,30 @@
                 self._last_event_number = event.number
             self._incoming.write(event_bytes + _EVENT_SEPARATOR)
 
-    def _fail(self, attempts: Attempts, timed_out: bool) -> None:
+    def _fail(self, timed_out: bool) -> None:
+        last_failure = self._attempts.last_failure
         if self._incoming.is_head_sent:
             _log.info(
                 "stream broken",
                 request=self._call.request_id,
                 last_event=self._last_event_number,
-                detail=attempts.last_failure.detail if attempts.last_failure else "",
+                software=self._software,
+                detail=last_failure.detail if last_failure else "",
             )
             self._incoming.abort()
             return
-        self._call_attempts.refuse_unserved(self._incoming, self._call, attempts, timed_out)
+        if self._is_version_gone():
+            self._attempts.last_failure = Failure(
+                ResultCode.STREAM_VERSION_GONE,
+                f"no endpoint runs the version {self._software}, which began the stream",
+                retry_after=0.0,
+                proven_not_run=True,
+            )
+        self._call_attempts.refuse_unserved(self._incoming, self._call, self._attempts, timed_out)
+
+    def _is_version_gone(self) -> bool:
+        """Return whether the stream can never go on."""
+        software = self._software
+        if software is None:
+            return False
+        return not self._call_attempts.has_endpoint(self._pool, self._runs_software(software))
--- a/pumicedeck/tests/stream_fixtures.py
+++ b/pumicedeck/tests/stream_fixtures.py
@@ -3,6 +3,10 @@
 import re
 
 from pumicedeck.gateway_compositions import build_gateway
+from pumicedeck.gateway_settings import StoreSettings
+from pumicedeck.platform.standin_stores import PlatformStoreServer
+from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
+from pumicedeck.stream_records import STREAM_PARTITIONS, STREAMS_TABLE
 from pumicedeck.tests.test_gateways import SIGNATURE, FakeEndpoint, GatewayFixture, id_header
 
 EVENT_SECONDS = 0.1
@@ -140,13 +144,15 @@
             self.put("servers", each.name, None)
         self.endpoints = []
         self.configure_streams(2)
+        self.own_stores = {}
         self.running_gateways = [self.running]
         self.listeners = [self.gateway.caller_listener]
         for number in range(2, gateways + 1):
             self.add_gateway(f"front-{number}")
         for number, version in enumerate(software):
             self.add_endpoint(f"s-{number}", version)
-        self.loop.advance(3.0)
+        # Streams begin at all versions once their announcement is old enough.
+        self.loop.advance(5.0)
         self.callers = []
 
     def configure_streams(self, version):
@@ -167,13 +173,23 @@
         return self.endpoints[-1]
 
     def add_gateway(self, vm):
-        built = build_gateway(self.make_settings(vm), self.loop, self.loop.timers, lambda: None)
+        """Start a gateway with a way to the store that can fail by itself."""
+        standin = StandinPartitionedStore(self.loop.timers, self.data, call_timeout_seconds=0.05)
+        server = PlatformStoreServer(self.loop, self.loop.timers, standin)
+        self.own_stores[len(self.listeners)] = (standin, server)
+        settings = self.make_settings(vm)
+        settings = settings.model_copy(update={"store": StoreSettings(address=server.address)})
+        built = build_gateway(settings, self.loop, self.loop.timers, lambda: None)
         built.start()
         self.running_gateways.append(built)
         self.listeners.append(built.gateway.caller_listener)
         self.loop.until(lambda: built.gateway.is_ready)
         return len(self.listeners) - 1
 
+    def store_of(self, gateway):
+        """Return the stand-in through which a gateway reaches the store."""
+        return self.own_stores[gateway][0] if gateway in self.own_stores else self.standin
+
     def stop_gateway(self, number):
         """End a gateway, which breaks the connections of its callers."""
         self.running_gateways[number].close()
@@ -197,6 +213,11 @@
             for caller in self.callers:
                 caller.poll()
 
+    def stream_rows(self):
+        """Return the number of stream records in the store."""
+        partitions = [f"{number:x}" for number in range(STREAM_PARTITIONS)]
+        return sum(len(self.data.read(STREAMS_TABLE, each, "", 10_000)) for each in partitions)
+
     def endpoints_of(self, software):
         return [each for each in self.endpoints if each.software == software]
 
@@ -212,4 +233,6 @@
     def close(self):
         for running in self.running_gateways[1:]:
             running.close()
+        for _, server in self.own_stores.values():
+            server.close()
         super().close()
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -49,6 +49,7 @@
     "retries": "retries",
     "request_quarantine": "quarantine",
     "request_permits": "observes_limits",
+    "software_versions": "observes_software",
     "stalled_engine_ends": "scheduler",
 }
 # These are switched off where the gateway is composed.
@@ -155,3 +156,11 @@
     simulation.submit(simulation.processes[0], [[20, 20]], name="s1", step=1)
     simulation.run(3.0)
     assert len(simulation.starts("0-0")) == starts
+
+
+def test_without_software_versions_all_endpoints_count_as_the_same():
+    directory = EndpointDirectory(HOME, Random(1), observes_software=False)
+    for name, version in (("a", "v1"), ("b", "v2")):
+        address = Address("10.0.0.1", 1)
+        directory.update(DirectEndpoint(name, "p", address, HOME, 4, software_version=version))
+    assert directory.software_versions("p") == ["", ""]
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -17,6 +17,7 @@
     "peer_questions",
     "store_feeds",
     "store_relays",
+    "stream_records",
     "stream_relays",
     "submission_intakes",
     *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -24,6 +24,7 @@
 # Followed by all gateways, like the submissions, but not parts of the mirror.
 CRASHES_PARTITION = "crashes"
 LIMITS_PARTITION = "limits"
+SOFTWARE_PARTITION = "software"
 
 
 def head_row(submission_id: str) -> RowKey:
@@ -144,7 +145,7 @@
             if partition_key == MEMBERS_PARTITION:
                 self._apply_member_row(row)
                 continue
-            if partition_key in (CRASHES_PARTITION, LIMITS_PARTITION):
+            if partition_key in (CRASHES_PARTITION, LIMITS_PARTITION, SOFTWARE_PARTITION):
                 continue
             if row.value is None:
                 if row.row.key == HEAD_KEY:
