Ignore registrations without a software version

Two cases of test_rows_that_are_no_valid_registration_are_ignored failed before. The registrations of the soak's stand-ins name a version now.

--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -78,7 +78,8 @@
             draining=document["state"] == "draining",
             incarnation=document["born"],
             models=decode_models(document.get("models") or ()),
-            software_version=str(document.get("version", "")),
+            # The version of its software; those of weights are in the models.
+            software_version=document["version"],
         )
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -94,7 +95,7 @@
     if not isinstance(document, dict) or document.get("state") not in _ENDPOINT_STATES:
         return False
     text_fields_valid = all(
-        isinstance(document.get(key), str) for key in ("service", "address", "zone")
+        isinstance(document.get(key), str) for key in ("service", "address", "zone", "version")
     )
     number_fields_valid = all(type(document.get(key)) is int for key in ("slots", "born", "seq"))
     return text_fields_valid and number_fields_valid
--- a/pumicedeck/platform/standin_callers.py
+++ b/pumicedeck/platform/standin_callers.py
@@ -139,6 +139,7 @@
         "service": pool,
         "address": f"{address.host}:{address.port}",
         "zone": domain,
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "born": 1,
--- a/pumicedeck/tests/test_route_tables.py
+++ b/pumicedeck/tests/test_route_tables.py
@@ -136,6 +136,7 @@
     assert endpoint.address.port == 80 and endpoint.failure_domain.region == "south"
     assert endpoint.version_of("m") == 4 and endpoint.version_of("n") == 0
     assert not endpoint.draining and endpoint.slots == 12
+    assert endpoint.software_version == "v1"
 
 
 @pytest.mark.parametrize(
@@ -149,6 +150,8 @@
         {"slots": "12"},
         {"address": "10.0.0.1"},
         {"zone": 4},
+        {"version": None},
+        {"version": 2},
         {"models": [{"name": "m"}]},
     ],
 )
