Count the connections that an endpoint loses at one moment once, and try it with one call

Change: lost connections of one moment count once and avoid the endpoint for 0.3 s; then one call is its trial, and others follow with the head of its answer. Calls without an answer count as before.

--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -2,7 +2,9 @@
 
 Performs no I/O. Handles a steady load on endpoints of different speed in several failure domains,
 some of which slow down, fill up, crash or go silent: a call goes to the endpoint with the lowest
-expected wait, nearby endpoints first, and endpoints that failed recently are chosen last.
+expected wait, nearby endpoints first, and endpoints that failed recently are chosen last. One whose
+connections were all lost soon gets a single trial call, as a circuit breaker does, and others once
+it has answered.
 """
 
 from collections import OrderedDict
@@ -16,6 +18,8 @@
 
 FIRST_FAILURE_BACKOFF_SECONDS = 2.0
 REFUSAL_BACKOFF_SECONDS = 0.15
+# A lost connection alone does not show that the endpoint is down; the next call soon will.
+LOST_CONNECTIONS_BACKOFF_SECONDS = 0.3
 MAX_FAILURE_BACKOFF_SECONDS = 8.0
 # In calls per slot.
 OTHER_DOMAIN_COST = 0.35
@@ -65,7 +69,9 @@
     """What is known of an endpoint from calls to it; times in seconds of the injected clock.
 
     `in_flight` counts the calls of this process, `latency` is the smoothed duration of calls, 0
-    before the first, and until `avoid_until` the endpoint is chosen last. `request_limit` is how
+    before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
+    `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
+    `has_trial`, a trial call is open. `request_limit` is how
     many requests per second the endpoint accepts from all gateways together, None if it names none;
     it was named last at `limit_named_at`.
     """
@@ -78,9 +84,16 @@
     latency: float = 0.0
     failures: int = 0
     avoid_until: float = 0.0
+    failed_at: float = -inf
+    needs_trial: bool = False
+    has_trial: bool = False
     request_limit: float | None = None
     limit_named_at: float = -inf
 
+    def is_avoided(self, now: float) -> bool:
+        """Return whether the endpoint is chosen last."""
+        return now < self.avoid_until or (self.needs_trial and self.has_trial)
+
     def load(self, now: float) -> float:
         """Return the number of calls per slot.
 
@@ -264,12 +277,20 @@
         state = self._states.get(name)
         if state is not None:
             state.in_flight += 1
+            state.has_trial = state.needs_trial
 
     def call_ended(self, endpoint: DirectEndpoint) -> None:
         """Stop counting a call, unless the endpoint has restarted since."""
         state = self._states.get(endpoint.name)
         if state is not None and state.endpoint.incarnation == endpoint.incarnation:
             state.in_flight = max(0, state.in_flight - 1)
+            state.has_trial = False
+
+    def record_answer(self, name: str) -> None:
+        """Record that the head of an answer has arrived, which ends the need for a trial."""
+        state = self._states.get(name)
+        if state is not None:
+            state.needs_trial = False
 
     def record_load(self, name: str, running: int, waiting: int, now: float) -> None:
         """Record the load that an endpoint reported with an answer."""
@@ -297,8 +318,26 @@
                 MAX_FAILURE_BACKOFF_SECONDS, FIRST_FAILURE_BACKOFF_SECONDS * 2**state.failures
             )
             state.failures += 1
+            state.failed_at = now
             state.avoid_until = now + backoff_seconds
 
+    def record_lost_connection(self, name: str, sent_at: float, now: float) -> None:
+        """Briefly avoid an endpoint that closed the connection on a call, sent at `sent_at`.
+
+        The calls that were open at the last failure count as one: a reset of all connections does
+        not say more than that of one. The next call is a trial.
+        """
+        state = self._states.get(name)
+        if state is None or not self.avoids_failed or sent_at <= state.failed_at:
+            return
+        state.needs_trial = True
+        if state.failures:
+            self.record_failure(name, now)
+            return
+        state.failures = 1
+        state.failed_at = now
+        state.avoid_until = now + LOST_CONNECTIONS_BACKOFF_SECONDS
+
     def record_refusal(self, name: str, now: float) -> None:
         """Briefly avoid an endpoint that refused a call because it was full."""
         state = self._states.get(name)
@@ -321,7 +360,7 @@
             if now - state.limit_named_at < LIMIT_RECHECK_SECONDS:
                 limit_cost += LIMITED_COST
         return (
-            now < state.avoid_until,
+            state.is_avoided(now),
             distance_cost
             + state.load(now)
             + latency_cost
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -100,7 +100,7 @@
             )
         finally:
             self._directory.call_ended(endpoint)
-        result = self._evaluate(endpoint, call, outcome)
+        result = self._evaluate(endpoint, call, outcome, started)
         if isinstance(result, Ok):
             self._directory.record_success(endpoint.name, self._timers.now() - started)
         return result
@@ -131,6 +131,7 @@
             answer = self._dialect.decode_answer_head(response)
             if not answer.misdirected:
                 self._on_answer(endpoint, sent_at)
+                self._directory.record_answer(endpoint.name)
             self._record_leaving(endpoint, answer)
             self._record_request_limit(endpoint, answer, sent_at)
             return check is None or check(answer, response)
@@ -190,10 +191,14 @@
         endpoint: DirectEndpoint,
         call: ForwardedCall,
         outcome: Result[HttpResponse, Failure],
+        sent_at: float,
     ) -> Result[CompleteAnswer, Failure]:
         now = self._timers.now()
         if isinstance(outcome, Err):
-            self._directory.record_failure(endpoint.name, now)
+            if outcome.err_value.connection_lost:
+                self._directory.record_lost_connection(endpoint.name, sent_at, now)
+            else:
+                self._directory.record_failure(endpoint.name, now)
             return outcome
         answer = self._dialect.decode_answer_head(outcome.ok_value)
         if answer.running is not None:
--- a/pumicedeck/scheduling/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -24,9 +24,9 @@
 ) -> list[EngineView]:
     """Return a view of each engine that has models and is not draining.
 
-    An engine that loads weights or failed a short time ago is shown without free slots, one with a
-    request limit with as many as `permits` holds for it. `home` is the failure domain of this
-    process.
+    An engine that loads weights or failed a short time ago is shown without free slots, one that
+    needs a trial with one, and one with a request limit with as many as `permits` holds for it.
+    `home` is the failure domain of this process.
     """
     counts = count_runs(runs)
     groups: dict[str, set[str]] = {}
@@ -39,7 +39,9 @@
         name = endpoint.name
         state = directory.state(name)
         free_slots = max(0, endpoint.slots - counts.get(name, 0))
-        blocked = weights.is_loading(name) or (state is not None and now < state.avoid_until)
+        if state is not None and state.needs_trial:
+            free_slots = min(1, free_slots)
+        blocked = weights.is_loading(name) or (state is not None and state.is_avoided(now))
         views.append(
             EngineView(
                 name=name,
--- a/pumicedeck/tests/test_direct_endpoints.py
+++ b/pumicedeck/tests/test_direct_endpoints.py
@@ -214,3 +214,25 @@
     candidates.share_limit("a", SharedLimit(3, 2.0), 5.0)
     candidates.update(endpoint("a", incarnation=4))
     assert candidates.request_limit("a") is None
+
+
+def test_connections_that_are_lost_at_one_moment_count_as_one_failure():
+    """A reset of all connections made each engine unusable for 8 s, although all of them lived."""
+    candidates = directory(endpoint("a"), endpoint("b", FAR))
+    for _ in range(12):
+        candidates.record_lost_connection("a", 0.0, 5.0)
+    assert chosen(candidates, 5.2) == {"b"} and chosen(candidates, 5.4) == {"a"}
+    # Calls that were open then may be lost a little later.
+    candidates.record_lost_connection("a", 4.9, 5.5)
+    assert chosen(candidates, 5.6) == {"a"}
+
+
+def test_an_endpoint_that_loses_the_next_connection_too_is_avoided_for_longer_each_time():
+    candidates = directory(endpoint("a"), endpoint("b", FAR))
+    candidates.record_lost_connection("a", 0.0, 1.0)
+    candidates.record_lost_connection("a", 1.4, 1.5)
+    assert chosen(candidates, 5.4) == {"b"} and chosen(candidates, 5.6) == {"a"}
+    candidates.record_failure("a", 5.6)
+    assert chosen(candidates, 13.5) == {"b"}
+    candidates.record_success("a", 0.1)
+    assert candidates.state("a").avoid_until == 0.0
