Ask an endpoint that may have restarted before a stream goes on there

Cause: the version came from a registration of an earlier start. Change: before a stream goes on, an endpoint of a pool with several versions, or one that has lost a connection since its start was confirmed, is asked for its report, which names its start; if that differs, or nothing comes, the stream goes on elsewhere. Pools with one version whose connections hold ask nothing.

--- a/pumicedeck/call_limits.py
+++ b/pumicedeck/call_limits.py
@@ -37,7 +37,8 @@
     `min_attempt_seconds` or less left. `retry_after_seconds` is sent to callers that no endpoint
     could serve. A resumable stream is given up at an endpoint that sends nothing for
     `stream_silence_seconds`. A stream that goes on waits up to `resume_wait_seconds` for a free
-    slot at its software version, and asks again every `resume_retry_seconds`.
+    slot at its software version, and asks again every `resume_retry_seconds`. An endpoint that may
+    have restarted with other software is asked first, for up to `restart_question_seconds`.
     """
 
     silence_limit_factor: float = 1.2
@@ -47,6 +48,7 @@
     stream_silence_seconds: float = 1.0
     resume_wait_seconds: float = 1.0
     resume_retry_seconds: float = 0.1
+    restart_question_seconds: float = 0.4
     retries: bool = True
 
     def silence_limit(self, route: Route, seconds_left: float, more_attempts: bool) -> float:
--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -100,11 +100,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """An engine's state; `order_sequence` counts the orders that the engine has accepted."""
+    """An engine's state; `order_sequence` counts the orders that the engine has accepted.
+
+    `incarnation` is that of the process that reports, None if it does not say.
+    """
 
     models: tuple[LoadedModel, ...]
     busy: bool
     order_sequence: int
+    incarnation: int | None = None
 
     def version_of(self, model: str) -> int:
         """Return the weight version of a model, 0 if the engine does not hold it."""
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -71,7 +71,8 @@
     `in_flight` counts the calls of this process, `latency` is the smoothed duration of calls, 0
     before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
     `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
-    `has_trial`, a trial call is open. `request_limit` is how
+    `has_trial`, a trial call is open. It `may_have_restarted` if it has lost a connection since
+    its registration or its last report of its incarnation. `request_limit` is how
     many requests per second the endpoint accepts from all gateways together, None if it names none;
     it was named last at `limit_named_at`.
     """
@@ -87,6 +88,7 @@
     failed_at: float = -inf
     needs_trial: bool = False
     has_trial: bool = False
+    may_have_restarted: bool = False
     request_limit: float | None = None
     limit_named_at: float = -inf
 
@@ -241,6 +243,17 @@
         endpoints = (state.endpoint for state in self._states.values())
         return [each.software_version for each in endpoints if each.pool == pool]
 
+    def may_have_restarted(self, name: str) -> bool:
+        """Return whether an endpoint has lost connections since its incarnation was confirmed."""
+        state = self._states.get(name)
+        return state is not None and state.may_have_restarted
+
+    def confirm_incarnation(self, endpoint: DirectEndpoint) -> None:
+        """Record that an endpoint has not restarted since it registered."""
+        state = self._states.get(endpoint.name)
+        if state is not None and state.endpoint.incarnation == endpoint.incarnation:
+            state.may_have_restarted = False
+
     def accepting_endpoints(
         self, pool: str, may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True
     ) -> list[EndpointState]:
@@ -328,7 +341,10 @@
         not say more than that of one. The next call is a trial.
         """
         state = self._states.get(name)
-        if state is None or not self.avoids_failed or sent_at <= state.failed_at:
+        if state is None:
+            return
+        state.may_have_restarted = True
+        if not self.avoids_failed or sent_at <= state.failed_at:
             return
         state.needs_trial = True
         if state.failures:
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -62,6 +62,10 @@
         """Return the dialect, which encodes requests to endpoints and decodes answers."""
         return self._dialect
 
+    def may_have_restarted(self, endpoint: DirectEndpoint) -> bool:
+        """Return whether an endpoint has lost connections since its incarnation was confirmed."""
+        return self._directory.may_have_restarted(endpoint.name)
+
     def close_idle_connections(self, endpoint: DirectEndpoint) -> None:
         """Close the idle connections to an endpoint that has stopped answering."""
         self._client.close_idle_connections(endpoint.address)
@@ -115,6 +119,26 @@
         self._log_limited_request(endpoint, request.path)
         return await self._exchange(request, endpoint, silence_seconds, silence_seconds, None, None)
 
+    async def has_restarted(self, endpoint: DirectEndpoint, silence_seconds: float) -> bool:
+        """Ask an endpoint whether it has restarted since it registered.
+
+        True also if it cannot be asked. One that gives no reports counts as unchanged, as does one
+        with a request limit, to which a question would count as a request.
+        """
+        if self._directory.request_limit(endpoint.name) is not None:
+            return False
+        request = self._dialect.report_request(endpoint)
+        answered = await self.send_request(request, endpoint, silence_seconds)
+        if isinstance(answered, Err):
+            return True
+        report = self._dialect.report(answered.ok_value)
+        if report is None or report.incarnation is None:
+            return False
+        if report.incarnation != endpoint.incarnation:
+            return True
+        self._directory.confirm_incarnation(endpoint)
+        return False
+
     async def _exchange(
         self,
         request: HttpRequest,
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -122,8 +122,12 @@
             return None
         try:
             document = json.loads(response.body)
+            born = document.get("born")
             return EngineReport(
-                decode_models(document["models"]), bool(document["busy"]), int(document["seq"])
+                decode_models(document["models"]),
+                bool(document["busy"]),
+                int(document["seq"]),
+                born if type(born) is int else None,
             )
         except (ValueError, KeyError, TypeError):
             return None
--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -118,6 +118,11 @@
             return True
         return self._is_fresh and known.may_begin(version, self._timers.now(), self._settings)
 
+    def has_several(self, pool: str) -> bool:
+        """Return whether streams of a pool may have begun at several versions."""
+        known = self._known.get(pool)
+        return known is None or not known.versions.has_one
+
     def is_base(self, pool: str, version: str) -> bool:
         """Return whether a stream without a record counts as begun at a version."""
         known = self._known.get(pool)
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -54,7 +54,7 @@
         stream_id = call.stream_id if self._is_resumed else call.request_id
         self._stream_id = stream_id
         # Each gateway chooses the same pool for a stream that is resumed.
-        self._pool = choose_pool(route, Random(stream_id))
+        self._pool = choose_pool(route, Random(stream_id or None))
         self._origin = StreamOrigin(records, self._timers, stream_id, self._pool)
         self._deadline = call_attempts.deadline(incoming, call, route)
         self._attempts = Attempts(fingerprint_request(call))
@@ -104,7 +104,7 @@
     async def _choose_endpoint(self) -> DirectEndpoint | None:
         """Return an endpoint at which the stream may begin or go on, None if there is none."""
         if self._software is not None:
-            return await self._select(self._runs_software(self._software))
+            return await self._select_unchanged(self._software)
         if not self._route.resumable:
             return await self._select(lambda endpoint: True)
         endpoint = await self._select_beginning()
@@ -129,6 +129,38 @@
             lambda each: self._records.is_base(self._pool, each.software_version)
         )
 
+    async def _select_unchanged(self, software: str) -> DirectEndpoint | None:
+        """Return an endpoint that runs a version and has not restarted since it registered.
+
+        An endpoint may come back under its name with other software, and accept requests before its
+        new registration is known here.
+        """
+        restarted: set[tuple[str, int]] = set()
+
+        def may_use(each: DirectEndpoint) -> bool:
+            return each.software_version == software and (
+                (each.name, each.incarnation) not in restarted
+            )
+
+        caller = self._call_attempts.endpoint_caller
+        while True:
+            endpoint = await self._select(may_use)
+            if endpoint is None:
+                return None
+            is_suspect = self._records.has_several(self._pool) or caller.may_have_restarted(
+                endpoint
+            )
+            seconds = self._settings.restart_question_seconds
+            if not is_suspect or not await caller.has_restarted(endpoint, seconds):
+                return endpoint
+            restarted.add((endpoint.name, endpoint.incarnation))
+            _log.info(
+                "endpoint has restarted; the stream does not go on there",
+                request=self._call.request_id,
+                endpoint=endpoint.name,
+                software=software,
+            )
+
     async def _select_beginning(self) -> DirectEndpoint | None:
         """Return an endpoint at which the stream may begin.
 
--- a/pumicedeck/tests/stream_fixtures.py
+++ b/pumicedeck/tests/stream_fixtures.py
@@ -1,9 +1,11 @@
 """Gateways before endpoints of several software versions, and callers that resume their streams."""
 
+import json
 import re
 
 from pumicedeck.gateway_compositions import build_gateway
 from pumicedeck.gateway_settings import StoreSettings
+from pumicedeck.http_listeners import HttpListener
 from pumicedeck.platform.standin_stores import PlatformStoreServer
 from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
 from pumicedeck.stream_records import STREAM_PARTITIONS, STREAMS_TABLE
@@ -44,7 +46,27 @@
         self.listener.unregister()
         self.fixture.endpoints.remove(self)
 
+    def restart(self, software):
+        """Restart at the same address under the same name, without registering."""
+        address = self.listener.address
+        self.listener.close()
+        self.listener.unregister()
+        for call in self.open_calls:
+            call.abort()
+        self.open_calls = []
+        self.software = software
+        self.incarnation += 1
+        self.breaks_after = None
+        self.listener = HttpListener(address, self.fixture.loop.timers, self._handle)
+        self.listener.register(self.fixture.loop)
+        self.listener.start()
+
     def stream(self, call):
+        if call.target == "/report":
+            report = {"models": [], "busy": False, "seq": 0, "born": self.incarnation}
+            call.answer(200, (), json.dumps(report).encode())
+            return
+        self.open_calls.append(call)
         if self.full:
             call.answer(503, (id_header(call), NOT_RUN), b"")
             return
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -332,3 +332,19 @@
     fixture.check()
     begun = sum(bool(caller.events) for caller in new) / len(new)
     assert fixture.completed(callers) / len(callers) >= 0.9 * begun
+
+
+@pytest.mark.parametrize("software", [("v1",), ("v1", "v1", "v2"), ("v1", "v2")])
+def test_a_stream_does_not_go_on_at_an_endpoint_that_has_restarted_but_not_registered(
+    make_streams, software
+):
+    fixture = make_streams(gateways=2, software=software)
+    callers = fixture.begin(count=8)
+    fixture.run(0.35)
+    fixture.endpoints[0].restart("v2" if software[0] == "v1" else "v1")
+    fixture.run(0.5)
+    for caller in callers:
+        if caller.is_closed and not caller.is_complete:
+            caller.send(0)
+    fixture.run(1.5)
+    fixture.check()
