--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -72,9 +72,10 @@
     before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
     `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
     `has_trial`, a trial call is open. It `may_have_restarted` if it has lost a connection since
-    its registration or its last report of its incarnation. `request_limit` is how
-    many requests per second the endpoint accepts from all gateways together, None if it names none;
-    it was named last at `limit_named_at`.
+    its registration or its last report of its incarnation.
+
+    `request_limit` is how many requests per second the endpoint accepts from all gateways together,
+    None if it names none; it was named last at `limit_named_at`.
     """
 
     endpoint: DirectEndpoint
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -122,10 +122,10 @@
     async def has_restarted(self, endpoint: DirectEndpoint, silence_seconds: float) -> bool:
         """Ask an endpoint whether it has restarted since it registered.
 
-        True also if it cannot be asked. One that gives no reports counts as unchanged, as does one
-        with a request limit, to which a question would count as a request.
+        True also if it does not answer. Only engines give reports, others count as unchanged; so
+        does one with a request limit, to which a question would count as a request.
         """
-        if self._directory.request_limit(endpoint.name) is not None:
+        if not endpoint.models or self._directory.request_limit(endpoint.name) is not None:
             return False
         request = self._dialect.report_request(endpoint)
         answered = await self.send_request(request, endpoint, silence_seconds)
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -363,7 +363,7 @@
         if not progress.last_event or progress.software == endpoint.software_version:
             return
         _log.info(
-            "output discarded; no engine of its software version is free",
+            "output discarded; the item begins anew at another software version",
             submission=work.submission_id,
             item=item_work.item.item_id,
             software=progress.software,
--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -43,6 +43,7 @@
 # Callers wait for these calls: they abandon a stream after a gap of two seconds.
 READ_SECONDS = 0.8
 WRITE_SECONDS = 0.8
+WRITE_RETRY_SECONDS = 0.02
 MAX_KNOWN_STREAMS = 5000
 
 _log = logger.bind(module="stream_records")
@@ -315,12 +316,12 @@
                 if stored_version == version:
                     self._confirm(version, self._revision)
                     return Ok(None)
-                continue
             if failure.code is ResultCode.STORE_OUTCOME_UNKNOWN:
                 self._is_uncertain = True
-            if not self._is_uncertain or self._timers.now() >= until:
+            may_repeat = self._is_uncertain or failure.code is ResultCode.STORE_CONFLICT
+            if not may_repeat or self._timers.now() >= until:
                 return Err(failure)
-            await sleep(self._timers, 0.02)
+            await sleep(self._timers, WRITE_RETRY_SECONDS)
 
     def _confirm(self, version: str, revision: int) -> None:
         self._recorded = version
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -167,13 +167,11 @@
         One of the recorded version comes first, since another one needs another record. Versions
         that other gateways may not know of yet come last.
         """
-        preferences = [
-            lambda each: self._records.may_begin(self._pool, each.software_version),
-            lambda each: True,
-        ]
-        if self._origin.recorded_version:
-            preferences.insert(0, self._runs_software(self._origin.recorded_version))
-        for may_use in preferences:
+
+        def may_begin(each: DirectEndpoint) -> bool:
+            return self._records.may_begin(self._pool, each.software_version)
+
+        for may_use in (self._runs_software(self._origin.recorded_version), may_begin):
             if self._call_attempts.has_endpoint(self._pool, may_use):
                 return await self._select(may_use)
         return await self._select(lambda endpoint: True)
--- a/pumicedeck/tests/stream_fixtures.py
+++ b/pumicedeck/tests/stream_fixtures.py
@@ -34,7 +34,8 @@
         self.register()
 
     def register(self, state="ready"):
-        entry = {**self.entry(state), "born": self.incarnation}
+        models = [{"name": "m", "version": 1}]
+        entry = {**self.entry(state), "born": self.incarnation, "models": models}
         self.fixture.put("servers", self.name, entry)
 
     def unregister(self):
--- a/pumicedeck/tests/test_lost_connections.py
+++ b/pumicedeck/tests/test_lost_connections.py
@@ -20,6 +20,7 @@
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.test_direct_endpoints import HOME, endpoint
+from pumicedeck.tests.test_leaving_endpoints import NoWeights
 
 
 class ResettingClient:
@@ -66,25 +67,12 @@
     assert avoided_seconds(connection_lost=False) >= 8.0
 
 
-class IdleEngines:
-    """A weight schedule without loads."""
-
-    def is_loading(self, name):
-        return False
-
-    def versions(self, each):
-        return {model.model: model.version for model in each.models}
-
-    def assigned_model(self, name):
-        return ""
-
-
 def free_slots(directory, now):
     """Return the free slots that items see at the only engine of a directory."""
     timers = VirtualTime()
     permits = EnginePermits(timers, directory, None, lambda: None)
     intervals = EngineEventIntervals()
-    (view,) = view_engines(directory, IdleEngines(), permits, intervals, [], HOME, now)
+    (view,) = view_engines(directory, NoWeights(), permits, intervals, [], HOME, now)
     return view.free_slots
 
 
