Run the tests in five parts at the same time, split by file

Tried first: a split by test. test_status_and_histograms_tell_what_the_entry_did failed, alone as well as in its part: it builds on the tests before it in its file, which share a fixture. So files stay whole.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
+PARTS := 1 2 3 4 5
+
 .PHONY: setup format lint check test demo
 
 setup: $(VENV)/.installed
@@ -19,8 +21,13 @@
 	$(BIN)/python -m black --check pumicedeck
 	$(BIN)/python -m ruff check pumicedeck
 
+# Each file of tests belongs to one part, by its name; the parts run at the same time.
 test: lint
-	$(BIN)/python -m pytest
+	$(MAKE) --no-print-directory --keep-going --jobs=$(words $(PARTS)) --output-sync=target \
+		$(PARTS:%=test-part-%)
+
+test-part-%: setup
+	$(BIN)/python -m pytest --part $*/$(words $(PARTS))
 
 demo: setup
 	$(BIN)/python -m pumicedeck demo
--- a/conftest.py
+++ b/conftest.py
@@ -1,6 +1,7 @@
-"""Lets CI pass over the tests that KNOWN-RED.txt lists, and prints them."""
+"""Lets CI pass over the tests that KNOWN-RED.txt lists, and runs one part of all tests."""
 
 from pathlib import Path
+from zlib import crc32
 
 import pytest
 
@@ -13,8 +14,35 @@
     return [line.removeprefix(MARK).strip() for line in lines if line.startswith(MARK)]
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Expect a listed test to fail; one that passes has to leave the list."""
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the option that chooses a part of the tests."""
+    parser.addoption("--part", default="1/1", help="run part K of N of the tests, as K/N")
+
+
+def _parse_part(text: str) -> tuple[int, int]:
+    part, _, parts = text.partition("/")
+    if not (part.isdigit() and parts.isdigit() and 1 <= int(part) <= int(parts)):
+        raise pytest.UsageError(f"--part takes K/N with K from 1 to N, got {text!r}")
+    return int(part), int(parts)
+
+
+def _is_in_part(item: pytest.Item, part: int, parts: int) -> bool:
+    """Return whether a test is in a part; that depends only on the name of its file.
+
+    The tests of a file stay together, since some share a fixture and build on one another.
+    """
+    file = item.nodeid.partition("::")[0]
+    return crc32(file.encode()) % parts == part - 1
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Choose the part, and expect listed tests to fail; one that passes has to leave the list."""
+    part, parts = _parse_part(config.getoption("--part"))
+    left_out = [item for item in items if not _is_in_part(item, part, parts)]
+    if left_out:
+        config.hook.pytest_deselected(items=left_out)
+        items[:] = [item for item in items if _is_in_part(item, part, parts)]
     listed = set(_listed())
     for item in items:
         if item.nodeid in listed:
