--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -134,6 +134,15 @@
             has_other_software,
         )
 
+    def has_other_software(self, registered: DirectEndpoint) -> bool:
+        """Return whether the engine, as it is registered now, has restarted with other software.
+
+        Such an engine may have accepted the run before its registration was known.
+        """
+        if registered.incarnation == self.endpoint.incarnation:
+            return False
+        return registered.software_version != self.endpoint.software_version
+
     def discard_events(self) -> None:
         """Remove the events of this run from the item's output."""
         progress = self._item_work.progress
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -394,14 +394,9 @@
         self._endings.requeue(work, item_work, run.endpoint, end, detail)
 
     def _has_other_software(self, run: ItemRun) -> bool:
-        """Return whether a run's engine has registered anew with another software version.
-
-        Such an engine may have accepted the run before its registration was known.
-        """
+        """Return whether a run's engine has registered anew with another software version."""
         state = self._parts.directory.state(run.endpoint.name)
-        if state is None or state.endpoint.incarnation == run.endpoint.incarnation:
-            return False
-        return state.endpoint.software_version != run.endpoint.software_version
+        return state is not None and run.has_other_software(state.endpoint)
 
     def _record_observed_version(self, run: ItemRun) -> None:
         if run.observed_version:
