--- a/pumicedeck/stream_versions.py
+++ b/pumicedeck/stream_versions.py
@@ -30,9 +30,6 @@
     retired_seconds: float = 300.0
 
 
-DEFAULT_STREAM_VERSION_SETTINGS = StreamVersionSettings()
-
-
 @dataclass(frozen=True, slots=True)
 class PoolVersions:
     """The software versions at which streams of a pool may begin, as the pool's row says.
