--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -25,7 +25,8 @@
     `budget_seconds` is how long the caller waits, None if it gives no limit; `resume_after` is the
     number of the last event that the caller of a stream received, None to start at the first.
     `stream_id` is then the request id of the caller's attempt that received the first event, empty
-    if the caller does not name it.
+    if the caller does not name it. `account` names the client account that the request belongs to,
+    empty without accounts.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     budget_seconds: float | None = None
     resume_after: int | None = None
     stream_id: str = ""
+    account: str = ""
 
     @property
     def path(self) -> str:
