Move items only off engines that are slow for longer than their noise

Cause: windows of 0.4 s take slowdowns of 0.6 s for slow engines, and at few events a second the number of events in a window varies by itself.

Change: `engine_noise` counts for each pool how long slow phases of runs last, measured from event to event, and keeps each engine's lasting interval (the median of its last 17 seconds). A run in a slow phase moves if it would end sooner elsewhere by at least 0.6 s, after the expected rest of the phase and the prompt, whose time is measured too. A phase older than those counted is expected to last, so without counted phases the rule is as strict as before. An engine that was not measured has the speed of a typical one of its pool. The mechanism `noise_aware_moves` switches all of it off.

--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -61,7 +61,9 @@
         queue=QueueSettings(mechanisms.longest_first, mechanisms.placement_by_end),
         moves=on.moves if mechanisms.moves else MoveSettings(max_moves=0),
         intervals=IntervalSettings(
-            mechanisms.interval_windows, mechanisms.remembered_engine_speeds
+            mechanisms.interval_windows,
+            mechanisms.remembered_engine_speeds,
+            mechanisms.noise_aware_moves,
         ),
         announcement=AnnouncementSettings(trusts_rows=mechanisms.announced_orders),
         retries=RetrySettings(retries=mechanisms.retries),
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -63,6 +63,7 @@
     request_quarantine: bool = True
     request_permits: bool = True
     software_versions: bool = True
+    noise_aware_moves: bool = True
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/scheduling/engine_views.py
+++ b/pumicedeck/scheduling/engine_views.py
@@ -50,7 +50,7 @@
                 slots=endpoint.slots,
                 software=endpoint.software_version,
                 versions=weights.versions(endpoint),
-                event_seconds=event_intervals.seconds(name, now),
+                event_seconds=event_intervals.seconds(name, now, endpoint.pool),
                 distance_seconds=_distance_seconds(endpoint, home),
                 assigned_model=weights.assigned_model(name),
                 groups=groups.get(name, set()),
--- a/pumicedeck/scheduling/event_intervals.py
+++ b/pumicedeck/scheduling/event_intervals.py
@@ -3,11 +3,14 @@
 Engines can turn slow while they work, for all of their runs or for some. A run is therefore
 measured in short windows of time, and only the last two windows count, not the average since it
 started. So a long item can be moved off an engine within a second after the engine turned slow.
+Short windows take noise for slowness; `engine_noise` tells the two apart.
 """
 
 from collections import Counter
 from dataclasses import dataclass, field
 
+from pumicedeck.direct_endpoints import DirectEndpoint
+from pumicedeck.scheduling.engine_noise import EngineNoise, RunForecast, RunPhase
 from pumicedeck.scheduling.item_queues import DEFAULT_EVENT_SECONDS
 
 WINDOW_SECONDS = 0.4
@@ -23,11 +26,14 @@
     """How event intervals are measured.
 
     With `uses_windows` only the last windows of a run count, otherwise all since its first event.
-    With `remembers_engines` an engine without recent runs counts as being as fast as before.
+    With `remembers_engines` an engine without recent runs counts as being as fast as before. With
+    `separates_noise` the noise of each pool is estimated, and an engine has its lasting speed
+    unless it is slow for longer than that noise explains.
     """
 
     uses_windows: bool = True
     remembers_engines: bool = True
+    separates_noise: bool = True
 
 
 DEFAULT_INTERVAL_SETTINGS = IntervalSettings()
@@ -39,10 +45,11 @@
 
     `window_event_seconds` is the seconds per event in the last complete window, None before the
     first one has ended. `confirmed_event_seconds` is the lower value of the last two windows, None
-    before the second one has ended.
+    before the second one has ended. `phase` is what the estimate of noise has measured of the run.
     """
 
     settings: IntervalSettings = DEFAULT_INTERVAL_SETTINGS
+    phase: RunPhase = field(default_factory=RunPhase)
     window_event_seconds: float | None = None
     confirmed_event_seconds: float | None = None
     _window_start: float | None = None
@@ -75,6 +82,7 @@
     def reset(self) -> None:
         """Discard the measurements; called while the engine loads weights and sends no events."""
         self.window_event_seconds = self.confirmed_event_seconds = self._window_start = None
+        self.phase.reset()
 
 
 @dataclass(slots=True)
@@ -90,9 +98,32 @@
     _intervals: dict[str, tuple[float, float]] = field(default_factory=dict)
     _shortest: dict[str, float] = field(default_factory=dict)
     _windows: Counter[str] = field(default_factory=Counter)
-
-    def seconds(self, engine: str, now: float) -> float:
-        """Return the seconds per event at an engine."""
+    _noise: EngineNoise = field(default_factory=EngineNoise)
+
+    def observe(
+        self,
+        interval: RunEventInterval,
+        engine: DirectEndpoint,
+        events: int,
+        last_event: float,
+        now: float,
+    ) -> None:
+        """Measure a run at an engine; `last_event` is when the last of `events` events came."""
+        name, pool = engine.name, engine.pool
+        if self.settings.separates_noise:
+            self._noise.observe(interval.phase, name, pool, events, last_event, now)
+        if interval.sample(events, now):
+            self.record(name, interval.window_event_seconds, now)
+
+    def forecast(self, interval: RunEventInterval, engine: str, now: float) -> RunForecast | None:
+        """Return what a run is expected to take, None if the engine's lasting speed is unknown."""
+        return self._noise.forecast(interval.phase, engine, now)
+
+    def seconds(self, engine: str, now: float, pool: str = "") -> float:
+        """Return the seconds per event at an engine of `pool`."""
+        expected = self._noise.seconds(engine, pool, now)
+        if expected is not None:
+            return expected
         previous = self._intervals.get(engine)
         if previous is None or now - previous[1] > _MAX_AGE_SECONDS:
             is_known = self.settings.remembers_engines and self._windows[engine] >= _MIN_WINDOWS
--- a/pumicedeck/scheduling/item_queues.py
+++ b/pumicedeck/scheduling/item_queues.py
@@ -11,6 +11,9 @@
 """
 
 from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pumicedeck.scheduling.engine_noise import RunForecast
 
 DEFAULT_EVENT_SECONDS = 0.04
 DEFAULT_LENGTH_EVENTS = 25.0
@@ -221,7 +224,8 @@
 
     `events_left` is the submitter's estimate of its length less the events received. `moves` is how
     often it was moved. `event_seconds` is the confirmed event interval of this run, None if it was
-    not measured long enough.
+    not measured long enough. `forecast` is what the run is expected to take, None if the noise of
+    its engine is not known.
     """
 
     item: QueuedItem
@@ -229,6 +233,29 @@
     events_left: float
     moves: int
     event_seconds: float | None = None
+    forecast: RunForecast | None = None
+
+
+class MoveReason(StrEnum):
+    """Why an item is moved; the values are written to the log and to the metrics.
+
+    UNKNOWN_NOISE is a slow engine whose noise is not known yet, SLOW_PHASE a run that is slow for
+    longer than the noise explains, LASTING an engine that is slower for good.
+    """
+
+    UNKNOWN_NOISE = "unknown noise"
+    SLOW_PHASE = "slow phase"
+    LASTING = "slower for good"
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """An item that is to leave its engine for `engine`, and by how much sooner it would end."""
+
+    item_id: str
+    engine: str
+    reason: MoveReason
+    gain_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,13 +264,16 @@
 
     Its event interval must be `min_slowdown` times that of the other engine, or
     `min_unconfirmed_slowdown` times if only its engine's interval is known, not that of its run. An
-    item moves at most `max_moves` times.
+    item moves at most `max_moves` times. A run with a forecast moves if it was slow for at least
+    `min_slow_seconds`, or if its engine is slower for good, and if the expected gain is more than
+    what it takes to process the prompt again.
     """
 
     min_gain_seconds: float = 0.6
     min_slowdown: float = 1.2
     min_unconfirmed_slowdown: float = 2.0
     max_moves: int = 2
+    min_slow_seconds: float = 0.7
 
 
 def choose_moves(
@@ -251,27 +281,57 @@
     engines: list[EngineView],
     settings: MoveSettings,
     queue: QueueSettings = DEFAULT_QUEUE_SETTINGS,
-) -> list[Assignment]:
+) -> list[Move]:
     """Return the items that would end much sooner on another engine with a free slot."""
     by_name = {engine.name: engine for engine in engines}
+    fastest = min((each.event_seconds for each in engines if each.free_slots > 0), default=None)
+    if fastest is None:
+        return []
     moves = []
     for run in sorted(running, key=lambda run: -run.events_left):
         source = by_name.get(run.engine)
         if source is None or run.moves >= settings.max_moves:
             continue
+        if _move_gain(run, source, fastest, 0, settings) < settings.min_gain_seconds:
+            continue
         others = [e for e in engines if e is not source and e.free_slots > 0]
         target = _best_engine(run.item, others, queue, begins_anew=True)
         if target is None:
             continue
-        confirmed = run.event_seconds is not None
-        run_event_seconds = run.event_seconds if confirmed else source.event_seconds
-        slowdown = settings.min_slowdown if confirmed else settings.min_unconfirmed_slowdown
-        if run_event_seconds < slowdown * target.event_seconds:
-            continue
         events_anew = 0 if target.has_software_of(run.item) else run.item.events_done
-        gain = run.events_left * run_event_seconds
-        gain -= (run.events_left + events_anew) * target.event_seconds
+        gain = _move_gain(run, source, target.event_seconds, events_anew, settings)
         if gain >= settings.min_gain_seconds:
             target.free_slots -= 1
-            moves.append(Assignment(run.item.item_id, target.name))
+            moves.append(Move(run.item.item_id, target.name, _move_reason(run), gain))
     return moves
+
+
+def _move_gain(
+    run: RunningItem,
+    source: EngineView,
+    target_event_seconds: float,
+    events_anew: int,
+    settings: MoveSettings,
+) -> float:
+    """Return by how many seconds a run would end sooner elsewhere, 0 if it must not move."""
+    forecast, events = run.forecast, run.events_left
+    if forecast is not None:
+        if 0 < forecast.slow_seconds < settings.min_slow_seconds:
+            return 0.0
+        interval, slowdown = forecast.event_seconds, settings.min_slowdown
+        stay, restart = forecast.seconds_for(events), forecast.restart_seconds
+    else:
+        confirmed = run.event_seconds is not None
+        interval = run.event_seconds if confirmed else source.event_seconds
+        slowdown = settings.min_slowdown if confirmed else settings.min_unconfirmed_slowdown
+        stay, restart = events * interval, 0.0
+    if interval < slowdown * target_event_seconds:
+        return 0.0
+    return stay - restart - (events + events_anew) * target_event_seconds
+
+
+def _move_reason(run: RunningItem) -> MoveReason:
+    """Return why a run moves."""
+    if run.forecast is None:
+        return MoveReason.UNKNOWN_NOISE
+    return MoveReason.SLOW_PHASE if run.forecast.slow_seconds else MoveReason.LASTING
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -16,13 +16,12 @@
 from pumicedeck.scheduling.engine_views import count_runs, view_engines
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_endings import ItemEndings
+from pumicedeck.scheduling.item_moves import ItemMoves
 from pumicedeck.scheduling.item_pacing import choose_paced_items
 from pumicedeck.scheduling.item_queues import (
     EngineView,
     QueuedItem,
-    RunningItem,
     assign_items,
-    choose_moves,
 )
 from pumicedeck.scheduling.item_runs import ItemRun
 from pumicedeck.scheduling.queued_items import build_queued_item
@@ -70,6 +69,7 @@
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._schedule_pending = False
         self._event_intervals = EngineEventIntervals(parts.intervals)
+        self._moves = ItemMoves(parts, self._settings, self._event_intervals)
         self._fencing = 0
         self._active = False
         self._earlier_orders_until: dict[str, float] = {}
@@ -93,6 +93,11 @@
         """Return the number of items that engines run."""
         return len(self._runs)
 
+    @property
+    def moves_by_reason(self) -> dict[str, int]:
+        """Return the number of runs moved to faster engines since the start, by reason."""
+        return self._moves.counts
+
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of items that wait for an engine, by model."""
         counts: Counter[str] = Counter()
@@ -267,11 +272,12 @@
     def _record_event_intervals(self, runs: list[ItemRun], now: float) -> None:
         """Measure the event interval of each run and record it for the run's engine."""
         for run in runs:
-            name = run.endpoint.name
-            if self._weights.is_loading(name):
+            if self._weights.is_loading(run.endpoint.name):
                 run.event_interval.reset()
-            elif run.event_interval.sample(run.events, now):
-                self._event_intervals.record(name, run.event_interval.window_event_seconds, now)
+            else:
+                self._event_intervals.observe(
+                    run.event_interval, run.endpoint, run.events, run.last_contact_at, now
+                )
 
     def _collect_startable(self, work: SubmissionWork, now: float) -> list[QueuedItem]:
         """Return the items that may start; score complete ones and give up those out of time."""
@@ -443,30 +449,9 @@
 
     def _move_items(self, engines: list[EngineView], now: float) -> None:
         """End the runs of items that would end much sooner on another engine."""
-        running, by_id = [], {}
-        for key, (run, _) in self._runs.items():
-            work = self._works.get(key[0])
-            route = self._parts.route(work.head.route) if work is not None else None
-            if route is None or run.events < 2:
-                continue
-            queued = build_queued_item(self._parts, self._settings, work, route, run.item_work)
-            by_id[queued.item_id] = key
-            # Without an estimate of the length, 10 events count as left.
-            events_left = queued.expected_events_left or 10.0
-            running.append(
-                RunningItem(
-                    queued,
-                    run.endpoint.name,
-                    events_left,
-                    run.item_work.moves,
-                    run.event_interval.confirmed_event_seconds,
-                )
-            )
-        for move in choose_moves(running, engines, self._parts.moves, self._parts.queue):
-            key = by_id[move.item_id]
-            run, _ = self._runs[key]
-            run.item_work.moves += 1
-            self._end_run(key, RunEnd.BROKEN, "moved to a faster engine")
+        runs = {key: run for key, (run, _) in self._runs.items()}
+        for key, detail in self._moves.choose(runs, self._works, engines, now):
+            self._end_run(key, RunEnd.BROKEN, detail)
 
     def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
         """Assign models to engines and order loads."""
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -23,6 +23,7 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.reward_calls import RewardCaller
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts
 from pumicedeck.scheduling.schedulers import Scheduler
@@ -71,10 +72,12 @@
     orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
     requests per second, unless it is None; `requests` has the time of each request that it got.
     `starts` has the time, item and `resume_after` of each run, `ends` counts its restarts.
+    A run gets its first event after `prompt_seconds` more.
     """
 
     endpoint: DirectEndpoint
     event_seconds: float = EVENT_SECONDS
+    prompt_seconds: float = 0.0
     version: int = 1
     sequence: int = 0
     dead: bool = False
@@ -136,6 +139,7 @@
         answered = self._answered(200, "mac", engine.version).unwrap()
         on_head(answered.response, answered.answer)
         version, ends = engine.version, engine.ends
+        await sleep(self.simulation.timers, engine.prompt_seconds)
         for number in range((call.resume_after or 0) + 1, length + 1):
             await sleep(self.simulation.timers, engine.event_seconds)
             if engine.ends != ends:
@@ -254,6 +258,7 @@
                 may_claim=lambda: self.holder.holds(timers.now()),
                 sweep=SubmissionSweep(timers, self.store, self.clock, self.mirror, SweepSettings()),
                 adoption=simulation.adoption,
+                intervals=simulation.intervals,
             )
         )
         self.keeper = LeaseKeeper(
@@ -308,7 +313,9 @@
 class SchedulerSimulation:
     """Processes that share a store and engines; the first one acquires the lease first."""
 
-    def __init__(self, engines=3, slots=12, processes=2, adoption=None, software=()):
+    def __init__(
+        self, engines=3, slots=12, processes=2, adoption=None, software=(), intervals=None
+    ):
         """Create engines with the software versions in `software`, each event marked with its own.
 
         Without `software` all engines run v1, and events have no mark.
@@ -318,6 +325,7 @@
         self.data = PartitionedData()
         self.routes = ROUTES
         self.adoption = adoption or AdoptionSettings()
+        self.intervals = intervals or IntervalSettings()
         self.announced = {}
         self.refuse_while_loading = True
         self.padding = ""
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -51,6 +51,7 @@
     "request_permits": "observes_limits",
     "software_versions": "observes_software",
     "stalled_engine_ends": "scheduler",
+    "noise_aware_moves": "intervals",
 }
 # These are switched off where the gateway is composed.
 SWITCHED_IN_COMPOSITION = {"store_relays"}
