Deal engines to models by the work of their steps

Cause: all models had the same number of engines, although their steps differ.

Change: `engine_shares` deals engines so that the slowest step takes as short as it can, by the expected events of the steps (mean of the last ones, and what is left of earlier ones), the slots and the lasting speed of the engines. Engines change their model only if that saves more than the loads cost; equal steps keep equal shares. To let a model catch up, others are slowed only as far as their steps end in time. A new scheduler infers the shares from the versions that the engines have. Faster engines go to longer items when they are dealt, or when both engines have to load anyway. `engines dealt anew` and `dealt_engines` tell what was dealt and why. The mechanism `engines_by_need` switches it off.

--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -8,6 +8,7 @@
 from pumicedeck.order_announcements import AnnouncementSettings
 from pumicedeck.peer_checks import PeerCheckSettings
 from pumicedeck.request_quarantines import QuarantineSettings
+from pumicedeck.scheduling.engine_shares import ShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_pacing import PacingSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
@@ -30,6 +31,7 @@
     scheduler: SchedulerSettings = SchedulerSettings()
     adoption: AdoptionSettings = AdoptionSettings()
     plan: WeightPlanSettings = WeightPlanSettings()
+    shares: ShareSettings = ShareSettings()
     queue: QueueSettings = QueueSettings()
     moves: MoveSettings = MoveSettings()
     intervals: IntervalSettings = IntervalSettings()
@@ -58,6 +60,7 @@
         scheduler=scheduler,
         adoption=AdoptionSettings(reuses_outputs=mechanisms.reuse_of_outputs, pacing=pacing),
         plan=on.plan if mechanisms.loads_in_turns else WeightPlanSettings(loads_share=1.0),
+        shares=ShareSettings(by_need=mechanisms.engines_by_need),
         queue=QueueSettings(mechanisms.longest_first, mechanisms.placement_by_end),
         moves=on.moves if mechanisms.moves else MoveSettings(max_moves=0),
         intervals=IntervalSettings(
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -221,6 +221,7 @@
                 SweepSettings(status_seconds=settings.promises.status_seconds),
             ),
             plan=decisions.plan,
+            shares=decisions.shares,
             moves=decisions.moves,
             queue=decisions.queue,
             intervals=decisions.intervals,
--- a/pumicedeck/gateway_metrics.py
+++ b/pumicedeck/gateway_metrics.py
@@ -48,6 +48,7 @@
             gauge_line("running_items", self._scheduler.running_items),
             *gauge_lines("waiting_items", "model", self._scheduler.waiting_by_model()),
             *gauge_lines("endpoint_running_items", "endpoint", self._scheduler.running_by_engine()),
+            *gauge_lines("dealt_engines", "reason", self._scheduler.dealt_engines),
             *gauge_lines("moved_items", "reason", self._scheduler.moves_by_reason),
             gauge_line("open_calls", open_calls),
             *self._calls.lines(),
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -64,6 +64,7 @@
     request_permits: bool = True
     software_versions: bool = True
     noise_aware_moves: bool = True
+    engines_by_need: bool = True
 
 
 class GatewaySettings(Section):
--- a/pumicedeck/scheduling/__init__.py
+++ b/pumicedeck/scheduling/__init__.py
@@ -1,7 +1,8 @@
 """Scheduling of submissions: which item runs where and when, which engine loads which weights.
 
 Decisions, free of I/O: `item_queues` (order, place and moves of items), `item_pacing`,
-`event_intervals`, `engine_noise`, `queued_items`, `run_ends`, `weight_plans`, `reusable_outputs`.
+`event_intervals`, `engine_noise`, `queued_items`, `run_ends`, `weight_plans`, `engine_shares`,
+`model_shares`, `step_needs`, `reusable_outputs`.
 What carries them out: `schedulers` with `item_moves`, `submission_adoptions`, `submission_works`,
 `item_runs`, `item_endings`, `weight_schedules`, `engine_orders`, `reward_calls`,
 `submission_sweeps`.
--- a/pumicedeck/scheduling/engine_noise.py
+++ b/pumicedeck/scheduling/engine_noise.py
@@ -259,15 +259,22 @@
         ends = noise.phases.ends_after(age)
         return RunForecast(phase.slow_event_seconds, speed.lasting, restart, age, ends)
 
-    def seconds(self, engine: str, pool: str, now: float) -> float | None:
-        """Return the expected seconds per event of a run that starts now, None if unknown.
+    def lasting_seconds(self, engine: str, pool: str) -> float | None:
+        """Return the lasting seconds per event at an engine, None if unknown.
 
         An engine that was not measured counts as a typical one of its pool.
         """
         speed = self._engines.get(engine)
+        if speed is not None and speed.lasting is not None:
+            return speed.lasting
+        noise = self._pools.get(pool)
+        return noise.lasting if noise is not None else None
+
+    def seconds(self, engine: str, pool: str, now: float) -> float | None:
+        """Return the expected seconds per event of a run that starts now, None if unknown."""
+        speed = self._engines.get(engine)
         if speed is None or speed.lasting is None:
-            noise = self._pools.get(pool)
-            return noise.lasting if noise is not None else None
+            return self.lasting_seconds(engine, pool)
         unobserved = now - speed.observed_at
         if not speed.slow_share or unobserved > MAX_AGE_SECONDS:
             return speed.lasting
--- a/pumicedeck/scheduling/event_intervals.py
+++ b/pumicedeck/scheduling/event_intervals.py
@@ -110,20 +110,27 @@
     ) -> None:
         """Measure a run at an engine; `last_event` is when the last of `events` events came."""
         name, pool = engine.name, engine.pool
-        if self.settings.separates_noise:
-            self._noise.observe(interval.phase, name, pool, events, last_event, now)
+        self._noise.observe(interval.phase, name, pool, events, last_event, now)
         if interval.sample(events, now):
             self.record(name, interval.window_event_seconds, now)
 
     def forecast(self, interval: RunEventInterval, engine: str, now: float) -> RunForecast | None:
         """Return what a run is expected to take, None if the engine's lasting speed is unknown."""
+        if not self.settings.separates_noise:
+            return None
         return self._noise.forecast(interval.phase, engine, now)
 
+    def lasting_seconds(self, engine: DirectEndpoint) -> float:
+        """Return the seconds per event at an engine without its slow phases."""
+        lasting = self._noise.lasting_seconds(engine.name, engine.pool)
+        return DEFAULT_EVENT_SECONDS if lasting is None else lasting
+
     def seconds(self, engine: str, now: float, pool: str = "") -> float:
         """Return the seconds per event at an engine of `pool`."""
-        expected = self._noise.seconds(engine, pool, now)
-        if expected is not None:
-            return expected
+        if self.settings.separates_noise:
+            expected = self._noise.seconds(engine, pool, now)
+            if expected is not None:
+                return expected
         previous = self._intervals.get(engine)
         if previous is None or now - previous[1] > _MAX_AGE_SECONDS:
             is_known = self.settings.remembers_engines and self._windows[engine] >= _MIN_WINDOWS
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -10,6 +10,7 @@
 from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.engine_shares import ShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
 from pumicedeck.scheduling.reward_calls import RewardCaller
@@ -77,6 +78,7 @@
     may_claim: Callable[[], bool]
     sweep: SubmissionSweep
     plan: WeightPlanSettings = field(default_factory=WeightPlanSettings)
+    shares: ShareSettings = field(default_factory=ShareSettings)
     moves: MoveSettings = field(default_factory=MoveSettings)
     queue: QueueSettings = field(default_factory=QueueSettings)
     intervals: IntervalSettings = field(default_factory=IntervalSettings)
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -27,6 +27,7 @@
 from pumicedeck.scheduling.queued_items import build_queued_item
 from pumicedeck.scheduling.run_ends import RunEnd, choose_runs_to_end
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
+from pumicedeck.scheduling.step_needs import collect_steps
 from pumicedeck.scheduling.submission_adoptions import SubmissionAdoptions
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 from pumicedeck.scheduling.weight_plans import ModelDemand
@@ -59,8 +60,15 @@
             self._on_ownership_lost,
             parts.adoption,
         )
+        self._event_intervals = EngineEventIntervals(parts.intervals)
         self._weights = WeightSchedule(
-            parts.timers, parts.directory, parts.orders, self._schedule_soon, parts.plan
+            parts.timers,
+            parts.directory,
+            parts.orders,
+            self._schedule_soon,
+            parts.plan,
+            parts.shares,
+            self._event_intervals.lasting_seconds,
         )
         self._engine_permits = EnginePermits(
             parts.timers, parts.directory, parts.limiter, self._schedule_soon
@@ -68,7 +76,6 @@
         self._endings = ItemEndings(parts, self._settings, self._is_worked_on, self._schedule_soon)
         self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
         self._schedule_pending = False
-        self._event_intervals = EngineEventIntervals(parts.intervals)
         self._moves = ItemMoves(parts, self._settings, self._event_intervals)
         self._fencing = 0
         self._active = False
@@ -98,6 +105,11 @@
         """Return the number of runs moved to faster engines since the start, by reason."""
         return self._moves.counts
 
+    @property
+    def dealt_engines(self) -> dict[str, int]:
+        """Return the number of engines dealt to another model since the start, by reason."""
+        return self._weights.dealt_engines
+
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of items that wait for an engine, by model."""
         counts: Counter[str] = Counter()
@@ -465,6 +477,7 @@
             fencing=self._fencing,
             may_order=lambda engine: now >= self._earliest_order(engine),
             retain=all(route is None or not route.single_version for route in routes),
+            steps=lambda: collect_steps(self._parts, works),
         )
 
     def _earliest_order(self, engine: str) -> float:
--- a/pumicedeck/scheduling/weight_plans.py
+++ b/pumicedeck/scheduling/weight_plans.py
@@ -14,6 +14,7 @@
 
     `running` counts the items that it runs; `idle_seconds` is how long it has run none. An
     `unresponsive` engine did not report after its last load order; it loads after the others.
+    `event_seconds` is the lasting seconds per event of one of its `slots`.
     """
 
     name: str
@@ -21,6 +22,8 @@
     running: int
     idle_seconds: float = 0.0
     unresponsive: bool = False
+    slots: int = 1
+    event_seconds: float = 0.04
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/scheduling/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -1,18 +1,20 @@
 """Carries out the weight plan: tracks the engines' weight versions and orders their loads."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.engine_shares import Deal, EngineShares, ShareSettings
+from pumicedeck.scheduling.model_shares import StepNeed
 from pumicedeck.scheduling.weight_plans import (
     EngineStatus,
     LoadVersion,
     ModelDemand,
     WeightPlanSettings,
-    assign_models,
     plan_loads,
 )
 from pumicedeck.tasks import Task
@@ -33,8 +35,13 @@
         orders: EngineOrders,
         on_changed: Callable[[], None],
         settings: WeightPlanSettings,
+        shares: ShareSettings,
+        event_seconds: Callable[[DirectEndpoint], float],
     ) -> None:
-        """Call `on_changed` after an engine has reported at the end of a load."""
+        """Call `on_changed` after an engine has reported at the end of a load.
+
+        `event_seconds` returns the lasting seconds per event at an engine.
+        """
         self._timers = timers
         self._directory = directory
         self._orders = orders
@@ -46,6 +53,14 @@
         self._assigned: dict[str, str] = {}
         self._observed_versions: dict[tuple[str, int, str], int] = {}
         self._idle_since: dict[str, float] = {}
+        self._shares = EngineShares(shares)
+        self._event_seconds = event_seconds
+        self._dealt: Counter[str] = Counter()
+
+    @property
+    def dealt_engines(self) -> dict[str, int]:
+        """Return the number of engines that were dealt to another model, by reason."""
+        return dict(self._dealt)
 
     def versions(self, endpoint: DirectEndpoint) -> dict[str, int]:
         """Return the newest known version of each model of an engine.
@@ -87,11 +102,12 @@
         fencing: int,
         may_order: Callable[[str], bool],
         retain: bool,
+        steps: Callable[[], Iterable[StepNeed]],
     ) -> None:
         """Assign the engines to `models` and order loads with the fencing number `fencing`.
 
         Nothing is ordered from engines for which `may_order` returns False. `running` counts the
-        running items by engine name.
+        running items by engine name, `steps` returns the open steps of all models.
         With `retain` runs continue under the new version.
         """
         now = self._timers.now()
@@ -102,13 +118,18 @@
                 running.get(endpoint.name, 0),
                 self._idle_seconds(endpoint.name, running, now),
                 endpoint.name in self._unanswered_retries,
+                endpoint.slots,
+                self._event_seconds(endpoint),
             )
             for endpoint in self._directory.endpoints
             if endpoint.models and not endpoint.draining
         ]
         if not models:
             return
-        self._assigned = assign_models(statuses, models, self._assigned)
+        if self._shares.is_due(now):
+            self._shares.record_steps(steps())
+        announced = {model: demand.announced for model, demand in demands.items()}
+        self._apply(self._shares.deal(statuses, models, announced, self._assigned, now))
         free = [
             status
             for status in statuses
@@ -117,6 +138,19 @@
         for load in plan_loads(free, self._assigned, demands, len(self._loading), self._settings):
             self._start(load, fencing, retain)
 
+    def _apply(self, deal: Deal) -> None:
+        """Adopt the model of each engine, with a log line if engines changed theirs."""
+        self._assigned = deal.assigned
+        if deal.reason is None:
+            return
+        self._dealt[deal.reason.value] += deal.changed
+        _log.info(
+            "engines dealt anew",
+            reason=deal.reason.value,
+            changed=deal.changed,
+            engines=dict(Counter(deal.assigned.values())),
+        )
+
     def _idle_seconds(self, engine: str, running: dict[str, int], now: float) -> float:
         """Return for how many seconds an engine has run nothing, 0 while it runs items."""
         if running.get(engine):
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -23,6 +23,7 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
 from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.engine_shares import ShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.reward_calls import RewardCaller
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts
@@ -78,7 +79,7 @@
     endpoint: DirectEndpoint
     event_seconds: float = EVENT_SECONDS
     prompt_seconds: float = 0.0
-    version: int = 1
+    versions: dict = field(default_factory=lambda: {MODEL: 1})
     sequence: int = 0
     dead: bool = False
     babbles: bool = False
@@ -94,6 +95,15 @@
     working: Counter = field(default_factory=Counter)
     ends: int = 0
 
+    @property
+    def version(self):
+        """Return the loaded version of the first model."""
+        return self.versions[MODEL]
+
+    @version.setter
+    def version(self, version):
+        self.versions[MODEL] = version
+
 
 class FakeCaller:
     """Replaces the calls of one process to engines and scorers."""
@@ -136,9 +146,11 @@
         if engine.busy and self.simulation.refuse_while_loading:
             return Err(Failure(ResultCode.ENDPOINT_REFUSED, "loading", proven_not_run=True))
         length = int(call.body)
-        answered = self._answered(200, "mac", engine.version).unwrap()
+        # The path of an item names its model, as the routes of a deployment do.
+        model = call.path.rpartition("/")[2]
+        answered = self._answered(200, "mac", engine.versions[model]).unwrap()
         on_head(answered.response, answered.answer)
-        version, ends = engine.version, engine.ends
+        version, ends = engine.versions[model], engine.ends
         await sleep(self.simulation.timers, engine.prompt_seconds)
         for number in range((call.resume_after or 0) + 1, length + 1):
             await sleep(self.simulation.timers, engine.event_seconds)
@@ -153,8 +165,8 @@
                 on_bytes(b"\n")
                 await sleep(self.simulation.timers, 0.3)
             line = ""
-            if engine.version != version:
-                version = engine.version
+            if engine.versions[model] != version:
+                version = engine.versions[model]
                 line = f"x-pumicedeck-weight-versions: {version}\n"
             mark = f"@{engine.endpoint.software_version}" if self.simulation.marks_software else ""
             data = f"{call.request_id}.{number}{mark}{self.simulation.padding}"
@@ -194,13 +206,13 @@
 
         def finish():
             engine.busy = False
-            engine.version = document["version"]
+            engine.versions[document["model"]] = document["version"]
 
         self.simulation.timers.call_later(LOAD_SECONDS, finish)
         return 202
 
     def _report(self, engine):
-        models = [{"name": MODEL, "version": engine.version}]
+        models = [{"name": name, "version": engine.versions[name]} for name in engine.versions]
         return {"models": models, "busy": engine.busy, "seq": engine.sequence}
 
     def _answered(self, status, signature, version):
@@ -259,6 +271,7 @@
                 sweep=SubmissionSweep(timers, self.store, self.clock, self.mirror, SweepSettings()),
                 adoption=simulation.adoption,
                 intervals=simulation.intervals,
+                shares=simulation.shares,
             )
         )
         self.keeper = LeaseKeeper(
@@ -314,7 +327,15 @@
     """Processes that share a store and engines; the first one acquires the lease first."""
 
     def __init__(
-        self, engines=3, slots=12, processes=2, adoption=None, software=(), intervals=None
+        self,
+        engines=3,
+        slots=12,
+        processes=2,
+        adoption=None,
+        software=(),
+        intervals=None,
+        shares=None,
+        models=(MODEL,),
     ):
         """Create engines with the software versions in `software`, each event marked with its own.
 
@@ -326,6 +347,7 @@
         self.routes = ROUTES
         self.adoption = adoption or AdoptionSettings()
         self.intervals = intervals or IntervalSettings()
+        self.shares = shares or ShareSettings()
         self.announced = {}
         self.refuse_while_loading = True
         self.padding = ""
@@ -344,10 +366,10 @@
                 HOME,
                 slots,
                 incarnation=1,
-                models=(LoadedModel(MODEL, 1),),
+                models=tuple(LoadedModel(model, 1) for model in models),
                 software_version=software[number] if software else "v1",
             )
-            self.engines[name] = FakeEngine(endpoint)
+            self.engines[name] = FakeEngine(endpoint, versions=dict.fromkeys(models, 1))
         self.processes = [SchedulerProcess(self, f"p{n}") for n in range(processes)]
         self.run(0.3)
         self.processes[0].acquire()
@@ -368,6 +390,7 @@
         min_version=1,
         wanted_groups=0,
         step=0,
+        model=MODEL,
     ):
         """Submit groups of items of the given lengths in events; return the outcome after 0.1 s.
 
@@ -378,12 +401,14 @@
         for group, members in enumerate(lengths):
             for index, length in enumerate(members):
                 expected_length = expected_lengths[group][index] if expected_lengths else length
-                items.append(make_item(f"{group}-{index}", length, f"g{group}", expected_length))
+                items.append(
+                    make_item(f"{group}-{index}", length, f"g{group}", expected_length, model)
+                )
         head = SubmissionHead(
             name,
             "drafts",
             "h",
-            MODEL,
+            model,
             step,
             min_version,
             wanted_groups,
@@ -450,9 +475,11 @@
         return [process for process in self.processes if process.scheduler.is_active]
 
 
-def make_item(item_id, length, group, expected_length):
+def make_item(item_id, length, group, expected_length, model=MODEL):
     reward = RewardCall(f"r-{item_id}", "h", "/s/x", b"score")
-    return Item(item_id, "/d/x", (), str(length).encode(), group, float(expected_length), reward)
+    return Item(
+        item_id, f"/d/{model}", (), str(length).encode(), group, float(expected_length), reward
+    )
 
 
 def complete_text(item_id, length):
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -52,6 +52,7 @@
     "software_versions": "observes_software",
     "stalled_engine_ends": "scheduler",
     "noise_aware_moves": "intervals",
+    "engines_by_need": "shares",
 }
 # These are switched off where the gateway is composed.
 SWITCHED_IN_COMPOSITION = {"store_relays"}
