Choose the engine of a waiting item from an index

Cause: each item was compared twice with every engine. A step that filled all slots took 15 s on 3,000 engines. Change: engines that may run the same items, at the same distance, form a bucket ordered by the time that they take for an event. An item looks at the first engines of each bucket and at those that run its group. The old code is the reference of a test on random states; ties, avoided engines and rounding are decided as before.

--- a/pumicedeck/scheduling/item_queues.py
+++ b/pumicedeck/scheduling/item_queues.py
@@ -160,26 +160,6 @@
     return frozenset(candidates[len(candidates) - min(optional_count, len(candidates)) :])
 
 
-def assign_items(
-    items: list[QueuedItem],
-    engines: list[EngineView],
-    now: float,
-    settings: QueueSettings = DEFAULT_QUEUE_SETTINGS,
-) -> list[Assignment]:
-    """Return the items that start now; takes their slots off the free slots of `engines`."""
-    assignments = []
-    for item in order_items(items, now, settings):
-        can_continue = any(each.may_run(item, begins_anew=False) for each in engines)
-        begins_anew = item.has_waited_enough or not can_continue
-        engine = _best_engine(item, engines, settings, begins_anew)
-        if engine is None:
-            continue
-        engine.free_slots -= 1
-        engine.groups.add(item.group)
-        assignments.append(Assignment(item.item_id, engine.name))
-    return assignments
-
-
 def _best_engine(
     item: QueuedItem, engines: list[EngineView], settings: QueueSettings, begins_anew: bool
 ) -> EngineView | None:
@@ -192,10 +172,10 @@
     candidates = untried or eligible
     if not candidates:
         return None
-    return min(candidates, key=lambda engine: _assignment_cost(item, engine, settings))
+    return min(candidates, key=lambda engine: assignment_cost(item, engine, settings))
 
 
-def _assignment_cost(
+def assignment_cost(
     item: QueuedItem, engine: EngineView, settings: QueueSettings
 ) -> tuple[bool, float]:
     """Return a sort key: engines assigned to another model last, then by seconds to the end.
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -17,11 +17,11 @@
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_endings import ItemEndings
 from pumicedeck.scheduling.item_pacing import choose_paced_items
+from pumicedeck.scheduling.item_placements import assign_items
 from pumicedeck.scheduling.item_queues import (
     EngineView,
     QueuedItem,
     RunningItem,
-    assign_items,
     choose_moves,
 )
 from pumicedeck.scheduling.item_runs import ItemRun
--- a/pumicedeck/tests/test_item_queues.py
+++ b/pumicedeck/tests/test_item_queues.py
@@ -3,12 +3,12 @@
 import pytest
 
 from pumicedeck.scheduling.event_intervals import WINDOW_SECONDS, RunEventInterval
+from pumicedeck.scheduling.item_placements import assign_items
 from pumicedeck.scheduling.item_queues import (
     EngineView,
     MoveSettings,
     QueuedItem,
     RunningItem,
-    assign_items,
     choose_moves,
     choose_optional_groups,
     order_items,
--- /dev/null
+++ b/trials/scheduler_passes.py
@@ -0,0 +1,176 @@
+"""Prints what the parts of a scheduler's pass and of a gateway's work for endpoints cost.
+
+Use: python trials/scheduler_passes.py [ENGINES ...] [--profile]
+Everything runs in this process: real decisions, stand-ins for store and engines, virtual time.
+"""
+
+import cProfile
+import json
+import pstats
+import sys
+from random import Random
+from time import perf_counter
+
+from loguru import logger
+
+from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.platform.registrations import decode_endpoint
+from pumicedeck.platform_interfaces import LoadedModel
+from pumicedeck.scheduling.item_placements import assign_items
+from pumicedeck.scheduling.item_queues import EngineView, QueuedItem
+from pumicedeck.tests.reference_placements import assign_items as reference_assign_items
+from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
+from pumicedeck.topology import Address, FailureDomain
+
+SLOTS = 8
+SUBMISSIONS = 4
+# The reference takes 15 s at 3,000 engines.
+MAX_REFERENCE_ENGINES = 1000
+
+
+def placement(engines, free_slots, assign):
+    """Return the seconds that `assign` takes for as many items as the engines have slots."""
+    random = Random(engines)
+    views = [
+        EngineView(
+            f"e{n}",
+            "p",
+            free_slots,
+            SLOTS,
+            {"m": 5, "n": 4},
+            event_seconds=random.uniform(0.035, 0.055),
+            distance_seconds=random.choice((0.0, 0.05, 0.3)),
+            assigned_model=random.choice("mn"),
+        )
+        for n in range(engines)
+    ]
+    items = [
+        QueuedItem(
+            f"i{n}",
+            f"s{n % SUBMISSIONS}",
+            random.choice("mn"),
+            "p",
+            f"g{n // SLOTS}",
+            4,
+            9.0,
+            expected_events_left=random.uniform(1.0, 200.0),
+        )
+        for n in range(SLOTS * engines)
+    ]
+    start = perf_counter()
+    assign(items, views, 0.0)
+    return perf_counter() - start
+
+
+def timer_callbacks(timers):
+    """Record the longest callback of `timers` in seconds, and how many ran, from now on."""
+    figures = {"longest": 0.0, "count": 0, "total": 0.0}
+    create = timers.call_at
+
+    def call_at(due, callback):
+        def timed():
+            start = perf_counter()
+            callback()
+            seconds = perf_counter() - start
+            figures["longest"] = max(figures["longest"], seconds)
+            figures["total"] += seconds
+            figures["count"] += 1
+
+        return create(due, timed)
+
+    timers.call_at = call_at
+    return figures
+
+
+def scheduler(engines, profiled):
+    """Print the processor time of a step that fills all slots, with as many items again waiting."""
+    simulation = SchedulerSimulation(engines=engines, slots=SLOTS, processes=1)
+    process = simulation.processes[0]
+    figures = timer_callbacks(simulation.timers)
+    profile = cProfile.Profile() if profiled else None
+    per_submission = 2 * SLOTS * engines // SUBMISSIONS
+    random = Random(1)
+    for number in range(SUBMISSIONS):
+        lengths = [
+            [random.randint(20, 60) for _ in range(SLOTS)] for _ in range(per_submission // SLOTS)
+        ]
+        simulation.submit(process, lengths, f"s{number}")
+    figures.update(longest=0.0, count=0, total=0.0)
+    if profile is not None:
+        profile.enable()
+    for second in range(2):
+        start = perf_counter()
+        simulation.run(1.0)
+        print(
+            f"  second {second + 1}: {perf_counter() - start:.2f} s of processor time with the"
+            f" stand-ins, {process.scheduler.running_items} items run, longest callback"
+            f" {1000 * figures['longest']:.1f} ms, {figures['count']} callbacks"
+        )
+        figures.update(longest=0.0, count=0, total=0.0)
+    if profile is not None:
+        profile.disable()
+        pstats.Stats(profile).sort_stats("tottime").print_stats(25)
+
+
+def registration_row(number, sequence):
+    """Return an endpoint's registration as it is stored."""
+    return json.dumps(
+        {
+            "service": "engines",
+            "address": f"10.0.{number // 250}.{number % 250}:8000",
+            "zone": "a",
+            "state": "ready",
+            "slots": SLOTS,
+            "born": 17,
+            "seq": sequence,
+            "version": "v1",
+            "models": [{"name": "m", "version": 5}, {"name": "n", "version": 4}],
+        }
+    ).encode()
+
+
+def directory(engines):
+    """Print the cost of a registration that changes only its sequence, and of a choice."""
+    own = EndpointDirectory(FailureDomain("a", "r"), Random(1))
+    names = [f"e{n}" for n in range(engines)]
+    for n, name in enumerate(names):
+        domain = FailureDomain("abc"[n % 3], "r")
+        own.update(
+            DirectEndpoint(
+                name, "engines", Address("h", n + 1), domain, SLOTS, models=(LoadedModel("m", 5),)
+            )
+        )
+    rounds = 200
+    start = perf_counter()
+    for _ in range(rounds):
+        own.call_started(own.choose("engines", (), 1.0).endpoint.name)
+    choice = (perf_counter() - start) / rounds
+    rows = [registration_row(n, 1) for n in range(engines)]
+    for n, name in enumerate(names):
+        own.update(decode_endpoint(name, rows[n], {}))
+    rows = [registration_row(n, 2) for n in range(engines)]
+    start = perf_counter()
+    for n, name in enumerate(names):
+        own.update(decode_endpoint(name, rows[n], {}))
+    registration = (perf_counter() - start) / engines
+    print(f"  a choice {1e6 * choice:.1f} µs, a registration {1e6 * registration:.1f} µs")
+
+
+def main():
+    """Print the figures of each number of engines."""
+    logger.remove()
+    sizes = [int(each) for each in sys.argv[1:] if each.isdigit()] or [100, 300, 1000, 3000]
+    for engines in sizes:
+        print(f"{engines} engines of {SLOTS} slots, {2 * SLOTS * engines} items")
+        for free_slots in (SLOTS, 0):
+            times = [f"index {1000 * placement(engines, free_slots, assign_items):.1f} ms"]
+            if engines <= MAX_REFERENCE_ENGINES:
+                seconds = placement(engines, free_slots, reference_assign_items)
+                times.append(f"every engine {1000 * seconds:.1f} ms")
+            print(f"  placing {SLOTS * engines} items, {free_slots} free slots: {', '.join(times)}")
+        directory(engines)
+        scheduler(engines, "--profile" in sys.argv)
+
+
+if __name__ == "__main__":
+    main()
