--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -25,7 +25,8 @@
     IntervalSettings,
     RunEventInterval,
 )
-from pumicedeck.scheduling.item_queues import EngineView, QueueSettings, assign_items, order_items
+from pumicedeck.scheduling.item_placements import assign_items
+from pumicedeck.scheduling.item_queues import EngineView, QueueSettings, order_items
 from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.tests.test_direct_endpoints import HOME
