Move the answers about submissions out of the gateway module

Change: the handlers of new submissions and of requests about them move unchanged to submission_answers.py; the gateway passes them its way to refuse a request.

--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -9,21 +9,12 @@
 from math import inf
 
 from loguru import logger
-from result import Err, Ok
 
 from pumicedeck.call_figures import CallMetrics, CallSeries
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
-from pumicedeck.dialects import (
-    CallerDialect,
-    EndSubmission,
-    ForwardedCall,
-    ReadItem,
-    ReadResults,
-    SubmissionDialect,
-    SubmissionRequest,
-)
+from pumicedeck.dialects import CallerDialect, ForwardedCall, SubmissionDialect
 from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
 from pumicedeck.gateway_metrics import GatewayMetrics
 from pumicedeck.http_listeners import HttpListener
@@ -34,11 +25,12 @@
 from pumicedeck.peer_questions import PEER_PATH, PeerQuestions
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.route_tables import Route, RouteKind, RouteTable
+from pumicedeck.route_tables import RouteKind, RouteTable
 from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.stream_records import StreamRecords
+from pumicedeck.submission_answers import JSON_TYPE, NOT_READY, SubmissionAnswers
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WorkMirror
@@ -51,13 +43,8 @@
 _SUFFICIENT_CORES = 0.8
 _FEW_CORES_DELAY_SECONDS = 0.3
 
-_JSON_TYPE = (("Content-Type", "application/json"),)
-_BYTES_TYPE = (("Content-Type", "application/octet-stream"),)
 _NO_ROUTE = CallSeries("", "none")
 _SUBMISSION_REQUESTS = CallSeries("", "submission_verb")
-_NOT_READY = Failure(
-    ResultCode.NOT_READY, "no configuration or no store time received yet", proven_not_run=True
-)
 _ENDING = Failure(ResultCode.NOT_READY, "the gateway is stopping", proven_not_run=True)
 _CUT_BY_DRAIN = Failure(ResultCode.OUTCOME_UNKNOWN, "unanswered when the gateway had to end")
 
@@ -143,6 +130,9 @@
         self._open_calls: dict[IncomingCall, ForwardedCall] = {}
         self._was_ready = False
         self._calls = CallMetrics()
+        self._submissions = SubmissionAnswers(
+            parts.timers, parts.clock, parts.intake, parts.submission_dialect, self._refuse
+        )
         self._metrics = GatewayMetrics(
             parts.timers,
             self._calls,
@@ -228,10 +218,10 @@
             incoming.answer(200, (("Content-Type", "text/plain"),), text.encode())
             return
         if incoming.target == PEER_PATH:
-            incoming.answer(200, _JSON_TYPE, self._parts.peers.answer())
+            incoming.answer(200, JSON_TYPE, self._parts.peers.answer())
             return
         ready = self.is_ready
-        incoming.answer(200 if ready else 503, _JSON_TYPE, json.dumps(ready).encode())
+        incoming.answer(200 if ready else 503, JSON_TYPE, json.dumps(ready).encode())
 
     def handle(self, incoming: IncomingCall) -> None:
         """Serve a caller's request."""
@@ -244,15 +234,12 @@
             return
         self._open_calls[incoming] = call
         if self._routes is None:
-            self._refuse(incoming, call, _NOT_READY)
+            self._refuse(incoming, call, NOT_READY)
             return
         submission_request = self._parts.submission_dialect.decode_submission_request(incoming)
         if submission_request is not None and self._serves_submissions(incoming.host):
             self._record_on_end(incoming, call, _SUBMISSION_REQUESTS)
-            spawn(
-                self._serve_submission_request(incoming, call, submission_request),
-                "submission call",
-            )
+            spawn(self._submissions.serve(incoming, call, submission_request), "submission call")
             return
         route = self._routes.find(incoming.host, call.path)
         if route is None:
@@ -264,7 +251,7 @@
             return
         self._record_on_end(incoming, call, CallSeries(route.name, route.kind.value))
         if route.kind is RouteKind.SUBMISSION:
-            spawn(self._accept_submission(incoming, call, route), f"submission {call.request_id}")
+            spawn(self._submissions.accept(incoming, call, route), f"submission {call.request_id}")
         else:
             self._parts.forwarder.handle(incoming, call, route)
 
@@ -299,54 +286,6 @@
         retry_after = self._times.retry_after_seconds if status in (429, 503) else None
         self._parts.forwarder.refuse(incoming, call, failure, retry_after)
 
-    async def _accept_submission(
-        self, incoming: IncomingCall, call: ForwardedCall, route: Route
-    ) -> None:
-        if not self._parts.clock.is_set:
-            self._refuse(incoming, call, _NOT_READY)
-            return
-        accepted = self._parts.clock.now()
-        decoded = self._parts.submission_dialect.decode_submission(call, route.name, accepted)
-        if isinstance(decoded, Err):
-            self._refuse(incoming, call, decoded.err_value)
-            return
-        outcome = await self._parts.intake.accept(decoded.ok_value)
-        if isinstance(outcome, Err):
-            self._refuse(incoming, call, outcome.err_value)
-            return
-        head = decoded.ok_value.head
-        _log.info(
-            "submission accepted",
-            submission=head.submission_id,
-            step=head.step,
-            items=head.total,
-            seconds=round(self._timers.now() - incoming.arrived_at, 3),
-        )
-        incoming.answer(202, _JSON_TYPE, b"{}")
-
-    async def _serve_submission_request(
-        self, incoming: IncomingCall, call: ForwardedCall, submission_request: SubmissionRequest
-    ) -> None:
-        intake = self._parts.intake
-        match submission_request:
-            case ReadResults(submission_id, after, wait):
-                outcome = await intake.results(submission_id, after, wait)
-                if isinstance(outcome, Ok):
-                    total, results = outcome.ok_value
-                    documents = [result.document() for result in results]
-                    body = self._parts.submission_dialect.results(total, after, documents)
-                    incoming.answer(200, _JSON_TYPE, body)
-            case ReadItem(submission_id, item_id):
-                outcome = await intake.item_body(submission_id, item_id)
-                if isinstance(outcome, Ok):
-                    incoming.answer(200, _BYTES_TYPE, outcome.ok_value)
-            case EndSubmission(submission_id):
-                outcome = await intake.end(submission_id)
-                if isinstance(outcome, Ok):
-                    incoming.answer(200, _JSON_TYPE, b"{}")
-        if isinstance(outcome, Err):
-            self._refuse(incoming, call, outcome.err_value)
-
     async def _watch_readiness(self) -> None:
         """Record the store's last contact, log readiness, and compete for the lease once ready."""
         lease_requested = False
