Decide which client account a key belongs to, and decode accounts

Cause: deployments configure client accounts (`tenants`) with keys, and gateways have to tell a wrong key from one that they cannot know of yet. Change: accounts/identities.py has the table and the decision; the configuration's decoder reads accounts and public routes, and its error texts no longer hold values of the configuration. A feed states up to which time it has received all changes (`confirmed_at`): the time of the last answered call is up to 2 s old while nothing changes, which would refuse unknown keys with 503 instead of 401. Result codes 216 and 411. Gateways do not use any of this yet.

--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -5,6 +5,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from pumicedeck.accounts.identities import Account, AccountTable
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.results import Failure, ResultCode
@@ -28,6 +29,10 @@
 _log = logger.bind(module="platform.registrations")
 
 
+class _InvalidFieldError(ValueError):
+    """A field of the configuration is invalid; the text names the field and no value."""
+
+
 def decode_routes(value: bytes) -> Result[RouteTable, Failure]:
     """Decode the operators' configuration; fail with BAD_CATALOGUE if it is invalid."""
     try:
@@ -39,13 +44,18 @@
             if each["route-type"] in _KIND_BY_ROUTE_TYPE
         )
         limits = document.get("limits")
+        accounts = document.get("tenants")
         return Ok(
             RouteTable(
-                int(document["version"]), routes, pools, _decode_limits(limits) if limits else None
+                int(document["version"]),
+                routes,
+                pools,
+                _decode_limits(limits) if limits else None,
+                _decode_accounts(accounts) if accounts is not None else None,
             )
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err(Failure(ResultCode.BAD_CATALOGUE, f"invalid configuration: {error!r}"))
+        return Err(Failure(ResultCode.BAD_CATALOGUE, f"invalid configuration: {_describe(error)}"))
 
 
 def decode_announced_version(value: bytes) -> tuple[str, int] | None:
@@ -132,9 +142,56 @@
         results_due_seconds=_seconds(document, "due-ms", 0),
         give_up_seconds=float(document.get("max-wait-s", 0)),
         single_version=bool(document.get("single-version", False)),
+        is_public=_decode_is_public(document),
     )
 
 
+def _decode_accounts(documents) -> AccountTable:
+    """Decode the client accounts; a list without accounts admits public routes only."""
+    if not isinstance(documents, list):
+        raise _InvalidFieldError("tenants is not a list")
+    return AccountTable.build(_decode_account(each) for each in documents)
+
+
+def _decode_account(document) -> tuple[Account, tuple[str, ...]]:
+    if not isinstance(document, dict):
+        raise _InvalidFieldError("an account is not an object")
+    name, keys, priority = document["name"], document["api-keys"], document.get("priority")
+    # The name is sent as a header field, whose value has no other characters.
+    if not isinstance(name, str) or not name or name != name.strip() or not _is_printable(name):
+        raise _InvalidFieldError("an account's name is not printable ASCII text")
+    if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
+        raise _InvalidFieldError("an account's keys are not a list of texts")
+    if priority is not None and type(priority) is not int:
+        raise _InvalidFieldError("an account's priority is not an integer")
+    # Header fields are read as Latin-1, whatever characters the caller sent.
+    return Account(name, priority), tuple(key.encode().decode("latin-1") for key in keys)
+
+
+def _is_printable(text: str) -> bool:
+    return text.isascii() and text.isprintable()
+
+
+def _decode_is_public(document: dict) -> bool:
+    """Return whether a route is public; a value that is not a boolean could open it by mistake."""
+    is_public = document.get("public")
+    if is_public is not None and type(is_public) is not bool:
+        raise _InvalidFieldError("public is not a boolean")
+    return bool(is_public)
+
+
+def _describe(error: Exception) -> str:
+    """Describe a decoding error without values of the configuration, which has keys of accounts."""
+    if isinstance(error, _InvalidFieldError):
+        return str(error)
+    if isinstance(error, json.JSONDecodeError):
+        return f"not JSON at line {error.lineno}, column {error.colno}"
+    if isinstance(error, KeyError):
+        # The decoders look up fields by constant names only.
+        return f"field {error.args[0]!r} is missing"
+    return type(error).__name__
+
+
 def _decode_limits(document: dict) -> CallerLimits:
     return CallerLimits(
         int(document["max-header-bytes"]),
--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -43,6 +43,7 @@
     QUARANTINED = 213
     STREAM_VERSION_GONE = 214
     STREAM_VERSION_UNKNOWN = 215
+    KEY_UNVERIFIED = 216
 
     OUTCOME_UNKNOWN = 300
     STREAM_BROKEN = 301
@@ -62,6 +63,7 @@
     BAD_SETTINGS = 408
     REQUEST_ID_REUSED = 409
     NOT_FOUND = 410
+    KEY_REJECTED = 411
 
     BAD_CATALOGUE = 500
     EDIT_CONFLICT = 501
@@ -124,6 +126,9 @@
     ResultCode.STREAM_VERSION_UNKNOWN: CodeInfo(
         _NOT, 503, 3, "The software version that began the stream cannot be read now."
     ),
+    ResultCode.KEY_UNVERIFIED: CodeInfo(
+        _NOT, 503, 3, "The key is unknown here, and cannot be checked with the store now."
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(_MAY, 502, 4, "The outcome of the attempt is unknown."),
     ResultCode.STREAM_BROKEN: CodeInfo(_MAY, 502, 4, "The stream ended before it was whole."),
     ResultCode.IN_PROGRESS: CodeInfo(_MAY, 409, 4, "The same request id is being worked on."),
@@ -143,6 +148,7 @@
         _NOT, 409, 2, "The request id was used with another body."
     ),
     ResultCode.NOT_FOUND: CodeInfo(_NOT, 404, 2, "No such resource."),
+    ResultCode.KEY_REJECTED: CodeInfo(_NOT, 401, 2, "The account's key is missing or unknown."),
     ResultCode.BAD_CATALOGUE: CodeInfo(_NOT, 422, 2, "The catalogue would not be valid."),
     ResultCode.EDIT_CONFLICT: CodeInfo(_NOT, 409, 5, "The row changed since it was read."),
     ResultCode.EDIT_UNKNOWN: CodeInfo(_MAY, 504, 6, "Unknown; ask again with the change id."),
--- a/pumicedeck/route_tables.py
+++ b/pumicedeck/route_tables.py
@@ -8,6 +8,8 @@
 from enum import StrEnum
 from random import Random
 
+from pumicedeck.accounts.identities import AccountTable
+
 
 class RouteKind(StrEnum):
     """The kind of requests on a route, which decides whether they may be retried."""
@@ -32,7 +34,8 @@
 
     `longest_wait` is how long a caller may be kept waiting; `latency_objective` is the time within
     which an answer counts fully. For submissions, `results_due_seconds` is the time in
-    which all results are needed, `give_up_seconds` the time after which an item may be dropped.
+    which all results are needed, `give_up_seconds` the time after which an item may be dropped. A
+    request on a route that `is_public` needs no key of a client account.
     """
 
     name: str
@@ -48,6 +51,7 @@
     results_due_seconds: float = 0.0
     give_up_seconds: float = 0.0
     single_version: bool = False
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -77,8 +81,9 @@
 
 @dataclass(frozen=True)
 class RouteTable:
-    """One version of the operators' configuration: routes, pools and limits.
+    """One version of the operators' configuration: routes, pools, limits and client accounts.
 
+    `accounts` is None if the configuration has none: then no request needs a key.
     `resumable_pools` are the pools of the routes whose streams callers may resume.
     """
 
@@ -86,6 +91,7 @@
     routes: tuple[Route, ...]
     pools: dict[str, Pool]
     limits: CallerLimits | None = None
+    accounts: AccountTable | None = None
     resumable_pools: frozenset[str] = field(init=False, repr=False, compare=False)
     _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False, compare=False)
 
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -57,6 +57,7 @@
         self._revision: int | None = None
         self._loaded = False
         self._last_contact_at = -1e9
+        self._confirmed_at = -1e9
         self._is_store_unreachable = False
         self._round_trip_seconds = 0.0
         self._task: Task | None = None
@@ -76,6 +77,15 @@
         """Return the monotonic time, in seconds, at which the last answered call was sent."""
         return self._last_contact_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """Return the monotonic time, in seconds, up to which all changes were received.
+
+        It is the store's time in the last answer, but not later than the call can have waited:
+        an answer that a frozen process reads late confirms only what was true when it was sent.
+        """
+        return self._confirmed_at
+
     @property
     def round_trip_seconds(self) -> float:
         """Return the duration of the last call that listed partitions, in seconds.
@@ -110,6 +120,10 @@
             return
         page = outcome.ok_value
         self._record_answer(page.store_seconds, sent_at)
+        if not page.truncated:
+            answered_at = self._clock.to_local_seconds(page.store_seconds)
+            confirmed_at = min(answered_at, sent_at + self._settings.wait_seconds)
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
         if page.rows:
             self._on_rows(page.rows, False)
         # A truncated page covers the changes up to its last row only.
@@ -141,6 +155,7 @@
         self._record_answer(self._clock.now(), sent_at)
         self._on_rows(tuple(rows), True)
         self._loaded = True
+        self._confirmed_at = max(self._confirmed_at, sent_at)
         self._revision = revision
 
     async def _list_partitions(self) -> Result[tuple[tuple[str, ...], int], Failure]:
--- a/pumicedeck/tests/test_store_feeds.py
+++ b/pumicedeck/tests/test_store_feeds.py
@@ -81,3 +81,21 @@
     simulation.run(0.5)
     assert set(simulation.received) == {"a", "b"}
     assert simulation.timers.now() - simulation.feed.last_contact_at < 1.0
+
+
+def test_an_answer_that_arrives_late_confirms_no_later_time_than_its_call_can_have_waited():
+    # A frozen process reads an answer late; what it says may have changed since.
+    simulation = FeedSimulation(initial_partitions=["a"])
+    simulation.run(2.0)
+    assert simulation.timers.now() - simulation.feed.confirmed_at < 0.6
+    simulation.store.faults.delay = 6.0
+    simulation.run(8.0)
+    assert simulation.feed.last_contact_at > 1.4
+    assert simulation.timers.now() - simulation.feed.confirmed_at > 6.0
+
+
+def test_a_full_read_confirms_the_time_at_which_it_began():
+    simulation = FeedSimulation(initial_partitions=["a"])
+    simulation.store.faults.delay = 0.3
+    simulation.run(0.7)
+    assert simulation.feed.is_loaded and simulation.feed.confirmed_at == 0.0
