Identify calls and streams by their account's key

Cause: a request has to run under the account that holds its key, and no endpoint may get the key. Change: the gateway identifies each request on a route before it is forwarded. The two headers of the caller are dropped then, so that a retry under a later configuration cannot show them, and once more where a request is encoded for an endpoint, which writes the account's name. Hop-by-hop headers are removed before the gateway's own are added: an item with "Connection: X-Pumicedeck-Tenant" would have removed the account.

--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -154,6 +154,14 @@
     def decode_request(self, incoming: IncomingCall) -> ForwardedCall:
         """Decode a request."""
 
+    @abstractmethod
+    def account_key(self, call: ForwardedCall) -> str:
+        """Return the key of a client account that a request carries, empty if it has none."""
+
+    @abstractmethod
+    def with_account(self, call: ForwardedCall, account: str) -> ForwardedCall:
+        """Return a request of `account` without the key and the account that its caller sent."""
+
     @abstractmethod
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
         """Return the headers of an endpoint's answer that are relayed to the caller."""
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from pumicedeck.accounts.call_identifiers import CallIdentifier
 from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_attempts import CallAttempts
 from pumicedeck.call_forwarders import CallForwarder
@@ -173,7 +174,9 @@
     endpoint_caller = EndpointCaller(
         timers,
         endpoint_client,
-        PlatformEndpointDialect(),
+        PlatformEndpointDialect(
+            has_accounts=lambda: gateway.routes is not None and gateway.routes.accounts is not None
+        ),
         directory,
         crashes.record_answer,
         limits.record_change,
@@ -351,6 +354,7 @@
             work_feed=work_feed,
             record_store_contact=record_store_contact,
             caller_dialect=dialect,
+            identifier=CallIdentifier(dialect, lambda: timers.now() - operator_feed.confirmed_at),
             submission_dialect=PlatformSubmissionDialect(),
             finish=finish,
             cores=settings.machine.cores * settings.machine.cpu_share,
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -9,7 +9,9 @@
 from math import inf
 
 from loguru import logger
+from result import Err
 
+from pumicedeck.accounts.call_identifiers import CallIdentifier
 from pumicedeck.call_figures import CallMetrics, CallSeries
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
@@ -91,6 +93,7 @@
     work_feed: StoreFeed
     record_store_contact: Callable[[], None]
     caller_dialect: CallerDialect
+    identifier: CallIdentifier
     submission_dialect: SubmissionDialect
     finish: Callable[[], None]
     cores: float = 1.0
@@ -167,8 +170,13 @@
         """Install a version of the routes unless the same or a newer one is installed."""
         if self._routes is not None and routes.version <= self._routes.version:
             return
+        known_conflicts = self._routes.key_conflicts if self._routes is not None else ()
         self._routes = routes
-        _log.info("routes installed", version=routes.version, routes=len(routes.routes))
+        accounts = {} if routes.accounts is None else {"accounts": len(routes.accounts.accounts)}
+        _log.info("routes installed", version=routes.version, routes=len(routes.routes), **accounts)
+        for owner, other in routes.key_conflicts:
+            if (owner, other) not in known_conflicts:
+                _log.warning("one key of two accounts", account=owner, other=other)
 
     def start(self) -> None:
         """Start the listeners and the store's feeds."""
@@ -249,7 +257,15 @@
                 Failure(ResultCode.NO_ROUTE, "no route matches host and path", None, True),
             )
             return
-        self._record_on_end(incoming, call, CallSeries(route.name, route.kind.value))
+        series = CallSeries(route.name, route.kind.value)
+        self._record_on_end(incoming, call, series)
+        identified = self._parts.identifier.identify(call, self._routes.accounts, route)
+        if isinstance(identified, Err):
+            self._refuse(incoming, call, identified.err_value)
+            return
+        call, route = identified.ok_value
+        self._open_calls[incoming] = call
+        self._record_on_end(incoming, call, series)
         if route.kind is RouteKind.SUBMISSION:
             spawn(self._submissions.accept(incoming, call, route), f"submission {call.request_id}")
         else:
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 from result import Err, Ok, Result
@@ -19,6 +20,7 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.incoming_calls import Headers, IncomingCall
 from pumicedeck.platform.headers import (
+    AUTHORIZATION,
     DEADLINE,
     LAST_EVENT,
     LENGTH_HINT,
@@ -26,6 +28,7 @@
     RESUMES,
     WAIT,
     without_hop_by_hop_headers,
+    without_identity_headers,
 )
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead, encode_items
@@ -34,6 +37,7 @@
 _MAX_WAIT_MILLISECONDS = 1000
 _RESULTS_PREFIX = "/lots/"
 _ITEMS_PREFIX = "/items/"
+_KEY_SCHEME = "bearer"
 
 
 class PlatformCallerDialect(CallerDialect):
@@ -57,6 +61,17 @@
             stream_id=incoming.header(RESUMES.lower()),
         )
 
+    def account_key(self, call: ForwardedCall) -> str:
+        """Return the key of a client account that a request carries, empty if it has none."""
+        name = AUTHORIZATION.lower()
+        value = next((value for key, value in call.headers if key.lower() == name), "")
+        scheme, _, key = value.strip().partition(" ")
+        return key.strip() if scheme.lower() == _KEY_SCHEME else ""
+
+    def with_account(self, call: ForwardedCall, account: str) -> ForwardedCall:
+        """Return a request of `account` without the key and the account that its caller sent."""
+        return replace(call, headers=without_identity_headers(call.headers), account=account)
+
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
         """Return the headers of an endpoint's answer that are relayed to the caller."""
         return without_hop_by_hop_headers(response.headers)
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -1,6 +1,7 @@
 """Encodes requests to endpoints of the deployment platform; decodes answers and events."""
 
 import json
+from collections.abc import Callable
 from math import isfinite
 
 from pumicedeck.dialects import (
@@ -14,6 +15,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.platform.headers import (
+    ACCOUNT,
     DEADLINE,
     EXPECT_INSTANCE,
     LAST_EVENT,
@@ -25,6 +27,7 @@
     SIGNATURE,
     VERSIONS,
     without_hop_by_hop_headers,
+    without_identity_headers,
 )
 from pumicedeck.platform.registrations import decode_models
 
@@ -38,6 +41,10 @@
 class PlatformEndpointDialect(EndpointDialect):
     """Encodes calls, version orders and report requests and decodes what endpoints answer."""
 
+    def __init__(self, has_accounts: Callable[[], bool] = lambda: False) -> None:
+        """Create a dialect; `has_accounts` returns whether client accounts are configured."""
+        self._has_accounts = has_accounts
+
     def encode_request(
         self, call: ForwardedCall, endpoint: DirectEndpoint, seconds: float | None
     ) -> HttpRequest:
@@ -48,7 +55,14 @@
             LAST_EVENT.lower(),
             REQUEST_ID.lower(),
         }
-        headers = [pair for pair in call.headers if pair[0].lower() not in replaced_names]
+        # Removed first: a hop-by-hop header of an item could name the headers that are set here.
+        kept = without_hop_by_hop_headers(call.headers)
+        # Items that were accepted before accounts were configured still have both headers.
+        if call.account or self._has_accounts():
+            kept = without_identity_headers(kept)
+        headers = [pair for pair in kept if pair[0].lower() not in replaced_names]
+        if call.account:
+            headers.append((ACCOUNT, call.account))
         headers.append((REQUEST_ID, call.request_id))
         headers.append((EXPECT_INSTANCE, endpoint.name))
         if seconds is not None:
@@ -59,7 +73,7 @@
             call.method,
             endpoint.address,
             call.target,
-            without_hop_by_hop_headers(tuple(headers)),
+            tuple(headers),
             call.body,
             host=call.host,
         )
--- a/pumicedeck/platform/headers.py
+++ b/pumicedeck/platform/headers.py
@@ -18,6 +18,12 @@
 LAST_EVENT = "Last-Event-Id"
 # The request id of the attempt that received the first event of the stream that is resumed.
 RESUMES = "Resumes"
+# Carries the key of a client account; never sent to an endpoint if accounts are configured.
+AUTHORIZATION = "Authorization"
+# The name of the client account, for endpoints; what callers send in it means nothing.
+ACCOUNT = "X-Pumicedeck-Tenant"
+
+_IDENTITY_HEADERS = frozenset((AUTHORIZATION.lower(), ACCOUNT.lower()))
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -45,3 +51,8 @@
     }
     dropped = _HOP_BY_HOP_HEADERS | named
     return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+
+
+def without_identity_headers(headers: Headers) -> Headers:
+    """Remove the headers with the key and the name of a client account."""
+    return tuple(pair for pair in headers if pair[0].lower() not in _IDENTITY_HEADERS)
--- a/pumicedeck/route_tables.py
+++ b/pumicedeck/route_tables.py
@@ -105,6 +105,11 @@
         pools = frozenset(share.pool for route in resumable for share in route.pools)
         object.__setattr__(self, "resumable_pools", pools)
 
+    @property
+    def key_conflicts(self) -> tuple[tuple[str, str], ...]:
+        """Return the names of accounts that list the same key, as in `AccountTable`."""
+        return () if self.accounts is None else self.accounts.key_conflicts
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if no prefix matches.
 
