Give submissions, their items and requests about them an account

Cause: items have to run under the account of their submission, and nobody but that account may read or end it. Change: the head row names the account (left out when empty, so that rows of deployments without accounts stay the same). Requests about a submission accept any key of its account; another account gets the answer for an id that does not exist, also while the store is away. With accounts each transaction of a submission requires that its id is free: the first rows of items of a second submission under the same id would otherwise replace those of the first. Outputs of earlier steps are reused for the same account only: an account that chose another's item ids would have got its outputs.

--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -212,11 +212,12 @@
 
     @abstractmethod
     def decode_submission(
-        self, call: ForwardedCall, route: str, accepted: float
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; `accepted` is its time of acceptance in store seconds.
 
-        Fails with BAD_REQUEST if the body is invalid.
+        If client accounts are configured (`has_accounts`), the items keep no key and no account of
+        the submitter. Fails with BAD_REQUEST if the body is invalid.
         """
 
     @abstractmethod
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -246,8 +246,13 @@
             return
         submission_request = self._parts.submission_dialect.decode_submission_request(incoming)
         if submission_request is not None and self._serves_submissions(incoming.host):
+            call, reader = self._parts.identifier.identify_reader(call, self._routes, incoming.host)
+            self._open_calls[incoming] = call
             self._record_on_end(incoming, call, _SUBMISSION_REQUESTS)
-            spawn(self._submissions.serve(incoming, call, submission_request), "submission call")
+            spawn(
+                self._submissions.serve(incoming, call, submission_request, reader),
+                "submission call",
+            )
             return
         route = self._routes.find(incoming.host, call.path)
         if route is None:
@@ -267,7 +272,11 @@
         self._open_calls[incoming] = call
         self._record_on_end(incoming, call, series)
         if route.kind is RouteKind.SUBMISSION:
-            spawn(self._submissions.accept(incoming, call, route), f"submission {call.request_id}")
+            has_accounts = self._routes.accounts is not None
+            spawn(
+                self._submissions.accept(incoming, call, route, has_accounts),
+                f"submission {call.request_id}",
+            )
         else:
             self._parts.forwarder.handle(incoming, call, route)
 
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -116,12 +116,12 @@
         return None
 
     def decode_submission(
-        self, call: ForwardedCall, route: str, accepted: float
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; fail with BAD_REQUEST if it is invalid."""
         try:
             document = json.loads(call.body)
-            items = tuple(_decode_item(each) for each in document["items"])
+            items = tuple(_decode_item(each, has_accounts) for each in document["items"])
             head = SubmissionHead(
                 submission_id=call.request_id,
                 route=route,
@@ -135,6 +135,7 @@
                 chunks=len(encode_items(items)),
                 digest=hashlib.sha256(call.body).hexdigest()[:16],
                 accepted=accepted,
+                account=call.account,
             )
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return Err(Failure(ResultCode.BAD_REQUEST, f"invalid submission: {error!r}"))
@@ -163,8 +164,10 @@
         return json.dumps(document, ensure_ascii=False).encode()
 
 
-def _decode_item(document: dict) -> Item:
+def _decode_item(document: dict, has_accounts: bool) -> Item:
     headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
+    if has_accounts:
+        headers = without_identity_headers(headers)
     lowered = {name.lower(): value for name, value in headers}
     hint = lowered.get(LENGTH_HINT.lower(), "")
     scorer = document.get("scorer")
--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -96,6 +96,7 @@
             item.body,
             None,
             last or None,
+            account=self._head.account,
         )
         outcome = await self._caller.call(
             call, self.endpoint, seconds, silence, self._on_head, self._on_bytes
--- a/pumicedeck/scheduling/submission_adoptions.py
+++ b/pumicedeck/scheduling/submission_adoptions.py
@@ -77,7 +77,9 @@
         if not self._settings.reuses_outputs:
             return
         for item_work in (*work.waiting.values(), *work.running.values()):
-            self._reusable_outputs.add_output(item_work.item.item_id, item_work.progress)
+            self._reusable_outputs.add_output(
+                item_work.item.item_id, item_work.progress, work.head.account
+            )
 
     async def adopt(
         self,
@@ -154,7 +156,11 @@
         )
 
     async def _collect_reusable_outputs(self, view: SubmissionView) -> None:
-        """Collect the outputs of the model's last ended steps, from memory or from the store."""
+        """Collect the outputs of the model's last ended steps, from memory or from the store.
+
+        Steps of other client accounts are left out.
+        """
+        account = view.head.account
         ended = sorted(
             (
                 ended_view
@@ -162,6 +168,7 @@
                 if ended_view.head is not None
                 and ended_view.ended
                 and ended_view.head.model == view.head.model
+                and ended_view.head.account == account
             ),
             key=lambda ended_view: -ended_view.head.accepted,
         )
@@ -180,17 +187,18 @@
                 results = read.ok_value
                 progress_by_item = await read_progress(self._store, ended_view.submission_id)
                 for item_id, progress in progress_by_item.items():
-                    self._reusable_outputs.add_output(item_id, progress)
+                    self._reusable_outputs.add_output(item_id, progress, account)
             self._collected_steps.add(ended_view.submission_id)
             for result in results:
-                self._reusable_outputs.add_result(result)
+                self._reusable_outputs.add_result(result, account)
 
     def _reuse_outputs(self, work: SubmissionWork, single_version: bool) -> int:
         """Let items continue from outputs of earlier steps; return how many do."""
+        account = work.head.account
         carried_over = {
             item_work.item.group
             for item_work in work.waiting.values()
-            if self._reusable_outputs.contains(item_work.item.item_id)
+            if self._reusable_outputs.contains(item_work.item.item_id, account)
         }
         reused = 0
         for item_work in work.waiting.values():
@@ -198,7 +206,7 @@
             if item_work.progress.last_event:
                 continue
             found = self._reusable_outputs.find(
-                item_work.item.item_id, work.head.min_version, single_version
+                item_work.item.item_id, work.head.min_version, single_version, account
             )
             if found is not None:
                 item_work.progress = found
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from result import Err, Ok
 
+from pumicedeck.accounts.call_identifiers import SubmissionReader
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.dialects import (
     EndSubmission,
@@ -21,7 +22,7 @@
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route
 from pumicedeck.store_clocks import StoreClock
-from pumicedeck.submission_intakes import SubmissionIntake
+from pumicedeck.submission_intakes import NO_SUBMISSION, SubmissionIntake
 
 _log = logger.bind(module="submission_answers")
 
@@ -50,17 +51,23 @@
         self._dialect = dialect
         self._refuse = refuse
 
-    async def accept(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> None:
-        """Store a new submission and answer once it is kept."""
+    async def accept(
+        self, incoming: IncomingCall, call: ForwardedCall, route: Route, has_accounts: bool
+    ) -> None:
+        """Store a new submission and answer once it is kept.
+
+        `has_accounts` says whether client accounts are configured.
+        """
         if not self._clock.is_set:
             self._refuse(incoming, call, NOT_READY)
             return
         accepted = self._clock.now()
-        decoded = self._dialect.decode_submission(call, route.name, accepted)
+        decoded = self._dialect.decode_submission(call, route.name, accepted, has_accounts)
         if isinstance(decoded, Err):
             self._refuse(incoming, call, decoded.err_value)
             return
-        outcome = await self._intake.accept(decoded.ok_value)
+        account = call.account if has_accounts else None
+        outcome = await self._intake.accept(decoded.ok_value, account)
         if isinstance(outcome, Err):
             self._refuse(incoming, call, outcome.err_value)
             return
@@ -75,24 +82,36 @@
         incoming.answer(202, JSON_TYPE, b"{}")
 
     async def serve(
-        self, incoming: IncomingCall, call: ForwardedCall, submission_request: SubmissionRequest
+        self,
+        incoming: IncomingCall,
+        call: ForwardedCall,
+        submission_request: SubmissionRequest,
+        reader: SubmissionReader,
     ) -> None:
-        """Answer a request about a submission."""
+        """Answer a request of `reader` about a submission."""
+        if reader.failure is not None and not reader.searches_store:
+            if not self._intake.is_known_to_be_open(submission_request.submission_id):
+                self._refuse(incoming, call, reader.failure)
+                return
+        account = reader.account
         match submission_request:
             case ReadResults(submission_id, after, wait):
-                outcome = await self._intake.results(submission_id, after, wait)
+                outcome = await self._intake.results(submission_id, after, wait, account)
                 if isinstance(outcome, Ok):
                     total, results = outcome.ok_value
                     documents = [result.document() for result in results]
                     body = self._dialect.results(total, after, documents)
                     incoming.answer(200, JSON_TYPE, body)
             case ReadItem(submission_id, item_id):
-                outcome = await self._intake.item_body(submission_id, item_id)
+                outcome = await self._intake.item_body(submission_id, item_id, account)
                 if isinstance(outcome, Ok):
                     incoming.answer(200, _BYTES_TYPE, outcome.ok_value)
             case EndSubmission(submission_id):
-                outcome = await self._intake.end(submission_id)
+                outcome = await self._intake.end(submission_id, account)
                 if isinstance(outcome, Ok):
                     incoming.answer(200, JSON_TYPE, b"{}")
         if isinstance(outcome, Err):
-            self._refuse(incoming, call, outcome.err_value)
+            failure = outcome.err_value
+            if failure is NO_SUBMISSION and reader.failure is not None:
+                failure = reader.failure
+            self._refuse(incoming, call, failure)
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -27,7 +27,7 @@
 
 _log = logger.bind(module="submission_intakes")
 
-_NO_SUBMISSION = Failure(ResultCode.NOT_FOUND, "no such submission")
+NO_SUBMISSION = Failure(ResultCode.NOT_FOUND, "no such submission")
 _STORE_UNREADABLE = Failure(ResultCode.STORE_UNAVAILABLE, "the store cannot be read")
 
 
@@ -65,17 +65,27 @@
         self._settings = settings or IntakeSettings()
         self._page_cache = PageCache()
 
-    async def accept(self, submission: Submission) -> Result[None, Failure]:
+    def is_known_to_be_open(self, submission_id: str) -> bool:
+        """Return whether the mirror has the submission and it belongs to no account."""
+        view = self._mirror.view(submission_id)
+        return view is not None and not view.head.account
+
+    async def accept(
+        self, submission: Submission, account: str | None = None
+    ) -> Result[None, Failure]:
         """Store a submission; STORE_UNAVAILABLE proves that it was not accepted.
 
         STORE_OUTCOME_UNKNOWN means that it may have been accepted. A commit whose outcome is
         unknown is repeated; if the first one took effect, the second conflicts with its row.
+        NOT_FOUND if another account has a submission with this id; `account` is that of the
+        submitter, None if no accounts are configured.
         """
         head = submission.head
-        if self._mirror.view(head.submission_id) is not None:
-            return Ok(None)
+        view = self._mirror.view(head.submission_id)
+        if view is not None:
+            return Ok(None) if view.head.admits(account) else Err(NO_SUBMISSION)
         deadline = self._timers.now() + self._settings.accept_seconds
-        changes = self._build_changes(submission)
+        changes = self._build_changes(submission, account is not None)
         outcome_unknown = False
         while changes:
             outcome = await self._store.commit(changes[0])
@@ -84,6 +94,8 @@
                 continue
             code = outcome.err_value.code
             if code is ResultCode.STORE_CONFLICT:
+                if account is not None:
+                    return await self._find_accepted(head.submission_id, account, deadline)
                 if len(changes) > 1:
                     changes.pop(0)
                     continue
@@ -98,15 +110,15 @@
         return Ok(None)
 
     async def results(
-        self, submission_id: str, after: int, wait: float
+        self, submission_id: str, after: int, wait: float, account: str | None = None
     ) -> Result[tuple[int, list[ItemResult]], Failure]:
         """Return the number of items and the results from position `after` on.
 
         Waits up to `wait` seconds for the first result at that position while the submission is
-        open. NOT_FOUND if there is no such submission, STORE_UNAVAILABLE if the store had to be
-        read and did not answer.
+        open. NOT_FOUND if there is no such submission or it belongs to another account than
+        `account`, STORE_UNAVAILABLE if the store had to be read and did not answer.
         """
-        found = await self._find(submission_id)
+        found = await self._find(submission_id, account)
         if isinstance(found, Err):
             return found
         view = found.ok_value
@@ -134,9 +146,14 @@
                 self._page_cache.put(submission_id, after, page, read.ok_value.size)
         return Ok((total, page))
 
-    async def item_body(self, submission_id: str, item_id: str) -> Result[bytes, Failure]:
-        """Return the request body of an item; NOT_FOUND if there is no such submission or item."""
-        found = await self._find(submission_id)
+    async def item_body(
+        self, submission_id: str, item_id: str, account: str | None = None
+    ) -> Result[bytes, Failure]:
+        """Return the request body of an item; NOT_FOUND if there is no such submission or item.
+
+        For another account than the submission's there is none.
+        """
+        found = await self._find(submission_id, account)
         if isinstance(found, Err):
             return found
         items = await read_items(self._store, found.ok_value.head)
@@ -147,9 +164,9 @@
                 return Ok(item.body)
         return Err(Failure(ResultCode.NOT_FOUND, "no such item"))
 
-    async def end(self, submission_id: str) -> Result[None, Failure]:
-        """End a submission; ending it again has no effect."""
-        found = await self._find(submission_id)
+    async def end(self, submission_id: str, account: str | None = None) -> Result[None, Failure]:
+        """End a submission of `account`; ending it again has no effect."""
+        found = await self._find(submission_id, account)
         if isinstance(found, Err):
             return found
         if found.ok_value.ended:
@@ -165,10 +182,11 @@
                 return Err(outcome.err_value)
             await sleep(self._timers, self._settings.retry_seconds)
 
-    def _build_changes(self, submission: Submission) -> list[Change]:
+    def _build_changes(self, submission: Submission, has_accounts: bool) -> list[Change]:
         """Return the transactions that store a submission; only the last one writes its head row.
 
-        A submission without a head row does not exist for any process.
+        A submission without a head row does not exist for any process. With accounts each
+        transaction requires that there is none, so that no account replaces items of another's.
         """
         head = submission.head
         puts = [
@@ -179,8 +197,9 @@
         groups = [tuple(puts[at : at + size]) for at in range(0, len(puts), size)]
         last = groups.pop()
         row = head_row(head.submission_id)
-        changes = [Change((), group) for group in groups]
-        changes.append(Change((Expectation(row, 0),), (*last, Put(row, head.encode()))))
+        is_new = (Expectation(row, 0),)
+        changes = [Change(is_new if has_accounts else (), group) for group in groups]
+        changes.append(Change(is_new, (*last, Put(row, head.encode()))))
         return changes
 
     def _build_rejection(
@@ -197,16 +216,39 @@
             return Failure(ResultCode.STORE_OUTCOME_UNKNOWN, failure.detail)
         return Failure(ResultCode.STORE_UNAVAILABLE, failure.detail, proven_not_run=True)
 
-    async def _find(self, submission_id: str) -> Result[SubmissionView, Failure]:
-        """Return a submission from the mirror, from the store if the mirror does not have it."""
+    async def _find_accepted(
+        self, submission_id: str, account: str, deadline: float
+    ) -> Result[None, Failure]:
+        """Return whether the submission that exists under an id is open to `account`."""
+        while True:
+            found = await self._find(submission_id, account)
+            if isinstance(found, Ok):
+                return Ok(None)
+            if found.err_value is NO_SUBMISSION:
+                return found
+            if self._timers.now() >= deadline:
+                # An earlier commit of this submission may be the one that took effect.
+                return Err(Failure(ResultCode.STORE_OUTCOME_UNKNOWN, found.err_value.detail))
+            await sleep(self._timers, self._settings.retry_seconds)
+
+    async def _find(
+        self, submission_id: str, account: str | None
+    ) -> Result[SubmissionView, Failure]:
+        """Return a submission from the mirror, from the store if the mirror does not have it.
+
+        The store is also read if the submission belongs to another account than `account`: the
+        answer must not differ from that for an id that does not exist.
+        """
         view = self._mirror.view(submission_id)
-        if view is not None:
+        if view is not None and view.head.admits(account):
             return Ok(view)
         refreshed = await self._refresh(submission_id)
         if isinstance(refreshed, Err):
             return refreshed
         view = self._mirror.view(submission_id)
-        return Ok(view) if view is not None else Err(_NO_SUBMISSION)
+        if view is None or not view.head.admits(account):
+            return Err(NO_SUBMISSION)
+        return Ok(view)
 
     async def _refresh(self, submission_id: str) -> Result[None, Failure]:
         """Read a submission's rows of the work table and apply them to the mirror."""
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -42,7 +42,8 @@
 
     `total` counts the items and `chunks` the rows that they fill. `min_version` is the oldest
     weight version allowed. `wanted_groups` is how many groups the step needs, 0 for all. `accepted`
-    is in seconds on the store's clock.
+    is in seconds on the store's clock. `account` names the client account that the submission
+    belongs to, empty if there is none.
     """
 
     submission_id: str
@@ -56,10 +57,21 @@
     chunks: int
     digest: str
     accepted: float
+    account: str = ""
 
     def encode(self) -> bytes:
-        """Return the value of the head row as JSON."""
-        return json.dumps({name: getattr(self, name) for name in self.__slots__}).encode()
+        """Return the value of the head row as JSON, without an empty `account`."""
+        document = {name: getattr(self, name) for name in self.__slots__}
+        if not self.account:
+            del document["account"]
+        return json.dumps(document).encode()
+
+    def admits(self, account: str | None) -> bool:
+        """Return whether an account may read and end the submission.
+
+        One without an account is open to all; `account` is None if no accounts are configured.
+        """
+        return account is None or not self.account or self.account == account
 
 
 @dataclass(frozen=True, slots=True)
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -70,7 +70,8 @@
     it refuse each weight order. The next `late_orders`
     orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
     requests per second, unless it is None; `requests` has the time of each request that it got.
-    `starts` has the time, item and `resume_after` of each run, `ends` counts its restarts.
+    `starts` has the time, item and `resume_after` of each run, `accounts` the client account of
+    each run, `ends` counts its restarts.
     """
 
     endpoint: DirectEndpoint
@@ -85,6 +86,7 @@
     late_orders: int = 0
     late_seconds: float = 3.0
     starts: list = field(default_factory=list)
+    accounts: list = field(default_factory=list)
     requests: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     loads: int = 0
@@ -104,6 +106,7 @@
     async def call(self, call, endpoint, seconds, silence, on_head=None, on_bytes=None):
         if endpoint.pool == "apps":
             self.simulation.score_calls.append(call.request_id)
+            self.simulation.score_accounts.append(call.account)
             self.simulation.score_times.append((self.simulation.timers.now(), endpoint.name))
             self._record_limit(endpoint, self.simulation.scorer_limit)
             await sleep(self.simulation.timers, 0.2)
@@ -112,6 +115,7 @@
             return self._answered(200, f"mac-{call.request_id}", None)
         engine = self.simulation.engines[endpoint.name]
         engine.starts.append((self.simulation.timers.now(), call.request_id, call.resume_after))
+        engine.accounts.append(call.account)
         engine.requests.append(self.simulation.timers.now())
         self._record_limit(endpoint, engine.limit)
         engine.working[call.request_id] += 1
@@ -323,6 +327,7 @@
         self.padding = ""
         self.scores_fail = False
         self.score_calls = []
+        self.score_accounts = []
         self.score_times = []
         self.scorer_limit = None
         self.engines = {}
@@ -360,6 +365,7 @@
         min_version=1,
         wanted_groups=0,
         step=0,
+        account="",
     ):
         """Submit groups of items of the given lengths in events; return the outcome after 0.1 s.
 
@@ -383,6 +389,7 @@
             1,
             "digest",
             self.timers.now(),
+            account,
         )
         outcome = []
 
