Put the account in place of its keys in request fingerprints

Cause: a request that crashes endpoints would be let through again with each other key of its account.

--- a/pumicedeck/tests/test_request_fingerprints.py
+++ b/pumicedeck/tests/test_request_fingerprints.py
@@ -45,3 +45,19 @@
 )
 def test_other_requests_and_other_callers_have_another(change):
     assert fingerprint_request(replace(CALL, **change)) != fingerprint_request(CALL)
+
+
+def test_another_key_of_an_account_does_not_hide_a_request():
+    # A request that crashes endpoints would be let through again with each new key.
+    first = replace(CALL, account="acme")
+    second = replace(first, headers=(("Authorization", "key-2"),))
+    assert fingerprint_request(second) == fingerprint_request(first)
+    assert fingerprint_request(replace(first, headers=())) == fingerprint_request(first)
+    cookie = replace(first, headers=(("Cookie", "c"),))
+    others = [fingerprint_request(each) for each in (replace(first, account="bolt"), cookie, CALL)]
+    assert len({*others, fingerprint_request(first)}) == 4
+
+
+def test_without_an_account_the_fingerprint_is_the_same_as_before():
+    # Gateways of two releases share the reports of crashes by fingerprint.
+    assert fingerprint_request(CALL) == "51291abd1a55a35e81b946dd"
