Report use by client account to the platform's API

Cause: the platform asks one of all gateways for the number of requests that began in each window of five seconds, by client account.

Change: package duties. Each gateway counts when a request begins to run at an endpoint, and saves what it counted in rows that never change. The holder of the scheduler's lease sums the rows of a window, fixes the sum in the store and sends it. Windows are those of the store's clock plus one agreed offset. Without the section cloud in the settings nothing of this exists.

--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -13,8 +14,9 @@
 from pumicedeck.call_limits import Outcome, RetrySettings
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
-from pumicedeck.dialects import CallerDialect, ForwardedCall
+from pumicedeck.dialects import AnswerHead, CallerDialect, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
+from pumicedeck.duties.request_beginnings import RequestBeginnings
 from pumicedeck.endpoint_callers import CompleteAnswer, EndpointCaller
 from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.http_messages import HttpResponse
@@ -36,13 +38,15 @@
 class Attempts:
     """Attempts made so far for one request: names of the endpoints tried and the last failure.
 
-    `fingerprint` is the same for earlier requests that this one repeats.
+    `fingerprint` is the same for earlier requests that this one repeats. `is_counted` says that the
+    request has begun to run at an endpoint and counts for its client account.
     """
 
     fingerprint: str
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     last_failure: Failure | None = None
+    is_counted: bool = False
 
 
 class CallAttempts:
@@ -56,10 +60,12 @@
         crashes: CrashReports,
         dialect: CallerDialect,
         settings: RetrySettings | None = None,
+        beginnings: RequestBeginnings | None = None,
     ) -> None:
         """Send calls with `endpoint_caller` to the endpoints that `selector` selects.
 
-        `crashes` has the requests that no endpoint may get, since several ended under them.
+        `crashes` has the requests that no endpoint may get, since several ended under them;
+        `beginnings` counts requests by client account, None if nobody asks for that.
         """
         self._timers = timers
         self._endpoint_caller = endpoint_caller
@@ -67,6 +73,7 @@
         self._crashes = crashes
         self._dialect = dialect
         self._settings = settings or RetrySettings()
+        self._beginnings = beginnings
 
     @property
     def endpoint_caller(self) -> EndpointCaller:
@@ -172,6 +179,22 @@
         headers = self._dialect.relayed_headers(call, complete_answer.response)
         incoming.answer(complete_answer.response.status, headers, complete_answer.response.body)
 
+    async def call(
+        self,
+        attempts: Attempts,
+        call: ForwardedCall,
+        endpoint: DirectEndpoint,
+        seconds: float,
+        silence_seconds: float,
+        on_head: Callable[[HttpResponse, AnswerHead], None] | None = None,
+        on_chunk: Callable[[bytes], None] | None = None,
+    ) -> Result[CompleteAnswer, Failure]:
+        """Send a call as `EndpointCaller.call` does; count the request once if it begins there."""
+        send = self._endpoint_caller.call
+        if self._beginnings is not None and call.account and not attempts.is_counted:
+            send = partial(self._beginnings.call, attempts, send)
+        return await send(call, endpoint, seconds, silence_seconds, on_head, on_chunk)
+
     def record_attempt(
         self,
         attempts: Attempts,
--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -82,8 +82,8 @@
             attempts_left = len(attempts.tried) + 1 < route.max_attempts
             silence_seconds = self._settings.silence_limit(route, seconds_left, attempts_left)
             began_at = self._timers.now()
-            result = await call_attempts.endpoint_caller.call(
-                call, endpoint, seconds_left, silence_seconds
+            result = await call_attempts.call(
+                attempts, call, endpoint, seconds_left, silence_seconds
             )
             outcome = call_attempts.record_attempt(attempts, endpoint, call, result, began_at)
             step = next_step(outcome, len(attempts.tried), route, attempts.may_have_run)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -19,6 +19,7 @@
 from pumicedeck.crash_reports import CrashReports
 from pumicedeck.decision_settings import choose_decision_settings
 from pumicedeck.direct_endpoints import EndpointDirectory
+from pumicedeck.duties.usage_duties import UsageParts, build_usage_duty
 from pumicedeck.endpoint_callers import EndpointCaller
 from pumicedeck.endpoint_lists import EndpointList
 from pumicedeck.endpoint_selections import EndpointSelector
@@ -38,6 +39,7 @@
 from pumicedeck.peer_checks import PeerCheck
 from pumicedeck.peer_questions import PeerQuestions
 from pumicedeck.platform.caller_calls import PlatformCallerDialect, PlatformSubmissionDialect
+from pumicedeck.platform.cloud_calls import PlatformUsageDialect
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.platform.registrations import (
     ENDPOINT_TABLE,
@@ -102,6 +104,12 @@
     acknowledgement_timeout_seconds=1.0,
     connections_per_address=16,
 )
+CLOUD_CLIENT_SETTINGS = HttpClientSettings(
+    connect_seconds=0.8,
+    max_idle_seconds=12.0,
+    acknowledgement_timeout_seconds=2.0,
+    connections_per_address=2,
+)
 SETTINGS_POLL_SECONDS = 1.0
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 BODIES_SHARE_OF_MEMORY = 0.2
@@ -182,9 +190,10 @@
     selector = EndpointSelector(timers, directory, limiter)
     announced_versions: dict[str, int] = {}
     incarnation_prefix = f"{settings.vm}/"
+    incarnation = f"{incarnation_prefix}{random.getrandbits(48):012x}"
     lease_holder = LeaseHolder(
         SCHEDULER_LEASE_NAME,
-        f"{incarnation_prefix}{random.getrandbits(48):012x}",
+        incarnation,
         LEASE_SETTINGS,
         incarnation_prefix,
         store_now=clock.now,
@@ -313,6 +322,25 @@
         random=random,
         scheduler=scheduler,
     )
+    usage = None
+    if settings.cloud is not None and settings.cloud.asks_for_usage:
+        usage = build_usage_duty(
+            UsageParts(
+                timers=timers,
+                store=store,
+                clock=clock,
+                directory=directory,
+                lease=lease_holder,
+                random=random,
+                incarnation=incarnation,
+                time_of_day=lambda: time.time(),
+                members=lambda: len(mirror.members),
+                store_contact_at=lambda: work_feed.last_contact_at,
+            ),
+            settings,
+            PlatformUsageDialect(),
+            HttpClient(timers, CLOUD_CLIENT_SETTINGS, budget).register(root),
+        )
     metrics = None
     if settings.metrics_port:
         metrics_address = Address(settings.readiness.host, settings.metrics_port)
@@ -332,7 +360,13 @@
             forwarder=CallForwarder(
                 timers,
                 CallAttempts(
-                    timers, endpoint_caller, selector, crashes, dialect, decisions.retries
+                    timers,
+                    endpoint_caller,
+                    selector,
+                    crashes,
+                    dialect,
+                    decisions.retries,
+                    usage.beginnings if usage is not None else None,
                 ),
                 stream_records,
                 random,
@@ -352,22 +386,35 @@
             record_store_contact=record_store_contact,
             caller_dialect=dialect,
             submission_dialect=PlatformSubmissionDialect(),
-            finish=finish,
+            finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
             delays_few_cores=decisions.delays_weak_machines,
             metrics=metrics,
             relay=relay,
+            metric_lines=usage.metric_lines if usage is not None else lambda: [],
         ),
         GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
     )
 
+    def start() -> None:
+        gateway.start()
+        if usage is not None:
+            usage.start()
+
+    def drain() -> None:
+        gateway.drain()
+        if usage is not None:
+            usage.drain()
+
     def close() -> None:
+        if usage is not None:
+            usage.close()
         gateway.close()
         relay_client.close()
         store_client.close()
         endpoint_client.close()
 
-    return RunningGateway(gateway.start, gateway.drain, close, gateway)
+    return RunningGateway(start, drain, close, gateway)
 
 
 def _relay_addresses(mirror: WorkMirror, settings: GatewaySettings) -> list[Address]:
--- a/pumicedeck/gateway_metrics.py
+++ b/pumicedeck/gateway_metrics.py
@@ -22,14 +22,19 @@
         lease: LeaseHolder,
         feeds: tuple[StoreFeed, ...],
         routes: Callable[[], RouteTable | None],
+        extra_lines: Callable[[], list[str]] = lambda: [],
     ) -> None:
-        """Read from the given parts; `routes` returns the installed routes or None."""
+        """Read from the given parts; `routes` returns the installed routes or None.
+
+        `extra_lines` returns the lines of parts that only some deployments have.
+        """
         self._timers = timers
         self._calls = calls
         self._scheduler = scheduler
         self._lease = lease
         self._feeds = feeds
         self._routes = routes
+        self._extra_lines = extra_lines
 
     def text(self, ready: bool, open_calls: int) -> str:
         """Return gauges, counts and durations in the exposition format."""
@@ -50,6 +55,7 @@
             *gauge_lines("endpoint_running_items", "endpoint", self._scheduler.running_by_engine()),
             gauge_line("open_calls", open_calls),
             *self._calls.lines(),
+            *self._extra_lines(),
             gauge_line("cpu_seconds", round(usage.cpu_seconds, 3)),
             gauge_line("resident_bytes", usage.resident_bytes),
         ]
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -1,6 +1,8 @@
 """Settings of a gateway process, as read from its settings file."""
 
-from pydantic import BaseModel, ConfigDict, Field
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from pumicedeck.settings_files import ListenAddress, LogSettings, Section
 
@@ -65,12 +67,45 @@
     software_versions: bool = True
 
 
+METERING_DUTY = "metering"
+
+
+class CloudSettings(BaseModel):
+    """The platform's API and the duties that one of all gateways does for it.
+
+    Rates are in calls per second, all gateways together; `duty_per_second` is for calls of duties.
+    A value that the platform leaves empty has its default.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True, arbitrary_types_allowed=True)
+
+    address: ListenAddress
+    duties: list[str] = []
+    rate_per_second: float = Field(100.0, gt=0)
+    duty_per_second: float = Field(10.0, gt=0)
+    usage_window_seconds: float = Field(5.0, gt=0)
+    usage_late_seconds: float = Field(10.0, gt=0)
+
+    @model_validator(mode="before")
+    @classmethod
+    def _drop_empty(cls, values: Any) -> Any:
+        if not isinstance(values, dict):
+            return values
+        return {key: value for key, value in values.items() if value is not None}
+
+    @property
+    def asks_for_usage(self) -> bool:
+        """Return whether use is to be reported."""
+        return METERING_DUTY in self.duties
+
+
 class GatewaySettings(Section):
     """A gateway: the addresses for callers and for the balancer, and the platform's store.
 
     `regions` maps failure domains to regions. `metrics_port` is an additional port for metrics on
     the host of the readiness address, 0 for none. At `relay_port` on that host each gateway passes
     on calls of peers that cannot reach the store; 0 switches this off. All gateways use one port.
+    Without `cloud` there are no duties.
     """
 
     vm: str = Field(min_length=1)
@@ -86,3 +121,4 @@
     machine: MachineSettings = MachineSettings()
     mechanisms: MechanismSettings = MechanismSettings()
     log: LogSettings = LogSettings()
+    cloud: CloudSettings | None = None
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -110,6 +110,7 @@
     delays_few_cores: bool = True
     metrics: HttpListener | None = None
     relay: HttpListener | None = None
+    metric_lines: Callable[[], list[str]] = lambda: []
 
 
 def lease_extra_acquisition_delay_seconds(round_trip_seconds: float, cores: float) -> float:
@@ -150,6 +151,7 @@
             parts.lease_holder,
             parts.feeds,
             lambda: self._routes,
+            parts.metric_lines,
         )
 
     @property
@@ -359,14 +361,12 @@
                 _log.info("readiness changed", ready=self._was_ready)
             if self.is_ready and not lease_requested:
                 lease_requested = True
-                extra_acquisition_delay_seconds = lease_extra_acquisition_delay_seconds(
+                delay_seconds = lease_extra_acquisition_delay_seconds(
                     self._parts.work_feed.round_trip_seconds,
                     self._parts.cores if self._parts.delays_few_cores else inf,
                 )
-                self._parts.lease_holder.extra_acquisition_delay_seconds = (
-                    extra_acquisition_delay_seconds
-                )
-                self._timers.call_later(extra_acquisition_delay_seconds, self._acquire_lease)
+                self._parts.lease_holder.extra_acquisition_delay_seconds = delay_seconds
+                self._timers.call_later(delay_seconds, self._acquire_lease)
                 self._parts.peers.start()
 
     def _acquire_lease(self) -> None:
--- a/pumicedeck/tests/test_clock_steps.py
+++ b/pumicedeck/tests/test_clock_steps.py
@@ -19,7 +19,7 @@
 ALLOWED = {
     "clients.py": "the ids of requests",
     "composition.py": "the age of request ids, where the far future is refused",
-    "gateway_compositions.py": "the seed of a random generator",
+    "gateway_compositions.py": "the seed of a random generator; the true time for reports of use",
     "operator_api.py": "the time of an edit, as shown to operators",
 }
 STEP_SECONDS = 2400.0
--- a/pumicedeck/tests/test_gateway_settings.py
+++ b/pumicedeck/tests/test_gateway_settings.py
@@ -27,13 +27,26 @@
 }
 
 
+CLOUD_VALUES = {
+    "cloud.address": '"10.0.0.9:83"',
+    "cloud.duties": '["metering"]',
+    "bounds.usage-window-s": "5",
+    "bounds.usage-late-s": "10",
+}
+
+
 def fill_template(**changes):
+    """Fill the template as the platform does: a section only if its value exists."""
     values = {**VALUES, **changes}
 
+    def section(match):
+        return match[2] if match[1] in values else ""
+
     def value(match):
         return values.get(match[1], "3")
 
     text = TEMPLATE.read_text(encoding="utf-8")
+    text = re.sub(r"\{\{#([a-z0-9.-]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.DOTALL)
     return re.sub(r"\{\{([a-z0-9.-]+)\|json\}\}", value, text)
 
 
@@ -44,6 +57,28 @@
     assert settings.promises.grace_seconds == 8.0
 
 
+def test_duties_are_in_the_settings_only_where_the_platform_has_an_api():
+    """Guards against another file for deployments without the API, and a section nobody reads."""
+    without = fill_template()
+    assert "cloud" not in without and without.endswith("  format: json\n")
+    assert parse_settings(GatewaySettings, TEMPLATE, without).unwrap().cloud is None
+    filled = fill_template(**CLOUD_VALUES)
+    cloud = parse_settings(GatewaySettings, TEMPLATE, filled).unwrap().cloud
+    assert cloud.asks_for_usage and cloud.address.port == 83
+    assert (cloud.duty_per_second, cloud.usage_window_seconds, cloud.usage_late_seconds) == (
+        3,
+        5,
+        10,
+    )
+    assert filled.startswith(without)
+
+
+def test_duties_that_are_not_asked_for_and_empty_values_keep_their_defaults():
+    filled = fill_template(**{**CLOUD_VALUES, "cloud.duties": "[]", "cloud.duty-per-s": ""})
+    cloud = parse_settings(GatewaySettings, TEMPLATE, filled).unwrap().cloud
+    assert not cloud.asks_for_usage and cloud.duty_per_second == 10.0
+
+
 def test_an_invalid_value_is_reported_with_its_key():
     text = fill_template(**{"listen.front": '"nowhere"'})
     failure = parse_settings(GatewaySettings, TEMPLATE, text).unwrap_err()
