Read load reports of four figures and more

Cause: some pools send a fourth figure; the decoder accepted exactly three, so on those deployments the running and waiting requests were ignored as well. A figure of thousands of digits, or of digits outside ASCII, raised an exception. Change: three whole numbers or more are accepted. The new tests failed on the old code (four and five figures, and the two kinds of invalid digits).

--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -33,6 +33,9 @@
 _IS_LEAVING = "1"
 _JSON_TYPE = ("Content-Type", "application/json")
 _EVENT_VERSION = f"{VERSIONS.lower()}:"
+_LOAD_FIGURES = 3
+# Longer texts are no counts of requests, and int() refuses very long ones with an exception.
+_MAX_LOAD_DIGITS = 9
 
 
 class PlatformEndpointDialect(EndpointDialect):
@@ -145,9 +148,16 @@
 def _decode_load(text: str) -> tuple[int | None, int | None]:
     """Return the running and waiting requests from a load header, None for each if it is invalid.
 
-    The third number of the header, the slots, is not used: the registration states it.
+    The header has three whole numbers or more. The third, the slots, is not used: the registration
+    states it. A fourth says how long work takes at the moment, in percent of the usual time; the
+    smoothed latency of the endpoint's own answers stands for it. Later ones are ignored.
     """
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) < _LOAD_FIGURES or not all(_is_whole_number(part) for part in parts):
         return None, None
     return int(parts[0]), int(parts[1])
+
+
+def _is_whole_number(text: str) -> bool:
+    """Return whether a text is a number of at most nine ASCII digits."""
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_LOAD_DIGITS
