Let a pass of the scheduler look only at what changed

Cause: each pass viewed every engine, sorted and built every waiting item, and checked every run. At 1,000 engines one pass took most of a second, and a pass runs at each end of a run. Change: EngineFleet keeps views and an index of the engines. It views an engine again when its registration, state, runs or event interval changed, and a part of the others at each tick; up to 64 engines are all viewed in each pass, as before. A pass starts at most 32 items and goes on at the next turn of the loop, on the state as it is then.

--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -76,6 +76,8 @@
 
     `request_limit` is how many requests per second the endpoint accepts from all gateways together,
     None if it names none; it was named last at `limit_named_at`.
+
+    `order` numbers the endpoints of a directory in the order in which they were added.
     """
 
     endpoint: DirectEndpoint
@@ -92,6 +94,7 @@
     may_have_restarted: bool = False
     request_limit: float | None = None
     limit_named_at: float = -inf
+    order: int = 0
 
     def is_avoided(self, now: float) -> bool:
         """Return whether the endpoint is chosen last."""
@@ -134,6 +137,16 @@
     _states: dict[str, EndpointState] = field(default_factory=dict)
     _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _shared_limits: dict[str, SharedLimit] = field(default_factory=dict)
+    _listeners: list[Callable[[str], None]] = field(default_factory=list)
+    _added: int = 0
+
+    def watch(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with the name of each endpoint that changes, other than in its load."""
+        self._listeners.append(listener)
+
+    def _announce(self, name: str) -> None:
+        for listener in self._listeners:
+            listener(name)
 
     @property
     def endpoints(self) -> tuple[DirectEndpoint, ...]:
@@ -160,10 +173,15 @@
             or known.incarnation != endpoint.incarnation
             or known.address != endpoint.address
         ):
-            self._states[endpoint.name] = EndpointState(endpoint)
+            if state is None:
+                self._added += 1
+            order = self._added if state is None else state.order
+            self._states[endpoint.name] = EndpointState(endpoint, order=order)
             self._apply_shared_limit(endpoint.name, -inf)
-        else:
+            self._announce(endpoint.name)
+        elif known != endpoint:
             state.endpoint = endpoint
+            self._announce(endpoint.name)
 
     def is_leaving(self, endpoint: DirectEndpoint) -> bool:
         """Return whether this incarnation of an endpoint has said in an answer that it leaves."""
@@ -180,6 +198,7 @@
         state = self._states.get(endpoint.name)
         if state is not None and state.endpoint.incarnation == endpoint.incarnation:
             state.endpoint = replace(state.endpoint, draining=True)
+            self._announce(endpoint.name)
         return True
 
     def request_limit(self, name: str) -> float | None:
@@ -206,6 +225,8 @@
             state.limit_named_at = now
         changed = state.request_limit != limit
         state.request_limit = limit
+        if changed:
+            self._announce(endpoint.name)
         return changed
 
     def share_limit(self, name: str, shared: SharedLimit | None, now: float) -> None:
@@ -221,6 +242,7 @@
             self._apply_shared_limit(name, now)
         elif self._shared_limits.pop(name, None) is not None and state is not None:
             state.request_limit = None
+            self._announce(name)
 
     def _apply_shared_limit(self, name: str, now: float) -> None:
         state, shared = self._states.get(name), self._shared_limits.get(name)
@@ -229,6 +251,7 @@
         if state.request_limit is None:
             state.request_limit = shared.limit
             state.limit_named_at = now
+            self._announce(name)
 
     def is_incarnation(self, name: str, incarnation: int) -> bool:
         """Return whether an endpoint is registered with this incarnation."""
@@ -237,7 +260,8 @@
 
     def remove(self, name: str) -> None:
         """Remove an endpoint."""
-        self._states.pop(name, None)
+        if self._states.pop(name, None) is not None:
+            self._announce(name)
 
     def software_versions(self, pool: str) -> list[str]:
         """Return the software version of each endpoint of a pool, including draining ones."""
@@ -291,20 +315,25 @@
         state = self._states.get(name)
         if state is not None:
             state.in_flight += 1
-            state.has_trial = state.needs_trial
+            if state.has_trial != state.needs_trial:
+                state.has_trial = state.needs_trial
+                self._announce(name)
 
     def call_ended(self, endpoint: DirectEndpoint) -> None:
         """Stop counting a call, unless the endpoint has restarted since."""
         state = self._states.get(endpoint.name)
         if state is not None and state.endpoint.incarnation == endpoint.incarnation:
             state.in_flight = max(0, state.in_flight - 1)
-            state.has_trial = False
+            if state.has_trial:
+                state.has_trial = False
+                self._announce(endpoint.name)
 
     def record_answer(self, name: str) -> None:
         """Record that the head of an answer has arrived, which ends the need for a trial."""
         state = self._states.get(name)
-        if state is not None:
+        if state is not None and state.needs_trial:
             state.needs_trial = False
+            self._announce(name)
 
     def record_load(self, name: str, running: int, waiting: int, now: float) -> None:
         """Record the load that an endpoint reported with an answer."""
@@ -320,7 +349,9 @@
         if state is None:
             return
         state.failures = 0
-        state.avoid_until = 0.0
+        if state.avoid_until:
+            state.avoid_until = 0.0
+            self._announce(name)
         smoothing = LATENCY_SMOOTHING if state.latency else 1.0
         state.latency += smoothing * (seconds - state.latency)
 
@@ -334,6 +365,7 @@
             state.failures += 1
             state.failed_at = now
             state.avoid_until = now + backoff_seconds
+            self._announce(name)
 
     def record_lost_connection(self, name: str, sent_at: float, now: float) -> None:
         """Briefly avoid an endpoint that closed the connection on a call, sent at `sent_at`.
@@ -354,12 +386,14 @@
         state.failures = 1
         state.failed_at = now
         state.avoid_until = now + LOST_CONNECTIONS_BACKOFF_SECONDS
+        self._announce(name)
 
     def record_refusal(self, name: str, now: float) -> None:
         """Briefly avoid an endpoint that refused a call because it was full."""
         state = self._states.get(name)
         if state is not None and self.avoids_failed:
             state.avoid_until = max(state.avoid_until, now + REFUSAL_BACKOFF_SECONDS)
+            self._announce(name)
 
     def _cost(
         self, state: EndpointState, now: float, expected_wait: Callable[[str], float]
--- a/pumicedeck/scheduling/item_placements.py
+++ b/pumicedeck/scheduling/item_placements.py
@@ -24,6 +24,7 @@
 # Costs are rounded, so engines whose times differ by less than this are compared by their cost.
 _RELATIVE_TOLERANCE = 1e-9
 _ABSOLUTE_TOLERANCE = 1e-15
+_MAX_FASTEST = 16
 # Items differ in few ways that matter here, but minimum versions grow with every step.
 _MAX_MATCHES = 2000
 
@@ -48,7 +49,7 @@
 class EngineIndex:
     """Engines by what they may run, for the choice of the cheapest one with a free slot.
 
-    Of engines with the same cost the one that was added first is chosen.
+    Of engines with the same cost the one with the lowest position is chosen.
     """
 
     def __init__(
@@ -58,7 +59,6 @@
         self._settings = settings
         self._engines: dict[int, EngineView] = {}
         self._positions: dict[str, int] = {}
-        self._next_position = 0
         self._entries: dict[int, tuple[_EngineBucket, _Rank | None]] = {}
         self._buckets: dict[tuple, _EngineBucket] = {}
         self._sizes: dict[tuple, int] = {}
@@ -66,31 +66,35 @@
         self._groups: dict[str, set[int]] = {}
         self._indexed_groups: dict[int, set[str]] = {}
         self._matches: dict[tuple[_Demand, bool], list[_EngineBucket]] = {}
-        for engine in engines:
-            self.add(engine)
+        for position, engine in enumerate(engines):
+            self.add(engine, position)
 
     @property
     def engines(self) -> list[EngineView]:
-        """Return the engines in the order in which they were added."""
-        return list(self._engines.values())
+        """Return the engines by position."""
+        return [self._engines[position] for position in sorted(self._engines)]
 
     def engine(self, name: str) -> EngineView | None:
         """Return an engine by its name, None if it is not in the index."""
         position = self._positions.get(name)
         return None if position is None else self._engines[position]
 
-    def add(self, engine: EngineView) -> None:
-        """Add an engine, or replace the one of this name, which keeps its place in the order.
+    @property
+    def fastest_with_room(self) -> list[EngineView]:
+        """Return the first engines with a free slot of each bucket, at most 16 of each."""
+        return [
+            self._engines[rank[3]]
+            for bucket in self._buckets.values()
+            for rank in bucket.ranks[:_MAX_FASTEST]
+        ]
+
+    def add(self, engine: EngineView, position: int) -> None:
+        """Add an engine at a position of its own, or replace the one of this name.
 
         An engine of the index whose fields were changed must be added again.
         """
-        position = self._positions.get(engine.name)
-        if position is None:
-            position = self._next_position
-            self._next_position += 1
-            self._positions[engine.name] = position
-        else:
-            self._take_out(position)
+        self.remove(engine.name)
+        self._positions[engine.name] = position
         self._engines[position] = engine
         self._put_in(position)
 
--- a/pumicedeck/scheduling/queued_items.py
+++ b/pumicedeck/scheduling/queued_items.py
@@ -33,12 +33,10 @@
         item_id=f"{work.submission_id}/{item.item_id}",
         submission_id=work.submission_id,
         model=work.head.model,
-        pool=_choose_item_pool(route, item.item_id),
+        pool=choose_item_pool(route, item.item_id),
         group=item.group,
         min_version=_min_startable_version(parts, settings, work, item_work, step_age),
-        deadline=parts.clock.to_local_seconds(work.head.accepted)
-        + route.results_due_seconds
-        + settings.overdue_tolerance_seconds,
+        deadline=item_deadline(parts, settings, work, route),
         expected_events_left=events_left if item.expected_length else 0.0,
         waits_for_turn=not is_begun and work.pace.must_wait(item.expected_length, step_age),
         carried_over=item_work.carried_over,
@@ -53,6 +51,17 @@
     )
 
 
+def item_deadline(
+    parts: SchedulerParts, settings: SchedulerSettings, work: SubmissionWork, route: Route
+) -> float:
+    """Return until when the items of `work` are due, in seconds on the process's clock."""
+    return (
+        parts.clock.to_local_seconds(work.head.accepted)
+        + route.results_due_seconds
+        + settings.overdue_tolerance_seconds
+    )
+
+
 def _min_startable_version(
     parts: SchedulerParts,
     settings: SchedulerSettings,
@@ -71,7 +80,7 @@
     return work.head.min_version
 
 
-def _choose_item_pool(route: Route, item_id: str) -> str:
+def choose_item_pool(route: Route, item_id: str) -> str:
     """Choose the pool of an item; on a route with several pools, always the same for its id."""
     if len(route.pools) == 1:
         return route.pools[0].pool
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -12,20 +12,14 @@
 
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.order_announcements import earliest_order
+from pumicedeck.scheduling.engine_fleets import EngineFleet, RunKey
 from pumicedeck.scheduling.engine_permits import EnginePermits
-from pumicedeck.scheduling.engine_views import count_runs, view_engines
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_endings import ItemEndings
-from pumicedeck.scheduling.item_pacing import choose_paced_items
-from pumicedeck.scheduling.item_placements import assign_items
-from pumicedeck.scheduling.item_queues import (
-    EngineView,
-    QueuedItem,
-    RunningItem,
-    choose_moves,
-)
+from pumicedeck.scheduling.item_moves import choose_runs_to_move
+from pumicedeck.scheduling.item_queues import QueuedItem
 from pumicedeck.scheduling.item_runs import ItemRun
-from pumicedeck.scheduling.queued_items import build_queued_item
+from pumicedeck.scheduling.item_starts import ItemStarts
 from pumicedeck.scheduling.run_ends import RunEnd, choose_runs_to_end
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_adoptions import SubmissionAdoptions
@@ -35,6 +29,9 @@
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.work_mirrors import SubmissionView
 
+# Encoding the outputs of one takes about 1 ms.
+MAX_SAVES_PER_PASS = 4
+
 _log = logger.bind(module="schedulers")
 
 
@@ -67,13 +64,19 @@
             parts.timers, parts.directory, parts.limiter, self._schedule_soon
         )
         self._endings = ItemEndings(parts, self._settings, self._is_worked_on, self._schedule_soon)
-        self._runs: dict[tuple[str, str], tuple[ItemRun, Task]] = {}
+        self._runs: dict[RunKey, tuple[ItemRun, Task]] = {}
         self._schedule_pending = False
         self._event_intervals = EngineEventIntervals(parts.intervals)
+        self._fleet = EngineFleet(parts, self._weights, self._engine_permits, self._event_intervals)
+        self._starts = ItemStarts(
+            parts, self._settings, self._fleet, self._endings, self._start_item
+        )
+        self._plan_due = False
         self._fencing = 0
         self._active = False
         self._earlier_orders_until: dict[str, float] = {}
         self._progress_saved_at = 0.0
+        self._to_save: list[SubmissionWork] = []
         self._ticker: Task | None = None
         self._watcher: Task | None = None
         self._sweeper: Task | None = None
@@ -102,7 +105,7 @@
 
     def running_by_engine(self) -> dict[str, int]:
         """Return the number of items that run, by engine name."""
-        return count_runs([run for run, _ in self._runs.values()])
+        return self._fleet.running()
 
     def activate(self, fencing: int, predecessor: str, orders_until: Mapping[str, float]) -> None:
         """Claim all open submissions under a new fencing number.
@@ -117,6 +120,7 @@
             for engine, until in orders_until.items()
         }
         self._active = True
+        self._fleet.reset()
         _log.info(
             "scheduling started",
             fencing=fencing,
@@ -141,6 +145,7 @@
                 task.cancel()
         self._ticker = self._watcher = self._sweeper = None
         self._cancel_runs(lambda key: True)
+        self._fleet.stop()
         self._weights.cancel()
         for work in tuple(self._works.values()):
             work.close()
@@ -156,6 +161,8 @@
     async def _tick_forever(self) -> None:
         while True:
             await sleep(self._timers, self._settings.tick_seconds)
+            self._fleet.begin_tick()
+            self._plan_due = True
             self._apply_mirror()
 
     async def _watch_mirror(self) -> None:
@@ -220,104 +227,96 @@
             unlisted=len(work.waiting) + len(work.running),
         )
 
-    def _cancel_runs(self, should_cancel: Callable[[tuple[str, str]], bool]) -> None:
+    def _cancel_runs(self, should_cancel: Callable[[RunKey], bool]) -> None:
         """Cancel the runs whose key (submission id, item id) satisfies `should_cancel`."""
         for key in [key for key in self._runs if should_cancel(key)]:
-            _, task = self._runs.pop(key)
+            run, task = self._runs.pop(key)
+            self._fleet.remove_run(key, run)
             task.cancel()
 
     def _schedule(self) -> None:
-        """Start waiting items, move items off slow engines, order loads and save progress."""
+        """Start waiting items, move items off slow engines, order loads and save progress.
+
+        A pass starts a limited number of items and, in a large fleet, looks at a part of the
+        engines; the next turn of the loop goes on with the others.
+        """
         self._schedule_pending = False
         if not self._active:
             return
         now = self._timers.now()
-        self._end_stalled(now)
-        runs = [run for run, _ in self._runs.values()]
+        fleet = self._fleet
+        if self._plan_due and not fleet.is_small:
+            self._plan_weights(now)
+            self._schedule_soon()
+            return
+        names = fleet.next_part()
+        self._end_stalled(names, now)
+        runs = self._runs_at(names)
         self._record_event_intervals(runs, now)
-        engines = view_engines(
-            self._parts.directory,
-            self._weights,
-            self._engine_permits,
-            self._event_intervals,
-            runs,
-            self._parts.home,
-            now,
-        )
-        items = [
-            item
-            for work in tuple(self._works.values())
-            for item in self._collect_startable(work, now)
-        ]
-        free_short_runs = Counter(
-            {work.submission_id: work.free_short_runs for work in self._works.values()}
-        )
-        items = choose_paced_items(items, free_short_runs, now, self._parts.queue)
-        started = self._start_items(items, engines, now)
-        if len(started) < len(items):
-            self._request_permits(runs)
-        if not started or len(started) == len(items):
-            self._move_items(engines, now)
-        self._plan_weights([run for run, _ in self._runs.values()], now)
+        fleet.refresh(names, now)
+        if not fleet.is_complete:
+            self._schedule_soon()
+            return
+        outcome = self._starts.run_pass(self._works.values(), now)
+        if outcome.needs_another_pass or fleet.has_next_part:
+            self._schedule_soon()
+        if outcome.needs_another_pass and fleet.is_small:
+            return
+        if outcome.has_left:
+            self._request_permits(names)
+        if not outcome.started or not outcome.has_left:
+            self._move_items(names)
+        if fleet.is_small:
+            self._plan_weights(now)
+        self._save_progress(now)
+
+    def _save_progress(self, now: float) -> None:
+        """Save the outputs of all submissions from time to time, of a few in each pass."""
         if now - self._progress_saved_at >= self._settings.save_seconds:
             self._progress_saved_at = now
-            for work in self._works.values():
+            self._to_save = list(self._works.values())
+        if self._to_save:
+            for work in self._to_save[:MAX_SAVES_PER_PASS]:
                 work.save_progress()
+            del self._to_save[:MAX_SAVES_PER_PASS]
+            if self._to_save:
+                self._schedule_soon()
 
-    def _record_event_intervals(self, runs: list[ItemRun], now: float) -> None:
+    def _runs_at(self, names: list[str]) -> list[tuple[RunKey, ItemRun]]:
+        """Return the runs at engines with their keys, in a small fleet those at all engines."""
+        if self._fleet.is_small:
+            return [(key, run) for key, (run, _) in self._runs.items()]
+        return [each for name in names for each in self._fleet.runs_at(name).items()]
+
+    def _record_event_intervals(self, runs: list[tuple[RunKey, ItemRun]], now: float) -> None:
         """Measure the event interval of each run and record it for the run's engine."""
-        for run in runs:
+        for _, run in runs:
             name = run.endpoint.name
             if self._weights.is_loading(name):
                 run.event_interval.reset()
             elif run.event_interval.sample(run.events, now):
                 self._event_intervals.record(name, run.event_interval.window_event_seconds, now)
+                self._fleet.mark_changed(name)
 
-    def _collect_startable(self, work: SubmissionWork, now: float) -> list[QueuedItem]:
-        """Return the items that may start; score complete ones and give up those out of time."""
-        queued: list[QueuedItem] = []
-        route = self._parts.route(work.head.route)
-        if route is None:
-            self._endings.give_up_all(work, "the submission's route no longer exists")
-            return queued
-        if now >= self._endings.give_up_at(work, route):
-            self._endings.give_up_all(work, "the submission's give-up time has passed")
-            return queued
-        for item_id, item_work in tuple(work.waiting.items()):
-            if item_work.progress.whole:
-                del work.waiting[item_id]
-                work.running[item_id] = item_work
-                self._endings.begin_scoring(work, item_work)
-            elif now >= item_work.not_before:
-                queued.append(
-                    build_queued_item(self._parts, self._settings, work, route, item_work)
-                )
-        return queued
-
-    def _start_items(
-        self, items: list[QueuedItem], engines: list[EngineView], now: float
-    ) -> set[str]:
-        """Start the items that get an engine; return their ids in the queue."""
-        by_id = {item.item_id: item for item in items}
-        started = set()
-        for assignment in assign_items(items, engines, now, self._parts.queue):
-            item = by_id[assignment.item_id]
-            state = self._parts.directory.state(assignment.engine)
-            work = self._works.get(item.submission_id)
-            if state is None or work is None:
-                continue
-            item_work = work.waiting[item.item_id.partition("/")[2]]
-            started.add(item.item_id)
-            self._engine_permits.use(assignment.engine)
-            self._start(work, item_work, state.endpoint, item.single_version)
-        return started
+    def _start_item(self, work: SubmissionWork, item: QueuedItem, engine: str) -> bool:
+        """Start a waiting item on an engine; return False if either is gone."""
+        state = self._parts.directory.state(engine)
+        if state is None or not self._is_worked_on(work):
+            return False
+        item_work = work.waiting[item.item_id.partition("/")[2]]
+        self._engine_permits.use(engine)
+        self._start(work, item_work, state.endpoint, item.single_version)
+        self._fleet.mark_changed(engine)
+        return True
 
-    def _request_permits(self, runs: list[ItemRun]) -> None:
+    def _request_permits(self, names: list[str]) -> None:
         """Request a permit at each engine that only its limit keeps from running a waiting item."""
-        counts = count_runs(runs)
-        for endpoint in self._parts.directory.endpoints:
-            has_free_slot = counts.get(endpoint.name, 0) < endpoint.slots
-            if endpoint.models and not endpoint.draining and has_free_slot:
+        for name in names:
+            state = self._parts.directory.state(name)
+            endpoint = state.endpoint if state is not None else None
+            if endpoint is None or endpoint.draining or not endpoint.models:
+                continue
+            if len(self._fleet.runs_at(name)) < endpoint.slots:
                 self._engine_permits.request(endpoint)
 
     def _start(
@@ -354,6 +353,7 @@
         task = Task(self._run_item(work, item_work, run, key), f"item {item_work.item.item_id}")
         if not task.is_done and item_work.item.item_id in work.running:
             self._runs[key] = (run, task)
+            self._fleet.add_run(key, run)
 
     def _discard_unusable_output(
         self, work: SubmissionWork, item_work: ItemWork, endpoint: DirectEndpoint
@@ -373,7 +373,7 @@
         item_work.discard_output()
 
     async def _run_item(
-        self, work: SubmissionWork, item_work: ItemWork, run: ItemRun, key: tuple[str, str]
+        self, work: SubmissionWork, item_work: ItemWork, run: ItemRun, key: RunKey
     ) -> None:
         """Run an item to its end, then score it or put it back among the waiting ones."""
         route = self._parts.route(work.head.route)
@@ -382,6 +382,7 @@
             seconds = max(1.0, self._endings.give_up_at(work, route) - self._timers.now())
         end, detail = await run.run(seconds, self._settings.silence_seconds)
         self._runs.pop(key, None)
+        self._fleet.remove_run(key, run)
         self._record_observed_version(run)
         if self._has_other_software(run):
             run.discard_events()
@@ -401,6 +402,7 @@
     def _record_observed_version(self, run: ItemRun) -> None:
         if run.observed_version:
             self._weights.record_version(run.endpoint, run.head.model, run.observed_version)
+            self._fleet.mark_changed(run.endpoint.name)
 
     def _schedule_soon(self) -> None:
         """Schedule at the next turn of the loop, once for any number of calls."""
@@ -408,10 +410,10 @@
             self._schedule_pending = True
             self._timers.call_later(0.0, self._schedule)
 
-    def _end_stalled(self, now: float) -> None:
+    def _end_stalled(self, names: list[str], now: float) -> None:
         """End runs under a version that may not be used, and runs that receive no events."""
         contacts = [
-            run.contact(key, self._has_other_software(run)) for key, (run, _) in self._runs.items()
+            run.contact(key, self._has_other_software(run)) for key, run in self._runs_at(names)
         ]
         settings = self._settings
         for each in choose_runs_to_end(
@@ -428,11 +430,12 @@
                 self._parts.caller.close_idle_connections(endpoint)
             self._end_run(each.key, each.end, "ended by the scheduler")
 
-    def _end_run(self, key: tuple[str, str], end: RunEnd, detail: str) -> None:
+    def _end_run(self, key: RunKey, end: RunEnd, detail: str) -> None:
         """Cancel a run and put its item back among the waiting ones."""
         if key not in self._runs:
             return
         run, task = self._runs.pop(key)
+        self._fleet.remove_run(key, run)
         task.cancel()
         self._record_observed_version(run)
         if end is RunEnd.OTHER_SOFTWARE:
@@ -441,46 +444,30 @@
         if work is not None:
             self._endings.requeue(work, run.item_work, run.endpoint, end, detail)
 
-    def _move_items(self, engines: list[EngineView], now: float) -> None:
+    def _move_items(self, names: list[str]) -> None:
         """End the runs of items that would end much sooner on another engine."""
-        running, by_id = [], {}
-        for key, (run, _) in self._runs.items():
-            work = self._works.get(key[0])
-            route = self._parts.route(work.head.route) if work is not None else None
-            if route is None or run.events < 2:
-                continue
-            queued = build_queued_item(self._parts, self._settings, work, route, run.item_work)
-            by_id[queued.item_id] = key
-            # Without an estimate of the length, 10 events count as left.
-            events_left = queued.expected_events_left or 10.0
-            running.append(
-                RunningItem(
-                    queued,
-                    run.endpoint.name,
-                    events_left,
-                    run.item_work.moves,
-                    run.event_interval.confirmed_event_seconds,
-                )
-            )
-        for move in choose_moves(running, engines, self._parts.moves, self._parts.queue):
-            key = by_id[move.item_id]
+        for key in choose_runs_to_move(
+            self._parts, self._settings, self._fleet, self._runs_at(names), self._works.get
+        ):
             run, _ = self._runs[key]
             run.item_work.moves += 1
             self._end_run(key, RunEnd.BROKEN, "moved to a faster engine")
 
-    def _plan_weights(self, runs: list[ItemRun], now: float) -> None:
+    def _plan_weights(self, now: float) -> None:
         """Assign models to engines and order loads."""
+        self._plan_due = False
         announced = self._parts.announced_versions
         works = self._works.values()
         routes = [self._parts.route(work.head.route) for work in works]
         self._weights.plan(
-            running=count_runs(runs),
+            running=self._fleet.running(),
             models=sorted({work.head.model for work in works} | set(announced)),
             demands=self._collect_demands(announced),
             fencing=self._fencing,
             may_order=lambda engine: now >= self._earliest_order(engine),
             retain=all(route is None or not route.single_version for route in routes),
         )
+        self._fleet.mark_planned()
 
     def _earliest_order(self, engine: str) -> float:
         """Return from when this scheduler may send orders to an engine."""
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from itertools import chain, islice
 from typing import Any
 
 from loguru import logger
@@ -18,6 +19,7 @@
     results_puts,
     results_row,
 )
+from pumicedeck.scheduling.tracked_items import TrackedItems
 from pumicedeck.submissions import (
     Item,
     ItemResult,
@@ -132,7 +134,7 @@
         self._on_lost = on_lost
         self._settings = settings or WriterSettings()
         self.head = head
-        self.waiting: dict[str, ItemWork] = {}
+        self.waiting: TrackedItems[ItemWork] = TrackedItems()
         self.running: dict[str, ItemWork] = {}
         self.results: list[ItemResult] = []
         self.fencing = 0
@@ -312,12 +314,13 @@
     async def _save_partial_outputs(self, min_events: int | None = None) -> None:
         """Save the outputs that grew by `min_events`, or by the configured number of events."""
         min_growth = self._settings.progress_events if min_events is None else min_events
-        grown = [
+        candidates = (
             item_work
-            for item_work in (*self.running.values(), *self.waiting.values())
+            for item_work in chain(self.running.values(), self.waiting.values())
             if item_work.progress.last_event - item_work.saved_event >= min_growth
             or (item_work.progress.whole and not item_work.saved_complete)
-        ][: self._settings.progress_rows]
+        )
+        grown = list(islice(candidates, self._settings.progress_rows))
         if not grown:
             return
         owner = Expectation(owner_row(self.submission_id), self._owner_revision)
--- a/pumicedeck/tests/test_item_placements.py
+++ b/pumicedeck/tests/test_item_placements.py
@@ -79,7 +79,7 @@
         if random.random() < 0.3:
             index.remove(f"e{number}")
         else:
-            index.add(random_engine(random, number))
+            index.add(random_engine(random, number), number)
         item = random_item(random, 0)
         engines = index.engines
         assert index.can_continue(item) == any(e.may_run(item, False) for e in engines)
--- a/trials/scheduler_passes.py
+++ b/trials/scheduler_passes.py
@@ -9,7 +9,7 @@
 import pstats
 import sys
 from random import Random
-from time import perf_counter
+from time import perf_counter, thread_time
 
 from loguru import logger
 
@@ -63,48 +63,61 @@
     return perf_counter() - start
 
 
-def timer_callbacks(timers):
-    """Record the longest callback of `timers` in seconds, and how many ran, from now on."""
-    figures = {"longest": 0.0, "count": 0, "total": 0.0}
-    create = timers.call_at
+class Figures:
+    """The number, total and longest processor time of calls of a method, in seconds."""
 
-    def call_at(due, callback):
-        def timed():
-            start = perf_counter()
-            callback()
-            seconds = perf_counter() - start
-            figures["longest"] = max(figures["longest"], seconds)
-            figures["total"] += seconds
-            figures["count"] += 1
+    def __init__(self, owner, name):
+        """Measure the method `name` of the object `owner` from now on."""
+        self.reset()
+        method = getattr(owner, name)
 
-        return create(due, timed)
+        def timed(*arguments):
+            start = thread_time()
+            try:
+                return method(*arguments)
+            finally:
+                seconds = thread_time() - start
+                self.count += 1
+                self.total += seconds
+                self.longest = max(self.longest, seconds)
 
-    timers.call_at = call_at
-    return figures
+        setattr(owner, name, timed)
+
+    def reset(self):
+        """Begin anew."""
+        self.count = 0
+        self.total = self.longest = 0.0
+
+    def __str__(self):
+        """Return the figures as text."""
+        return f"{self.count} in {self.total:.2f} s, longest {1000 * self.longest:.1f} ms"
 
 
 def scheduler(engines, profiled):
     """Print the processor time of a step that fills all slots, with as many items again waiting."""
     simulation = SchedulerSimulation(engines=engines, slots=SLOTS, processes=1)
     process = simulation.processes[0]
-    figures = timer_callbacks(simulation.timers)
+    passes = Figures(process.scheduler, "_schedule")
+    plans = Figures(process.scheduler, "_plan_weights")
     profile = cProfile.Profile() if profiled else None
     random = Random(1)
     for number in range(2 * engines // GROUPS):
         lengths = [[random.randint(20, 60) for _ in range(SLOTS)] for _ in range(GROUPS)]
         simulation.submit(process, lengths, f"s{number}")
-    figures.update(longest=0.0, count=0, total=0.0)
     if profile is not None:
         profile.enable()
-    for second in range(2):
-        start = perf_counter()
-        simulation.run(1.0)
+    print(f"  while {2 * engines // GROUPS} steps of {GROUPS * SLOTS} items came, 0.1 s apart:")
+    for second in range(3):
         print(
-            f"  second {second + 1}: {perf_counter() - start:.2f} s of processor time with the"
-            f" stand-ins, {process.scheduler.running_items} items run, longest callback"
-            f" {1000 * figures['longest']:.1f} ms, {figures['count']} callbacks"
+            f"  {process.scheduler.running_items} items run;"
+            f" passes: {passes}; weight plans among them: {plans}"
         )
-        figures.update(longest=0.0, count=0, total=0.0)
+        passes.reset()
+        plans.reset()
+        start = thread_time()
+        if second < 2:
+            simulation.run(1.0)
+            print(f"  second {second + 1}: {thread_time() - start:.2f} s with the stand-ins")
     if profile is not None:
         profile.disable()
         pstats.Stats(profile).sort_stats("tottime").print_stats(25)
