--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -154,6 +154,14 @@
     def decode_request(self, incoming: IncomingCall) -> ForwardedCall:
         """Decode a request."""
 
+    @abstractmethod
+    def account_key(self, call: ForwardedCall) -> str:
+        """Return the key of a client account that a request carries, empty if it has none."""
+
+    @abstractmethod
+    def with_account(self, call: ForwardedCall, account: str) -> ForwardedCall:
+        """Return a request of `account` without the key and the account that its caller sent."""
+
     @abstractmethod
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
         """Return the headers of an endpoint's answer that are relayed to the caller."""
@@ -204,11 +212,12 @@
 
     @abstractmethod
     def decode_submission(
-        self, call: ForwardedCall, route: str, accepted: float
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; `accepted` is its time of acceptance in store seconds.
 
-        Fails with BAD_REQUEST if the body is invalid.
+        If client accounts are configured (`has_accounts`), the items keep no key and no account of
+        the submitter. Fails with BAD_REQUEST if the body is invalid.
         """
 
     @abstractmethod
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 from result import Err, Ok, Result
@@ -19,6 +20,7 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.incoming_calls import Headers, IncomingCall
 from pumicedeck.platform.headers import (
+    AUTHORIZATION,
     DEADLINE,
     LAST_EVENT,
     LENGTH_HINT,
@@ -26,6 +28,7 @@
     RESUMES,
     WAIT,
     without_hop_by_hop_headers,
+    without_identity_headers,
 )
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.submissions import Item, RewardCall, Submission, SubmissionHead, encode_items
@@ -34,6 +37,7 @@
 _MAX_WAIT_MILLISECONDS = 1000
 _RESULTS_PREFIX = "/lots/"
 _ITEMS_PREFIX = "/items/"
+_KEY_SCHEME = "bearer"
 
 
 class PlatformCallerDialect(CallerDialect):
@@ -57,6 +61,17 @@
             stream_id=incoming.header(RESUMES.lower()),
         )
 
+    def account_key(self, call: ForwardedCall) -> str:
+        """Return the key of a client account that a request carries, empty if it has none."""
+        name = AUTHORIZATION.lower()
+        value = next((value for key, value in call.headers if key.lower() == name), "")
+        scheme, _, key = value.strip().partition(" ")
+        return key.strip() if scheme.lower() == _KEY_SCHEME else ""
+
+    def with_account(self, call: ForwardedCall, account: str) -> ForwardedCall:
+        """Return a request of `account` without the key and the account that its caller sent."""
+        return replace(call, headers=without_identity_headers(call.headers), account=account)
+
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
         """Return the headers of an endpoint's answer that are relayed to the caller."""
         return without_hop_by_hop_headers(response.headers)
@@ -101,12 +116,12 @@
         return None
 
     def decode_submission(
-        self, call: ForwardedCall, route: str, accepted: float
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; fail with BAD_REQUEST if it is invalid."""
         try:
             document = json.loads(call.body)
-            items = tuple(_decode_item(each) for each in document["items"])
+            items = tuple(_decode_item(each, has_accounts) for each in document["items"])
             head = SubmissionHead(
                 submission_id=call.request_id,
                 route=route,
@@ -120,6 +135,7 @@
                 chunks=len(encode_items(items)),
                 digest=hashlib.sha256(call.body).hexdigest()[:16],
                 accepted=accepted,
+                account=call.account,
             )
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             return Err(Failure(ResultCode.BAD_REQUEST, f"invalid submission: {error!r}"))
@@ -148,8 +164,10 @@
         return json.dumps(document, ensure_ascii=False).encode()
 
 
-def _decode_item(document: dict) -> Item:
+def _decode_item(document: dict, has_accounts: bool) -> Item:
     headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
+    if has_accounts:
+        headers = without_identity_headers(headers)
     lowered = {name.lower(): value for name, value in headers}
     hint = lowered.get(LENGTH_HINT.lower(), "")
     scorer = document.get("scorer")
