Name the account in log lines, metrics and explain

Cause: operators have to see whose requests are refused or broken, and metrics by account must not grow with the number of accounts.

--- a/pumicedeck/accounts/identities.py
+++ b/pumicedeck/accounts/identities.py
@@ -21,6 +21,11 @@
 )
 
 
+def account_field(name: str) -> dict[str, str]:
+    """Return the name of an account as a field of log lines, nothing without an account."""
+    return {"account": name} if name else {}
+
+
 @dataclass(frozen=True, slots=True)
 class Account:
     """A client account; `priority` replaces that of the route, None if the account has none."""
--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -100,7 +100,7 @@
         waited = round(self._timers.now() - incoming.arrived_at, 3)
         _log.info(
             "refused",
-            request=call.request_id,
+            **call.log_fields,
             code=failure.code.name,
             detail=failure.detail,
             status=status,
@@ -191,7 +191,7 @@
         if outcome is not Outcome.SERVED:
             _log.info(
                 "attempt failed",
-                request=call.request_id,
+                **call.log_fields,
                 endpoint=endpoint.name,
                 attempt=len(attempts.tried),
                 outcome=outcome.value,
--- a/pumicedeck/call_figures.py
+++ b/pumicedeck/call_figures.py
@@ -10,6 +10,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from pumicedeck.accounts.account_figures import AccountFigures
+
 MICROSECONDS_PER_SECOND = 1_000_000
 MAX_CALL_MICROSECONDS = 120 * MICROSECONDS_PER_SECOND
 HISTOGRAM_SIGNIFICANT_DIGITS = 2
@@ -33,9 +35,13 @@
         self._outcome_counts: Counter[tuple[CallSeries, str]] = Counter()
         self._histograms: dict[CallSeries, HdrHistogram] = {}
         self._total_seconds: dict[CallSeries, float] = {}
+        self._accounts = AccountFigures()
 
-    def record_end(self, series: CallSeries, outcome: str, seconds: float) -> None:
-        """Record a request that ended with `outcome` after `seconds`."""
+    def record_end(
+        self, series: CallSeries, outcome: str, seconds: float, account: str = ""
+    ) -> None:
+        """Record a request of an account that ended with `outcome` after `seconds`."""
+        self._accounts.record_end(account)
         self._outcome_counts[(series, outcome)] += 1
         histogram = self._histograms.get(series)
         if histogram is None:
@@ -65,6 +71,9 @@
                 _sample_line("call_seconds_sum", labels, round(self._total_seconds[series], 6))
             )
             lines.append(_sample_line("call_seconds_count", labels, histogram.get_total_count()))
+        lines += gauge_lines("account_calls", "account", self._accounts.named)
+        if self._accounts.others:
+            lines.append(gauge_line("other_accounts_calls", self._accounts.others))
         return lines
 
 
--- a/pumicedeck/cli.py
+++ b/pumicedeck/cli.py
@@ -129,6 +129,8 @@
     explanation = explain_identity(identity, _read_logs(files, since, until))
     if explanation.cause is not None:
         typer.echo(f"cause: {explanation.cause.text()}")
+    if explanation.account:
+        typer.echo(f"account: {explanation.account}")
     for line in explanation.lines:
         typer.echo(line.text())
     if explanation.unreadable:
--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -10,6 +10,7 @@
 
 from result import Result
 
+from pumicedeck.accounts.identities import account_field
 from pumicedeck.direct_endpoints import DirectEndpoint, version_in
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.incoming_calls import Headers, IncomingCall
@@ -45,6 +46,11 @@
         """Return the target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def log_fields(self) -> dict[str, str]:
+        """Return the request's id and account as fields of log lines."""
+        return {"request": self.request_id, **account_field(self.account)}
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
--- a/pumicedeck/explanations.py
+++ b/pumicedeck/explanations.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+ACCOUNT_FIELD = "account"
 # Events that explain a failure, the most serious first.
 CAUSE_EVENTS = (
     "refused",
@@ -37,12 +38,14 @@
     """The events of one id in order of time.
 
     `cause` is the latest of the most serious events, by the order of `CAUSE_EVENTS`, or None;
-    `unreadable` counts the lines that could not be parsed.
+    `unreadable` counts the lines that could not be parsed. `account` names the client account,
+    empty if no line does.
     """
 
     cause: LogLine | None
     lines: tuple[LogLine, ...]
     unreadable: int
+    account: str = ""
 
 
 def parse_line(text: str) -> LogLine | None:
@@ -76,12 +79,19 @@
         elif identity in _text_values(line.fields):
             matching.append(line)
     matching.sort(key=lambda line: line.at)
-    return Explanation(_cause(matching), tuple(matching), unreadable)
+    names = (line.fields.get(ACCOUNT_FIELD) for line in matching)
+    account = next((name for name in names if name), "")
+    return Explanation(_cause(matching), tuple(matching), unreadable, account)
 
 
 def _text_values(fields: dict) -> Iterator[str]:
-    """Yield the texts among the fields, also those in lists, such as names of endpoints."""
-    for value in fields.values():
+    """Yield the texts among the fields, also those in lists, such as names of endpoints.
+
+    An account's name is left out: an id that equals it would match each line of the account.
+    """
+    for name, value in fields.items():
+        if name == ACCOUNT_FIELD:
+            continue
         if isinstance(value, str):
             yield value
         elif isinstance(value, list):
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -288,11 +288,11 @@
         def record_end(outcome: str) -> None:
             self._open_calls.pop(incoming, None)
             waited = self._timers.now() - incoming.arrived_at
-            self._calls.record_end(series, outcome, waited)
+            self._calls.record_end(series, outcome, waited, call.account)
             if outcome == CALLER_DISCONNECTED:
                 _log.info(
                     "caller left",
-                    request=call.request_id,
+                    **call.log_fields,
                     route=series.route,
                     begun=incoming.is_head_sent,
                     waited=round(waited, 3),
--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -50,7 +50,7 @@
         work.running.pop(item_work.item.item_id, None)
         _log.info(
             "item given up",
-            submission=work.submission_id,
+            **work.head.log_fields,
             item=item_work.item.item_id,
             reason=reason,
             attempts=item_work.attempts,
@@ -81,7 +81,7 @@
         work.running.pop(item_work.item.item_id, None)
         _log.info(
             "item completed",
-            submission=work.submission_id,
+            **work.head.log_fields,
             item=item_work.item.item_id,
             attempts=item_work.attempts,
             events=item_work.progress.last_event,
@@ -111,7 +111,7 @@
         now = self._timers.now()
         _log.info(
             "run ended early",
-            submission=work.submission_id,
+            **work.head.log_fields,
             item=item_work.item.item_id,
             engine=endpoint.name,
             end=end.value,
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -214,7 +214,7 @@
         self._adoptions.retain_outputs(work)
         _log.info(
             "submission dropped",
-            submission=work.submission_id,
+            **work.head.log_fields,
             reason=reason,
             listed=work.listed,
             unlisted=len(work.waiting) + len(work.running),
@@ -344,7 +344,7 @@
         key = (work.submission_id, item_work.item.item_id)
         _log.info(
             "item started",
-            submission=work.submission_id,
+            **work.head.log_fields,
             item=item_work.item.item_id,
             engine=endpoint.name,
             software=endpoint.software_version,
@@ -364,7 +364,7 @@
             return
         _log.info(
             "output discarded; the item begins anew at another software version",
-            submission=work.submission_id,
+            **work.head.log_fields,
             item=item_work.item.item_id,
             software=progress.software,
             events=progress.last_event,
--- a/pumicedeck/scheduling/submission_adoptions.py
+++ b/pumicedeck/scheduling/submission_adoptions.py
@@ -144,7 +144,7 @@
         )
         _log.info(
             "submission adopted",
-            submission=work.submission_id,
+            **work.head.log_fields,
             step=work.head.step,
             model=work.head.model,
             min_version=work.head.min_version,
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -115,7 +115,7 @@
             return endpoint
         _log.warning(
             "stream version not recorded",
-            request=self._call.request_id,
+            **self._call.log_fields,
             software=endpoint.software_version,
             detail=recorded.err_value.detail,
         )
@@ -156,7 +156,7 @@
             restarted.add((endpoint.name, endpoint.incarnation))
             _log.info(
                 "endpoint has restarted; the stream does not go on there",
-                request=self._call.request_id,
+                **self._call.log_fields,
                 endpoint=endpoint.name,
                 software=software,
             )
@@ -227,7 +227,7 @@
         if call.resume_after:
             _log.info(
                 "stream resumed",
-                request=call.request_id,
+                **call.log_fields,
                 stream=call.stream_id,
                 endpoint=endpoint.name,
                 software=endpoint.software_version,
@@ -271,7 +271,7 @@
         if self._incoming.is_head_sent:
             _log.info(
                 "stream broken",
-                request=self._call.request_id,
+                **self._call.log_fields,
                 last_event=self._last_event_number,
                 software=self._software,
                 detail=last_failure.detail if last_failure else "",
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -74,7 +74,7 @@
         head = decoded.ok_value.head
         _log.info(
             "submission accepted",
-            submission=head.submission_id,
+            **head.log_fields,
             step=head.step,
             items=head.total,
             seconds=round(self._timers.now() - incoming.arrived_at, 3),
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -13,7 +13,7 @@
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.submission_rows import read_items, read_results_after
-from pumicedeck.submissions import ItemResult, Submission, encode_items
+from pumicedeck.submissions import ItemResult, Submission, SubmissionHead, encode_items
 from pumicedeck.tasks import sleep, within
 from pumicedeck.work_mirrors import (
     HEAD_KEY,
@@ -103,9 +103,7 @@
             last = len(changes) == 1
             outcome_unknown = outcome_unknown or (last and code is ResultCode.STORE_OUTCOME_UNKNOWN)
             if self._timers.now() >= deadline or (last and not outcome_unknown):
-                return Err(
-                    self._build_rejection(head.submission_id, outcome_unknown, outcome.err_value)
-                )
+                return Err(self._build_rejection(head, outcome_unknown, outcome.err_value))
             await sleep(self._timers, self._settings.retry_seconds)
         return Ok(None)
 
@@ -176,7 +174,7 @@
         while True:
             outcome = await self._store.commit(change)
             if isinstance(outcome, Ok):
-                _log.info("submission ended", submission=submission_id)
+                _log.info("submission ended", **found.ok_value.head.log_fields)
                 return Ok(None)
             if self._timers.now() >= deadline:
                 return Err(outcome.err_value)
@@ -203,12 +201,12 @@
         return changes
 
     def _build_rejection(
-        self, submission_id: str, outcome_unknown: bool, failure: Failure
+        self, head: SubmissionHead, outcome_unknown: bool, failure: Failure
     ) -> Failure:
         """Log a submission that was not accepted and return the failure for its caller."""
         _log.info(
             "submission not accepted",
-            submission=submission_id,
+            **head.log_fields,
             unsure=outcome_unknown,
             detail=failure.detail,
         )
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -5,6 +5,8 @@
 import zlib
 from dataclasses import dataclass, field
 
+from pumicedeck.accounts.identities import account_field
+
 CHUNK_BYTES = 44_000
 _COMPRESSION_LEVEL = 1
 
@@ -66,6 +68,11 @@
             del document["account"]
         return json.dumps(document).encode()
 
+    @property
+    def log_fields(self) -> dict[str, str]:
+        """Return the submission's id and account as fields of log lines."""
+        return {"submission": self.submission_id, **account_field(self.account)}
+
     def admits(self, account: str | None) -> bool:
         """Return whether an account may read and end the submission.
 
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -19,6 +19,7 @@
     "store_relays",
     "stream_records",
     "stream_relays",
+    "submission_answers",
     "submission_intakes",
     *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
 )
--- a/pumicedeck/tests/test_explanations.py
+++ b/pumicedeck/tests/test_explanations.py
@@ -86,3 +86,17 @@
 def test_an_endpoint_in_a_list_of_names_is_found():
     line = json.dumps({"at": 1.0, "vm": "v", "event": "e", "removed_names": ["e1", "e2"]})
     assert len(explain("e2", [line]).lines) == 1
+
+
+def test_the_account_of_an_id_is_named_and_is_no_id_itself(tmp_path):
+    lines = [
+        '{"at": 1.0, "vm": "f1", "event": "caller left", "request": "r1", "account": "acme"}',
+        '{"at": 2.0, "vm": "f1", "event": "refused", "request": "r1", "code": "NO_ENDPOINT"}',
+        '{"at": 3.0, "vm": "f1", "event": "refused", "request": "acme", "code": "KEY_REJECTED"}',
+    ]
+    assert explain("r1", lines).account == "acme" and explain("i1", LINES).account == ""
+    assert [line.at for line in explain("acme", lines).lines] == [3.0]
+    path = tmp_path / "a.log"
+    path.write_text("\n".join(lines))
+    output = CliRunner().invoke(app, ["explain", "r1", str(path)]).output
+    assert "account: acme" in output.splitlines()
