--- a/pumicedeck/tests/test_account_submissions.py
+++ b/pumicedeck/tests/test_account_submissions.py
@@ -238,7 +238,7 @@
         )
         chunks = len(encode_items(items))
         assert chunks > 2
-        head = SubmissionHead("s", "r", "h", "m", 0, 1, 0, 3, chunks, letter, 0.0, account)
+        head = SubmissionHead("s", "r", "h", "m", 0, 1, 0, 3, chunks, letter, 0.0, account or "")
         found = []
 
         async def run():
