--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.accounts.call_identifiers import CallIdentifier
+from pumicedeck.accounts.identities import Identity
 from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_attempts import CallAttempts
 from pumicedeck.call_forwarders import CallForwarder
@@ -388,7 +389,11 @@
             work_feed=work_feed,
             record_store_contact=record_store_contact,
             caller_dialect=dialect,
-            identifier=CallIdentifier(dialect, lambda: timers.now() - operator_feed.confirmed_at),
+            identifier=CallIdentifier(
+                dialect,
+                lambda: timers.now() - operator_feed.confirmed_at,
+                Identity(settings.accounts.max_configuration_age_seconds),
+            ),
             submission_dialect=PlatformSubmissionDialect(),
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -43,6 +43,16 @@
     descriptors: int = 1024
 
 
+class AccountSettings(Section):
+    """Client accounts, in effect only if the operators' configuration has some.
+
+    A key that is unknown is refused for good only if the store has confirmed the configuration
+    within `max_configuration_age_seconds`; the store answers the configuration's feed each second.
+    """
+
+    max_configuration_age_seconds: float = Field(1.5, gt=0)
+
+
 class MechanismSettings(Section):
     """Mechanisms that can be switched off one by one, to measure what each is worth."""
 
@@ -119,6 +129,7 @@
     store: StoreSettings
     promises: PromiseSettings = PromiseSettings()
     machine: MachineSettings = MachineSettings()
+    accounts: AccountSettings = AccountSettings()
     mechanisms: MechanismSettings = MechanismSettings()
     log: LogSettings = LogSettings()
     cloud: CloudSettings | None = None
--- a/pumicedeck/tests/test_gateway_settings.py
+++ b/pumicedeck/tests/test_gateway_settings.py
@@ -55,6 +55,7 @@
     assert settings.vm == "front-1" and settings.callers.port == 80
     assert settings.regions == {"tn-a": "south"}
     assert settings.promises.grace_seconds == 8.0
+    assert settings.accounts.max_configuration_age_seconds == 1.5
 
 
 def test_duties_are_in_the_settings_only_where_the_platform_has_an_api():
