Give the items of each account rows of their own

Cause: two accounts that hand in large submissions under one id in the same moment mixed their rows: the first rows are stored before either head row exists. Change: with an account, the keys of a submission's item rows begin with the account's digest; without one they are the same as before.

--- a/pumicedeck/scheduling/submission_rows.py
+++ b/pumicedeck/scheduling/submission_rows.py
@@ -25,7 +25,7 @@
     decode_results,
     encode_results,
 )
-from pumicedeck.work_mirrors import ITEMS_TABLE, PROGRESS_TABLE, RESULTS_TABLE
+from pumicedeck.work_mirrors import ITEMS_TABLE, PROGRESS_TABLE, RESULTS_TABLE, holds_items
 
 PAGE_ROWS = 32
 RESULT_OVERHEAD_BYTES = 400
@@ -141,9 +141,10 @@
     rows = await read_partition(store, ITEMS_TABLE, head.submission_id)
     if isinstance(rows, Err):
         return rows
-    if len(rows.ok_value) < head.chunks:
+    chunks = [row.value for row in rows.ok_value if holds_items(row.row.key, head.account)]
+    if len(chunks) < head.chunks:
         return Err(Failure(ResultCode.NOT_FOUND, "rows of items are missing"))
-    return Ok(decode_items([row.value for row in rows.ok_value[: head.chunks]]))
+    return Ok(decode_items(chunks[: head.chunks]))
 
 
 async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -184,11 +184,11 @@
         """Return the transactions that store a submission; only the last one writes its head row.
 
         A submission without a head row does not exist for any process. With accounts each
-        transaction requires that there is none, so that no account replaces items of another's.
+        transaction requires that there is none: nothing is stored under an id that is taken.
         """
         head = submission.head
         puts = [
-            Put(items_row(head.submission_id, number), chunk)
+            Put(items_row(head.submission_id, number, head.account), chunk)
             for number, chunk in enumerate(encode_items(submission.items))
         ]
         size = self._settings.rows_per_change
--- a/pumicedeck/tests/test_account_submissions.py
+++ b/pumicedeck/tests/test_account_submissions.py
@@ -12,6 +12,7 @@
 from pumicedeck.platform.caller_calls import PlatformSubmissionDialect
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.results import ResultCode
+from pumicedeck.scheduling.submission_rows import read_items
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.submission_intakes import IntakeSettings, SubmissionIntake
 from pumicedeck.submissions import (
@@ -19,7 +20,6 @@
     Submission,
     SubmissionHead,
     decode_head,
-    decode_items,
     encode_items,
 )
 from pumicedeck.tasks import spawn
@@ -253,8 +253,15 @@
     def stored(self):
         """Return the account of the stored submission and the ids of its items."""
         head = decode_head(self.store.data.read(WORK_TABLE, "s", HEAD_KEY, 1)[0].value)
-        chunks = [row.value for row in self.store.data.read(ITEMS_TABLE, "s", "", 100)]
-        return head.account, [item.item_id for item in decode_items(chunks)]
+        read = read_items(self.store, head)
+        found = []
+
+        async def run():
+            found.append(await read)
+
+        spawn(run(), "read")
+        self.run()
+        return head.account, [item.item_id for item in found[0].unwrap()]
 
 
 def test_an_id_that_another_account_has_is_refused_at_a_gateway_that_does_not_know_of_it():
@@ -271,6 +278,20 @@
     assert again[0].is_ok() and intakes.stored() == ("acme", ["a0", "a1", "a2"])
 
 
+@pytest.mark.parametrize("second", ["bolt", ""])
+@pytest.mark.parametrize("seconds", [0.0, 0.004, 0.006, 0.011, 0.016])
+def test_two_accounts_that_use_one_id_at_the_same_moment_do_not_mix_their_items(second, seconds):
+    # The first rows of both are stored before either head; one of the two has to stay whole.
+    intakes = IntakeFixture()
+    first = intakes.accept(0, "acme", "a")
+    intakes.run(seconds)
+    other = intakes.accept(1, second, "b")
+    intakes.run()
+    assert [outcome[0].is_ok() for outcome in (first, other)] in ([True, False], [False, True])
+    expected = ("acme", "a") if first[0].is_ok() else (second, "b")
+    assert intakes.stored() == (expected[0], [f"{expected[1]}{n}" for n in range(3)])
+
+
 @pytest.mark.parametrize("late", [False, True])
 def test_a_commit_that_took_effect_without_an_answer_is_accepted_for_its_account(late):
     intakes = IntakeFixture()
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -7,6 +7,7 @@
 
 import json
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from pumicedeck.partitioned_stores import RowKey, StoredRow
 from pumicedeck.submissions import SubmissionHead, decode_head
@@ -25,6 +26,7 @@
 CRASHES_PARTITION = "crashes"
 LIMITS_PARTITION = "limits"
 SOFTWARE_PARTITION = "software"
+_ACCOUNT_DIGEST_BYTES = 8
 
 
 def head_row(submission_id: str) -> RowKey:
@@ -47,9 +49,26 @@
     return RowKey(WORK_TABLE, submission_id, LISTED_KEY)
 
 
-def items_row(submission_id: str, chunk: int) -> RowKey:
-    """Return the key of one of the rows that hold a submission's items."""
-    return RowKey(ITEMS_TABLE, submission_id, f"{chunk:05d}")
+def items_row(submission_id: str, chunk: int, account: str = "") -> RowKey:
+    """Return the key of one of the rows that hold a submission's items.
+
+    Each client account has rows of its own: two that hand in submissions under one id at the same
+    moment must not replace each other's items.
+    """
+    return RowKey(ITEMS_TABLE, submission_id, f"{_items_prefix(account)}{chunk:05d}")
+
+
+def holds_items(key: str, account: str) -> bool:
+    """Return whether a key of a submission's items belongs to `account`, empty for none."""
+    prefix, separator, _ = key.rpartition(".")
+    return prefix + separator == _items_prefix(account)
+
+
+def _items_prefix(account: str) -> str:
+    """Return the beginning of keys; a digest, since names may have characters that keys may not."""
+    if not account:
+        return ""
+    return blake2b(account.encode(), digest_size=_ACCOUNT_DIGEST_BYTES).hexdigest() + "."
 
 
 def progress_row(submission_id: str, item_id: str) -> RowKey:
