--- a/pumicedeck/dialects.py
+++ b/pumicedeck/dialects.py
@@ -10,6 +10,7 @@
 
 from result import Result
 
+from pumicedeck.accounts.identities import account_field
 from pumicedeck.direct_endpoints import DirectEndpoint, version_in
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.incoming_calls import Headers, IncomingCall
@@ -45,6 +46,11 @@
         """Return the target without its query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def log_fields(self) -> dict[str, str]:
+        """Return the request's id and account as fields of log lines."""
+        return {"request": self.request_id, **account_field(self.account)}
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
@@ -154,6 +160,14 @@
     def decode_request(self, incoming: IncomingCall) -> ForwardedCall:
         """Decode a request."""
 
+    @abstractmethod
+    def account_key(self, call: ForwardedCall) -> str:
+        """Return the key of a client account that a request carries, empty if it has none."""
+
+    @abstractmethod
+    def with_account(self, call: ForwardedCall, account: str) -> ForwardedCall:
+        """Return a request of `account` without the key and the account that its caller sent."""
+
     @abstractmethod
     def relayed_headers(self, call: ForwardedCall, response: HttpResponse) -> Headers:
         """Return the headers of an endpoint's answer that are relayed to the caller."""
@@ -204,11 +218,12 @@
 
     @abstractmethod
     def decode_submission(
-        self, call: ForwardedCall, route: str, accepted: float
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; `accepted` is its time of acceptance in store seconds.
 
-        Fails with BAD_REQUEST if the body is invalid.
+        If client accounts are configured (`has_accounts`), the items keep no key and no account of
+        the submitter. Fails with BAD_REQUEST if the body is invalid.
         """
 
     @abstractmethod
--- a/pumicedeck/gateway_metrics.py
+++ b/pumicedeck/gateway_metrics.py
@@ -22,14 +22,19 @@
         lease: LeaseHolder,
         feeds: tuple[StoreFeed, ...],
         routes: Callable[[], RouteTable | None],
+        extra_lines: Callable[[], list[str]] = lambda: [],
     ) -> None:
-        """Read from the given parts; `routes` returns the installed routes or None."""
+        """Read from the given parts; `routes` returns the installed routes or None.
+
+        `extra_lines` returns the lines of parts that only some deployments have.
+        """
         self._timers = timers
         self._calls = calls
         self._scheduler = scheduler
         self._lease = lease
         self._feeds = feeds
         self._routes = routes
+        self._extra_lines = extra_lines
 
     def text(self, ready: bool, open_calls: int) -> str:
         """Return gauges, counts and durations in the exposition format."""
@@ -48,10 +53,14 @@
             gauge_line("running_items", self._scheduler.running_items),
             *gauge_lines("waiting_items", "model", self._scheduler.waiting_by_model()),
             *gauge_lines("endpoint_running_items", "endpoint", self._scheduler.running_by_engine()),
-            *gauge_lines("dealt_engines", "reason", self._scheduler.dealt_engines),
-            *gauge_lines("moved_items", "reason", self._scheduler.moves_by_reason),
+            *(
+                line
+                for name, counts in self._scheduler.changes_by_reason.items()
+                for line in gauge_lines(name, "reason", counts)
+            ),
             gauge_line("open_calls", open_calls),
             *self._calls.lines(),
+            *self._extra_lines(),
             gauge_line("cpu_seconds", round(usage.cpu_seconds, 3)),
             gauge_line("resident_bytes", usage.resident_bytes),
         ]
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -1,6 +1,7 @@
 """Encodes requests to endpoints of the deployment platform; decodes answers and events."""
 
 import json
+from collections.abc import Callable
 from math import isfinite
 
 from pumicedeck.dialects import (
@@ -14,6 +15,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.platform.headers import (
+    ACCOUNT,
     DEADLINE,
     EXPECT_INSTANCE,
     LAST_EVENT,
@@ -25,6 +27,7 @@
     SIGNATURE,
     VERSIONS,
     without_hop_by_hop_headers,
+    without_identity_headers,
 )
 from pumicedeck.platform.registrations import decode_models
 
@@ -33,11 +36,18 @@
 _IS_LEAVING = "1"
 _JSON_TYPE = ("Content-Type", "application/json")
 _EVENT_VERSION = f"{VERSIONS.lower()}:"
+_LOAD_FIGURES = 3
+# Longer texts are no counts of requests, and int() refuses very long ones with an exception.
+_MAX_LOAD_DIGITS = 9
 
 
 class PlatformEndpointDialect(EndpointDialect):
     """Encodes calls, version orders and report requests and decodes what endpoints answer."""
 
+    def __init__(self, has_accounts: Callable[[], bool] = lambda: False) -> None:
+        """Create a dialect; `has_accounts` returns whether client accounts are configured."""
+        self._has_accounts = has_accounts
+
     def encode_request(
         self, call: ForwardedCall, endpoint: DirectEndpoint, seconds: float | None
     ) -> HttpRequest:
@@ -48,7 +58,14 @@
             LAST_EVENT.lower(),
             REQUEST_ID.lower(),
         }
-        headers = [pair for pair in call.headers if pair[0].lower() not in replaced_names]
+        # Removed first: a hop-by-hop header of an item could name the headers that are set here.
+        kept = without_hop_by_hop_headers(call.headers)
+        # Items that were accepted before accounts were configured still have both headers.
+        if call.account or self._has_accounts():
+            kept = without_identity_headers(kept)
+        headers = [pair for pair in kept if pair[0].lower() not in replaced_names]
+        if call.account:
+            headers.append((ACCOUNT, call.account))
         headers.append((REQUEST_ID, call.request_id))
         headers.append((EXPECT_INSTANCE, endpoint.name))
         if seconds is not None:
@@ -59,7 +76,7 @@
             call.method,
             endpoint.address,
             call.target,
-            without_hop_by_hop_headers(tuple(headers)),
+            tuple(headers),
             call.body,
             host=call.host,
         )
@@ -145,9 +162,16 @@
 def _decode_load(text: str) -> tuple[int | None, int | None]:
     """Return the running and waiting requests from a load header, None for each if it is invalid.
 
-    The third number of the header, the slots, is not used: the registration states it.
+    The header has three whole numbers or more. The third, the slots, is not used: the registration
+    states it. A fourth says how long work takes at the moment, in percent of the usual time; the
+    smoothed latency of the endpoint's own answers stands for it. Later ones are ignored.
     """
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) < _LOAD_FIGURES or not all(_is_whole_number(part) for part in parts):
         return None, None
     return int(parts[0]), int(parts[1])
+
+
+def _is_whole_number(text: str) -> bool:
+    """Return whether a text is a number of at most nine ASCII digits."""
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_LOAD_DIGITS
--- a/pumicedeck/scheduling/event_intervals.py
+++ b/pumicedeck/scheduling/event_intervals.py
@@ -107,12 +107,17 @@
         events: int,
         last_event: float,
         now: float,
-    ) -> None:
-        """Measure a run at an engine; `last_event` is when the last of `events` events came."""
+    ) -> bool:
+        """Measure a run at an engine; `last_event` is when the last of `events` events came.
+
+        Return whether that changes the engine's event interval.
+        """
         name, pool = engine.name, engine.pool
         self._noise.observe(interval.phase, name, pool, events, last_event, now)
-        if interval.sample(events, now):
-            self.record(name, interval.window_event_seconds, now)
+        if not interval.sample(events, now):
+            return False
+        self.record(name, interval.window_event_seconds, now)
+        return True
 
     def forecast(self, interval: RunEventInterval, engine: str, now: float) -> RunForecast | None:
         """Return what a run is expected to take, None if the engine's lasting speed is unknown."""
--- a/pumicedeck/tests/test_engine_shares.py
+++ b/pumicedeck/tests/test_engine_shares.py
@@ -204,7 +204,7 @@
 
     equal, by_need = play(False), play(True)
     assert min(equal.mean_on_time(3).values()) < 0.95 <= min(by_need.mean_on_time(3).values())
-    assert sum(by_need.scheduler.dealt_engines.values()) > 0
+    assert sum(by_need.scheduler.changes_by_reason["dealt_engines"].values()) > 0
 
 
 def test_trainers_with_even_steps_cost_no_more_loads_than_equal_shares_do():
--- a/pumicedeck/tests/trainer_simulations.py
+++ b/pumicedeck/tests/trainer_simulations.py
@@ -121,6 +121,6 @@
                     f"{kind:8} engines_by_need={by_need!s:5} seed {seed}",
                     f"on time {trainers.mean_on_time(6)} engines {trainers.engines_by_model()}",
                     f"loads per version {trainers.loads_per_version():.2f}",
-                    f"dealt {trainers.scheduler.dealt_engines}",
+                    f"dealt {trainers.scheduler.changes_by_reason['dealt_engines']}",
                     flush=True,
                 )
