Let a faded share of slow runs end, so that views of engines do not change

Cause: the share of an engine's runs that are slow fades without reaching 0. In a large fleet each look at such an engine then gave another event interval and a new place in the index.

Change: a share below 0.02 counts as 0. `trainer_simulations` has a third load, unequal steps at 0.2 s an event, which all engines together cannot finish in time.

--- a/pumicedeck/scheduling/engine_noise.py
+++ b/pumicedeck/scheduling/engine_noise.py
@@ -28,6 +28,8 @@
 RECENT_SECONDS = 0.5
 FORECAST_EVENTS = 25.0
 _SMOOTHING_FACTOR = 0.3
+# A share that only fades would change the engine's view in each pass.
+_MIN_SLOW_SHARE = 0.02
 _POOL_SMOOTHING_FACTOR = 0.05
 
 
@@ -209,6 +211,8 @@
             return
         self._follow_phase(noise, phase, is_slow, events, last_event, now)
         speed.slow_share += _SMOOTHING_FACTOR * (is_slow - speed.slow_share)
+        if speed.slow_share < _MIN_SLOW_SHARE:
+            speed.slow_share = 0.0
         speed.observed_at = now
         if is_slow:
             speed.slow_seconds = now - phase.slow_since
--- a/pumicedeck/tests/trainer_simulations.py
+++ b/pumicedeck/tests/trainer_simulations.py
@@ -14,6 +14,8 @@
 
 STEP_SECONDS = 7.5
 EVENT_SECONDS = 0.15
+# At this interval unequal steps take more than all engines can do in time.
+TIGHT_EVENT_SECONDS = 0.2
 PROMPT_SECONDS = 0.25
 # Items and mean events of the steps of each trainer.
 UNEQUAL = ((112, 19), (120, 19), (96, 10))
@@ -23,20 +25,20 @@
 class Trainers:
     """Trainers that announce a version and submit a step each 7.5 s, one after the other."""
 
-    def __init__(self, steps, by_need, seed=1, engines=25, processes=1):
+    def __init__(self, steps, by_need, seed=1, engines=25, event_seconds=EVENT_SECONDS):
         self.steps = {f"m{number}": step for number, step in enumerate(steps)}
         self.random = Random(seed)
         self.simulation = SchedulerSimulation(
             engines=engines,
             slots=8,
-            processes=processes,
+            processes=1,
             # Steps repeat the ids of their items; each is to be generated.
             adoption=AdoptionSettings(reuses_outputs=False),
             shares=ShareSettings(by_need=by_need),
             models=tuple(self.steps),
         )
         for engine in self.simulation.engines.values():
-            engine.event_seconds = EVENT_SECONDS
+            engine.event_seconds = event_seconds
             engine.prompt_seconds = PROMPT_SECONDS
         self.played = dict.fromkeys(self.steps, 0)
         self.on_time = {model: [] for model in self.steps}
@@ -112,10 +114,14 @@
 
 
 if __name__ == "__main__":
-    for kind, steps in (("unequal", UNEQUAL), ("even", EVEN)):
+    for kind, steps, event_seconds in (
+        ("unequal", UNEQUAL, EVENT_SECONDS),
+        ("tight", UNEQUAL, TIGHT_EVENT_SECONDS),
+        ("even", EVEN, EVENT_SECONDS),
+    ):
         for by_need in (False, True):
             for seed in map(int, sys.argv[1:] or (1, 2)):
-                trainers = Trainers(steps, by_need, seed)
+                trainers = Trainers(steps, by_need, seed, event_seconds=event_seconds)
                 trainers.play(10)
                 print(
                     f"{kind:8} engines_by_need={by_need!s:5} seed {seed}",
