Check client accounts in the soak

Cause: that removed keys are refused and that requests run under their own account has to hold under faults of real processes. Change: the soak has two accounts with two keys each and revokes one key after 0.3 of the load. Endpoints report the account and whether a key came with a request. A removed key may be served for 4 s (the promise) after the removal, or after the gateway's last outage (store down or cut off, process paused). A 401 now counts as not run.

--- a/pumicedeck/platform/standin_callers.py
+++ b/pumicedeck/platform/standin_callers.py
@@ -2,11 +2,11 @@
 
 import base64
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.partitioned_stores import Put, RowKey
-from pumicedeck.platform.headers import DEADLINE, REQUEST_ID, WAIT
+from pumicedeck.platform.headers import AUTHORIZATION, DEADLINE, REQUEST_ID, WAIT
 from pumicedeck.platform.registrations import (
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
@@ -100,8 +100,13 @@
     ]
 
 
-def routes_put(version: int) -> Put:
-    """Return the write that stores the routes of configuration `version`.
+def with_key(request: HttpRequest, key: str) -> HttpRequest:
+    """Return a request that carries the key of a client account."""
+    return replace(request, headers=(*request.headers, (AUTHORIZATION, f"Bearer {key}")))
+
+
+def routes_put(version: int, keys_by_account: dict[str, tuple[str, ...]]) -> Put:
+    """Return the write that stores the routes and client accounts of configuration `version`.
 
     The routes are `/safe/` (idempotent), `/once/` (not idempotent), `/score/` for reward calls,
     `/drafts/` for submissions, and one route `/v<number>/` for each version up to `version`.
@@ -120,7 +125,8 @@
             for number in range(1, version + 1)
         ),
     ]
-    document = {"version": version, "routes": routes, "services": []}
+    tenants = [{"name": name, "api-keys": list(keys)} for name, keys in keys_by_account.items()]
+    document = {"version": version, "routes": routes, "services": [], "tenants": tenants}
     return Put(RowKey(OPERATOR_TABLE, "", ROUTES_KEY), json.dumps(document).encode())
 
 
--- a/pumicedeck/platform/standin_endpoints.py
+++ b/pumicedeck/platform/standin_endpoints.py
@@ -10,7 +10,14 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.incoming_calls import IncomingCall
-from pumicedeck.platform.headers import LAST_EVENT, REQUEST_ID, SIGNATURE, VERSIONS
+from pumicedeck.platform.headers import (
+    ACCOUNT,
+    AUTHORIZATION,
+    LAST_EVENT,
+    REQUEST_ID,
+    SIGNATURE,
+    VERSIONS,
+)
 from pumicedeck.tasks import Task, sleep, spawn
 from pumicedeck.topology import Address
 
@@ -23,12 +30,19 @@
 
     `ran` receives the id of a request, `generated` the id of an item and the weight version of an
     event, `ended` the id of an item whose last event was generated, `scored` that of a scored item.
+    `arrived` receives the id of a request or item, its client account, and whether it has a key.
     """
 
     ran: Callable[[str], None]
     generated: Callable[[str, int], None]
     ended: Callable[[str], None]
     scored: Callable[[str], None]
+    arrived: Callable[[str, str, bool], None]
+
+    def observe_account(self, call: IncomingCall) -> None:
+        """Report the account and the key that a request carries."""
+        account, key = call.header(ACCOUNT.lower()), call.header(AUTHORIZATION.lower())
+        self.arrived(call.header(REQUEST_ID.lower()), account, bool(key))
 
 
 class StandinEndpoint(ABC):
@@ -90,6 +104,7 @@
 
     async def handle(self, call: IncomingCall) -> None:
         """Run a request or score an item."""
+        self._observer.observe_account(call)
         request_id = call.header(REQUEST_ID.lower())
         if call.target.startswith("/score/"):
             self._observer.scored(call.target.rpartition("/")[2])
@@ -160,6 +175,7 @@
         return 202
 
     async def _generate(self, call: IncomingCall) -> None:
+        self._observer.observe_account(call)
         item_id = call.header(REQUEST_ID.lower())
         last = call.header(LAST_EVENT.lower())
         events = int(call.body)
--- a/pumicedeck/soaks/oracles.py
+++ b/pumicedeck/soaks/oracles.py
@@ -3,7 +3,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-NOT_RUN_STATUSES = (429, 503)
+from pumicedeck.soaks.account_checks import AccountChecks
+
+NOT_RUN_STATUSES = (401, 429, 503)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +49,11 @@
     """Records observations and checks them against the guarantees; `finish` returns violations."""
 
     def __init__(self) -> None:
-        """Create an oracle without observations; `counts` holds totals for the verdict."""
+        """Create an oracle without observations; `counts` holds totals for the verdict.
+
+        `accounts` checks the client accounts of requests.
+        """
+        self.accounts = AccountChecks()
         self._violations: list[Violation] = []
         self._run_counts: Counter[str] = Counter()
         self._ended_items: set[str] = set()
@@ -181,6 +187,9 @@
                 self._add_violation(
                     "nothing accepted is lost", f"{submission_id} lacks {missing} results"
                 )
+        for promise, detail in self.accounts.violations:
+            self._add_violation(promise, detail)
+        self.counts.update(self.accounts.counts)
         return tuple(self._violations)
 
     def _check_result(
--- a/pumicedeck/soaks/runs.py
+++ b/pumicedeck/soaks/runs.py
@@ -38,6 +38,10 @@
 RESTART_DELAY_SECONDS = 0.5
 MAX_CLOSE_SECONDS = 9.0
 FAULT_DELAY_SECONDS = 0.25
+# When a key is revoked, as a fraction of the load.
+REVOCATION_FRACTION = 0.3
+# A gateway under them cannot hear from the store, so that it may serve a key that was removed.
+OUTAGE_KINDS = frozenset((FaultKind.CUT_STORE, FaultKind.PAUSE))
 CALLER_COUNT = 10
 TRAINER_COUNT = 2
 
@@ -119,6 +123,7 @@
             generated=self._oracle.engine_generated_event,
             ended=self._oracle.engine_finished_item,
             scored=lambda item: self._oracle.score_requested(item, self._timers.now()),
+            arrived=self._oracle.accounts.request_arrived,
         )
         common_arguments = (self._process, self._timers, Address(LOOPBACK_HOST, 0))
         engines = [
@@ -179,6 +184,7 @@
             spawn(load.train_forever(number), "trainer")
         spawn(load.announce_versions(), "versions")
         started_at = self._timers.now()
+        self._timers.call_later(self._plan.seconds * REVOCATION_FRACTION, load.revoke_key)
         for fault in self._plan.faults:
             await sleep(self._timers, max(0.0, started_at + fault.at - self._timers.now()))
             _log.info(
@@ -205,6 +211,15 @@
         _log.warning("not every gateway became ready in time; load starts anyway")
 
     async def _inject(self, fault: Fault, load: SoakLoad) -> None:
+        if fault.kind is FaultKind.STORE_DOWN:
+            out_of_touch = tuple(range(self._plan.gateways))
+        else:
+            out_of_touch = (fault.target,) if fault.kind in OUTAGE_KINDS else ()
+        self._oracle.accounts.begin_outage(out_of_touch)
+        await self._inject_kind(fault, load)
+        self._oracle.accounts.end_outage(out_of_touch, self._timers.now())
+
+    async def _inject_kind(self, fault: Fault, load: SoakLoad) -> None:
         if fault.kind is FaultKind.CHANGE_ROUTES:
             load.change_routes()
         elif fault.kind is FaultKind.TERMINATE:
--- a/pumicedeck/tests/test_soaks.py
+++ b/pumicedeck/tests/test_soaks.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pumicedeck.http_listeners import HttpListener
+from pumicedeck.soaks.account_checks import REVOKED_KEY, AccountChecks
 from pumicedeck.soaks.in_flight_requests import InFlightRequests
 from pumicedeck.soaks.oracles import ReadResult, SentItem, SoakOracle
 from pumicedeck.soaks.plans import Fault, FaultKind, decode_plan, draw_plan, reduced_plans
@@ -181,6 +182,47 @@
     assert in_flight.end_drain(0) is drain and in_flight.end_drain(0) is None
 
 
+def account_checks():
+    checks = AccountChecks()
+    checks.request_sent("c1", "acme")
+    checks.revoke(10.0)
+    return checks
+
+
+def test_account_checks_accept_what_is_allowed():
+    checks = account_checks()
+    checks.request_arrived("c1", "acme", False)
+    checks.answered(0, REVOKED_KEY, 200, 13.9)
+    checks.answered(0, REVOKED_KEY, 401, 14.0)
+    checks.answered(0, "soak-key-a2", 503, 14.0)
+    # A gateway that is out of touch with the store, and one that has heard from it a moment ago.
+    checks.begin_outage((1,))
+    checks.answered(1, REVOKED_KEY, 200, 16.0)
+    checks.end_outage((1,), 17.0)
+    checks.answered(1, REVOKED_KEY, 200, 20.9)
+    assert checks.violations == () and checks.counts["revoked key checked"] == 1
+    assert checks.configured["acme"] == ("soak-key-a2",)
+
+
+@pytest.mark.parametrize(
+    "observe",
+    [
+        lambda checks: checks.request_arrived("c1", "bolt", False),
+        lambda checks: checks.request_arrived("c1", "", False),
+        lambda checks: checks.request_arrived("never sent", "acme", False),
+        lambda checks: checks.request_arrived("c1", "acme", True),
+        lambda checks: checks.answered(0, REVOKED_KEY, 200, 14.0),
+        lambda checks: (checks.end_outage((0,), 17.0), checks.answered(0, REVOKED_KEY, 200, 21.0)),
+        lambda checks: checks.answered(0, "soak-key-b1", 401, 1.0),
+        lambda checks: checks.answered(0, "soak-key-b1", 404, 1.0),
+    ],
+)
+def test_each_broken_promise_about_accounts_is_detected(observe):
+    checks = account_checks()
+    observe(checks)
+    assert len(checks.violations) == 1
+
+
 class ProxyHarness:
     def __init__(self):
         self.loop = LoopHarness()
@@ -260,4 +302,5 @@
     verdict = SoakRun(plan, tmp_path).run()
     assert verdict.violations == () and verdict.settled
     assert verdict.counts["items"] > 0 and verdict.counts["status 200"] > 0
+    assert verdict.counts["accounts seen by endpoints"] > 0
     assert isinstance(plan.faults[0], Fault)
