--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -264,15 +264,13 @@
                 Failure(ResultCode.NO_ROUTE, "no route matches host and path", None, True),
             )
             return
-        series = CallSeries(route.name, route.kind.value)
-        self._record_on_end(incoming, call, series)
+        self._record_on_end(incoming, call, CallSeries(route.name, route.kind.value))
         identified = self._parts.identifier.identify(call, self._routes.accounts, route)
         if isinstance(identified, Err):
             self._refuse(incoming, call, identified.err_value)
             return
         call, route = identified.ok_value
         self._open_calls[incoming] = call
-        self._record_on_end(incoming, call, series)
         if route.kind is RouteKind.SUBMISSION:
             has_accounts = self._routes.accounts is not None
             spawn(
@@ -285,16 +283,16 @@
     def _record_on_end(
         self, incoming: IncomingCall, call: ForwardedCall, series: CallSeries
     ) -> None:
-        """Record the call under `series` when it ends."""
+        """Record the call under `series` when it ends, with the account that it has by then."""
 
         def record_end(outcome: str) -> None:
-            self._open_calls.pop(incoming, None)
+            ended_call = self._open_calls.pop(incoming, call)
             waited = self._timers.now() - incoming.arrived_at
-            self._calls.record_end(series, outcome, waited, call.account)
+            self._calls.record_end(series, outcome, waited, ended_call.account)
             if outcome == CALLER_DISCONNECTED:
                 _log.info(
                     "caller left",
-                    **call.log_fields,
+                    **ended_call.log_fields,
                     route=series.route,
                     begun=incoming.is_head_sent,
                     waited=round(waited, 3),
--- a/pumicedeck/tests/test_account_secrecy.py
+++ b/pumicedeck/tests/test_account_secrecy.py
@@ -142,6 +142,22 @@
     assert [each.get("account") for each in refused] == [None, "acme"]
 
 
+def test_a_caller_that_leaves_is_logged_and_counted_with_its_account(observed):
+    # The account is known only after the end of the call was given its handler.
+    fixture = observed.fixture
+    for endpoint in fixture.endpoints:
+        endpoint.on_call = lambda call: None
+    sock = fixture.open("GET", "/once/x", headers=(*ID, bearer("key-a1")))
+    fixture.loop.until(lambda: any(endpoint.calls for endpoint in fixture.endpoints))
+    sock.close()
+    fixture.loop.until(lambda: any("caller left" in line for line in observed.lines))
+    records = [json.loads(line)["record"] for line in observed.lines]
+    (left,) = [each["extra"] for each in records if each["message"] == "caller left"]
+    assert left["account"] == "acme" and left["route"] == "once"
+    metrics = fixture.gateway._metrics.text(True, 0)
+    assert 'pumicedeck_account_calls{account="acme"} 1' in metrics
+
+
 def test_without_accounts_an_endpoint_gets_the_same_headers_as_before():
     fixture = GatewayFixture()
     fixture.ask("GET", "/safe/x", headers=(*ID, ("X-Own", "1"), bearer("k")), until=b"from i-")
