--- a/pumicedeck/tests/stream_fixtures.py
+++ b/pumicedeck/tests/stream_fixtures.py
@@ -3,13 +3,19 @@
 import json
 import re
 
+from result import Err
+
 from pumicedeck.gateway_compositions import build_gateway
 from pumicedeck.gateway_settings import StoreSettings
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.platform.standin_stores import PlatformStoreServer
+from pumicedeck.results import Failure, ResultCode
 from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
 from pumicedeck.stream_records import STREAM_PARTITIONS, STREAMS_TABLE
+from pumicedeck.stream_versions import decode_pool_versions
+from pumicedeck.tasks import Promise
 from pumicedeck.tests.test_gateways import SIGNATURE, FakeEndpoint, GatewayFixture, id_header
+from pumicedeck.work_mirrors import SOFTWARE_PARTITION, WORK_TABLE
 
 EVENT_SECONDS = 0.1
 EVENTS = 10
@@ -88,6 +94,29 @@
         timers.call_later(EVENT_SECONDS, lambda: self.send_event(call, number + 1))
 
 
+class WithholdingStore(StandinPartitionedStore):
+    """A stand-in store that does not answer reads of the tables in `withheld`."""
+
+    withheld = ()
+
+    def read(self, table, *arguments):
+        return self.lose_answer() if table in self.withheld else super().read(table, *arguments)
+
+    def partitions(self, table, *arguments):
+        if table in self.withheld:
+            return self.lose_answer()
+        return super().partitions(table, *arguments)
+
+    def read_changes(self, table, *arguments):
+        if table in self.withheld:
+            return self.lose_answer()
+        return super().read_changes(table, *arguments)
+
+    def lose_answer(self):
+        failure = Failure(ResultCode.STORE_UNAVAILABLE, "the reply was lost")
+        return self._resolve_later(Promise(), Err(failure), self.call_timeout_seconds)
+
+
 class StreamCaller:
     """A caller of one stream, who resumes it after its last event under a new request id."""
 
@@ -117,6 +146,18 @@
     def numbers(self):
         return [number for number, _ in self.events]
 
+    @property
+    def code(self):
+        """Return the number of the result code of a refusal, 0 without one."""
+        found = re.search(rb'"code": (\d+)', self.answer)
+        return int(found[1]) if found else 0
+
+    def begin_anew(self, gateway):
+        """Discard the events and begin the stream from its start."""
+        self.poll()
+        self.events = []
+        self.send(gateway)
+
     def send(self, gateway):
         """Begin the stream, or resume it if an event has arrived."""
         self.poll()
@@ -195,9 +236,14 @@
         self.endpoints.append(StreamingEndpoint(self, name, software, incarnation))
         return self.endpoints[-1]
 
-    def add_gateway(self, vm):
-        """Start a gateway with a way to the store that can fail by itself."""
-        standin = StandinPartitionedStore(self.loop.timers, self.data, call_timeout_seconds=0.05)
+    def add_gateway(self, vm, withheld=(), silent=False):
+        """Start a gateway with a way to the store that can fail by itself.
+
+        Its reads of the tables in `withheld` get no answer, with `silent` none of its calls does.
+        """
+        standin = WithholdingStore(self.loop.timers, self.data, call_timeout_seconds=0.05)
+        standin.withheld = withheld
+        standin.faults.silent = silent
         server = PlatformStoreServer(self.loop, self.loop.timers, standin)
         self.own_stores[len(self.listeners)] = (standin, server)
         settings = self.make_settings(vm)
@@ -206,9 +252,28 @@
         built.start()
         self.running_gateways.append(built)
         self.listeners.append(built.gateway.caller_listener)
-        self.loop.until(lambda: built.gateway.is_ready)
+        if not withheld and not silent:
+            self.loop.until(lambda: built.gateway.is_ready)
         return len(self.listeners) - 1
 
+    def lose_power(self, seconds):
+        """End all gateways at the same moment and advance the time while there is none."""
+        for running in self.running_gateways:
+            running.close()
+        self.run(seconds)
+
+    def start_again(self, count=2, **faults):
+        """Start gateways that know nothing; return their numbers."""
+        first = len(self.listeners)
+        return [self.add_gateway(f"front-{first + n}", **faults) for n in range(count)]
+
+    def resume(self, callers, gateways):
+        """Resume the streams that have not ended, at one gateway after the other."""
+        for number, caller in enumerate(callers):
+            caller.poll()
+            if not caller.is_complete:
+                caller.send(gateways[number % len(gateways)])
+
     def store_of(self, gateway):
         """Return the stand-in through which a gateway reaches the store."""
         return self.own_stores[gateway][0] if gateway in self.own_stores else self.standin
@@ -253,6 +318,11 @@
     def completed(self, callers):
         return sum(caller.is_complete and len(caller.events) == EVENTS for caller in callers)
 
+    def base(self):
+        """Return the base version in the pool's row, None without a row."""
+        rows = self.data.read(WORK_TABLE, SOFTWARE_PARTITION, "", 10)
+        return decode_pool_versions(rows[0].value).base if rows else None
+
     def close(self):
         for running in self.running_gateways[1:]:
             running.close()
