Pass a resumable stream on only once its endpoint's incarnation is confirmed

Cause: an endpoint that restarts under its name with other software accepts requests before its new registration is known. A gateway noticed only if it had lost a connection to it, so one that had just started, or another gateway than the one that lost the stream, sent resumed streams there, and streams that began there counted for the former version.

Change: a connection leads to the registered incarnation if the endpoint has confirmed it, in a report, while that connection was open. Otherwise the head and events of a resumable stream are held until the endpoint, asked for its report, confirms it; on another incarnation the attempt fails and nothing is passed on. An incarnation that was never confirmed is asked before a stream goes to it. This costs a question for each new connection, none for each stream.

--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -72,7 +72,8 @@
     before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
     `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
     `has_trial`, a trial call is open. It `may_have_restarted` if it has lost a connection since
-    its registration or its last report of its incarnation.
+    its registration or its last report of its incarnation. Connections that were open at
+    `confirmed_at` lead to the registered incarnation.
 
     `request_limit` is how many requests per second the endpoint accepts from all gateways together,
     None if it names none; it was named last at `limit_named_at`.
@@ -90,6 +91,7 @@
     needs_trial: bool = False
     has_trial: bool = False
     may_have_restarted: bool = False
+    confirmed_at: float = -inf
     request_limit: float | None = None
     limit_named_at: float = -inf
 
@@ -245,15 +247,26 @@
         return [each.software_version for each in endpoints if each.pool == pool]
 
     def may_have_restarted(self, name: str) -> bool:
-        """Return whether an endpoint has lost connections since its incarnation was confirmed."""
+        """Return whether an incarnation is unconfirmed, or has lost connections since it was."""
         state = self._states.get(name)
-        return state is not None and state.may_have_restarted
+        return state is not None and (state.may_have_restarted or state.confirmed_at == -inf)
 
-    def confirm_incarnation(self, endpoint: DirectEndpoint) -> None:
-        """Record that an endpoint has not restarted since it registered."""
-        state = self._states.get(endpoint.name)
-        if state is not None and state.endpoint.incarnation == endpoint.incarnation:
+    def confirm_incarnation(self, endpoint: DirectEndpoint, at: float) -> None:
+        """Record that at a time an endpoint had not restarted since it registered."""
+        if self.is_incarnation(endpoint.name, endpoint.incarnation):
+            state = self._states[endpoint.name]
             state.may_have_restarted = False
+            state.confirmed_at = max(state.confirmed_at, at)
+
+    def record_unconfirmed(self, name: str) -> None:
+        """Record that an endpoint may have restarted since it registered."""
+        if name in self._states:
+            self._states[name].may_have_restarted = True
+
+    def is_confirmed(self, endpoint: DirectEndpoint, opened_at: float) -> bool:
+        """Return whether a connection opened at a time leads to the registered incarnation."""
+        is_registered = self.is_incarnation(endpoint.name, endpoint.incarnation)
+        return is_registered and opened_at <= self._states[endpoint.name].confirmed_at
 
     def accepting_endpoints(
         self, pool: str, may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -9,10 +9,11 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.dialects import AnswerHead, EndpointDialect, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
+from pumicedeck.held_answers import HeldAnswer
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import HttpRequest, HttpResponse
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.tasks import Promise
+from pumicedeck.tasks import Promise, spawn
 
 _log = logger.bind(module="endpoint_callers")
 
@@ -63,7 +64,7 @@
         return self._dialect
 
     def may_have_restarted(self, endpoint: DirectEndpoint) -> bool:
-        """Return whether an endpoint has lost connections since its incarnation was confirmed."""
+        """Return whether an incarnation is unconfirmed, or has lost connections since it was."""
         return self._directory.may_have_restarted(endpoint.name)
 
     def close_idle_connections(self, endpoint: DirectEndpoint) -> None:
@@ -78,19 +79,29 @@
         silence_seconds: float,
         on_head: Callable[[HttpResponse, AnswerHead], None] | None = None,
         on_chunk: Callable[[bytes], None] | None = None,
+        confirmation_seconds: float | None = None,
     ) -> Result[CompleteAnswer, Failure]:
         """Send a call; it is given up after `silence_seconds` without a byte from the endpoint.
 
         `seconds` is the time left, which the endpoint is given; soon after it the call is given up
         even if bytes still arrive. The body of a successful answer
-        goes to `on_chunk`, if given, after its head went to `on_head`.
+        goes to `on_chunk`, if given, after its head went to `on_head`. With `confirmation_seconds`
+        both are held for up to that time until the endpoint has confirmed that it is the
+        incarnation that registered; on another one the call fails and nothing is passed on.
         """
         started = self._timers.now()
+        held = HeldAnswer(on_chunk)
 
-        def check(answer: AnswerHead, response: HttpResponse) -> bool:
+        def check(answer: AnswerHead, response: HttpResponse, opened_at: float) -> bool:
             if not _matches_request(answer, call):
                 return False
-            if on_head is not None and answer.succeeded:
+            if on_head is None or not answer.succeeded:
+                return True
+            if confirmation_seconds is not None and self._must_ask(endpoint, opened_at):
+                held.hold(lambda: on_head(response, answer))
+                question = self._confirm(held, endpoint, confirmation_seconds)
+                spawn(question, f"question to {endpoint.name}")
+            else:
                 on_head(response, answer)
             return True
 
@@ -100,9 +111,18 @@
             total_seconds = None if seconds is None else seconds + _ANSWER_SLACK_SECONDS
             self._log_limited_request(endpoint, call.request_id)
             outcome = await self._exchange(
-                request, endpoint, silence_seconds, total_seconds, check, on_chunk
+                request,
+                endpoint,
+                silence_seconds,
+                total_seconds,
+                check,
+                held.on_chunk if on_chunk is not None else None,
+                held.failed,
             )
+            if isinstance(outcome, Ok):
+                outcome = await held.decide(outcome)
         finally:
+            held.drop()
             self._directory.call_ended(endpoint)
         result = self._evaluate(endpoint, call, outcome, started)
         if isinstance(result, Ok):
@@ -125,10 +145,21 @@
         True also if it does not answer. Only engines give reports, others count as unchanged; so
         does one with a request limit, to which a question would count as a request.
         """
-        if not endpoint.models or self._directory.request_limit(endpoint.name) is not None:
+        if not self._gives_reports(endpoint):
             return False
         request = self._dialect.report_request(endpoint)
-        answered = await self.send_request(request, endpoint, silence_seconds)
+        self._log_limited_request(endpoint, request.path)
+        # The connections that are open now, and the one that carries the answer.
+        confirmed_at = self._timers.now()
+
+        def record_opened(answer: AnswerHead, response: HttpResponse, opened_at: float) -> bool:
+            nonlocal confirmed_at
+            confirmed_at = max(confirmed_at, opened_at)
+            return True
+
+        answered = await self._exchange(
+            request, endpoint, silence_seconds, silence_seconds, record_opened, None
+        )
         if isinstance(answered, Err):
             return True
         report = self._dialect.report(answered.ok_value)
@@ -136,19 +167,41 @@
             return False
         if report.incarnation != endpoint.incarnation:
             return True
-        self._directory.confirm_incarnation(endpoint)
+        self._directory.confirm_incarnation(endpoint, confirmed_at)
         return False
 
+    def _gives_reports(self, endpoint: DirectEndpoint) -> bool:
+        return bool(endpoint.models) and self._directory.request_limit(endpoint.name) is None
+
+    def _must_ask(self, endpoint: DirectEndpoint, opened_at: float) -> bool:
+        """Return whether the answer on a connection may be that of another incarnation."""
+        if not self._gives_reports(endpoint):
+            return False
+        return not self._directory.is_confirmed(endpoint, opened_at)
+
+    async def _confirm(self, held: HeldAnswer, endpoint: DirectEndpoint, seconds: float) -> None:
+        """Pass a held answer on if the endpoint has not restarted."""
+        if await self.has_restarted(endpoint, seconds):
+            self._directory.record_unconfirmed(endpoint.name)
+            held.refuse(f"{endpoint.name} has restarted since it registered, or does not say")
+        else:
+            held.release()
+
     async def _exchange(
         self,
         request: HttpRequest,
         endpoint: DirectEndpoint,
         silence_seconds: float,
         total_seconds: float | None,
-        check: Callable[[AnswerHead, HttpResponse], bool] | None,
+        check: Callable[[AnswerHead, HttpResponse, float], bool] | None,
         on_chunk: Callable[[bytes], None] | None,
+        failed: Promise[Result[HttpResponse, Failure]] | None = None,
     ) -> Result[HttpResponse, Failure]:
-        promise: Promise[Result[HttpResponse, Failure]] = Promise()
+        """Send a request; `check` gets the head and when its connection was opened.
+
+        The exchange also ends with the value of `failed`.
+        """
+        promise: Promise[Result[HttpResponse, Failure]] = failed or Promise()
         sent_at = self._timers.now()
 
         def check_head(response: HttpResponse) -> bool:
@@ -158,7 +211,9 @@
                 self._directory.record_answer(endpoint.name)
             self._record_leaving(endpoint, answer)
             self._record_request_limit(endpoint, answer, sent_at)
-            return check is None or check(answer, response)
+            if check is None or exchange.connection is None:
+                return check is None
+            return check(answer, response, exchange.connection.opened_at)
 
         exchange = self._client.send(
             request, promise.resolve, on_chunk, silence_seconds, check_head, total_seconds
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -89,6 +89,7 @@
         self._unsent = memoryview(b"")
         self._written_bytes = 0
         self._request_count = 0
+        self._opened_at = timers.now()
         self._deadline = MovingDeadline(timers, self._on_deadline)
         self._response: h11.Response | None = None
         # One buffer: a list of parts of a few bytes each would take ten times their size.
@@ -124,6 +125,11 @@
         """Return how many requests were sent on the connection, including the current one."""
         return self._request_count
 
+    @property
+    def opened_at(self) -> float:
+        """Return when the connection was established, in seconds of the client's clock."""
+        return self._opened_at
+
     def open(self) -> None:
         """Start connecting."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -245,6 +251,7 @@
             return
         self._poller.removeWriter(self._socket)
         self._poller.addReader(self._event_target, self._socket)
+        self._opened_at = self._timers.now()
         self._become_idle()
         self._callbacks.ready(self)
 
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -104,7 +104,8 @@
     async def _choose_endpoint(self) -> DirectEndpoint | None:
         """Return an endpoint at which the stream may begin or go on, None if there is none."""
         if self._software is not None:
-            return await self._select_unchanged(self._software)
+            has_several = self._records.has_several(self._pool)
+            return await self._select_unchanged(self._runs_software(self._software), has_several)
         if not self._route.resumable:
             return await self._select(lambda endpoint: True)
         endpoint = await self._select_beginning()
@@ -129,36 +130,38 @@
             lambda each: self._records.is_base(self._pool, each.software_version)
         )
 
-    async def _select_unchanged(self, software: str) -> DirectEndpoint | None:
-        """Return an endpoint that runs a version and has not restarted since it registered.
+    async def _select_unchanged(
+        self, may_use: Callable[[DirectEndpoint], bool], asks_all: bool = False
+    ) -> DirectEndpoint | None:
+        """Return an endpoint that has not restarted since it registered.
+
+        With `asks_all` each endpoint is asked, else those that may have restarted.
 
         An endpoint may come back under its name with other software, and accept requests before its
         new registration is known here.
         """
         restarted: set[tuple[str, int]] = set()
 
-        def may_use(each: DirectEndpoint) -> bool:
-            return each.software_version == software and (
-                (each.name, each.incarnation) not in restarted
-            )
+        def is_unchanged(each: DirectEndpoint) -> bool:
+            return may_use(each) and (each.name, each.incarnation) not in restarted
 
         caller = self._call_attempts.endpoint_caller
         while True:
-            endpoint = await self._select(may_use)
+            endpoint = await self._select(is_unchanged)
             if endpoint is None:
                 return None
-            is_suspect = self._records.has_several(self._pool) or caller.may_have_restarted(
-                endpoint
-            )
-            seconds = self._settings.restart_question_seconds
-            if not is_suspect or not await caller.has_restarted(endpoint, seconds):
+            is_suspect = asks_all or caller.may_have_restarted(endpoint)
+            seconds = self._confirmation_seconds(endpoint)
+            if seconds is None or not is_suspect:
+                return endpoint
+            if not await caller.has_restarted(endpoint, seconds):
                 return endpoint
             restarted.add((endpoint.name, endpoint.incarnation))
             _log.info(
-                "endpoint has restarted; the stream does not go on there",
+                "endpoint has restarted; the stream does not go to it",
                 request=self._call.request_id,
                 endpoint=endpoint.name,
-                software=software,
+                software=endpoint.software_version,
             )
 
     async def _select_beginning(self) -> DirectEndpoint | None:
@@ -173,8 +176,8 @@
 
         for may_use in (self._runs_software(self._origin.recorded_version), may_begin):
             if self._call_attempts.has_endpoint(self._pool, may_use):
-                return await self._select(may_use)
-        return await self._select(lambda endpoint: True)
+                return await self._select_unchanged(may_use)
+        return await self._select_unchanged(lambda endpoint: True)
 
     async def _select(self, may_use: Callable[[DirectEndpoint], bool]) -> DirectEndpoint | None:
         seconds_left = self._deadline - self._timers.now()
@@ -246,9 +249,21 @@
                 self._call_attempts.send_stream_head(self._incoming, self._call, response)
 
         return await self._call_attempts.endpoint_caller.call(
-            call, endpoint, seconds_left, silence_seconds, on_head, self._on_bytes
+            call,
+            endpoint,
+            seconds_left,
+            silence_seconds,
+            on_head,
+            self._on_bytes,
+            confirmation_seconds=self._confirmation_seconds(endpoint),
         )
 
+    def _confirmation_seconds(self, endpoint: DirectEndpoint) -> float | None:
+        """Return how long an endpoint may take to confirm its incarnation, None if none counts."""
+        if not self._route.resumable or not endpoint.software_version:
+            return None
+        return self._settings.restart_question_seconds
+
     def _on_bytes(self, data: bytes) -> None:
         for event_bytes in self._event_splitter.feed(data):
             event = self._call_attempts.endpoint_caller.dialect.event(event_bytes)
--- a/pumicedeck/tests/test_streams_after_power_loss.py
+++ b/pumicedeck/tests/test_streams_after_power_loss.py
@@ -271,10 +271,20 @@
     fixture.check()
 
 
-def test_a_stream_that_begins_at_a_restarted_endpoint_counts_for_its_new_version(make_streams):
-    """Only the endpoint knows its version until its new registration arrives."""
+@pytest.mark.parametrize("is_known", [False, True])
+def test_a_stream_that_begins_at_a_restarted_endpoint_counts_for_its_new_version(
+    make_streams, is_known
+):
+    """Only the endpoint knows its version until its new registration arrives.
+
+    One that `is_known` has served streams before, and loses no call when it restarts.
+    """
     fixture = make_streams(gateways=1, software=("v1", "v1"))
     restarted = fixture.endpoints[0]
+    if is_known:
+        fixture.begin(count=4)
+        fixture.run(1.5)
+        assert restarted.calls
     restarted.restart("v2")
     callers = fixture.begin(count=12)
     fixture.run(0.35)
