Name a version in the pool's row before a stream begins at it

Cause: a stream could begin, with a record, at a version that the pool's row did not name yet: in a pool without a row, or where no endpoint of a named version was left. A gateway that knows of one version skips the read of the record, so it took the stream for one of that version. After all gateways lost power the row was the only memory, and it did not name the other version.

Change: a stream that begins at another version than the base waits until the row names its version; a gateway without the row reads it by itself. The read of a record is skipped only if the registered endpoints run the one version that the row names, too. The origin of a stream is a module of its own now, and a stream without a name is not remembered.

--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -24,6 +24,7 @@
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.stream_versions import (
     PoolKnowledge,
+    PoolVersions,
     StreamVersionSettings,
     announce_versions,
     decode_pool_versions,
@@ -105,6 +106,9 @@
             if versions is None:
                 continue
             pool = stored.row.key
+            # A row that was read by itself may be newer than what the feed brings next.
+            if stored.revision < self._revisions.get(pool, 0):
+                continue
             self._revisions[pool] = stored.revision
             known = self._known.setdefault(pool, PoolKnowledge(versions))
             known.update(versions, self._timers.now())
@@ -135,6 +139,8 @@
 
     def remember(self, stream_id: str, version: str) -> None:
         """Remember the version of a stream of which a caller of this gateway got something."""
+        if not stream_id:
+            return
         self._own_streams[stream_id] = version
         self._own_streams.move_to_end(stream_id)
         while len(self._own_streams) > MAX_KNOWN_STREAMS:
@@ -146,7 +152,7 @@
         if own is not None:
             return Ok(own)
         known = self._known.get(pool)
-        if known is not None and known.versions.has_one and self._is_fresh:
+        if known is not None and self._is_fresh and self._has_only(pool, known.versions):
             return Ok(known.versions.base)
         if not stream_id:
             return _unknown("the caller does not name the stream")
@@ -160,6 +166,66 @@
             return _unknown("the versions of the pool have not been read yet")
         return Ok(known.versions.base)
 
+    def _has_only(self, pool: str, versions: PoolVersions) -> bool:
+        """Return whether streams can neither have begun nor go on at another version."""
+        return versions.has_one and set(self._directory.software_versions(pool)) == {versions.base}
+
+    async def ensure_announced(self, pool: str, version: str) -> Result[None, Failure]:
+        """Make sure that the pool's row names a version, so that its records are looked for.
+
+        A pool without a row gets one. Fails as the store does, with STORE_CONFLICT if others write
+        the row all the time.
+        """
+        until = self._timers.now() + WRITE_SECONDS
+        while True:
+            known = self._known.get(pool)
+            if known is None or not self._is_fresh:
+                read = await self._read_versions(pool)
+                if isinstance(read, Err):
+                    return read
+                known = self._known.get(pool)
+            if known is not None and version in known.versions.announced:
+                return Ok(None)
+            registered = Counter(self._directory.software_versions(pool)) + Counter((version,))
+            versions = announce_versions(known.versions if known is not None else None, registered)
+            written = await self._write_versions(pool, versions)
+            if isinstance(written, Ok):
+                return Ok(None)
+            if self._timers.now() >= until:
+                return written
+            await sleep(self._timers, WRITE_RETRY_SECONDS)
+            read = await self._read_versions(pool)
+            if isinstance(read, Err):
+                return read
+
+    async def _read_versions(self, pool: str) -> Result[None, Failure]:
+        """Read the row of a pool's versions, for a gateway that cannot wait for the feed."""
+        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
+        promise = self._store.read(row.table, row.partition_key, row.key, 1)
+        page = await within(self._timers, READ_SECONDS, promise, Err(_READ_TIMED_OUT))
+        if isinstance(page, Err):
+            return page
+        self.apply(tuple(stored for stored in page.ok_value.rows if stored.row == row))
+        return Ok(None)
+
+    async def _write_versions(self, pool: str, versions: PoolVersions) -> Result[int, Failure]:
+        """Write the row of a pool's versions if it is at the revision that is known."""
+        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
+        change = Change(
+            (Expectation(row, self._revisions.get(pool, 0)),), (Put(row, versions.encode()),)
+        )
+        timed_out = Err(Failure(ResultCode.STORE_OUTCOME_UNKNOWN, "the store did not answer"))
+        written = await within(self._timers, WRITE_SECONDS, self._store.commit(change), timed_out)
+        if isinstance(written, Ok):
+            self.apply((StoredRow(row, versions.encode(), written.ok_value),))
+            _log.info(
+                "software versions announced",
+                pool=pool,
+                base=versions.base,
+                versions=sorted(versions.announced),
+            )
+        return written
+
     async def read(self, stream_id: str) -> Result[tuple[str, int] | None, Failure]:
         """Read the record of a stream: version and revision, None if there is none."""
         row = stream_row(stream_id)
@@ -201,17 +267,8 @@
         known = self._known.get(pool)
         registered = Counter(self._directory.software_versions(pool))
         versions = announce_versions(known.versions if known is not None else None, registered)
-        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
-        expected = Expectation(row, self._revisions.get(pool, 0))
         # A conflict means that another gateway was first; its row arrives by the feed.
-        written = await self._store.commit(Change((expected,), (Put(row, versions.encode()),)))
-        if isinstance(written, Ok):
-            _log.info(
-                "software versions announced",
-                pool=pool,
-                base=versions.base,
-                versions=sorted(versions.announced),
-            )
+        await self._write_versions(pool, versions)
 
     async def _sweep_periodically(self) -> None:
         while True:
@@ -266,69 +323,6 @@
                     return
 
 
-class StreamOrigin:
-    """Where one stream begins: makes sure that its version is known before its first event."""
-
-    def __init__(self, records: StreamRecords, timers: TimerQueue, stream_id: str, pool: str):
-        """Create the origin of a stream that has not begun."""
-        self._records = records
-        self._timers = timers
-        self._stream_id = stream_id
-        self._pool = pool
-        self._recorded = ""
-        self._revision = 0
-        self._is_uncertain = False
-
-    @property
-    def recorded_version(self) -> str:
-        """Return the version in the record, empty if there is none."""
-        return self._recorded
-
-    @property
-    def is_uncertain(self) -> bool:
-        """Return whether a record may exist that this process could not confirm."""
-        return self._is_uncertain
-
-    async def record(self, version: str) -> Result[None, Failure]:
-        """Make sure that the stream counts as begun at a version.
-
-        The base version needs no record. The record is written again until its outcome is known,
-        since the store may have written a record whose answer was lost.
-        """
-        if self._recorded == version and not self._is_uncertain:
-            return Ok(None)
-        is_untouched = not self._recorded and not self._is_uncertain
-        if not self._stream_id or (is_untouched and self._records.is_base(self._pool, version)):
-            return Ok(None)
-        until = self._timers.now() + WRITE_SECONDS
-        while True:
-            outcome = await self._records.write(self._stream_id, version, self._revision)
-            if isinstance(outcome, Ok):
-                self._confirm(version, outcome.ok_value)
-                return Ok(None)
-            failure = outcome.err_value
-            if failure.code is ResultCode.STORE_CONFLICT:
-                found = await self._records.read(self._stream_id)
-                if isinstance(found, Err):
-                    self._is_uncertain = True
-                    return found
-                stored_version, self._revision = found.ok_value or ("", 0)
-                if stored_version == version:
-                    self._confirm(version, self._revision)
-                    return Ok(None)
-            if failure.code is ResultCode.STORE_OUTCOME_UNKNOWN:
-                self._is_uncertain = True
-            may_repeat = self._is_uncertain or failure.code is ResultCode.STORE_CONFLICT
-            if not may_repeat or self._timers.now() >= until:
-                return Err(failure)
-            await sleep(self._timers, WRITE_RETRY_SECONDS)
-
-    def _confirm(self, version: str, revision: int) -> None:
-        self._recorded = version
-        self._revision = revision
-        self._is_uncertain = False
-
-
 def stream_row(stream_id: str) -> RowKey:
     """Return the key of a stream's record; ids of any length and content have one."""
     digest = sha256(stream_id.encode()).hexdigest()
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -23,7 +23,8 @@
 from pumicedeck.request_fingerprints import fingerprint_request
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, choose_pool
-from pumicedeck.stream_records import StreamOrigin, StreamRecords
+from pumicedeck.stream_origins import StreamOrigin
+from pumicedeck.stream_records import StreamRecords
 from pumicedeck.tasks import sleep
 
 _log = logger.bind(module="stream_relays")
