--- a/pumicedeck/duties/request_beginnings.py
+++ b/pumicedeck/duties/request_beginnings.py
@@ -74,6 +74,7 @@
         self._timers = timers
         self._directory = directory
         self._counts = counts
+        # Those that are not counted yet.
         self._open: set[_Run] = set()
         self._usual_seconds: dict[tuple[str, bool], float] = {}
 
@@ -110,9 +111,10 @@
 
     def count_open(self, until: float) -> None:
         """Count the open requests that have begun before `until`, as far as can be told."""
-        for run in self._open:
+        for run in tuple(self._open):
             began_at = self._estimate(run)
-            if run.counted_at is None and began_at < until:
+            if began_at < until:
+                self._open.discard(run)
                 self._count(run, began_at)
 
     def _begin(self, account: str, endpoint: DirectEndpoint, is_stream: bool) -> _Run:
--- a/pumicedeck/duties/true_times.py
+++ b/pumicedeck/duties/true_times.py
@@ -16,8 +16,8 @@
 MAX_DIFFERENCE_SECONDS = 0.5
 # A step of the time of day lasts for seconds and may hit most VMs; a wrong offset lasts.
 PERSISTENCE_SECONDS = 15.0
-# How long the first agreement waits for a majority of the members, so that two stepped VMs out of
-# the first three do not decide.
+# How long the first agreement waits for MIN_OFFSETS and a majority of the members, so that one
+# stepped VM that starts first, or two out of the first three, do not decide.
 MAJORITY_WAIT_SECONDS = 2.0
 # Until a new offset is in force, each gateway reads the row at least once.
 CHANGE_DELAY_SECONDS = 12.0
@@ -121,9 +121,9 @@
         if agreed is None:
             if self._first_seen is None:
                 self._first_seen = now
-            enough = len(reports) >= max(1, min(MIN_OFFSETS, members))
             waited = now - self._first_seen >= MAJORITY_WAIT_SECONDS
-            if not enough or not (has_majority or waited):
+            enough = MIN_OFFSETS if not waited else min(MIN_OFFSETS, members)
+            if len(reports) < enough or not (has_majority or waited):
                 return None
             started = min(report.started for report in reports)
             first = window_of(started + middle, self._window_seconds)
--- a/pumicedeck/duties/usage_rows.py
+++ b/pumicedeck/duties/usage_rows.py
@@ -82,7 +82,7 @@
 
 
 def sum_rows(rows: Iterable[StoredRow]) -> WindowRows:
-    """Sum the rows of one window."""
+    """Sum the rows of one window; rows that no gateway of this build wrote are left out."""
     report = None
     counts: Counter[str] = Counter()
     vms: set[str] = set()
@@ -93,11 +93,23 @@
         if stored.row.key == REPORT_KEY:
             report = decode_counts(stored.value)
         elif stored.row.key.startswith(COUNT_PREFIX):
-            document = json.loads(stored.value)
+            decoded = _decode_count_row(stored.value)
+            if decoded is None:
+                continue
             vm = stored.row.key.removeprefix(COUNT_PREFIX).partition("/")[0]
             vms.add(vm)
-            if document["final"]:
+            if decoded[1]:
                 final_vms.add(vm)
-            counts.update(document["counts"])
+            counts.update(decoded[0])
     positive = {account: number for account, number in sorted(counts.items()) if number > 0}
     return WindowRows(report, positive, frozenset(vms), frozenset(final_vms))
+
+
+def _decode_count_row(value: bytes) -> tuple[dict[str, int], bool] | None:
+    """Return the counts of a row and whether it is final, None if it is invalid."""
+    try:
+        document = json.loads(value)
+        counts = {str(account): int(number) for account, number in document["counts"].items()}
+        return counts, bool(document["final"])
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -21,6 +21,7 @@
     "stream_relays",
     "submission_answers",
     "submission_intakes",
+    *(f"duties/{path.stem}" for path in sorted((ROOT / "duties").glob("*.py"))),
     *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
 )
 EVENT = re.compile(r"_log\.(?:info|warning|error)\(\s*\"([^\"]+)\"")
--- a/pumicedeck/tests/test_usage_gateways.py
+++ b/pumicedeck/tests/test_usage_gateways.py
@@ -2,22 +2,22 @@
 
 import json
 import time
-from dataclasses import replace
 
 import pytest
 
 from pumicedeck.gateway_settings import CloudSettings
 from pumicedeck.http_listeners import HttpListener
-from pumicedeck.platform.caller_calls import PlatformCallerDialect
-from pumicedeck.tests.test_gateways import LOCAL, GatewayFixture
+from pumicedeck.tests.account_fixtures import AccountFixture
+from pumicedeck.tests.test_gateways import LOCAL
 from pumicedeck.topology import Address
 
 EPOCH_SECONDS = 1_800_000_002.0
 FIRST_WINDOW = 360_000_000
+KEYS = {"acme": ("k1", "k2"), "twice": ("k3",), "refused": ("k4",)}
 
 
-class CloudFixture(GatewayFixture):
-    """A gateway before an API that takes reports; the account is in a header of the test."""
+class CloudFixture(AccountFixture):
+    """A gateway before an API that takes reports."""
 
     duties = ["metering"]
     monkeypatch = None
@@ -48,24 +48,17 @@
 
 @pytest.fixture
 def cloud(monkeypatch):
-    """Return a gateway whose time of day goes with the virtual time."""
-    decode = PlatformCallerDialect.decode_request
-
-    def decode_request(self, incoming):
-        return replace(decode(self, incoming), account=incoming.header("x-test-account"))
-
-    monkeypatch.setattr(PlatformCallerDialect, "decode_request", decode_request)
+    """Return a gateway with accounts, whose time of day goes with the virtual time."""
     monkeypatch.setattr(CloudFixture, "monkeypatch", monkeypatch)
     made = CloudFixture()
+    made.set_accounts(**KEYS)
     yield made
     made.close()
 
 
-def ask(fixture, target, account, number, until=b"\r\n\r\n"):
-    headers = [("X-Pumicedeck-Request-Id", f"q{number}"), ("X-Pumicedeck-Deadline-Ms", "1400")]
-    if account:
-        headers.append(("X-Test-Account", account))
-    return fixture.ask("POST", target, headers=headers, until=until)
+def ask(fixture, target, key, number, until=b"\r\n\r\n"):
+    headers = (("X-Pumicedeck-Request-Id", f"q{number}"), ("X-Pumicedeck-Deadline-Ms", "1400"))
+    return fixture.ask_with(key, "POST", target, headers=headers, until=until)
 
 
 def test_requests_are_reported_by_account_in_the_words_of_the_api(cloud):
@@ -73,15 +66,15 @@
     cloud.loop.advance(2.0)
     first, second = cloud.endpoints
     for number in range(3):
-        ask(cloud, "/safe/x", "acme", number)
-    ask(cloud, "/stream/x", "acme", 3)
-    ask(cloud, "/once/x", "", 4)
+        ask(cloud, "/safe/x", "k1", number)
+    ask(cloud, "/stream/x", "k2", 3)
+    ask(cloud, "/open/x", None, 4)
     first.on_call = lambda call: call.abort()
     second.on_call = lambda call: call.abort()
-    ask(cloud, "/safe/x", "twice", 5, until=b"HTTP/1.1 503")
+    ask(cloud, "/safe/x", "k3", 5, until=b"HTTP/1.1 503")
     refuse = (("X-Pumicedeck-Not-Run", "1"),)
     first.on_call = second.on_call = lambda call: call.answer(503, refuse, b"")
-    ask(cloud, "/safe/x", "refused", 6, until=b"HTTP/1.1 503")
+    ask(cloud, "/safe/x", "k4", 6, until=b"HTTP/1.1 503")
     cloud.loop.advance(12.0)
     totals = {}
     for call, document in cloud.reports:
@@ -100,7 +93,7 @@
 
 def test_a_gateway_that_stops_saves_its_counts_first(cloud):
     cloud.loop.advance(2.0)
-    ask(cloud, "/safe/x", "acme", 1)
+    ask(cloud, "/safe/x", "k1", 1)
     cloud.running.drain()
     cloud.loop.until(lambda: cloud.finished)
     rows = [
@@ -125,9 +118,9 @@
             return settings.model_copy(update={"cloud": None}) if asked_for is None else settings
 
     fixture = Silent()
-    usual = GatewayFixture()
+    usual = AccountFixture()
     for each in (fixture, usual):
-        ask(each, "/safe/x", "acme", 1)
+        ask(each, "/safe/x", "key-a1", 1)
         each.loop.advance(15.0)
     assert fixture.reports == [] and fixture.usage_rows() == ()
     assert fixture.standin.calls.commits == usual.standin.calls.commits
