Do not send requests whose time ran out while the VM was frozen

Cause: when a frozen VM goes on, its sockets are served before its timers, so a request that waited for its connection left after its time, when its sender may have lost the lease. A report of use with an older token could follow one with a newer token.

Change: the HTTP client fails waiting requests whose time has run out before it uses a connection.

--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -203,6 +203,7 @@
     def _assign_waiting(self, address: Address) -> None:
         """Assign waiting exchanges to idle connections; open connections for the others."""
         pool = self._pools[address]
+        self._drop_overdue(pool)
         while pool.waiting_exchanges:
             connection = self._pop_idle_connection(pool)
             if connection is None:
@@ -215,6 +216,15 @@
         for _ in range(min(free_connections, len(pool.waiting_exchanges) - connecting_count)):
             self._open_connection(address)
 
+    def _drop_overdue(self, pool: _Pool) -> None:
+        """Fail the first waiting exchanges whose time has run out.
+
+        When a frozen VM goes on, its sockets are served before its timers.
+        """
+        now = self._timers.now()
+        while pool.waiting_exchanges and pool.waiting_exchanges[0].time_limit.due < now:
+            self._fail(pool.waiting_exchanges.popleft(), "not sent before its time ran out")
+
     def _pop_idle_connection(self, pool: _Pool) -> HttpConnection | None:
         """Return an idle connection that is still usable; close the stale ones found before it."""
         while pool.idle_connections:
--- a/pumicedeck/tests/test_http_clients.py
+++ b/pumicedeck/tests/test_http_clients.py
@@ -190,6 +190,20 @@
     assert harness.client.stats.stale == 1
 
 
+def test_a_request_whose_time_ran_out_while_the_vm_was_frozen_is_not_sent(harness):
+    """Guards against a call that leaves when its sender wakes and has lost the right to send it."""
+    outcomes = []
+    request = HttpRequest("POST", harness.server.address, "/a", (), b"x")
+    harness.client.send(request, outcomes.append, total_seconds=2.0)
+    (connection,) = harness.client._pools[harness.server.address].connections
+    harness.loop.timers._now += 5.0
+    # The socket is served before the timers.
+    harness.client._on_write(connection.socket)
+    assert outcomes[0].unwrap_err().proven_not_run
+    harness.loop.settle()
+    assert not any(harness.server.received.values())
+
+
 def test_cancel_reports_nothing_and_frees_the_place(harness):
     calls = [harness.send(path=f"/{i}") for i in range(3)]
     harness.loop.settle()
