Choose the endpoint of a call from an index of pools; skip unchanged registrations

Change: EndpointPool holds the endpoints of a pool by distance. Up to 64 are all compared, as before; of a larger pool a sample of 16 near and 16 farther ones, and all of them if none of the sample may be used or all are avoided. EndpointDecoder returns the same object for a registration of which only the sequence differs, and the list then leaves the directory alone.

--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -8,118 +8,40 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
 from random import Random
 
-from pumicedeck.platform_interfaces import LoadedModel
-from pumicedeck.topology import Address, FailureDomain
+from pumicedeck.endpoint_pools import EndpointPool, call_cost
+from pumicedeck.endpoint_states import (
+    LIMIT_RECHECK_SECONDS,
+    DirectEndpoint,
+    EndpointState,
+    SharedLimit,
+    version_in,
+)
+from pumicedeck.topology import FailureDomain
+
+__all__ = [
+    "LIMIT_RECHECK_SECONDS",
+    "DirectEndpoint",
+    "EndpointDirectory",
+    "EndpointState",
+    "SharedLimit",
+    "version_in",
+]
 
 FIRST_FAILURE_BACKOFF_SECONDS = 2.0
 REFUSAL_BACKOFF_SECONDS = 0.15
 # A lost connection alone does not show that the endpoint is down; the next call soon will.
 LOST_CONNECTIONS_BACKOFF_SECONDS = 0.3
 MAX_FAILURE_BACKOFF_SECONDS = 8.0
-# In calls per slot.
-OTHER_DOMAIN_COST = 0.35
-OTHER_REGION_COST = 1.5
-# A latency of 0.25 s, twice the usual latency, costs as much as one call per slot.
-COST_PER_SECOND = 4.0
-# A permit for a limited endpoint costs a call to the store; others are chosen until they are busy.
-LIMITED_COST = 1.0
-# After this time one is chosen like the others: its answer tells whether the limit still holds.
-LIMIT_RECHECK_SECONDS = 10.0
 LATENCY_SMOOTHING = 0.2
-LOAD_REPORT_MAX_AGE_SECONDS = 1.0
 # The oldest are forgotten first; a fleet replaces far fewer endpoints at a time.
 MAX_LEAVING_ENDPOINTS = 1000
 
 
-def version_in(models: tuple[LoadedModel, ...], model: str) -> int:
-    """Return the weight version of `model` among `models`, 0 if it is not among them."""
-    return next((each.version for each in models if each.model == model), 0)
-
-
-@dataclass(frozen=True, slots=True)
-class DirectEndpoint:
-    """An endpoint as it registered itself; `incarnation` changes when the endpoint restarts.
-
-    `software_version` names the software that it runs, unlike the versions of the weights in
-    `models`. Several may serve one pool at a time; they have no order.
-    """
-
-    name: str
-    pool: str
-    address: Address
-    failure_domain: FailureDomain
-    slots: int
-    draining: bool = False
-    incarnation: int = 0
-    models: tuple[LoadedModel, ...] = ()
-    software_version: str = ""
-
-    def version_of(self, model: str) -> int:
-        """Return the weight version of a model, 0 if the endpoint does not hold it."""
-        return version_in(self.models, model)
-
-
-@dataclass(slots=True)
-class EndpointState:
-    """What is known of an endpoint from calls to it; times in seconds of the injected clock.
-
-    `in_flight` counts the calls of this process, `latency` is the smoothed duration of calls, 0
-    before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
-    `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
-    `has_trial`, a trial call is open. It `may_have_restarted` if it has lost a connection since
-    its registration or its last report of its incarnation.
-
-    `request_limit` is how many requests per second the endpoint accepts from all gateways together,
-    None if it names none; it was named last at `limit_named_at`.
-
-    `order` numbers the endpoints of a directory in the order in which they were added.
-    """
-
-    endpoint: DirectEndpoint
-    in_flight: int = 0
-    reported_waiting: int = 0
-    reported_running: int = 0
-    reported_at: float = -1e9
-    latency: float = 0.0
-    failures: int = 0
-    avoid_until: float = 0.0
-    failed_at: float = -inf
-    needs_trial: bool = False
-    has_trial: bool = False
-    may_have_restarted: bool = False
-    request_limit: float | None = None
-    limit_named_at: float = -inf
-    order: int = 0
-
-    def is_avoided(self, now: float) -> bool:
-        """Return whether the endpoint is chosen last."""
-        return now < self.avoid_until or (self.needs_trial and self.has_trial)
-
-    def load(self, now: float) -> float:
-        """Return the number of calls per slot.
-
-        The calls are those of this process or, while its last report is at most
-        `LOAD_REPORT_MAX_AGE_SECONDS` old, those that the endpoint reported, if more.
-        """
-        calls = float(self.in_flight)
-        if now - self.reported_at < LOAD_REPORT_MAX_AGE_SECONDS:
-            calls = max(calls, self.reported_running + self.reported_waiting)
-        return calls / max(1, self.endpoint.slots)
-
-
-@dataclass(frozen=True, slots=True)
-class SharedLimit:
-    """The request limit, per second, of an endpoint's incarnation, as a gateway reported it."""
-
-    incarnation: int
-    limit: float
-
-
 @dataclass(slots=True)
 class EndpointDirectory:
     """All registered endpoints with their states; `home` is this process's failure domain.
@@ -137,6 +59,7 @@
     _states: dict[str, EndpointState] = field(default_factory=dict)
     _leaving_incarnations: OrderedDict[str, int] = field(default_factory=OrderedDict)
     _shared_limits: dict[str, SharedLimit] = field(default_factory=dict)
+    _pools: dict[str, EndpointPool] = field(default_factory=dict)
     _listeners: list[Callable[[str], None]] = field(default_factory=list)
     _added: int = 0
 
@@ -176,11 +99,19 @@
             if state is None:
                 self._added += 1
             order = self._added if state is None else state.order
-            self._states[endpoint.name] = EndpointState(endpoint, order=order)
+            if state is not None:
+                self._pools[state.endpoint.pool].remove(state)
+            state = self._states[endpoint.name] = EndpointState(endpoint, order=order)
+            self._pool(endpoint.pool).add(state)
             self._apply_shared_limit(endpoint.name, -inf)
             self._announce(endpoint.name)
-        elif known != endpoint:
+        elif known is not endpoint and known != endpoint:
+            stays = known.pool == endpoint.pool and known.failure_domain == endpoint.failure_domain
+            if not stays:
+                self._pools[known.pool].remove(state)
             state.endpoint = endpoint
+            if not stays:
+                self._pool(endpoint.pool).add(state)
             self._announce(endpoint.name)
 
     def is_leaving(self, endpoint: DirectEndpoint) -> bool:
@@ -260,13 +191,17 @@
 
     def remove(self, name: str) -> None:
         """Remove an endpoint."""
-        if self._states.pop(name, None) is not None:
+        state = self._states.pop(name, None)
+        if state is not None:
+            self._pools[state.endpoint.pool].remove(state)
             self._announce(name)
 
+    def _pool(self, name: str) -> EndpointPool:
+        return self._pools.setdefault(name, EndpointPool(self.home))
+
     def software_versions(self, pool: str) -> list[str]:
         """Return the software version of each endpoint of a pool, including draining ones."""
-        endpoints = (state.endpoint for state in self._states.values())
-        return [each.software_version for each in endpoints if each.pool == pool]
+        return [state.endpoint.software_version for state in self._pool(pool).states]
 
     def may_have_restarted(self, name: str) -> bool:
         """Return whether an endpoint has lost connections since its incarnation was confirmed."""
@@ -285,12 +220,15 @@
         """Return the endpoints of a pool that are not draining and that `may_use` allows."""
         return [
             state
-            for state in self._states.values()
-            if state.endpoint.pool == pool
-            and not state.endpoint.draining
-            and may_use(state.endpoint)
+            for state in self._pool(pool).states
+            if not state.endpoint.draining and may_use(state.endpoint)
         ]
 
+    def has_accepting(self, pool: str, may_use: Callable[[EndpointState], bool]) -> bool:
+        """Return whether a pool has an endpoint that is not draining and that `may_use` allows."""
+        states = self._pool(pool).states
+        return any(not state.endpoint.draining and may_use(state) for state in states)
+
     def choose(
         self,
         pool: str,
@@ -301,14 +239,39 @@
     ) -> EndpointState | None:
         """Return the endpoint of lowest cost that is not in `tried`, None if there is none.
 
+        In a large pool the endpoints of a sample are compared, or all if that has none to use.
+
         `expected_wait` returns for how many seconds a request to an endpoint with a request limit
         has to wait for a permit. Only endpoints that `may_use` allows are considered.
         """
-        accepting = self.accepting_endpoints(pool, may_use)
-        candidates = [state for state in accepting if state.endpoint.name not in tried]
+        sample = self._pool(pool).sample(self.random)
+        if sample is not None:
+            chosen = self._cheapest(sample, tried, now, expected_wait, may_use)
+            if chosen is not None and not chosen.is_avoided(now):
+                return chosen
+        return self._cheapest(self._pool(pool).states, tried, now, expected_wait, may_use)
+
+    def _cheapest(
+        self,
+        states: Iterable[EndpointState],
+        tried: tuple[str, ...],
+        now: float,
+        expected_wait: Callable[[str], float],
+        may_use: Callable[[DirectEndpoint], bool],
+    ) -> EndpointState | None:
+        candidates = [
+            state
+            for state in states
+            if not state.endpoint.draining
+            and may_use(state.endpoint)
+            and state.endpoint.name not in tried
+        ]
         if not candidates:
             return None
-        return min(candidates, key=lambda state: self._cost(state, now, expected_wait))
+        return min(
+            candidates,
+            key=lambda state: call_cost(state, self.home, now, expected_wait, self.random),
+        )
 
     def call_started(self, name: str) -> None:
         """Count a call in flight."""
@@ -394,27 +357,3 @@
         if state is not None and self.avoids_failed:
             state.avoid_until = max(state.avoid_until, now + REFUSAL_BACKOFF_SECONDS)
             self._announce(name)
-
-    def _cost(
-        self, state: EndpointState, now: float, expected_wait: Callable[[str], float]
-    ) -> tuple[bool, float]:
-        domain = state.endpoint.failure_domain
-        distance_cost = 0.0
-        if domain.region != self.home.region:
-            distance_cost = OTHER_REGION_COST
-        elif domain.name != self.home.name:
-            distance_cost = OTHER_DOMAIN_COST
-        latency_cost = state.latency * COST_PER_SECOND
-        limit_cost = 0.0
-        if state.request_limit is not None:
-            limit_cost = expected_wait(state.endpoint.name) * COST_PER_SECOND
-            if now - state.limit_named_at < LIMIT_RECHECK_SECONDS:
-                limit_cost += LIMITED_COST
-        return (
-            state.is_avoided(now),
-            distance_cost
-            + state.load(now)
-            + latency_cost
-            + limit_cost
-            + self.random.random() * 0.1,
-        )
--- a/pumicedeck/endpoint_lists.py
+++ b/pumicedeck/endpoint_lists.py
@@ -101,6 +101,8 @@
     def _update(self, endpoint: DirectEndpoint, changes: EndpointChanges) -> None:
         known = self._directory.state(endpoint.name)
         self._pending_removals.discard(endpoint.name)
+        if known is not None and known.endpoint is endpoint:
+            return
         self._directory.update(endpoint)
         if endpoint.draining and (known is None or not known.endpoint.draining):
             changes.draining.append(endpoint.name)
--- a/pumicedeck/endpoint_selections.py
+++ b/pumicedeck/endpoint_selections.py
@@ -58,7 +58,7 @@
 
     def has_endpoint(self, pool: str, may_use: Callable[[DirectEndpoint], bool]) -> bool:
         """Return whether `may_use` allows an endpoint of a pool that does not drain."""
-        return bool(self._directory.accepting_endpoints(pool, may_use))
+        return self._directory.has_accepting(pool, lambda state: may_use(state.endpoint))
 
     def _choose(
         self,
@@ -75,9 +75,11 @@
     def _has_unlimited(
         self, pool: str, excluded: tuple[str, ...], may_use: Callable[[DirectEndpoint], bool]
     ) -> bool:
-        return any(
-            state.request_limit is None and state.endpoint.name not in excluded
-            for state in self._directory.accepting_endpoints(pool, may_use)
+        return self._directory.has_accepting(
+            pool,
+            lambda state: state.request_limit is None
+            and state.endpoint.name not in excluded
+            and may_use(state.endpoint),
         )
 
     def _accepts(self, endpoint: DirectEndpoint) -> bool:
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -47,8 +47,8 @@
     OPERATOR_TABLE,
     ROUTES_KEY,
     VERSION_PREFIX,
+    EndpointDecoder,
     decode_announced_version,
-    decode_endpoint,
     decode_routes,
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
@@ -169,7 +169,7 @@
     endpoint_list = EndpointList(
         timers,
         directory,
-        lambda name, value: decode_endpoint(name, value, settings.regions),
+        EndpointDecoder(settings.regions).decode,
     )
     crashes = CrashReports(
         timers,
--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -1,6 +1,7 @@
 """Decodes the store rows of operators (routes), trainers (weight versions) and endpoints."""
 
 import json
+import re
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -26,6 +27,11 @@
 }
 _ENDPOINT_STATES = ("ready", "draining")
 
+# Within a text of a JSON document a quotation mark follows a backslash, so no text matches.
+_SEQUENCE = re.compile(rb'"seq": ?[0-9]+(?=[,}])')
+# More than any deployment has; names of replaced endpoints are not kept for ever.
+_MAX_KEPT_REGISTRATIONS = 10_000
+
 _log = logger.bind(module="platform.registrations")
 
 
@@ -95,6 +101,33 @@
         return None
 
 
+class EndpointDecoder:
+    """Decodes registrations; one that differs from the last only in its sequence costs little.
+
+    Each endpoint writes its registration about once a second, and each gateway reads all of them.
+    """
+
+    def __init__(self, regions: dict[str, str]) -> None:
+        """Create a decoder; `regions` maps failure domains to regions and does not change."""
+        self._regions = regions
+        self._last: dict[str, tuple[bytes, DirectEndpoint]] = {}
+
+    def decode(self, name: str, value: bytes) -> DirectEndpoint | None:
+        """Return the endpoint, the same object as before if nothing else has changed."""
+        content = _SEQUENCE.sub(b"", value)
+        last = self._last.get(name)
+        if last is not None and last[0] == content:
+            return last[1]
+        endpoint = decode_endpoint(name, value, self._regions)
+        if endpoint is None or len(content) == len(value):
+            self._last.pop(name, None)
+            return endpoint
+        if len(self._last) >= _MAX_KEPT_REGISTRATIONS:
+            self._last.clear()
+        self._last[name] = (content, endpoint)
+        return endpoint
+
+
 def decode_models(documents) -> tuple[LoadedModel, ...]:
     """Decode the models that an engine holds."""
     return tuple(LoadedModel(str(each["name"]), int(each["version"])) for each in documents)
--- a/trials/scheduler_passes.py
+++ b/trials/scheduler_passes.py
@@ -13,8 +13,11 @@
 
 from loguru import logger
 
+from pumicedeck.clocks import VirtualTime
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
-from pumicedeck.platform.registrations import decode_endpoint
+from pumicedeck.endpoint_lists import EndpointList
+from pumicedeck.partitioned_stores import RowKey, StoredRow
+from pumicedeck.platform.registrations import EndpointDecoder
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.scheduling.item_placements import assign_items
 from pumicedeck.scheduling.item_queues import EngineView, QueuedItem
@@ -156,13 +159,14 @@
     for _ in range(rounds):
         own.call_started(own.choose("engines", (), 1.0).endpoint.name)
     choice = (perf_counter() - start) / rounds
+    registrations = EndpointList(VirtualTime(), own, EndpointDecoder({"a": "r"}).decode)
     rows = [registration_row(n, 1) for n in range(engines)]
     for n, name in enumerate(names):
-        own.update(decode_endpoint(name, rows[n], {}))
+        registrations.apply((StoredRow(RowKey("t", "p", name), rows[n], 1),), False)
     rows = [registration_row(n, 2) for n in range(engines)]
     start = perf_counter()
     for n, name in enumerate(names):
-        own.update(decode_endpoint(name, rows[n], {}))
+        registrations.apply((StoredRow(RowKey("t", "p", name), rows[n], 1),), False)
     registration = (perf_counter() - start) / engines
     print(f"  a choice {1e6 * choice:.1f} µs, a registration {1e6 * registration:.1f} µs")
 
