Let a pass in parts give way to the loop; export a constant of endpoints again

Cause: a callback that schedules itself at once had its turn in the same run of the timers, so parts of a pass ran one after the other without a read of the sockets. Change: a run of the timers takes those that were due when it began. The constant is exported; the benchmark prints the cost of the scheduler's own work by kind.

--- a/pumicedeck/clocks.py
+++ b/pumicedeck/clocks.py
@@ -63,9 +63,14 @@
         return self._heap[0][0]
 
     def run_due(self) -> int:
-        """Run every timer whose scheduled time has come and return how many ran."""
+        """Run every timer whose scheduled time has come and return how many ran.
+
+        Timers that come due in the meantime wait for the next call. A callback that schedules
+        itself again at once would otherwise keep the loop from reading its sockets.
+        """
         ran_count = 0
-        while (due := self.next_due()) is not None and due <= self.now():
+        now = self.now()
+        while (due := self.next_due()) is not None and due <= now:
             timer = heapq.heappop(self._heap)[2]
             timer.callback()
             ran_count += 1
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -16,6 +16,7 @@
 from pumicedeck.endpoint_pools import EndpointPool, call_cost
 from pumicedeck.endpoint_states import (
     LIMIT_RECHECK_SECONDS,
+    LOAD_REPORT_MAX_AGE_SECONDS,
     DirectEndpoint,
     EndpointState,
     SharedLimit,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "LIMIT_RECHECK_SECONDS",
+    "LOAD_REPORT_MAX_AGE_SECONDS",
     "DirectEndpoint",
     "EndpointDirectory",
     "EndpointState",
--- a/pumicedeck/tests/test_clocks.py
+++ b/pumicedeck/tests/test_clocks.py
@@ -1,6 +1,6 @@
 """Tests of the timer queue in virtual time."""
 
-from pumicedeck.clocks import COMPACT_SLACK_TIMERS, VirtualTime
+from pumicedeck.clocks import COMPACT_SLACK_TIMERS, TimerQueue, VirtualTime
 
 
 def test_timers_run_in_order_of_time_and_a_cancelled_one_does_not_run() -> None:
@@ -32,3 +32,18 @@
     assert len(time._heap) <= COMPACT_SLACK_TIMERS + 2
     time.run_until(200.0)
     assert ran == [1]
+
+
+def test_a_callback_that_schedules_itself_at_once_gives_way_to_the_loop():
+    """Guards against a pass in parts that keeps the loop from reading its sockets to its end."""
+    seconds = iter(range(1000))
+    timers = TimerQueue(lambda: float(next(seconds)))
+    runs = []
+
+    def run():
+        runs.append(True)
+        timers.call_later(0.0, run)
+
+    timers.call_later(0.0, run)
+    assert timers.run_due() == 1 and len(runs) == 1
+    assert timers.run_due() == 1 and len(runs) == 2
--- a/trials/scheduler_passes.py
+++ b/trials/scheduler_passes.py
@@ -1,10 +1,11 @@
 """Prints what the parts of a scheduler's pass and of a gateway's work for endpoints cost.
 
-Use: python trials/scheduler_passes.py [ENGINES ...] [--profile]
+Use: python trials/scheduler_passes.py [ENGINES ...] [--profile] [--no-gc]
 Everything runs in this process: real decisions, stand-ins for store and engines, virtual time.
 """
 
 import cProfile
+import gc
 import json
 import pstats
 import sys
@@ -21,6 +22,7 @@
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.scheduling.item_placements import assign_items
 from pumicedeck.scheduling.item_queues import EngineView, QueuedItem
+from pumicedeck.scheduling.item_runs import ItemRun
 from pumicedeck.tests.reference_placements import assign_items as reference_assign_items
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
 from pumicedeck.topology import Address, FailureDomain
@@ -74,10 +76,10 @@
         self.reset()
         method = getattr(owner, name)
 
-        def timed(*arguments):
+        def timed(*arguments, **options):
             start = thread_time()
             try:
-                return method(*arguments)
+                return method(*arguments, **options)
             finally:
                 seconds = thread_time() - start
                 self.count += 1
@@ -85,6 +87,7 @@
                 self.longest = max(self.longest, seconds)
 
         setattr(owner, name, timed)
+        self.restore = lambda: setattr(owner, name, method)
 
     def reset(self):
         """Begin anew."""
@@ -93,15 +96,25 @@
 
     def __str__(self):
         """Return the figures as text."""
-        return f"{self.count} in {self.total:.2f} s, longest {1000 * self.longest:.1f} ms"
+        each = 1e6 * self.total / max(1, self.count)
+        longest = 1000 * self.longest
+        return f"{self.count} in {self.total:.2f} s, {each:.0f} µs each, longest {longest:.1f} ms"
 
 
 def scheduler(engines, profiled):
     """Print the processor time of a step that fills all slots, with as many items again waiting."""
     simulation = SchedulerSimulation(engines=engines, slots=SLOTS, processes=1)
     process = simulation.processes[0]
-    passes = Figures(process.scheduler, "_schedule")
-    plans = Figures(process.scheduler, "_plan_weights")
+    own = process.scheduler
+    own_work = {
+        "passes": Figures(own, "_schedule"),
+        "of these, weight plans": Figures(own, "_plan_weights"),
+        "choices for an item": Figures(own._fleet, "choose"),
+        "starts of an item": Figures(own, "_start"),
+        "views of an engine": Figures(own._fleet, "_view"),
+        "looks at the runs of a part": Figures(own, "_end_stalled"),
+        "events of a run": Figures(ItemRun, "_on_bytes"),
+    }
     profile = cProfile.Profile() if profiled else None
     random = Random(1)
     for number in range(2 * engines // GROUPS):
@@ -111,16 +124,14 @@
         profile.enable()
     print(f"  while {2 * engines // GROUPS} steps of {GROUPS * SLOTS} items came, 0.1 s apart:")
     for second in range(3):
-        print(
-            f"  {process.scheduler.running_items} items run;"
-            f" passes: {passes}; weight plans among them: {plans}"
-        )
-        passes.reset()
-        plans.reset()
-        start = thread_time()
+        print(f"  {process.scheduler.running_items} items run")
+        for name, figures in own_work.items():
+            print(f"    {name}: {figures}")
+            figures.reset()
         if second < 2:
             simulation.run(1.0)
-            print(f"  second {second + 1}: {thread_time() - start:.2f} s with the stand-ins")
+            print(f"  second {second + 1}:")
+    own_work["events of a run"].restore()
     if profile is not None:
         profile.disable()
         pstats.Stats(profile).sort_stats("tottime").print_stats(25)
@@ -174,6 +185,8 @@
 def main():
     """Print the figures of each number of engines."""
     logger.remove()
+    if "--no-gc" in sys.argv:
+        gc.disable()
     sizes = [int(each) for each in sys.argv[1:] if each.isdigit()] or [100, 300, 1000, 3000]
     for engines in sizes:
         print(f"{engines} engines of {SLOTS} slots, {2 * SLOTS * engines} items")
