Let a base version hold from a time on; begin no stream whose version nobody could tell

Cause: a stream without a record counts as begun at the base version, but such streams also began at other versions while the store was away: before the pool had a row, and when no endpoint of the base was left. If the base was written, returned or changed later, gateways took them for streams of the base. The base also passed to another version in one step, while a gateway that was cut off from the store could still begin streams at the former one, without a record.

Change: once a version has had no endpoint for 10 s while others had, it has left. A base that has left is taken out of the row together with the time; without a base each stream needs a record, and one without is refused (code 214), so that streams may begin without one if the store is away. 600 s later, when none of them can be resumed, another version becomes the base. Until the base has left, no stream begins at another version without its record. A gateway that has not heard from the store for 60 s begins none at the base either, and one whose feed is behind reads the row before it names a base. Records of a version that left are looked for until its streams have ended.

Tests: test_a_stream_begins_without_a_record_only_if_no_base_endpoint_is_left expected such streams 0.5 s after the base's last endpoint was gone; that let them join the base's output once it returned (test_a_stream_begun_without_a_record_is_not_taken_for_one_of_a_base_that_returns). It expects them refused until the base has left now, and checks that they are never resumed.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -291,6 +291,7 @@
         pools=lambda: gateway.routes.resumable_pools if gateway.routes is not None else (),
         last_contact_at=lambda: work_feed.last_contact_at,
         sweeps=lambda: scheduler.is_active,
+        endpoints_known_at=lambda: endpoint_feed.last_contact_at,
     )
     recorded_contact_at = 0.0
 
--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -4,6 +4,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from hashlib import sha256
+from math import inf
 from random import Random
 
 from loguru import logger
@@ -28,7 +29,9 @@
     StreamVersionSettings,
     announce_versions,
     decode_pool_versions,
-    retire_versions,
+    leave_versions,
+    may_omit_record,
+    settle_versions,
 )
 from pumicedeck.tasks import Promise, sleep, spawn, within
 from pumicedeck.work_mirrors import SOFTWARE_PARTITION, WORK_TABLE
@@ -49,6 +52,12 @@
 
 _log = logger.bind(module="stream_records")
 
+_NOBODY_KNOWS = Failure(
+    ResultCode.STREAM_VERSION_GONE,
+    "no record names the version that began the stream, and the pool has no base version",
+    retry_after=0.0,
+    proven_not_run=True,
+)
 _READ_TIMED_OUT = Failure(ResultCode.STORE_UNAVAILABLE, "the store did not answer in time")
 
 
@@ -66,11 +75,13 @@
         pools: Callable[[], Iterable[str]],
         last_contact_at: Callable[[], float],
         sweeps: Callable[[], bool],
+        endpoints_known_at: Callable[[], float] = lambda: inf,
     ) -> None:
         """Announce the versions of `pools`, whose streams callers may resume.
 
         `last_contact_at` returns when the rows given to `apply` were complete, on the process's
-        clock. Old rows are removed while `sweeps` is True.
+        clock, `endpoints_known_at` the same for `directory`. Old rows are removed while `sweeps`
+        is True.
         """
         self._timers = timers
         self._store = store
@@ -81,9 +92,11 @@
         self._get_pools = pools
         self._last_contact_at = last_contact_at
         self._sweeps = sweeps
+        self._endpoints_known_at = endpoints_known_at
         self._known: dict[str, PoolKnowledge] = {}
         self._revisions: dict[str, int] = {}
-        self._registered_at: dict[tuple[str, str], float] = {}
+        # Records outlive the time in which a pool has several versions.
+        self._has_records = False
         self._own_streams: OrderedDict[str, str] = OrderedDict()
 
     @property
@@ -92,6 +105,12 @@
         staleness = self._timers.now() - self._last_contact_at()
         return staleness <= self._settings.max_staleness_seconds
 
+    @property
+    def _knows_base(self) -> bool:
+        """Return whether streams that begin at the known base end before another one holds."""
+        staleness = self._timers.now() - self._last_contact_at()
+        return staleness <= self._settings.max_base_age_seconds
+
     def start(self) -> None:
         """Announce versions as they register, and remove old rows at regular intervals."""
         spawn(self._announce_periodically(), "software versions")
@@ -131,11 +150,14 @@
     def is_base(self, pool: str, version: str) -> bool:
         """Return whether a stream without a record counts as begun at a version."""
         known = self._known.get(pool)
-        return known is not None and known.versions.base == version
+        return known is not None and self._knows_base and known.versions.base == version
 
-    def has_base_endpoint(self, pool: str) -> bool:
-        """Return whether an endpoint of the pool's base version is registered."""
-        return any(self.is_base(pool, each) for each in self._directory.software_versions(pool))
+    def may_omit_record(self, pool: str) -> bool:
+        """Return whether a stream may begin although its record cannot be written."""
+        known = self._known.get(pool)
+        if known is None or not self._knows_base:
+            return False
+        return may_omit_record(known.versions, self._clock.now(), self._settings)
 
     def remember(self, stream_id: str, version: str) -> None:
         """Remember the version of a stream of which a caller of this gateway got something."""
@@ -147,7 +169,11 @@
             self._own_streams.popitem(last=False)
 
     async def find(self, stream_id: str, pool: str) -> Result[str, Failure]:
-        """Return the version that began a stream; STREAM_VERSION_UNKNOWN if nobody can tell now."""
+        """Return the version that began a stream.
+
+        Fails with STREAM_VERSION_UNKNOWN if it cannot be read now, STREAM_VERSION_GONE if nobody
+        will ever know it.
+        """
         own = self._own_streams.get(stream_id)
         if own is not None:
             return Ok(own)
@@ -161,9 +187,15 @@
             return _unknown(read.err_value.detail)
         if read.ok_value is not None:
             return Ok(read.ok_value[0])
+        if not self._is_fresh:
+            versions_read = await self._read_versions(pool)
+            if isinstance(versions_read, Err):
+                return _unknown(versions_read.err_value.detail)
         known = self._known.get(pool)
         if known is None:
             return _unknown("the versions of the pool have not been read yet")
+        if not known.versions.base:
+            return Err(_NOBODY_KNOWS)
         return Ok(known.versions.base)
 
     def _has_only(self, pool: str, versions: PoolVersions) -> bool:
@@ -250,72 +282,49 @@
         while True:
             await sleep(self._timers, CHECK_SECONDS)
             for pool in self._get_pools():
-                if self._unannounced(pool):
+                if self._next_versions(pool) is not None:
                     await self._announce(pool)
 
-    def _unannounced(self, pool: str) -> set[str]:
+    def _next_versions(self, pool: str) -> PoolVersions | None:
+        """Return what the row of a pool should say, None if it says so or nobody can tell."""
+        registered = Counter(self._directory.software_versions(pool))
         known = self._known.get(pool)
-        announced = known.versions.announced if known is not None else frozenset()
-        return set(self._directory.software_versions(pool)) - announced
+        if known is None:
+            return announce_versions(None, registered) if registered else None
+        versions = announce_versions(known.versions, registered)
+        seen_ago = self._timers.now() - self._endpoints_known_at()
+        if seen_ago > self._settings.max_staleness_seconds or not self._clock.is_set:
+            registered = Counter()
+        left = known.observe(registered, self._timers.now(), self._settings)
+        versions = leave_versions(versions, left, self._clock.now())
+        versions = settle_versions(versions, registered, self._clock.now(), self._settings)
+        return versions if versions != known.versions else None
 
     async def _announce(self, pool: str) -> None:
-        """Add the registered versions of a pool to its row, unless another gateway does."""
+        """Change the row of a pool to what it should say, unless another gateway does."""
         delay = self._random.random() * MAX_ANNOUNCEMENT_DELAY_SECONDS
         await sleep(self._timers, delay)
-        if not self._unannounced(pool):
-            return
-        known = self._known.get(pool)
-        registered = Counter(self._directory.software_versions(pool))
-        versions = announce_versions(known.versions if known is not None else None, registered)
-        # A conflict means that another gateway was first; its row arrives by the feed.
-        await self._write_versions(pool, versions)
+        versions = self._next_versions(pool)
+        if versions is not None:
+            # A conflict means that another gateway was first; its row arrives by the feed.
+            await self._write_versions(pool, versions)
 
     async def _sweep_periodically(self) -> None:
         while True:
             await sleep(self._timers, SWEEP_SECONDS)
-            self._note_registered()
-            if not self._sweeps():
-                continue
-            if any(not known.versions.has_one for known in self._known.values()):
+            has_several = any(not known.versions.has_one for known in self._known.values())
+            if self._sweeps() and (has_several or self._has_records):
                 await self._sweep_records()
-            for pool in tuple(self._known):
-                await self._retire(pool)
-
-    def _note_registered(self) -> None:
-        """Note which versions have endpoints now."""
-        now = self._timers.now()
-        for pool, known in self._known.items():
-            registered = set(self._directory.software_versions(pool))
-            for version in known.versions.announced:
-                if version in registered or (pool, version) not in self._registered_at:
-                    self._registered_at[pool, version] = now
-
-    async def _retire(self, pool: str) -> None:
-        """Remove the versions of a pool that have had no endpoint for a long time."""
-        known = self._known[pool].versions
-        oldest = self._timers.now() - self._settings.retired_seconds
-        recent = {v for v in known.announced if self._registered_at.get((pool, v), 0.0) > oldest}
-        versions = retire_versions(known, recent)
-        if versions == known:
-            return
-        row = RowKey(WORK_TABLE, SOFTWARE_PARTITION, pool)
-        expected = Expectation(row, self._revisions.get(pool, 0))
-        written = await self._store.commit(Change((expected,), (Put(row, versions.encode()),)))
-        _log.info(
-            "software versions retired",
-            pool=pool,
-            base=versions.base,
-            versions=sorted(versions.announced),
-            written=isinstance(written, Ok),
-        )
 
     async def _sweep_records(self) -> None:
         """Remove the records of streams that have ended long ago."""
+        self._has_records = False
         oldest = self._clock.now() - self._settings.retired_seconds
         for number in range(STREAM_PARTITIONS):
             found = await read_partition(self._store, STREAMS_TABLE, _partition(number))
             if isinstance(found, Err):
                 return
+            self._has_records = self._has_records or bool(found.ok_value)
             old = [r for r in found.ok_value if r.value and json.loads(r.value)["at"] < oldest]
             for at in range(0, len(old), ROWS_PER_CHANGE):
                 puts = tuple(Put(each.row, None) for each in old[at : at + ROWS_PER_CHANGE])
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -98,7 +98,10 @@
         if isinstance(found, Ok):
             self._software = found.ok_value
             return True
-        failure, retry_after = found.err_value, self._settings.retry_after_seconds
+        failure = found.err_value
+        retry_after = failure.retry_after
+        if retry_after is None:
+            retry_after = self._settings.retry_after_seconds
         self._call_attempts.refuse(self._incoming, self._call, failure, retry_after)
         return False
 
@@ -124,10 +127,9 @@
         self._attempts.last_failure = replace(recorded.err_value, proven_not_run=True)
         if self._origin.is_uncertain:
             return None
-        if not self._records.has_base_endpoint(self._pool):
-            # A gateway that resumes it expects the base version, and refuses it: none is left.
+        if self._records.may_omit_record(self._pool):
             return endpoint
-        return await self._select(
+        return await self._select_unchanged(
             lambda each: self._records.is_base(self._pool, each.software_version)
         )
 
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -9,7 +9,7 @@
 
 from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
 from pumicedeck.stream_records import STREAMS_TABLE
-from pumicedeck.stream_versions import decode_pool_versions
+from pumicedeck.stream_versions import StreamVersionSettings, decode_pool_versions
 from pumicedeck.tests.stream_fixtures import StreamFixture
 from pumicedeck.work_mirrors import SOFTWARE_PARTITION, WORK_TABLE
 
@@ -268,9 +268,29 @@
     gone.unregister()
     fixture.run(0.5)
     fixture.standin.faults.down = True
+    early = fixture.begin(count=3)
+    fixture.run(0.5)
+    # The base may return, and gateways would take these streams for its own.
+    assert all(caller.status == 503 and not caller.events for caller in early)
+    fixture.standin.faults.down = False
+    fixture.run(StreamVersionSettings().left_seconds + 4.5)
+    assert fixture.base() == ""
+    fixture.standin.faults.down = True
     callers = fixture.begin(count=3)
     fixture.run(2.0)
     assert fixture.completed(callers) == 3
+    # Once it has left, gateways refuse them instead, whatever returns.
+    fixture.standin.faults.down = False
+    fixture.add_endpoint(gone.name, base, gone.incarnation + 1)
+    late = fixture.begin(count=3)
+    fixture.run(0.3)
+    for caller in callers:
+        caller.events = caller.events[:5]
+        caller.send(fixture.add_gateway(f"front-{caller.name}"))
+    fixture.run(2.0)
+    assert all(caller.status == 503 and b'"code": 214' in caller.answer for caller in callers)
+    fixture.check()
+    assert fixture.completed(late) == 3
 
 
 @pytest.mark.parametrize("fault", ["lost_replies", "late_commits"])
