Say that a version is gone only once the list of endpoints was read

Cause: a gateway that had just started and knew the version of a stream, but no endpoint yet, refused the stream with code 214, after which its caller discards what it has and begins anew.

Change: without the list of endpoints the refusal names no endpoint, with the usual Retry-After, so that the caller resumes the stream.

--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -152,6 +152,11 @@
         known = self._known.get(pool)
         return known is not None and self._knows_base and known.versions.base == version
 
+    @property
+    def knows_endpoints(self) -> bool:
+        """Return whether the list of endpoints was read, so that a missing version is gone."""
+        return self._endpoints_known_at() >= 0.0
+
     def may_omit_record(self, pool: str) -> bool:
         """Return whether a stream may begin although its record cannot be written."""
         known = self._known.get(pool)
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -308,6 +308,6 @@
     def _is_version_gone(self) -> bool:
         """Return whether the stream can never go on."""
         software = self._software
-        if software is None:
+        if software is None or not self._records.knows_endpoints:
             return False
         return not self._call_attempts.has_endpoint(self._pool, self._runs_software(software))
