Count resumable streams whose answers are held like other calls

The merge had left out the count of requests that begin; the time in which an endpoint confirms its incarnation is passed through the same function now.

--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -188,9 +188,10 @@
         silence_seconds: float,
         on_head: Callable[[HttpResponse, AnswerHead], None] | None = None,
         on_chunk: Callable[[bytes], None] | None = None,
+        confirmation_seconds: float | None = None,
     ) -> Result[CompleteAnswer, Failure]:
         """Send a call as `EndpointCaller.call` does; count the request once if it begins there."""
-        send = self._endpoint_caller.call
+        send = partial(self._endpoint_caller.call, confirmation_seconds=confirmation_seconds)
         if self._beginnings is not None and call.account and not attempts.is_counted:
             send = partial(self._beginnings.call, attempts, send)
         return await send(call, endpoint, seconds, silence_seconds, on_head, on_chunk)
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -251,7 +251,8 @@
                     self._records.remember(self._stream_id, endpoint.software_version)
                 self._call_attempts.send_stream_head(self._incoming, self._call, response)
 
-        return await self._call_attempts.endpoint_caller.call(
+        return await self._call_attempts.call(
+            self._attempts,
             call,
             endpoint,
             seconds_left,
