--- a/pumicedeck/results.py
+++ b/pumicedeck/results.py
@@ -121,7 +121,7 @@
         _NOT, 503, 3, "Several endpoints ended while they ran this request."
     ),
     ResultCode.STREAM_VERSION_GONE: CodeInfo(
-        _NOT, 503, 3, "No endpoint runs the software version that began the stream; begin anew."
+        _NOT, 503, 3, "No endpoint is known to run the version that began the stream; begin anew."
     ),
     ResultCode.STREAM_VERSION_UNKNOWN: CodeInfo(
         _NOT, 503, 3, "The software version that began the stream cannot be read now."
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -179,7 +179,9 @@
 
         for may_use in (self._runs_software(self._origin.recorded_version), may_begin):
             if self._call_attempts.has_endpoint(self._pool, may_use):
-                return await self._select_unchanged(may_use)
+                endpoint = await self._select_unchanged(may_use)
+                if endpoint is not None:
+                    return endpoint
         return await self._select_unchanged(lambda endpoint: True)
 
     async def _select(self, may_use: Callable[[DirectEndpoint], bool]) -> DirectEndpoint | None:
