--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -48,8 +48,8 @@
     OPERATOR_TABLE,
     ROUTES_KEY,
     VERSION_PREFIX,
+    EndpointDecoder,
     decode_announced_version,
-    decode_endpoint,
     decode_routes,
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
@@ -170,7 +170,7 @@
     endpoint_list = EndpointList(
         timers,
         directory,
-        lambda name, value: decode_endpoint(name, value, settings.regions),
+        EndpointDecoder(settings.regions).decode,
     )
     crashes = CrashReports(
         timers,
@@ -304,6 +304,7 @@
         pools=lambda: gateway.routes.resumable_pools if gateway.routes is not None else (),
         last_contact_at=lambda: work_feed.last_contact_at,
         sweeps=lambda: scheduler.is_active,
+        endpoints_known_at=lambda: endpoint_feed.last_contact_at,
     )
     recorded_contact_at = 0.0
 
