--- a/trials/scheduler_passes.py
+++ b/trials/scheduler_passes.py
@@ -1,6 +1,6 @@
 """Prints what the parts of a scheduler's pass and of a gateway's work for endpoints cost.
 
-Use: python trials/scheduler_passes.py [ENGINES ...] [--profile] [--no-gc]
+Use: python trials/scheduler_passes.py [ENGINES ...] [--long] [--profile] [--no-gc]
 Everything runs in this process: real decisions, stand-ins for store and engines, virtual time.
 """
 
@@ -101,7 +101,7 @@
         return f"{self.count} in {self.total:.2f} s, {each:.0f} µs each, longest {longest:.1f} ms"
 
 
-def scheduler(engines, profiled):
+def scheduler(engines, profiled, events):
     """Print the processor time of a step that fills all slots, with as many items again waiting."""
     simulation = SchedulerSimulation(engines=engines, slots=SLOTS, processes=1)
     process = simulation.processes[0]
@@ -118,7 +118,7 @@
     profile = cProfile.Profile() if profiled else None
     random = Random(1)
     for number in range(2 * engines // GROUPS):
-        lengths = [[random.randint(20, 60) for _ in range(SLOTS)] for _ in range(GROUPS)]
+        lengths = [[random.randint(*events) for _ in range(SLOTS)] for _ in range(GROUPS)]
         simulation.submit(process, lengths, f"s{number}")
     if profile is not None:
         profile.enable()
@@ -197,7 +197,9 @@
                 times.append(f"every engine {1000 * seconds:.1f} ms")
             print(f"  placing {SLOTS * engines} items, {free_slots} free slots: {', '.join(times)}")
         directory(engines)
-        scheduler(engines, "--profile" in sys.argv)
+        # Long items keep all slots busy while as many items again wait.
+        events = (180, 220) if "--long" in sys.argv else (20, 60)
+        scheduler(engines, "--profile" in sys.argv, events)
 
 
 if __name__ == "__main__":
