--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -107,7 +107,7 @@
         waited = round(self._timers.now() - incoming.arrived_at, 3)
         _log.info(
             "refused",
-            request=call.request_id,
+            **call.log_fields,
             code=failure.code.name,
             detail=failure.detail,
             status=status,
@@ -188,9 +188,10 @@
         silence_seconds: float,
         on_head: Callable[[HttpResponse, AnswerHead], None] | None = None,
         on_chunk: Callable[[bytes], None] | None = None,
+        confirmation_seconds: float | None = None,
     ) -> Result[CompleteAnswer, Failure]:
         """Send a call as `EndpointCaller.call` does; count the request once if it begins there."""
-        send = self._endpoint_caller.call
+        send = partial(self._endpoint_caller.call, confirmation_seconds=confirmation_seconds)
         if self._beginnings is not None and call.account and not attempts.is_counted:
             send = partial(self._beginnings.call, attempts, send)
         return await send(call, endpoint, seconds, silence_seconds, on_head, on_chunk)
@@ -214,7 +215,7 @@
         if outcome is not Outcome.SERVED:
             _log.info(
                 "attempt failed",
-                request=call.request_id,
+                **call.log_fields,
                 endpoint=endpoint.name,
                 attempt=len(attempts.tried),
                 outcome=outcome.value,
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -206,15 +206,26 @@
         return [state.endpoint.software_version for state in self._pool(pool).states]
 
     def may_have_restarted(self, name: str) -> bool:
-        """Return whether an endpoint has lost connections since its incarnation was confirmed."""
+        """Return whether an incarnation is unconfirmed, or has lost connections since it was."""
         state = self._states.get(name)
-        return state is not None and state.may_have_restarted
+        return state is not None and (state.may_have_restarted or state.confirmed_at == -inf)
 
-    def confirm_incarnation(self, endpoint: DirectEndpoint) -> None:
-        """Record that an endpoint has not restarted since it registered."""
-        state = self._states.get(endpoint.name)
-        if state is not None and state.endpoint.incarnation == endpoint.incarnation:
+    def confirm_incarnation(self, endpoint: DirectEndpoint, at: float) -> None:
+        """Record that at a time an endpoint had not restarted since it registered."""
+        if self.is_incarnation(endpoint.name, endpoint.incarnation):
+            state = self._states[endpoint.name]
             state.may_have_restarted = False
+            state.confirmed_at = max(state.confirmed_at, at)
+
+    def record_unconfirmed(self, name: str) -> None:
+        """Record that an endpoint may have restarted since it registered."""
+        if name in self._states:
+            self._states[name].may_have_restarted = True
+
+    def is_confirmed(self, endpoint: DirectEndpoint, opened_at: float) -> bool:
+        """Return whether a connection opened at a time leads to the registered incarnation."""
+        is_registered = self.is_incarnation(endpoint.name, endpoint.incarnation)
+        return is_registered and opened_at <= self._states[endpoint.name].confirmed_at
 
     def accepting_endpoints(
         self, pool: str, may_use: Callable[[DirectEndpoint], bool] = lambda endpoint: True
--- a/pumicedeck/endpoint_states.py
+++ b/pumicedeck/endpoint_states.py
@@ -47,7 +47,8 @@
     before the first, and until `avoid_until` the endpoint is chosen last; its last failure was at
     `failed_at`. An endpoint that has not answered since it lost a connection `needs_trial`; while
     `has_trial`, a trial call is open. It `may_have_restarted` if it has lost a connection since
-    its registration or its last report of its incarnation.
+    its registration or its last report of its incarnation. Connections that were open at
+    `confirmed_at` lead to the registered incarnation.
 
     `request_limit` is how many requests per second the endpoint accepts from all gateways together,
     None if it names none; it was named last at `limit_named_at`.
@@ -67,6 +68,7 @@
     needs_trial: bool = False
     has_trial: bool = False
     may_have_restarted: bool = False
+    confirmed_at: float = -inf
     request_limit: float | None = None
     limit_named_at: float = -inf
     order: int = 0
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.accounts.call_identifiers import CallIdentifier
+from pumicedeck.accounts.identities import Identity
 from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_attempts import CallAttempts
 from pumicedeck.call_forwarders import CallForwarder
@@ -303,6 +304,7 @@
         pools=lambda: gateway.routes.resumable_pools if gateway.routes is not None else (),
         last_contact_at=lambda: work_feed.last_contact_at,
         sweeps=lambda: scheduler.is_active,
+        endpoints_known_at=lambda: endpoint_feed.last_contact_at,
     )
     recorded_contact_at = 0.0
 
@@ -388,7 +390,11 @@
             work_feed=work_feed,
             record_store_contact=record_store_contact,
             caller_dialect=dialect,
-            identifier=CallIdentifier(dialect, lambda: timers.now() - operator_feed.confirmed_at),
+            identifier=CallIdentifier(
+                dialect,
+                lambda: timers.now() - operator_feed.confirmed_at,
+                Identity(settings.accounts.max_configuration_age_seconds),
+            ),
             submission_dialect=PlatformSubmissionDialect(),
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -23,7 +23,8 @@
 from pumicedeck.request_fingerprints import fingerprint_request
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import Route, choose_pool
-from pumicedeck.stream_records import StreamOrigin, StreamRecords
+from pumicedeck.stream_origins import StreamOrigin
+from pumicedeck.stream_records import StreamRecords
 from pumicedeck.tasks import sleep
 
 _log = logger.bind(module="stream_relays")
@@ -97,14 +98,18 @@
         if isinstance(found, Ok):
             self._software = found.ok_value
             return True
-        failure, retry_after = found.err_value, self._settings.retry_after_seconds
+        failure = found.err_value
+        retry_after = failure.retry_after
+        if retry_after is None:
+            retry_after = self._settings.retry_after_seconds
         self._call_attempts.refuse(self._incoming, self._call, failure, retry_after)
         return False
 
     async def _choose_endpoint(self) -> DirectEndpoint | None:
         """Return an endpoint at which the stream may begin or go on, None if there is none."""
         if self._software is not None:
-            return await self._select_unchanged(self._software)
+            has_several = self._records.has_several(self._pool)
+            return await self._select_unchanged(self._runs_software(self._software), has_several)
         if not self._route.resumable:
             return await self._select(lambda endpoint: True)
         endpoint = await self._select_beginning()
@@ -115,50 +120,51 @@
             return endpoint
         _log.warning(
             "stream version not recorded",
-            request=self._call.request_id,
+            **self._call.log_fields,
             software=endpoint.software_version,
             detail=recorded.err_value.detail,
         )
         self._attempts.last_failure = replace(recorded.err_value, proven_not_run=True)
         if self._origin.is_uncertain:
             return None
-        if not self._records.has_base_endpoint(self._pool):
-            # A gateway that resumes it expects the base version, and refuses it: none is left.
+        if self._records.may_omit_record(self._pool):
             return endpoint
-        return await self._select(
+        return await self._select_unchanged(
             lambda each: self._records.is_base(self._pool, each.software_version)
         )
 
-    async def _select_unchanged(self, software: str) -> DirectEndpoint | None:
-        """Return an endpoint that runs a version and has not restarted since it registered.
+    async def _select_unchanged(
+        self, may_use: Callable[[DirectEndpoint], bool], asks_all: bool = False
+    ) -> DirectEndpoint | None:
+        """Return an endpoint that has not restarted since it registered.
+
+        With `asks_all` each endpoint is asked, else those that may have restarted.
 
         An endpoint may come back under its name with other software, and accept requests before its
         new registration is known here.
         """
         restarted: set[tuple[str, int]] = set()
 
-        def may_use(each: DirectEndpoint) -> bool:
-            return each.software_version == software and (
-                (each.name, each.incarnation) not in restarted
-            )
+        def is_unchanged(each: DirectEndpoint) -> bool:
+            return may_use(each) and (each.name, each.incarnation) not in restarted
 
         caller = self._call_attempts.endpoint_caller
         while True:
-            endpoint = await self._select(may_use)
+            endpoint = await self._select(is_unchanged)
             if endpoint is None:
                 return None
-            is_suspect = self._records.has_several(self._pool) or caller.may_have_restarted(
-                endpoint
-            )
-            seconds = self._settings.restart_question_seconds
-            if not is_suspect or not await caller.has_restarted(endpoint, seconds):
+            is_suspect = asks_all or caller.may_have_restarted(endpoint)
+            seconds = self._confirmation_seconds(endpoint)
+            if seconds is None or not is_suspect:
+                return endpoint
+            if not await caller.has_restarted(endpoint, seconds):
                 return endpoint
             restarted.add((endpoint.name, endpoint.incarnation))
             _log.info(
-                "endpoint has restarted; the stream does not go on there",
-                request=self._call.request_id,
+                "endpoint has restarted; the stream does not go to it",
+                **self._call.log_fields,
                 endpoint=endpoint.name,
-                software=software,
+                software=endpoint.software_version,
             )
 
     async def _select_beginning(self) -> DirectEndpoint | None:
@@ -173,8 +179,10 @@
 
         for may_use in (self._runs_software(self._origin.recorded_version), may_begin):
             if self._call_attempts.has_endpoint(self._pool, may_use):
-                return await self._select(may_use)
-        return await self._select(lambda endpoint: True)
+                endpoint = await self._select_unchanged(may_use)
+                if endpoint is not None:
+                    return endpoint
+        return await self._select_unchanged(lambda endpoint: True)
 
     async def _select(self, may_use: Callable[[DirectEndpoint], bool]) -> DirectEndpoint | None:
         seconds_left = self._deadline - self._timers.now()
@@ -227,7 +235,7 @@
         if call.resume_after:
             _log.info(
                 "stream resumed",
-                request=call.request_id,
+                **call.log_fields,
                 stream=call.stream_id,
                 endpoint=endpoint.name,
                 software=endpoint.software_version,
@@ -246,9 +254,22 @@
                 self._call_attempts.send_stream_head(self._incoming, self._call, response)
 
         return await self._call_attempts.call(
-            self._attempts, call, endpoint, seconds_left, silence_seconds, on_head, self._on_bytes
+            self._attempts,
+            call,
+            endpoint,
+            seconds_left,
+            silence_seconds,
+            on_head,
+            self._on_bytes,
+            confirmation_seconds=self._confirmation_seconds(endpoint),
         )
 
+    def _confirmation_seconds(self, endpoint: DirectEndpoint) -> float | None:
+        """Return how long an endpoint may take to confirm its incarnation, None if none counts."""
+        if not self._route.resumable or not endpoint.software_version:
+            return None
+        return self._settings.restart_question_seconds
+
     def _on_bytes(self, data: bytes) -> None:
         for event_bytes in self._event_splitter.feed(data):
             event = self._call_attempts.endpoint_caller.dialect.event(event_bytes)
@@ -271,7 +292,7 @@
         if self._incoming.is_head_sent:
             _log.info(
                 "stream broken",
-                request=self._call.request_id,
+                **self._call.log_fields,
                 last_event=self._last_event_number,
                 software=self._software,
                 detail=last_failure.detail if last_failure else "",
@@ -290,6 +311,6 @@
     def _is_version_gone(self) -> bool:
         """Return whether the stream can never go on."""
         software = self._software
-        if software is None:
+        if software is None or not self._records.knows_endpoints:
             return False
         return not self._call_attempts.has_endpoint(self._pool, self._runs_software(software))
--- a/pumicedeck/tests/test_event_names.py
+++ b/pumicedeck/tests/test_event_names.py
@@ -19,7 +19,9 @@
     "store_relays",
     "stream_records",
     "stream_relays",
+    "submission_answers",
     "submission_intakes",
+    *(f"duties/{path.stem}" for path in sorted((ROOT / "duties").glob("*.py"))),
     *(f"scheduling/{path.stem}" for path in sorted((ROOT / "scheduling").glob("*.py"))),
 )
 EVENT = re.compile(r"_log\.(?:info|warning|error)\(\s*\"([^\"]+)\"")
