--- a/pumicedeck/scheduling/engine_fleets.py
+++ b/pumicedeck/scheduling/engine_fleets.py
@@ -139,6 +139,26 @@
         for name in dict.fromkeys((*changed, *names, *blocked)):
             self._view(name, now)
 
+    def measure(self, runs: list[tuple[RunKey, ItemRun]], now: float) -> None:
+        """Measure the event interval of each run and record it for the run's engine."""
+        for _, run in runs:
+            name = run.endpoint.name
+            if self._weights.is_loading(name):
+                run.event_interval.reset()
+            elif run.event_interval.sample(run.events, now):
+                self._event_intervals.record(name, run.event_interval.window_event_seconds, now)
+                self.mark_changed(name)
+
+    def request_permits(self, names: list[str]) -> None:
+        """Request a permit at each engine that only its limit keeps from running a waiting item."""
+        for name in names:
+            state = self._parts.directory.state(name)
+            endpoint = state.endpoint if state is not None else None
+            if endpoint is None or endpoint.draining or not endpoint.models:
+                continue
+            if len(self.runs_at(name)) < endpoint.slots:
+                self._permits.request(endpoint)
+
     def choose(self, item: QueuedItem, now: float) -> EngineView | None:
         """Return the engine for an item, looked at again if this pass has not looked at it."""
         for _ in range(_MAX_CHOICES):
--- a/pumicedeck/scheduling/item_starts.py
+++ b/pumicedeck/scheduling/item_starts.py
@@ -7,13 +7,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from loguru import logger
+
+from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.scheduling.engine_fleets import EngineFleet
 from pumicedeck.scheduling.item_endings import ItemEndings
 from pumicedeck.scheduling.item_queues import QueuedItem
 from pumicedeck.scheduling.queued_items import build_queued_item, item_deadline
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_queues import ItemSequence, LineCursor, SubmissionQueue
-from pumicedeck.scheduling.submission_works import SubmissionWork
+from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
+
+_log = logger.bind(module="item_starts")
 
 # The start of an item with its request to the engine takes about 0.2 ms.
 MAX_STARTS_PER_PASS = 32
@@ -134,3 +139,21 @@
         else:
             outcome.has_left = True
         return True
+
+
+def discard_unusable_output(
+    work: SubmissionWork, item_work: ItemWork, endpoint: DirectEndpoint, now: float
+) -> None:
+    """Let an item begin anew if its output cannot go on at the engine that it starts on."""
+    progress = item_work.progress
+    if not progress.last_event or progress.software == endpoint.software_version:
+        return
+    _log.info(
+        "output discarded; the item begins anew at another software version",
+        **work.head.log_fields,
+        item=item_work.item.item_id,
+        software=progress.software,
+        events=progress.last_event,
+        waited=round(now - item_work.waiting_since, 3),
+    )
+    item_work.discard_output()
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -19,7 +19,7 @@
 from pumicedeck.scheduling.item_moves import choose_runs_to_move
 from pumicedeck.scheduling.item_queues import QueuedItem
 from pumicedeck.scheduling.item_runs import ItemRun
-from pumicedeck.scheduling.item_starts import ItemStarts
+from pumicedeck.scheduling.item_starts import ItemStarts, discard_unusable_output
 from pumicedeck.scheduling.run_ends import RunEnd, choose_runs_to_end
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_adoptions import SubmissionAdoptions
@@ -252,7 +252,7 @@
         names = fleet.next_part()
         self._end_stalled(names, now)
         runs = self._runs_at(names)
-        self._record_event_intervals(runs, now)
+        fleet.measure(runs, now)
         fleet.refresh(names, now)
         if not fleet.is_complete:
             self._schedule_soon()
@@ -263,7 +263,7 @@
         if outcome.needs_another_pass and fleet.is_small:
             return
         if outcome.has_left:
-            self._request_permits(names)
+            fleet.request_permits(names)
         if not outcome.started or not outcome.has_left:
             self._move_items(names)
         if fleet.is_small:
@@ -288,16 +288,6 @@
             return [(key, run) for key, (run, _) in self._runs.items()]
         return [each for name in names for each in self._fleet.runs_at(name).items()]
 
-    def _record_event_intervals(self, runs: list[tuple[RunKey, ItemRun]], now: float) -> None:
-        """Measure the event interval of each run and record it for the run's engine."""
-        for _, run in runs:
-            name = run.endpoint.name
-            if self._weights.is_loading(name):
-                run.event_interval.reset()
-            elif run.event_interval.sample(run.events, now):
-                self._event_intervals.record(name, run.event_interval.window_event_seconds, now)
-                self._fleet.mark_changed(name)
-
     def _start_item(self, work: SubmissionWork, item: QueuedItem, engine: str) -> bool:
         """Start a waiting item on an engine; return False if either is gone."""
         state = self._parts.directory.state(engine)
@@ -309,16 +299,6 @@
         self._fleet.mark_changed(engine)
         return True
 
-    def _request_permits(self, names: list[str]) -> None:
-        """Request a permit at each engine that only its limit keeps from running a waiting item."""
-        for name in names:
-            state = self._parts.directory.state(name)
-            endpoint = state.endpoint if state is not None else None
-            if endpoint is None or endpoint.draining or not endpoint.models:
-                continue
-            if len(self._fleet.runs_at(name)) < endpoint.slots:
-                self._engine_permits.request(endpoint)
-
     def _start(
         self,
         work: SubmissionWork,
@@ -330,7 +310,7 @@
         del work.waiting[item_work.item.item_id]
         work.running[item_work.item.item_id] = item_work
         item_work.attempts += 1
-        self._discard_unusable_output(work, item_work, endpoint)
+        discard_unusable_output(work, item_work, endpoint, self._timers.now())
         run = ItemRun(
             self._timers,
             self._parts.caller,
@@ -355,23 +335,6 @@
             self._runs[key] = (run, task)
             self._fleet.add_run(key, run)
 
-    def _discard_unusable_output(
-        self, work: SubmissionWork, item_work: ItemWork, endpoint: DirectEndpoint
-    ) -> None:
-        """Let an item begin anew if its output cannot go on at the engine that it starts on."""
-        progress = item_work.progress
-        if not progress.last_event or progress.software == endpoint.software_version:
-            return
-        _log.info(
-            "output discarded; the item begins anew at another software version",
-            **work.head.log_fields,
-            item=item_work.item.item_id,
-            software=progress.software,
-            events=progress.last_event,
-            waited=round(self._timers.now() - item_work.waiting_since, 3),
-        )
-        item_work.discard_output()
-
     async def _run_item(
         self, work: SubmissionWork, item_work: ItemWork, run: ItemRun, key: RunKey
     ) -> None:
