Count the questions that resumable streams cost

An endpoint is asked before its first stream and at most once for each new connection; 18 more streams on kept connections cost none, and streams that cannot be resumed cost none.

--- a/pumicedeck/tests/stream_fixtures.py
+++ b/pumicedeck/tests/stream_fixtures.py
@@ -219,8 +219,8 @@
         self.loop.advance(5.0)
         self.callers = []
 
-    def configure_streams(self, version):
-        fields = {"resumable": True, "timeout-ms": 8000, "max-attempts": 3}
+    def configure_streams(self, version, resumable=True):
+        fields = {"resumable": resumable, "timeout-ms": 8000, "max-attempts": 3}
         document = {
             "name": "stream",
             "host": "h",
--- a/pumicedeck/tests/test_streams_after_power_loss.py
+++ b/pumicedeck/tests/test_streams_after_power_loss.py
@@ -296,6 +296,36 @@
     assert fixture.completed(callers) == 12
 
 
+def test_streams_on_kept_connections_cost_no_question(make_streams):
+    """An endpoint is asked once for its first streams, then only on new connections."""
+    fixture = make_streams(gateways=1, software=("v1", "v1"))
+
+    def questions():
+        return sum(call.target == "/report" for each in fixture.endpoints for call in each.calls)
+
+    assert questions() == 0
+    fixture.begin(count=6)
+    fixture.run(1.5)
+    first = questions()
+    # One before the first stream at each endpoint, at most one on each connection.
+    assert 2 <= first <= 2 + 6
+    for _ in range(3):
+        fixture.begin(count=6)
+        fixture.run(1.5)
+    assert questions() == first
+    assert fixture.completed(fixture.callers) == 24
+
+
+def test_streams_that_cannot_be_resumed_cost_no_question(make_streams):
+    fixture = make_streams(gateways=1, software=("v1", "v1"))
+    fixture.configure_streams(3, resumable=False)
+    fixture.run(0.5)
+    fixture.begin(count=6)
+    fixture.run(1.5)
+    assert fixture.completed(fixture.callers) == 6
+    assert all(call.target != "/report" for each in fixture.endpoints for call in each.calls)
+
+
 def test_two_releases_with_power_losses_in_between_join_no_text(make_streams):
     """The moments of deploy/days/rejoined.toml: releases at 6, 20 and 32 s, losses after each."""
     fixture = make_streams(gateways=3, software=("v1", "v1", "v1", "v1"))
