Do not count requests that their callers gave up before they were sent

Cause: a gateway process that goes on after a freeze finds requests whose callers have left; it began and cancelled their calls at once and counted them.

Change: a request whose caller leaves within 5 ms counts as not sent. A final row without counts that comes too late writes no log line.

--- a/pumicedeck/duties/request_beginnings.py
+++ b/pumicedeck/duties/request_beginnings.py
@@ -25,6 +25,9 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.results import Failure
 
+# A caller who leaves sooner has mostly left before the request was written: a process that was
+# frozen reads requests together with the end of their connections.
+MIN_RUN_SECONDS = 0.005
 # Weight of a new duration in the usual one.
 SMOOTHING = 0.2
 
@@ -135,7 +138,8 @@
             run.observe(result.ok_value.answer, now)
             self._learn(run)
         began_at = self._estimate(run)
-        if began_at <= now:
+        was_sent = result is not None or now - run.sent_at >= MIN_RUN_SECONDS
+        if was_sent and began_at <= now:
             self._count(run, began_at)
         elif run.counted_at is not None:
             self._count(run, None)
--- a/pumicedeck/duties/usage_savers.py
+++ b/pumicedeck/duties/usage_savers.py
@@ -164,5 +164,8 @@
         return any(stored.row == row for stored in page.ok_value.rows)
 
     def _drop(self, window: int | None, requests: int, reason: str) -> None:
+        # The final row of a window may have no counts.
+        if not requests:
+            return
         self._too_late += abs(requests)
         _log.warning("usage counted too late", window=window, requests=requests, reason=reason)
--- a/pumicedeck/tests/test_request_beginnings.py
+++ b/pumicedeck/tests/test_request_beginnings.py
@@ -141,6 +141,14 @@
     assert harness.counted() == {0: 1}
 
 
+def test_a_request_whose_caller_left_before_it_was_sent_does_not_count(harness):
+    """Guards against counting all that a process finds abandoned after it was frozen."""
+    request, task = harness.send(answered(), 3.0)
+    harness.timers.run_until(0.001)
+    task.cancel()
+    assert not request.is_counted and harness.counted() == {}
+
+
 def test_a_request_whose_caller_leaves_the_queue_does_not_count(harness):
     """Guards against counting what the endpoint never began."""
     harness.send(answered(), 1.0)
