Run no second pass after a start; count a pass in parts as one

Cause: a start marks its engine as changed, which was taken for changes that a pass had left over: a second pass followed at once and could move an item up to a tick earlier than before. In a pass in parts, the last part did not know that earlier ones had started items. Change: only changes that a refresh left over lead to another pass; the parts of a pass share the knowledge that items were started.

--- a/pumicedeck/scheduling/engine_fleets.py
+++ b/pumicedeck/scheduling/engine_fleets.py
@@ -67,7 +67,7 @@
     @property
     def has_next_part(self) -> bool:
         """Return whether engines are still to be looked at, for this tick or after a change."""
-        return self._left_of_tick > 0 or bool(self._changed)
+        return self._left_of_tick > 0 or self._has_more_changes
 
     def reset(self) -> None:
         """Follow all engines of the directory; called when this process begins to schedule."""
@@ -131,6 +131,7 @@
         changed = list(islice(self._changed, _MAX_CHANGES_PER_PASS))
         for name in changed:
             del self._changed[name]
+        self._has_more_changes = bool(self._changed)
         self._is_complete = self._is_complete or not self._changed
         blocked = list(islice(self._blocked, ENGINES_PER_PART))
         for name in blocked:
@@ -220,6 +221,7 @@
         self._changed: dict[str, None] = {}
         self._blocked: dict[str, None] = {}
         self._viewed_at: dict[str, float] = {}
+        self._has_more_changes = False
         self._is_complete = False
         self._next = 0
         self._left_of_tick = 0
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -72,6 +72,8 @@
             parts, self._settings, self._fleet, self._endings, self._start_item
         )
         self._plan_due = False
+        # Whether the parts of a pass that is not over have started items.
+        self._has_started = False
         self._fencing = 0
         self._active = False
         self._earlier_orders_until: dict[str, float] = {}
@@ -260,11 +262,13 @@
         outcome = self._starts.run_pass(self._works.values(), now)
         if outcome.needs_another_pass or fleet.has_next_part:
             self._schedule_soon()
+        has_started = outcome.started > 0 or self._has_started
+        self._has_started = has_started and outcome.needs_another_pass
         if outcome.needs_another_pass and fleet.is_small:
             return
         if outcome.has_left:
             fleet.request_permits(names)
-        if not outcome.started or not outcome.has_left:
+        if not has_started or not outcome.has_left:
             self._move_items(names)
         if fleet.is_small:
             self._plan_weights(now)
