Convert the estimated lengths of items to events by what completed items had

Cause: submitters estimate lengths in tokens, and an event holds dozens of them. Taken for events (1,103 tokens, 5 events; 1,520 tokens, 19 events in a trial with both in the log), each item looked some 75 times as long as it was: a run moved for any difference in speed, since the least gain of 0.6 s was always met, and neither distance nor a kept prompt weighed anything in the choice of an engine. Change: the events per estimated unit are learned for each model from completed items; until four were completed, an estimate counts as events, as before. Mechanism learned_lengths switches it off.

--- a/pumicedeck/decision_settings.py
+++ b/pumicedeck/decision_settings.py
@@ -24,6 +24,7 @@
     With `avoids_failed` endpoints that failed a short time ago are chosen last. With
     `observes_limits` requests acquire permits at endpoints that name a request limit. With
     `observes_software` output goes on only at the software version that began it. With
+    `learns_lengths` estimated lengths are converted to events. With
     `delays_weak_machines` a machine with few CPU cores takes over a lost lease later.
     """
 
@@ -41,6 +42,7 @@
     avoids_failed: bool = True
     observes_limits: bool = True
     observes_software: bool = True
+    learns_lengths: bool = True
     delays_weak_machines: bool = True
 
 
@@ -76,5 +78,6 @@
         avoids_failed=mechanisms.outlier_avoidance,
         observes_limits=mechanisms.request_permits,
         observes_software=mechanisms.software_versions,
+        learns_lengths=mechanisms.learned_lengths,
         delays_weak_machines=mechanisms.weak_machines_later,
     )
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -58,6 +58,7 @@
 from pumicedeck.request_quarantines import RequestQuarantine
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.scheduling.engine_orders import EngineOrders
+from pumicedeck.scheduling.length_estimates import LengthEstimates
 from pumicedeck.scheduling.reward_calls import RewardCaller
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts
 from pumicedeck.scheduling.schedulers import Scheduler
@@ -237,6 +238,7 @@
             moves=decisions.moves,
             queue=decisions.queue,
             intervals=decisions.intervals,
+            lengths=LengthEstimates(decisions.learns_lengths),
             adoption=decisions.adoption,
         ),
         decisions.scheduler,
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -75,6 +75,7 @@
     request_quarantine: bool = True
     request_permits: bool = True
     software_versions: bool = True
+    learned_lengths: bool = True
 
 
 METERING_DUTY = "metering"
--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -65,6 +65,9 @@
 
     async def _score(self, work: SubmissionWork, item_work: ItemWork) -> None:
         """Score a complete output and add the result; give the item up if it gets no score."""
+        self._parts.lengths.record(
+            work.head.model, item_work.item.expected_length, item_work.progress.last_event
+        )
         score: str | None = ""
         if item_work.item.reward is not None:
             route = self._parts.route(work.head.route)
--- a/pumicedeck/scheduling/item_starts.py
+++ b/pumicedeck/scheduling/item_starts.py
@@ -70,7 +70,7 @@
         for work in tuple(works):
             queue = self._queues.get(work.submission_id)
             if queue is None or queue.work is not work:
-                queue = SubmissionQueue(work, self._parts.queue)
+                queue = SubmissionQueue(work, self._parts.queue, self._parts.lengths)
             queues[work.submission_id] = queue
             self._add(sequence, outcome, queue, now)
         self._queues = queues
--- a/pumicedeck/scheduling/queued_items.py
+++ b/pumicedeck/scheduling/queued_items.py
@@ -26,7 +26,8 @@
     now = parts.timers.now()
     item = item_work.item
     step_age = parts.clock.now() - work.head.accepted
-    events_left = max(1.0, item.expected_length - item_work.progress.last_event)
+    expected_events = parts.lengths.events(work.head.model, item.expected_length)
+    events_left = max(1.0, expected_events - item_work.progress.last_event)
     progress = item_work.progress
     is_begun = bool(progress.last_event)
     return QueuedItem(
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -12,6 +12,7 @@
 from pumicedeck.scheduling.engine_orders import EngineOrders
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
+from pumicedeck.scheduling.length_estimates import LengthEstimates
 from pumicedeck.scheduling.reward_calls import RewardCaller
 from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
 from pumicedeck.scheduling.submission_sweeps import SubmissionSweep
@@ -81,6 +82,7 @@
     queue: QueueSettings = field(default_factory=QueueSettings)
     intervals: IntervalSettings = field(default_factory=IntervalSettings)
     adoption: AdoptionSettings = field(default_factory=AdoptionSettings)
+    lengths: LengthEstimates = field(default_factory=LengthEstimates)
 
     def route(self, name: str) -> Route | None:
         """Return a route by its name, None if there is none."""
--- a/pumicedeck/scheduling/submission_queues.py
+++ b/pumicedeck/scheduling/submission_queues.py
@@ -11,6 +11,7 @@
 
 from pumicedeck.route_tables import Route
 from pumicedeck.scheduling.item_queues import DEFAULT_LENGTH_EVENTS, QueueSettings
+from pumicedeck.scheduling.length_estimates import LengthEstimates
 from pumicedeck.scheduling.queued_items import choose_item_pool
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 
@@ -34,8 +35,14 @@
 class SubmissionQueue:
     """The waiting items of one submission in lines, each in the order in which its items start."""
 
-    def __init__(self, work: SubmissionWork, settings: QueueSettings) -> None:
-        """Create the queue of `work`, without items until `apply_changes`."""
+    def __init__(
+        self, work: SubmissionWork, settings: QueueSettings, lengths: LengthEstimates
+    ) -> None:
+        """Create the queue of `work`, without items until `apply_changes`.
+
+        `lengths` converts the estimated lengths of items to events.
+        """
+        self._lengths = lengths
         self.work = work
         self.lines: dict[_Demand, list[_Entry]] = {}
         self._settings = settings
@@ -92,7 +99,8 @@
         )
         length = DEFAULT_LENGTH_EVENTS
         if item.expected_length:
-            length = max(1.0, item.expected_length - progress.last_event)
+            events = self._lengths.events(self.work.head.model, item.expected_length)
+            length = max(1.0, events - progress.last_event)
         rank = -length if self._settings.longest_first else 0.0
         self._arrivals += 1
         return demand, (not item_work.carried_over, rank, self._arrivals, item_id)
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -25,7 +25,8 @@
 class Item:
     """One generation request of a submission.
 
-    `expected_length` is the submitter's estimate of the output's length in events, 0 if unknown.
+    `expected_length` is the submitter's estimate of the output's length, 0 if unknown, in a unit of
+    the submitter's, such as tokens.
     `reward` is None for an item that is not scored.
     """
 
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -51,6 +51,7 @@
     "request_quarantine": "quarantine",
     "request_permits": "observes_limits",
     "software_versions": "observes_software",
+    "learned_lengths": "learns_lengths",
     "stalled_engine_ends": "scheduler",
 }
 # These are switched off where the gateway is composed.
