--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -77,6 +77,7 @@
     software_versions: bool = True
     noise_aware_moves: bool = True
     engines_by_need: bool = True
+    learned_lengths: bool = True
 
 
 METERING_DUTY = "metering"
--- a/pumicedeck/tests/test_decision_settings.py
+++ b/pumicedeck/tests/test_decision_settings.py
@@ -51,6 +51,7 @@
     "request_quarantine": "quarantine",
     "request_permits": "observes_limits",
     "software_versions": "observes_software",
+    "learned_lengths": "learns_lengths",
     "stalled_engine_ends": "scheduler",
     "noise_aware_moves": "intervals",
     "engines_by_need": "shares",
