Switch the mechanisms that are not shown to gain off by default

Change: noise_aware_moves, engines_by_need and learned_lengths are false unless the settings say otherwise, so deployments are served as before.

--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -54,7 +54,10 @@
 
 
 class MechanismSettings(Section):
-    """Mechanisms that can be switched off one by one, to measure what each is worth."""
+    """Mechanisms that can be switched one by one, to measure what each is worth.
+
+    Those that are off by default have not been shown to be worth more than what they replace.
+    """
 
     reuse_of_outputs: bool = True
     loads_in_turns: bool = True
@@ -75,9 +78,9 @@
     request_quarantine: bool = True
     request_permits: bool = True
     software_versions: bool = True
-    noise_aware_moves: bool = True
-    engines_by_need: bool = True
-    learned_lengths: bool = True
+    noise_aware_moves: bool = False
+    engines_by_need: bool = False
+    learned_lengths: bool = False
 
 
 METERING_DUTY = "metering"
