Refuse submissions whose items have header fields that cannot be sent

Cause: a header value outside Latin-1, with a line break or with white space at its ends raised an exception whenever the item was started, so the submission was accepted and its item never ran. Change: such a submission is answered with BAD_REQUEST; the answer shows neither name nor value, which may be a key.

--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+import re
 from dataclasses import replace
 from urllib.parse import parse_qs
 
@@ -38,6 +39,9 @@
 _RESULTS_PREFIX = "/lots/"
 _ITEMS_PREFIX = "/items/"
 _KEY_SCHEME = "bearer"
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# As the HTTP client allows them: no line breaks, and no white space at the ends.
+_HEADER_VALUE = re.compile(rb"([^\x00\s\x7f]([^\x00\r\n\x0b\x0c\x7f]*[^\x00\s\x7f])?)?")
 
 
 class PlatformCallerDialect(CallerDialect):
@@ -166,6 +170,9 @@
 
 def _decode_item(document: dict, has_accounts: bool) -> Item:
     headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
+    if not all(_is_header_field(name, value) for name, value in headers):
+        # Neither is shown: a submitter may have put a key there.
+        raise ValueError("an item has a header field that HTTP does not allow")
     if has_accounts:
         headers = without_identity_headers(headers)
     lowered = {name.lower(): value for name, value in headers}
@@ -182,6 +189,15 @@
     )
 
 
+def _is_header_field(name: str, value: str) -> bool:
+    """Return whether a header field can be sent."""
+    try:
+        encoded = value.encode("latin-1")
+    except UnicodeEncodeError:
+        return False
+    return bool(_HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(encoded))
+
+
 def _decode_reward_call(document: dict) -> RewardCall:
     return RewardCall(
         document["id"], document["host"], document["path"], base64.b64decode(document["body"])
