Cache pages of results by submission and time of acceptance

Cause: pages were cached by the submission's id alone. After a submission was removed, its id may be used again, also by another account, which then got the earlier results of the other one. Change: the time of acceptance is part of the key. The new test failed on the old code.

--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -132,7 +132,9 @@
         total = view.head.total
         if view.listed <= after:
             return Ok((total, []))
-        page = self._page_cache.find(submission_id, after)
+        # An id may be used again after its submission was removed, also by another account.
+        cached_as = f"{submission_id}@{view.head.accepted}"
+        page = self._page_cache.find(cached_as, after)
         if page is None:
             read = await read_results_after(
                 self._store, submission_id, after, self._settings.page_bytes
@@ -141,7 +143,7 @@
                 return Err(_STORE_UNREADABLE)
             page = read.ok_value.results
             if page:
-                self._page_cache.put(submission_id, after, page, read.ok_value.size)
+                self._page_cache.put(cached_as, after, page, read.ok_value.size)
         return Ok((total, page))
 
     async def item_body(
--- a/pumicedeck/tests/test_submission_intakes.py
+++ b/pumicedeck/tests/test_submission_intakes.py
@@ -98,6 +98,19 @@
     assert fixture.results(0, name="none").unwrap_err().code is ResultCode.NOT_FOUND
 
 
+def test_a_page_of_a_removed_submission_is_not_shown_for_a_new_one_with_its_id():
+    """Guards against results of another account, whose submission had the same id before."""
+    fixture = IntakeFixture([result(0, 10, "a")])
+    assert fixture.results(0).unwrap()[1] == [result(0, 10, "a")]
+    listed = StoredRow(listed_row("s"), None, 90)
+    fixture.mirror.apply((StoredRow(head_row("s"), None, 90), listed))
+    head = SubmissionHead("s", "r", "h", "m", 0, 1, 0, 2, 1, "d", 300.0)
+    fixture.mirror.apply((StoredRow(head_row("s"), head.encode(), 91),))
+    fixture.listed = 0
+    fixture.list((result(0, 10, "b"),))
+    assert fixture.results(0).unwrap()[1] == [result(0, 10, "b")]
+
+
 def test_a_read_may_begin_inside_a_write():
     results = [result(number, 2_000) for number in range(50)]
     fixture = IntakeFixture(results, per_write=7)
