Let one odd entry among the endpoints stop nothing else

Callers saw: after another writer left one entry (a weight version of 1e999, or deep nesting) in the table of endpoints, draining endpoints went on to get requests at all gateways; after a restart none became ready and nothing was served.

Cause: decoders listed the exceptions that they expected, and OverflowError and RecursionError were missing; the feed had no guard around its callback, so the row ended it, at each start again. Numbers that could be decoded went unchecked to sockets and arithmetic (a port of 70000, slots of 401 digits).

StoreFeed skips a row that its callback fails on. The HTTP client fails a request whose address no socket accepts. Log lines and metrics name ignored entries and skipped rows.

Tests of registrations used the host "h" and compared None; they have an address and a failure now and check the same.

--- a/pumicedeck/endpoint_lists.py
+++ b/pumicedeck/endpoint_lists.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from loguru import logger
+from result import Err, Result
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
@@ -57,15 +58,24 @@
         self,
         timers: TimerQueue,
         directory: EndpointDirectory,
-        decode: Callable[[str, bytes], DirectEndpoint | None],
+        decode: Callable[[str, bytes], Result[DirectEndpoint, str]],
     ) -> None:
-        """Update `directory`; `decode` turns a row's key and value into an endpoint or None."""
+        """Update `directory`; `decode` makes an endpoint of a row's key and value, or says why not.
+
+        Other writers use the table too; a row without a valid registration names no endpoint.
+        """
         self._timers = timers
         self._directory = directory
         self._decode = decode
         self._last_contact_at = timers.now()
         self._retain_until = 0.0
         self._pending_removals: set[str] = set()
+        self._ignored: dict[str, str] = {}
+
+    @property
+    def ignored(self) -> int:
+        """Return how many rows of the table have no valid registration."""
+        return len(self._ignored)
 
     def record_store_contact(self) -> None:
         """Record an answer of the store; after an outage, postpone removals."""
@@ -82,22 +92,33 @@
         """
         changes = EndpointChanges()
         listed = set()
+        ignored: dict[str, str] = {}
         for stored_row in rows:
             name = stored_row.row.key
-            endpoint = (
-                self._decode(name, stored_row.value) if stored_row.value is not None else None
-            )
-            if endpoint is not None:
-                listed.add(name)
-                self._update(endpoint, changes)
-            elif stored_row.value is None:
+            if stored_row.value is None:
+                self._ignored.pop(name, None)
                 self._remove(name, changes)
+                continue
+            decoded = self._decode(name, stored_row.value)
+            if isinstance(decoded, Err):
+                self._log_ignored(name, decoded.err_value)
+                ignored[name] = decoded.err_value
+                continue
+            self._ignored.pop(name, None)
+            listed.add(name)
+            self._update(decoded.ok_value, changes)
+        self._ignored = ignored if is_snapshot else self._ignored | ignored
         if is_snapshot:
             for endpoint in self._directory.endpoints:
                 if endpoint.name not in listed:
                     self._remove(endpoint.name, changes)
         changes.log()
 
+    def _log_ignored(self, name: str, reason: str) -> None:
+        """Log why a row is ignored, once until that changes: it may be written every second."""
+        if self._ignored.get(name) != reason:
+            _log.warning("endpoint registration ignored", endpoint=name, reason=reason)
+
     def _update(self, endpoint: DirectEndpoint, changes: EndpointChanges) -> None:
         known = self._directory.state(endpoint.name)
         self._pending_removals.discard(endpoint.name)
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -16,6 +16,7 @@
 from pumicedeck.accounts.identities import Identity
 from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_attempts import CallAttempts
+from pumicedeck.call_figures import gauge_line
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
@@ -358,6 +359,11 @@
         relay_address = Address(settings.readiness.host, settings.relay_port)
         passing_on = StoreRelay(store_client, settings.store.address, path)
         relay = HttpListener(relay_address, timers, passing_on.handle).register(root)
+
+    def metric_lines() -> list[str]:
+        ignored = gauge_line("registrations_ignored", endpoint_list.ignored)
+        return [ignored, *(usage.metric_lines() if usage is not None else ())]
+
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
@@ -404,7 +410,7 @@
             delays_few_cores=decisions.delays_weak_machines,
             metrics=metrics,
             relay=relay,
-            metric_lines=usage.metric_lines if usage is not None else lambda: [],
+            metric_lines=metric_lines,
         ),
         GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
     )
--- a/pumicedeck/gateway_metrics.py
+++ b/pumicedeck/gateway_metrics.py
@@ -26,7 +26,7 @@
     ) -> None:
         """Read from the given parts; `routes` returns the installed routes or None.
 
-        `extra_lines` returns the lines of parts that only some deployments have.
+        `extra_lines` returns the lines of parts that are not passed here.
         """
         self._timers = timers
         self._calls = calls
@@ -42,10 +42,12 @@
         routes = self._routes()
         usage = read_process_figures()
         contact_ages = {feed.table: round(now - feed.last_contact_at, 3) for feed in self._feeds}
+        skipped = {feed.table: feed.skipped for feed in self._feeds}
         lines = [
             gauge_line("ready", int(ready)),
             gauge_line("routes_version", routes.version if routes else 0),
             *gauge_lines("store_heard_seconds_ago", "table", contact_ages),
+            *gauge_lines("rows_skipped", "table", skipped),
             gauge_line("lease_held", int(self._lease.holds(now))),
             gauge_line("lease_fencing", self._lease.fencing),
             gauge_line("scheduler_active", int(self._scheduler.is_active)),
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -249,7 +249,8 @@
         self._pools[address].connections.add(connection)
         try:
             connection.open()
-        except OSError as error:
+        except Exception as error:
+            # A port out of range raises OverflowError, a host with a zero byte TypeError.
             detail = str(error)
             self._timers.call_later(
                 0.0, lambda: self._on_broken(connection, BrokenReason.REFUSED, detail)
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -60,6 +60,7 @@
         self._confirmed_at = -1e9
         self._is_store_unreachable = False
         self._round_trip_seconds = 0.0
+        self._skipped = 0
         self._task: Task | None = None
 
     @property
@@ -94,6 +95,11 @@
         """
         return self._round_trip_seconds
 
+    @property
+    def skipped(self) -> int:
+        """Return how many rows, counted each time they were received, the callback failed on."""
+        return self._skipped
+
     def start(self) -> None:
         """Start following the table."""
         self._task = spawn(self._follow(), f"feed of {self._table}")
@@ -125,7 +131,7 @@
             confirmed_at = min(answered_at, sent_at + self._settings.wait_seconds)
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
         if page.rows:
-            self._on_rows(page.rows, False)
+            self._deliver(page.rows, False)
         # A truncated page covers the changes up to its last row only.
         newest_revision = page.rows[-1].revision if page.truncated and page.rows else page.revision
         self._revision = max(self._revision, newest_revision)
@@ -153,11 +159,43 @@
                     return
                 rows.extend(outcome.ok_value)
         self._record_answer(self._clock.now(), sent_at)
-        self._on_rows(tuple(rows), True)
+        self._deliver(tuple(rows), True)
         self._loaded = True
         self._confirmed_at = max(self._confirmed_at, sent_at)
         self._revision = revision
 
+    def _deliver(self, rows: tuple[StoredRow, ...], is_whole_table: bool) -> None:
+        """Pass rows on; one that the callback fails on must not stop the feed or hide the others.
+
+        Rows are states, so that those before the failure can be passed on again.
+        """
+        if self._try_rows(rows, is_whole_table):
+            return
+        accepted = []
+        for row in rows:
+            if self._try_rows((row,), False):
+                accepted.append(row)
+                continue
+            self._skipped += 1
+            _log.error(
+                "row skipped",
+                table=self._table,
+                partition=row.row.partition_key,
+                key=row.row.key,
+                revision=row.revision,
+            )
+        if is_whole_table:
+            self._try_rows(tuple(accepted), True)
+
+    def _try_rows(self, rows: tuple[StoredRow, ...], is_whole_table: bool) -> bool:
+        """Pass rows on and return whether the callback did not fail."""
+        try:
+            self._on_rows(rows, is_whole_table)
+        except Exception:
+            _log.opt(exception=True).error("rows not applied", table=self._table, rows=len(rows))
+            return False
+        return True
+
     async def _list_partitions(self) -> Result[tuple[tuple[str, ...], int], Failure]:
         partitions: list[str] = []
         revision: int | None = None
--- a/pumicedeck/tests/test_direct_endpoints.py
+++ b/pumicedeck/tests/test_direct_endpoints.py
@@ -7,6 +7,7 @@
 
 import pytest
 from loguru import logger
+from result import Err, Ok
 
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.direct_endpoints import (
@@ -94,7 +95,9 @@
         self.timers = VirtualTime()
         self.directory = EndpointDirectory(HOME, Random(1))
         self.list = EndpointList(
-            self.timers, self.directory, lambda name, value: endpoint(name) if value else None
+            self.timers,
+            self.directory,
+            lambda name, value: Ok(endpoint(name)) if value else Err("empty"),
         )
 
     def rows(self, *names, value=b"x", is_snapshot=False):
--- a/pumicedeck/tests/test_endpoint_pools.py
+++ b/pumicedeck/tests/test_endpoint_pools.py
@@ -19,7 +19,7 @@
 DOMAINS = (HOME, FailureDomain("b", "r"), FailureDomain("c", "s"))
 REGISTRATION = {
     "service": "p",
-    "address": "h:80",
+    "address": "10.0.0.1:80",
     "zone": "a",
     "state": "ready",
     "slots": 8,
@@ -146,9 +146,10 @@
 def test_a_registration_that_changes_only_its_sequence_is_the_same_endpoint():
     decoder = EndpointDecoder({"a": "r"})
     first = decoder.decode("e", encoded())
+    assert first.is_ok()
     assert first == decode_endpoint("e", encoded(), {"a": "r"})
     assert decoder.decode("e", encoded(seq=22)) is first
-    assert decoder.decode("f", encoded(seq=22)).name == "f"
+    assert decoder.decode("f", encoded(seq=22)).ok_value.name == "f"
 
 
 @pytest.mark.parametrize(
--- a/pumicedeck/tests/test_http_clients.py
+++ b/pumicedeck/tests/test_http_clients.py
@@ -321,3 +321,13 @@
                 assert server.request_counts[number] == 0
     assert harness.client.stats.silence_timeouts > 0 and harness.client.stats.broken > 0
     assert harness.client.open_connections == 0
+
+
+@pytest.mark.parametrize("address", [Address("127.0.0.1", 70000), Address("a\0b", 80)])
+def test_an_address_that_no_socket_accepts_fails_its_request_only(harness, address):
+    # The exception ended the task that sent the request, which then never had an outcome.
+    outcome = harness.answer(address=address)
+    assert outcome.err_value.code is ResultCode.ENDPOINT_UNREACHABLE
+    assert outcome.err_value.proven_not_run
+    harness.server.reply = OK
+    assert harness.answer().ok_value.status == 200
--- a/pumicedeck/tests/test_route_tables.py
+++ b/pumicedeck/tests/test_route_tables.py
@@ -132,7 +132,7 @@
 
 
 def test_a_registration_is_decoded_as_an_endpoint():
-    endpoint = decode_endpoint("i-1", json.dumps(REGISTRATION).encode(), {"tn-a": "south"})
+    endpoint = decode_endpoint("i-1", json.dumps(REGISTRATION).encode(), {"tn-a": "south"}).ok_value
     assert endpoint.address.port == 80 and endpoint.failure_domain.region == "south"
     assert endpoint.version_of("m") == 4 and endpoint.version_of("n") == 0
     assert not endpoint.draining and endpoint.slots == 12
@@ -157,9 +157,9 @@
 )
 def test_rows_that_are_no_valid_registration_are_ignored(change):
     document = {**REGISTRATION, **change}
-    assert decode_endpoint("i-1", json.dumps(document).encode(), {}) is None
-    assert decode_endpoint("i-1", b"\xff\xfe", {}) is None
-    assert decode_endpoint("i-1", b"[1]", {}) is None
+    assert decode_endpoint("i-1", json.dumps(document).encode(), {}).is_err()
+    assert decode_endpoint("i-1", b"\xff\xfe", {}).is_err()
+    assert decode_endpoint("i-1", b"[1]", {}).is_err()
 
 
 def test_an_announced_version_is_decoded_or_ignored():
--- a/pumicedeck/tests/test_store_feeds.py
+++ b/pumicedeck/tests/test_store_feeds.py
@@ -99,3 +99,22 @@
     simulation.store.faults.delay = 0.3
     simulation.run(0.7)
     assert simulation.feed.is_loaded and simulation.feed.confirmed_at == 0.0
+
+
+class FailingOnOneRow(FeedSimulation):
+    def on_rows(self, rows, is_whole_table):
+        super().on_rows(rows, is_whole_table)
+        if any(row.value == b"bad" for row in rows):
+            raise OverflowError
+
+
+def test_a_row_that_the_reader_fails_on_neither_ends_the_feed_nor_hides_other_rows():
+    # One row that could not be decoded ended the feed at all gateways, at the next start too.
+    simulation = FailingOnOneRow(initial_partitions=["a", "b"])
+    simulation.put("bad", b"bad")
+    simulation.run(1.0)
+    assert simulation.feed.is_loaded and set(simulation.received) == {"a", "b"}
+    simulation.put("bad", b"bad")
+    simulation.put("c")
+    simulation.run(1.0)
+    assert simulation.received["c"] == b"1" and simulation.feed.skipped == 2
