Let an item begin anew once no engine has the weights of its output

Trainers saw: on a single-version route an item whose engine was lost stayed at no engine until the step ran out of time (10.8 s, 0 of 36 slots taken), since all other engines had loaded the next version.

Cause: output can go on at an engine only under its software version and, on such a route, under its weight version. For the first an item could begin anew elsewhere, for the second never.

Change: one decision, can_output_go_on, answers both; placement, moves and the discarding of output use it. An item with output under one weight version no longer waits for newer weights because its group is optional: it could go on under its own ones only.

--- a/pumicedeck/scheduling/item_placements.py
+++ b/pumicedeck/scheduling/item_placements.py
@@ -116,8 +116,8 @@
     def choose(self, item: QueuedItem) -> EngineView | None:
         """Return the cheapest engine with a free slot, if possible one the item does not avoid.
 
-        An item whose output can go on somewhere begins anew at another software version only after
-        it has waited long enough.
+        An item whose output can go on at some engine begins anew at another one only after it has
+        waited long enough.
         """
         begins_anew = item.has_waited_enough or not self.can_continue(item)
         buckets = self._matching(item, begins_anew)
--- a/pumicedeck/scheduling/item_queues.py
+++ b/pumicedeck/scheduling/item_queues.py
@@ -6,10 +6,12 @@
 that can still meet their deadline go before those that have missed it.
 
 During a release the engines run two software versions. Output goes on only at the version that
-began it: an item waits for a slot there as long as its output took to generate, then it begins anew
-at any version. It begins anew at once if no engine of that version is left.
+began it, and if it must come from one weight version, only under that one: an item waits for a slot
+at such an engine as long as its output took to generate, then it begins anew at any engine. It
+begins anew at once if no engine is left at which its output can go on.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -84,23 +86,43 @@
     def may_run(self, item: QueuedItem, begins_anew: bool) -> bool:
         """Return whether pool, weight and software version allow an item to run on the engine.
 
-        With `begins_anew` an output that another software version began may be discarded.
+        With `begins_anew` an output that cannot go on at the engine may be discarded.
         """
         version = self.versions.get(item.model, 0)
         if self.pool != item.pool or version < item.min_version or not version:
             return False
-        if not self.has_software_of(item):
-            return begins_anew
-        return not (item.single_version and item.versions and item.versions != (version,))
-
-    def has_software_of(self, item: QueuedItem) -> bool:
-        """Return whether the engine runs the software that began the item's output, if any."""
-        return not item.events_done or self.software == item.software
+        return begins_anew or self.can_continue(item)
+
+    def can_continue(self, item: QueuedItem) -> bool:
+        """Return whether the item's output, if any, can go on at the engine."""
+        return not item.events_done or can_output_go_on(
+            item.software,
+            item.versions,
+            item.single_version,
+            self.software,
+            self.versions.get(item.model, 0),
+        )
 
     def events_to_generate(self, item: QueuedItem) -> float:
         """Return how many events the engine would have to generate for an item."""
         events = item.expected_events_left or DEFAULT_LENGTH_EVENTS
-        return events if self.has_software_of(item) else events + item.events_done
+        return events if self.can_continue(item) else events + item.events_done
+
+
+def can_output_go_on(
+    software: str,
+    versions: Sequence[int],
+    single_version: bool,
+    engine_software: str,
+    engine_version: int,
+) -> bool:
+    """Return whether output of `software` and weight `versions` can go on at an engine.
+
+    With `single_version` the complete output must come from one weight version.
+    """
+    if software != engine_software:
+        return False
+    return not single_version or not versions or tuple(versions) == (engine_version,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,7 +300,7 @@
         target = _best_engine(run.item, others, queue, begins_anew=True)
         if target is None:
             continue
-        events_anew = 0 if target.has_software_of(run.item) else run.item.events_done
+        events_anew = 0 if target.can_continue(run.item) else run.item.events_done
         gain = _move_gain(run, source, target.event_seconds, events_anew, settings)
         if gain >= settings.min_gain_seconds:
             target.free_slots -= 1
--- a/pumicedeck/scheduling/item_starts.py
+++ b/pumicedeck/scheduling/item_starts.py
@@ -12,7 +12,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.scheduling.engine_fleets import EngineFleet
 from pumicedeck.scheduling.item_endings import ItemEndings
-from pumicedeck.scheduling.item_queues import QueuedItem
+from pumicedeck.scheduling.item_queues import QueuedItem, can_output_go_on
 from pumicedeck.scheduling.queued_items import build_queued_item, item_deadline
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_queues import ItemSequence, LineCursor, SubmissionQueue
@@ -142,17 +142,31 @@
 
 
 def discard_unusable_output(
-    work: SubmissionWork, item_work: ItemWork, endpoint: DirectEndpoint, now: float
+    work: SubmissionWork,
+    item_work: ItemWork,
+    endpoint: DirectEndpoint,
+    version: int,
+    single_version: bool,
+    now: float,
 ) -> None:
-    """Let an item begin anew if its output cannot go on at the engine that it starts on."""
+    """Let an item begin anew if its output cannot go on at the engine that it starts on.
+
+    `version` is the engine's weight version; with `single_version` the output must have one only.
+    """
     progress = item_work.progress
-    if not progress.last_event or progress.software == endpoint.software_version:
+    if not progress.last_event or can_output_go_on(
+        progress.software, progress.versions, single_version, endpoint.software_version, version
+    ):
         return
     _log.info(
-        "output discarded; the item begins anew at another software version",
+        "output discarded; the item begins anew",
         **work.head.log_fields,
         item=item_work.item.item_id,
+        engine=endpoint.name,
         software=progress.software,
+        versions=progress.versions,
+        engine_software=endpoint.software_version,
+        engine_version=version,
         events=progress.last_event,
         waited=round(now - item_work.waiting_since, 3),
     )
--- a/pumicedeck/scheduling/queued_items.py
+++ b/pumicedeck/scheduling/queued_items.py
@@ -36,7 +36,7 @@
         model=work.head.model,
         pool=choose_item_pool(route, item.item_id),
         group=item.group,
-        min_version=_min_startable_version(parts, settings, work, item_work, step_age),
+        min_version=_min_startable_version(parts, settings, work, route, item_work, step_age),
         deadline=item_deadline(parts, settings, work, route),
         expected_events_left=events_left if item.expected_length else 0.0,
         waits_for_turn=not is_begun and work.pace.must_wait(item.expected_length, step_age),
@@ -67,15 +67,18 @@
     parts: SchedulerParts,
     settings: SchedulerSettings,
     work: SubmissionWork,
+    route: Route,
     item_work: ItemWork,
     step_age: float,
 ) -> int:
     """Return the oldest weight version with which an item may start.
 
     The next step will probably carry an optional group over and reuse its outputs. For a short time
-    such a group therefore waits for the newest announced version.
+    such a group therefore waits for the newest announced version, unless it has output that can go
+    on under its own version only.
     """
-    is_optional = item_work.item.group in work.optional_groups
+    is_bound = route.single_version and item_work.progress.last_event
+    is_optional = item_work.item.group in work.optional_groups and not is_bound
     if is_optional and step_age < settings.optional_group_wait_seconds:
         return max(work.head.min_version, parts.announced_versions.get(work.head.model, 0))
     return work.head.min_version
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -327,7 +327,10 @@
         del work.waiting[item_work.item.item_id]
         work.running[item_work.item.item_id] = item_work
         item_work.attempts += 1
-        discard_unusable_output(work, item_work, endpoint, self._timers.now())
+        version = self._weights.versions(endpoint).get(work.head.model, 0)
+        discard_unusable_output(
+            work, item_work, endpoint, version, single_version, self._timers.now()
+        )
         run = ItemRun(
             self._timers,
             self._parts.caller,
