Do not begin an item's wait anew with each refusal

An item whose output can go on at one engine only waits there as long as the output took to generate, then begins anew elsewhere. Each refusal of that engine set the wait back to zero, so an engine that refused again and again kept the item to itself without ever running it.

Change: a run that brings no event does not end the wait. The simulated caller records refusals in the directory as the real one does, so that the next attempt looks at other engines.

--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -133,11 +133,11 @@
         if end is RunEnd.IMPOSSIBLE:
             self.give_up(work, item_work, "the engine cannot process the item")
             return
+        item_work.begin_waiting(now)
         pause = self._settings.avoid_seconds
         if end is RunEnd.NOT_TAKEN:
             pause = self._settings.refusal_pause_seconds
             item_work.not_before = now + self._settings.refusal_pause_seconds
         item_work.avoid_until_by_engine[endpoint.name] = now + pause
-        item_work.waiting_since = now
         work.waiting[item_work.item.item_id] = item_work
         self._on_requeued()
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -76,7 +76,8 @@
     the process's clock. `saved_event` and `saved_complete` are the state of the output last saved;
     `saved_event` is negative if what is saved must be replaced.
     `carried_over` means that an earlier step has started an item of the same group.
-    `waiting_since` is when the item began to wait for an engine, on the process's clock.
+    `waiting_since` is when the item began to wait for an engine, on the process's clock, and
+    `waiting_event` its last event then: a run without a new event does not end the wait.
     """
 
     item: Item
@@ -90,6 +91,13 @@
     carried_over: bool = False
     not_before: float = 0.0
     waiting_since: float = 0.0
+    waiting_event: int = -1
+
+    def begin_waiting(self, now: float) -> None:
+        """Begin to wait for an engine, or go on waiting after a run that brought nothing."""
+        if self.waiting_event != self.progress.last_event:
+            self.waiting_event = self.progress.last_event
+            self.waiting_since = now
 
     def discard_output(self) -> None:
         """Discard the output so far, so that the next run begins anew."""
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -148,6 +148,7 @@
 
     async def _generate(self, engine, call, silence, on_head, on_bytes):
         if engine.busy and self.simulation.refuse_while_loading:
+            self.directory.record_refusal(engine.endpoint.name, self.simulation.timers.now())
             return Err(Failure(ResultCode.ENDPOINT_REFUSED, "loading", proven_not_run=True))
         length = int(call.body)
         # The path of an item names its model, as the routes of a deployment do.
--- a/pumicedeck/tests/test_items_across_weight_versions.py
+++ b/pumicedeck/tests/test_items_across_weight_versions.py
@@ -118,3 +118,17 @@
     results = simulation.results(simulation.processes[-1])
     assert sum(result.completed for result in results) == 16
     assert all(len(result.versions) == 1 for result in results)
+
+
+def test_an_engine_that_refuses_an_item_again_and_again_does_not_keep_it_waiting():
+    # Each refusal began the wait for a slot anew, so the item never began anew elsewhere.
+    simulation = simulate()
+    name = start_one_item(simulation)
+    load(simulation, others(simulation, name), 2)
+    engine = simulation.engines[name]
+    engine.ends += 1
+    engine.busy = True
+    simulation.run(9.0)
+    check_whole(simulation, (2,))
+    refused = [start for start in simulation.starts("0-0")[1:] if start[3] == name]
+    assert len(refused) >= 2
