Serve requests about submissions whose route was removed

Trainers saw: after a manifest without the route of an accepted submission, each gateway answered 404 for its results (20 of 20 reads, from 5.9 s after the 202 on), its items and its end.

Cause: such requests were served only while the newest manifest had a submission route with their host; otherwise they were looked up among the ordinary routes.

Change: without such a route they are served if the gateway knows the submission to be of that host, or if no other route matches their path; the store then tells 404 from 503. The same submission sent again is answered 202 again. Submissions of other hosts stay unknown there; accounts are checked as before.

--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -16,7 +16,12 @@
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
-from pumicedeck.dialects import CallerDialect, ForwardedCall, SubmissionDialect
+from pumicedeck.dialects import (
+    CallerDialect,
+    ForwardedCall,
+    SubmissionDialect,
+    SubmissionRequest,
+)
 from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
 from pumicedeck.gateway_metrics import GatewayMetrics
 from pumicedeck.http_listeners import HttpListener
@@ -27,12 +32,12 @@
 from pumicedeck.peer_questions import PEER_PATH, PeerQuestions
 from pumicedeck.process_figures import read_process_figures
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.route_tables import RouteKind, RouteTable
+from pumicedeck.route_tables import Route, RouteKind, RouteTable
 from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.stream_records import StreamRecords
-from pumicedeck.submission_answers import JSON_TYPE, NOT_READY, SubmissionAnswers
+from pumicedeck.submission_answers import JSON_TYPE, NO_ROUTE, NOT_READY, SubmissionAnswers
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WorkMirror
@@ -246,23 +251,16 @@
         if self._routes is None:
             self._refuse(incoming, call, NOT_READY)
             return
+        route = self._routes.find(incoming.host, call.path)
         submission_request = self._parts.submission_dialect.decode_submission_request(incoming)
-        if submission_request is not None and self._serves_submissions(incoming.host):
-            call, reader = self._parts.identifier.identify_reader(call, self._routes, incoming.host)
-            self._open_calls[incoming] = call
-            self._record_on_end(incoming, call, _SUBMISSION_REQUESTS)
-            spawn(
-                self._submissions.serve(incoming, call, submission_request, reader),
-                "submission call",
-            )
+        if submission_request is not None and self._asks_for_submission(
+            submission_request, incoming.host, route
+        ):
+            self._serve_submission_request(incoming, call, submission_request)
             return
-        route = self._routes.find(incoming.host, call.path)
         if route is None:
-            self._refuse(
-                incoming,
-                call,
-                Failure(ResultCode.NO_ROUTE, "no route matches host and path", None, True),
-            )
+            if not self._answer_repeated_submission(incoming, call):
+                self._refuse(incoming, call, NO_ROUTE)
             return
         self._record_on_end(incoming, call, CallSeries(route.name, route.kind.value))
         identified = self._parts.identifier.identify(call, self._routes.accounts, route)
@@ -300,6 +298,36 @@
 
         incoming.on_end = record_end
 
+    def _asks_for_submission(
+        self, submission_request: SubmissionRequest, host: str, route: Route | None
+    ) -> bool:
+        """Return whether a request whose path names a submission means one.
+
+        Submissions outlive their routes, and requests about them have none of their own. Without a
+        submission route at the host, another route for the path goes before unknown submissions.
+        """
+        if route is None or self._serves_submissions(host):
+            return True
+        return self._submissions.knows(submission_request.submission_id, host)
+
+    def _serve_submission_request(
+        self, incoming: IncomingCall, call: ForwardedCall, submission_request: SubmissionRequest
+    ) -> None:
+        host = incoming.host
+        call, reader = self._parts.identifier.identify_reader(call, self._routes, host)
+        self._open_calls[incoming] = call
+        self._record_on_end(incoming, call, _SUBMISSION_REQUESTS)
+        only_host = None if self._serves_submissions(host) else host
+        spawn(
+            self._submissions.serve(incoming, call, submission_request, reader, only_host),
+            "submission call",
+        )
+
+    def _answer_repeated_submission(self, incoming: IncomingCall, call: ForwardedCall) -> bool:
+        """Answer a submission that was accepted before its route was removed, if it is one."""
+        call, reader = self._parts.identifier.identify_reader(call, self._routes, incoming.host)
+        return self._submissions.answer_repeated(incoming, call, reader)
+
     def _serves_submissions(self, host: str) -> bool:
         return any(
             route.kind is RouteKind.SUBMISSION and route.host.lower() == host
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -31,6 +31,7 @@
 NOT_READY = Failure(
     ResultCode.NOT_READY, "no configuration or no store time received yet", proven_not_run=True
 )
+NO_ROUTE = Failure(ResultCode.NO_ROUTE, "no route matches host and path", proven_not_run=True)
 
 
 class SubmissionAnswers:
@@ -81,18 +82,58 @@
         )
         incoming.answer(202, JSON_TYPE, b"{}")
 
+    def knows(self, submission_id: str, host: str) -> bool:
+        """Return whether a submission is known here that was submitted at a host."""
+        head = self._intake.known_head(submission_id)
+        return head is not None and head.host_name == host
+
+    def answer_repeated(
+        self, incoming: IncomingCall, call: ForwardedCall, reader: SubmissionReader
+    ) -> bool:
+        """Answer a submission that arrives again after its route was removed.
+
+        Returns False for any other request: only the submission with the same id and content that
+        was accepted at this host is meant.
+        """
+        if incoming.method != "POST" or not self.knows(call.request_id, incoming.host):
+            return False
+        head = self._intake.known_head(call.request_id)
+        decoded = self._dialect.decode_submission(
+            call, head.route, head.accepted, reader.account is not None
+        )
+        if isinstance(decoded, Err) or decoded.ok_value.head.digest != head.digest:
+            return False
+        if not head.admits(reader.account):
+            return False
+        incoming.answer(202, JSON_TYPE, b"{}")
+        return True
+
     async def serve(
         self,
         incoming: IncomingCall,
         call: ForwardedCall,
         submission_request: SubmissionRequest,
         reader: SubmissionReader,
+        only_host: str | None = None,
     ) -> None:
-        """Answer a request of `reader` about a submission."""
+        """Answer a request of `reader` about a submission.
+
+        With `only_host` those that were submitted at other hosts do not exist.
+        """
         if reader.failure is not None and not reader.searches_store:
             if not self._intake.is_known_to_be_open(submission_request.submission_id):
                 self._refuse(incoming, call, reader.failure)
                 return
+        if only_host is not None:
+            found = await self._intake.find_head(submission_request.submission_id)
+            failure = found.err_value if isinstance(found, Err) else None
+            if failure is NO_SUBMISSION or (
+                failure is None and found.ok_value.host_name != only_host
+            ):
+                failure = NO_ROUTE
+            if failure is not None:
+                self._refuse(incoming, call, failure)
+                return
         account = reader.account
         match submission_request:
             case ReadResults(submission_id, after, wait):
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -70,6 +70,18 @@
         view = self._mirror.view(submission_id)
         return view is not None and not view.head.account
 
+    def known_head(self, submission_id: str) -> SubmissionHead | None:
+        """Return the head of a submission that the mirror has, None if it has none."""
+        view = self._mirror.view(submission_id)
+        return None if view is None else view.head
+
+    async def find_head(self, submission_id: str) -> Result[SubmissionHead, Failure]:
+        """Return the head of a submission of any account, from the store if necessary.
+
+        NOT_FOUND if there is none, STORE_UNAVAILABLE if the store did not answer.
+        """
+        return (await self._find(submission_id, None)).map(lambda view: view.head)
+
     async def accept(
         self, submission: Submission, account: str | None = None
     ) -> Result[None, Failure]:
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -69,6 +69,11 @@
             del document["account"]
         return json.dumps(document).encode()
 
+    @property
+    def host_name(self) -> str:
+        """Return the host at which it was submitted in lower case, without a port."""
+        return self.host.partition(":")[0].lower()
+
     @property
     def log_fields(self) -> dict[str, str]:
         """Return the submission's id and account as fields of log lines."""
--- a/pumicedeck/tests/test_account_submissions.py
+++ b/pumicedeck/tests/test_account_submissions.py
@@ -109,6 +109,19 @@
     assert fixture.status(None, target="/items/s1?id=b", headers=NO_REQUEST_ID) == 404
 
 
+def test_a_submission_whose_route_was_removed_stays_with_its_account(fixture):
+    assert submit(fixture, "key-a1", "s1") == 202
+    tenants = [{"name": name, "api-keys": list(keys)} for name, keys in KEYS.items()]
+    document = {"version": 9, "routes": [route("safe", "idempotent")], "tenants": tenants}
+    fixture.put("op", "config", document)
+    fixture.loop.until(lambda: fixture.gateway.routes.version == 9)
+    assert submit(fixture, "key-a2", "s1") == 202
+    assert submit(fixture, "key-b1", "s1") == submit(fixture, None, "s1") == 404
+    assert statuses(fixture, "key-b1", "s1") == statuses(fixture, "key-b1", "none") == (404,) * 3
+    assert statuses(fixture, None, "s1") == (401,) * 3
+    assert statuses(fixture, "key-a2", "s1") == (200,) * 3
+
+
 def test_after_accounts_were_removed_everything_may_be_read_as_without_accounts(fixture):
     assert submit(fixture, "key-a1", "s1") == 202
     fixture.set_accounts()
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -330,6 +330,44 @@
         assert gateway_fixture.ask("DELETE", "/lots/s1").startswith(b"HTTP/1.1 200")
 
 
+def test_a_submission_whose_route_was_removed_is_still_read_repeated_and_ended(gateway_fixture):
+    # Guards against a 404 for what was accepted: submissions outlive the manifest they came under.
+    body = json.dumps(SUBMISSION).encode()
+    headers = (("X-Pumicedeck-Request-Id", "s1"),)
+    ask = gateway_fixture.ask
+    assert ask("POST", "/drafts/s1", body, headers).startswith(b"HTTP/1.1 202")
+    gateway_fixture.configure(2, route("lots", "idempotent"))
+    gateway_fixture.loop.advance(0.5)
+    answer = ask("GET", "/lots/s1?after=0", until=b'"id": "a"')
+    assert answer.startswith(b"HTTP/1.1 200") and b'"down"' in answer
+    assert ask("GET", "/items/s1?id=a", until=b"hi").endswith(b"\r\n\r\nhi")
+    assert ask("POST", "/drafts/s1", body, headers).startswith(b"HTTP/1.1 202")
+    assert ask("DELETE", "/lots/s1").startswith(b"HTTP/1.1 200")
+    # What was never accepted is refused as before, and other routes keep their paths.
+    assert ask("POST", "/drafts/s1", b"{}", headers).startswith(b"HTTP/1.1 404")
+    assert ask("POST", "/drafts/s2", body, ID).startswith(b"HTTP/1.1 404")
+    assert ask("GET", "/items/none?id=a").startswith(b"HTTP/1.1 404")
+    assert b"from i-" in ask("GET", "/lots/other", headers=ID, until=b"from i-")
+
+
+def test_without_a_route_a_submission_is_unknown_only_if_the_store_says_so(gateway_fixture):
+    gateway_fixture.configure(2, route("safe", "idempotent"))
+    gateway_fixture.loop.advance(0.5)
+    assert gateway_fixture.ask("GET", "/lots/none?after=0").startswith(b"HTTP/1.1 404")
+    gateway_fixture.standin.faults.down = True
+    assert gateway_fixture.ask("GET", "/lots/none?after=0").startswith(b"HTTP/1.1 503")
+    assert gateway_fixture.ask("GET", "/none/x", headers=ID).startswith(b"HTTP/1.1 404")
+
+
+def test_a_submission_is_not_shown_at_a_host_without_routes(gateway_fixture):
+    body = json.dumps(SUBMISSION).encode()
+    headers = (("X-Pumicedeck-Request-Id", "s1"),)
+    assert gateway_fixture.ask("POST", "/drafts/s1", body, headers).startswith(b"HTTP/1.1 202")
+    sock = gateway_fixture.connect()
+    sock.sendall(b"GET /lots/s1?after=0 HTTP/1.1\r\nHost: other\r\n\r\n")
+    assert gateway_fixture.read(sock).startswith(b"HTTP/1.1 404")
+
+
 def test_without_the_store_a_submission_is_refused_and_calls_go_on(gateway_fixture):
     gateway_fixture.standin.faults.down = True
     body = json.dumps(SUBMISSION).encode()
