Wait for the route of a reward call instead of giving its item up

Trainers saw: complete outputs listed as down, without their text, 35 s before max-wait-s, because a manifest left out the route of the reward calls for 3 s (9 of 24 items).

Cause: a missing route counted as a final failure of the reward call. Every other obstacle is waited for until the submission's give-up time.

Change: the call looks for a route again until that time. An output that completes after its own submission's route was removed is scored as well.

--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -34,9 +34,13 @@
         self._is_worked_on = is_worked_on
         self._on_requeued = on_requeued
 
-    def give_up_at(self, work: SubmissionWork, route: Route) -> float:
-        """Return when a submission's items are given up, in seconds on the process's clock."""
-        seconds = route.give_up_seconds or self._settings.default_give_up_seconds
+    def give_up_at(self, work: SubmissionWork, route: Route | None) -> float:
+        """Return when a submission's items are given up, in seconds on the process's clock.
+
+        A complete output is scored after its submission's `route` has been removed, too.
+        """
+        seconds = route.give_up_seconds if route is not None else 0.0
+        seconds = seconds or self._settings.default_give_up_seconds
         return self._parts.clock.to_local_seconds(work.head.accepted) + seconds
 
     def give_up_all(self, work: SubmissionWork, reason: str) -> None:
@@ -71,7 +75,7 @@
         score: str | None = ""
         if item_work.item.reward is not None:
             route = self._parts.route(work.head.route)
-            until = self.give_up_at(work, route) if route is not None else 0.0
+            until = self.give_up_at(work, route)
             max_errors = route.max_attempts if route is not None else 1
             score = await self._parts.rewards.score(
                 item_work.item.reward, self._parts.routes, max_errors, until
--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -21,6 +21,8 @@
 _MAX_CALL_SECONDS = 3.0
 _RETRY_PAUSE_SECONDS = 0.1
 _MAX_RETRY_PAUSE_SECONDS = 0.5
+# Thousands of complete outputs may wait for a route at a time.
+_ROUTE_CHECK_SECONDS = 0.25
 
 
 class RewardCaller:
@@ -50,18 +52,26 @@
     ) -> str | None:
         """Return the signature of the scorer's answer, None if no call succeeded.
 
-        The calls end without a score when `until` has passed, on the clock of `timers`, when the
-        route does not exist, or after `max_errors` answers with an error, or as many as the
-        route's own `max_attempts` if that is more. Calls without an answer are not counted.
+        The calls end without a score when `until` has passed, on the clock of `timers`, or after
+        `max_errors` answers with an error, or as many as the route's own `max_attempts` if that is
+        more. Calls without an answer are not counted. While no route matches, the call waits for
+        one: operators remove a route and add it again.
         """
         errors = 0
+        has_route = True
         tried: tuple[str, ...] = ()
         while self._timers.now() < until:
             table = routes()
             route = table and table.find(reward.host.lower(), reward.path.partition("?")[0])
             if route is None:
-                _log.warning("no route matches reward call", request=reward.request_id)
-                return None
+                if has_route:
+                    _log.warning("no route matches reward call", request=reward.request_id)
+                has_route = False
+                await sleep(self._timers, _ROUTE_CHECK_SECONDS)
+                continue
+            if not has_route:
+                has_route = True
+                _log.info("a route matches reward call again", request=reward.request_id)
             pool = choose_pool(route, self._random)
             # Callers may reserve later permits, so at limited endpoints they go before this.
             selected = await self._selector.select(pool, tried, longest_wait=0.0)
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -3,7 +3,9 @@
 from result import Ok
 
 from pumicedeck.results import ResultCode
+from pumicedeck.route_tables import RouteTable
 from pumicedeck.tests.scheduler_simulations import (
+    ROUTES,
     SchedulerProcess,
     SchedulerSimulation,
     complete_text,
@@ -361,3 +363,54 @@
     calls = len(simulation.score_calls)
     simulation.run(10.0)
     assert len(simulation.score_calls) == calls
+
+
+def keep_routes(simulation, *names):
+    """Install a configuration that has only the named routes of the deployment."""
+    routes = tuple(route for route in ROUTES.routes if route.name in names)
+    simulation.routes = RouteTable(simulation.routes.version + 1, routes, {})
+
+
+def test_complete_outputs_wait_for_the_route_of_their_reward_calls():
+    # Guards against complete outputs that are given up because a manifest leaves out that route.
+    simulation = SchedulerSimulation()
+    simulation.submit(simulation.processes[0], STEP)
+    keep_routes(simulation, "drafts")
+    simulation.run(3.0)
+    assert simulation.results(simulation.processes[0]) == []
+    keep_routes(simulation, "drafts", "scores")
+    simulation.run(1.0)
+    check_complete(simulation, simulation.processes[0], STEP)
+
+
+def test_without_a_route_for_reward_calls_items_are_given_up_at_their_time_and_not_before():
+    simulation = SchedulerSimulation()
+    simulation.submit(simulation.processes[0], [[20, 30]])
+    keep_routes(simulation, "drafts")
+    simulation.run(19.0)
+    assert simulation.results(simulation.processes[0]) == []
+    simulation.run(2.0)
+    results = simulation.results(simulation.processes[0])
+    assert [each.completed for each in results] == [False, False]
+    assert simulation.score_calls == []
+
+
+def test_a_successor_scores_outputs_that_waited_for_a_route():
+    simulation = SchedulerSimulation()
+    simulation.submit(simulation.processes[0], [[20, 30]])
+    keep_routes(simulation, "drafts")
+    simulation.run(3.0)
+    simulation.processes[0].kill()
+    simulation.run(3.0)
+    keep_routes(simulation, "drafts", "scores")
+    simulation.run(1.0)
+    check_complete(simulation, simulation.processes[1], [[20, 30]])
+
+
+def test_an_output_that_completes_after_its_submissions_route_was_removed_is_scored():
+    simulation = SchedulerSimulation()
+    simulation.submit(simulation.processes[0], [[30, 30]])
+    simulation.run(0.5)
+    keep_routes(simulation, "scores")
+    simulation.run(2.0)
+    check_complete(simulation, simulation.processes[0], [[30, 30]])
