Relay answers whose header fields are not ASCII

Callers saw: no answer at all within 9 s to a stream whose answer named its weight versions with a superscript two (measured by the users, 3 of 3).

Cause: a field of an answer is kept as Latin-1 text, but was given to h11 as text, which it encodes as ASCII: the exception ended the task that relays the answer.

Change: fields are encoded as Latin-1, as requests to endpoints are. parse_whole_number reads numbers of ASCII digits only and not too many.

--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -213,7 +213,9 @@
 
     def _build_response(self, status: int, headers: Headers) -> h11.Response:
         draining_headers = (("Connection", "close"),) if self._listener.is_draining else ()
-        return h11.Response(status_code=status, headers=[*headers, *draining_headers])
+        # Endpoints may send any byte above 127 in a field, which stands for itself in Latin-1.
+        fields = [(name, value.encode("latin-1")) for name, value in (*headers, *draining_headers)]
+        return h11.Response(status_code=status, headers=fields)
 
     def _buffer_event(self, event) -> None:
         if not self._open:
--- a/pumicedeck/json_documents.py
+++ b/pumicedeck/json_documents.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Callable
 from ipaddress import IPv4Address
+from math import isfinite
 from typing import Any, TypeVar
 
 from result import Err, Ok, Result
@@ -18,6 +19,8 @@
 
 MAX_INTEGER = 2**63 - 1
 MAX_PORT = 65_535
+# Ten to this power is below MAX_INTEGER.
+MAX_DIGITS = 18
 
 
 class InvalidFieldError(ValueError):
@@ -63,6 +66,32 @@
     return value
 
 
+def read_number(document: dict, name: str) -> float:
+    """Return a field that is a finite number; raises as `read_integer` does."""
+    value = document[name]
+    if type(value) not in (int, float) or not isfinite(number := float(value)):
+        raise InvalidFieldError(f"{name} is not a finite number")
+    return number
+
+
+def read_text(document: dict, name: str) -> str:
+    """Return a field that is a text; raises as `read_integer` does."""
+    value = document[name]
+    if not isinstance(value, str):
+        raise InvalidFieldError(f"{name} is not a text")
+    return value
+
+
+def parse_whole_number(text: str, max_digits: int = MAX_DIGITS) -> int | None:
+    """Return the number in a header field or argument, None unless it has ASCII digits only.
+
+    `str.isdigit` also accepts digits that `int` does not, and `int` raises for thousands of them.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > max_digits:
+        return None
+    return int(text)
+
+
 def parse_address(text: str) -> Address:
     """Parse an IPv4 address and a TCP port, as HOST:PORT.
 
@@ -70,7 +99,7 @@
     no socket accepts.
     """
     host, _, port = text.rpartition(":")
-    if not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= MAX_PORT:
+    if not 0 < (parse_whole_number(port) or 0) <= MAX_PORT:
         raise InvalidFieldError(f"the port of an address is not a number from 1 to {MAX_PORT}")
     try:
         return Address(str(IPv4Address(host)), int(port))
--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -12,6 +12,7 @@
     decode_document,
     parse_address,
     read_integer,
+    read_text,
 )
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.results import Failure, ResultCode
@@ -108,21 +109,19 @@
     """Build an endpoint; other writers use the table too, so that each field is checked."""
     if document["state"] not in _ENDPOINT_STATES:
         raise InvalidFieldError("state is unknown")
-    for key in ("service", "address", "zone", "version"):
-        if not isinstance(document[key], str):
-            raise InvalidFieldError(f"{key} is not a text")
+    zone = read_text(document, "zone")
     read_integer(document, "seq")
     return DirectEndpoint(
         name=name,
-        pool=document["service"],
-        address=parse_address(document["address"]),
-        failure_domain=FailureDomain(document["zone"], regions.get(document["zone"], "")),
+        pool=read_text(document, "service"),
+        address=parse_address(read_text(document, "address")),
+        failure_domain=FailureDomain(zone, regions.get(zone, "")),
         slots=max(1, read_integer(document, "slots", highest=_MAX_SLOTS)),
         draining=document["state"] == "draining",
         incarnation=read_integer(document, "born"),
         models=decode_models(document.get("models") or ()),
         # The version of its software; those of weights are in the models.
-        software_version=document["version"],
+        software_version=read_text(document, "version"),
     )
 
 
