Let unreadable rows, reports and bodies have a value instead of an exception

Found on paths related to the odd entries: deep nesting, infinite numbers and fields of other types raised what the decoders of leases, heads, owners, partial outputs, crashes, limits, stream records, counts, tokens, claims, engine reports and submissions did not list. One such row ended the work feed at all gateways or the scheduler's tick for all submissions; a body of nested brackets left its caller without an answer.

Change: all of them decode through json_documents. An unreadable lease counts as that of an unknown holder: it expires, and the next fencing number is above the row's revision. A partial output is left out, so that its item begins anew. Submissions with a step out of range or an item's id that is no text are refused with code 400; numbers in headers go through parse_whole_number.

--- a/pumicedeck/catalogue_rows.py
+++ b/pumicedeck/catalogue_rows.py
@@ -216,7 +216,7 @@
         document = json.loads(json_bytes)
         revision = int(document["revision"])
         text = render_json(document["catalogue"])
-    except (zlib.error, ValueError, KeyError, TypeError) as error:
+    except Exception as error:
         return _decode_error(str(error))
     return parse_catalogue(text, revision)
 
@@ -255,7 +255,7 @@
 def _decode(data: bytes, build: Any) -> Result[Any, Failure]:
     try:
         return Ok(build(json.loads(data)))
-    except (ValueError, KeyError, TypeError) as error:
+    except Exception as error:
         return _decode_error(str(error))
 
 
--- a/pumicedeck/claims.py
+++ b/pumicedeck/claims.py
@@ -24,6 +24,7 @@
     request_id_unix_second,
 )
 from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.json_documents import guard_decoding
 from pumicedeck.platform_interfaces import (
     Committed,
     Condition,
@@ -385,7 +386,12 @@
         if row.revision == 0:
             claim.revision = 0
             return not self._has_expired(claim)
-        found = decode_row(row.value)
+        decoded = guard_decoding(lambda: decode_row(row.value))
+        if isinstance(decoded, Err):
+            detail = f"the claim row cannot be decoded: {decoded.err_value}"
+            self._refuse(claim, self._unavailable(detail))
+            return False
+        found = decoded.ok_value
         if found.holder == self._incarnation and found.nonce == claim.row.nonce:
             claim.revision = row.revision
             self._grant(claim)
@@ -472,7 +478,10 @@
             if row.revision == 0 or claim.key in self._open_claims:
                 continue
             self._uncertain_claims.pop(claim.key, None)
-            found = decode_row(row.value)
+            decoded = guard_decoding(lambda value=row.value: decode_row(value))
+            if isinstance(decoded, Err):
+                continue
+            found = decoded.ok_value
             if found.holder != self._incarnation or found.nonce != claim.row.nonce:
                 continue
             claim.revision = row.revision
--- a/pumicedeck/demand_exchanges.py
+++ b/pumicedeck/demand_exchanges.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import Timer, TimerQueue
+from pumicedeck.json_documents import decode_document, guard_decoding
 from pumicedeck.limit_shares import Demand
 from pumicedeck.limiters import EntryLimiter
 from pumicedeck.platform_interfaces import Committed, Row, TableStore, Transaction, Write
@@ -126,8 +127,7 @@
 
 def _decode(row: Row) -> Result[Demand, str]:
     name, _, vm = row.key.rpartition("/")
-    try:
-        concurrency, requests, tokens = (float(each) for each in json.loads(row.value))
-    except (ValueError, TypeError):
-        return Err(row.key)
-    return Ok(Demand(name, vm, concurrency, requests, tokens))
+    decoded = decode_document(row.value, lambda numbers: tuple(float(each) for each in numbers))
+    return decoded.and_then(
+        lambda numbers: guard_decoding(lambda: Demand(name, vm, *numbers))
+    ).map_err(lambda reason: row.key)
--- a/pumicedeck/duties/true_times.py
+++ b/pumicedeck/duties/true_times.py
@@ -11,6 +11,8 @@
 from math import floor
 from statistics import median
 
+from pumicedeck.json_documents import MAX_INTEGER, decode_document, read_integer, read_number
+
 MIN_OFFSETS = 3
 # Within this distance the agreed offset is as good as any other.
 MAX_DIFFERENCE_SECONDS = 0.5
@@ -53,16 +55,15 @@
 
 def decode_agreed_time(value: bytes) -> AgreedTime | None:
     """Decode the row's value; return None if it is invalid."""
-    try:
-        document = json.loads(value)
-        return AgreedTime(
-            float(document["offset"]),
-            float(document["since"]),
-            float(document["former"]),
-            int(document["first_window"]),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
+    return decode_document(
+        value,
+        lambda document: AgreedTime(
+            read_number(document, "offset"),
+            read_number(document, "since"),
+            read_number(document, "former"),
+            read_integer(document, "first_window", lowest=-MAX_INTEGER),
+        ),
+    ).unwrap_or(None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,11 +83,12 @@
 
 def decode_offset_report(value: bytes) -> OffsetReport | None:
     """Decode a gateway's row; return None if it is invalid."""
-    try:
-        document = json.loads(value)
-        return OffsetReport(float(document["offset"]), float(document["started"]))
-    except (ValueError, KeyError, TypeError):
-        return None
+    return decode_document(
+        value,
+        lambda document: OffsetReport(
+            read_number(document, "offset"), read_number(document, "started")
+        ),
+    ).unwrap_or(None)
 
 
 def window_of(true_seconds: float, window_seconds: float) -> int:
--- a/pumicedeck/duties/usage_rows.py
+++ b/pumicedeck/duties/usage_rows.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from pumicedeck.json_documents import decode_document, read_integer
 from pumicedeck.partitioned_stores import RowKey, StoredRow
 
 USAGE_TABLE = "usage"
@@ -62,9 +63,13 @@
     return json.dumps(counts, sort_keys=True).encode()
 
 
-def decode_counts(value: bytes) -> dict[str, int]:
-    """Decode the value of a report's row."""
-    return {str(account): int(number) for account, number in json.loads(value).items()}
+def decode_counts(value: bytes) -> dict[str, int] | None:
+    """Decode the value of a report's row; return None if it is invalid."""
+    return decode_document(value, _build_counts).unwrap_or(None)
+
+
+def _build_counts(document: dict) -> dict[str, int]:
+    return {account: read_integer(document, account) for account in document}
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +112,6 @@
 
 def _decode_count_row(value: bytes) -> tuple[dict[str, int], bool] | None:
     """Return the counts of a row and whether it is final, None if it is invalid."""
-    try:
-        document = json.loads(value)
-        counts = {str(account): int(number) for account, number in document["counts"].items()}
-        return counts, bool(document["final"])
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
+    return decode_document(
+        value, lambda document: (_build_counts(document["counts"]), bool(document["final"]))
+    ).unwrap_or(None)
--- a/pumicedeck/edits.py
+++ b/pumicedeck/edits.py
@@ -4,7 +4,6 @@
 the transaction that commits it.
 """
 
-import json
 import re
 from dataclasses import dataclass
 
@@ -33,6 +32,7 @@
     history_key,
     row_name_of,
 )
+from pumicedeck.json_documents import decode_document
 from pumicedeck.platform_interfaces import Condition, Transaction, Write
 from pumicedeck.results import Failure, ResultCode
 
@@ -245,8 +245,13 @@
 
 def decode_change_outcome(data: bytes) -> Result[ChangeOutcome, Failure]:
     """Decode the outcome of a change id from the change log."""
-    try:
-        revision = json.loads(data)["revision"]
-        return Ok(ChangeOutcome(None if revision is None else int(revision)))
-    except (ValueError, KeyError, TypeError) as error:
-        return Err(Failure(ResultCode.INTERNAL_ERROR, f"change outcome cannot be decoded: {error}"))
+    return decode_document(data, _build_change_outcome).map_err(
+        lambda reason: Failure(
+            ResultCode.INTERNAL_ERROR, f"change outcome cannot be decoded: {reason}"
+        )
+    )
+
+
+def _build_change_outcome(document) -> ChangeOutcome:
+    revision = document["revision"]
+    return ChangeOutcome(None if revision is None else int(revision))
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -14,6 +14,7 @@
 
 from result import Result
 
+from pumicedeck.json_documents import decode_document, read_integer, read_number, read_text
 from pumicedeck.order_announcements import (
     ANY_ENDPOINT,
     AnnouncedOrders,
@@ -25,6 +26,7 @@
 from pumicedeck.results import Failure, ResultCode
 
 LEASE_TABLE = "leases"
+UNREADABLE_HOLDER = "unreadable lease row"
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,16 +74,25 @@
         return json.dumps(document, sort_keys=True).encode()
 
 
-def decode_lease(value: bytes) -> LeaseRow:
-    """Decode the value of a lease row; an absent row is a free lease with fencing number 0."""
+def decode_lease(value: bytes, revision: int, duration: float) -> LeaseRow:
+    """Decode the value of a lease row; an absent row is a free lease with fencing number 0.
+
+    An unreadable row is a lease of an unknown holder that expires after `duration` seconds. Its
+    fencing number is the row's `revision`: each new lease takes a write, so that no earlier holder
+    had a higher one.
+    """
     if not value:
         return LeaseRow("", 0, 0.0)
-    document = json.loads(value)
+    unreadable = LeaseRow(UNREADABLE_HOLDER, revision, duration)
+    return decode_document(value, _build_lease).unwrap_or(unreadable)
+
+
+def _build_lease(document) -> LeaseRow:
     return LeaseRow(
-        document["holder"],
-        document["fencing"],
-        document["duration"],
-        document.get("sent"),
+        read_text(document, "holder"),
+        read_integer(document, "fencing"),
+        read_number(document, "duration"),
+        read_number(document, "sent") if document.get("sent") is not None else None,
         _decode_orders(document),
     )
 
@@ -89,9 +100,14 @@
 def _decode_orders(document: dict) -> AnnouncedOrders | None:
     """Return what a row announces; one of a program that names no endpoints stands for all."""
     if "orders" in document:
-        return AnnouncedOrders(document["orders"], document["earlier_orders"])
-    until = document.get("orders_until")
-    return None if until is None else AnnouncedOrders({ANY_ENDPOINT: until})
+        own, earlier = document["orders"], document["earlier_orders"]
+        return AnnouncedOrders(
+            {endpoint: read_number(own, endpoint) for endpoint in own},
+            {endpoint: read_number(earlier, endpoint) for endpoint in earlier},
+        )
+    if document.get("orders_until") is None:
+        return None
+    return AnnouncedOrders({ANY_ENDPOINT: read_number(document, "orders_until")})
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +224,7 @@
     @property
     def observed_holder(self) -> str:
         """Return the holder in the row as last read or written, empty if there is none."""
-        return decode_lease(self._row.value).holder if self._row is not None else ""
+        return self._decode_row().holder if self._row is not None else ""
 
     @property
     def other_holder(self) -> str:
@@ -216,7 +232,7 @@
 
         Empty if there is none, or if it is this process or an earlier one with the same prefix.
         """
-        current = decode_lease(self._row.value) if self._row is not None else None
+        current = self._decode_row() if self._row is not None else None
         if current is None or self._is_same_process(current.holder):
             return ""
         return current.holder
@@ -324,6 +340,13 @@
         self._wakeup_at = None
         return [ReadLease(self._key)]
 
+    def _decode_row(self) -> LeaseRow:
+        """Return the row as last read or written, which there must be."""
+        return self._decode(self._row)
+
+    def _decode(self, row: Row) -> LeaseRow:
+        return decode_lease(row.value, row.revision, self._settings.duration)
+
     def _observe_row(self, now: float, row: Row) -> None:
         """Store a row; a new revision restarts the time for which the row has not changed."""
         if self._row is None or self._row.revision != row.revision:
@@ -332,7 +355,7 @@
 
     def _row_age_seconds(self, row: Row) -> float:
         """Return how many seconds ago a row was sent, 0 if that is unknown."""
-        sent = decode_lease(row.value).sent
+        sent = self._decode(row).sent
         if sent is None or self._store_now is None:
             return 0.0
         return max(0.0, self._store_now() - sent)
@@ -382,7 +405,7 @@
     def _try_acquire(self, now: float) -> list[LeaseAction]:
         """Commit this process as the holder, or wait until another one's lease has expired."""
         assert self._row is not None
-        current = decode_lease(self._row.value)
+        current = self._decode_row()
         if current.holder and not self._is_same_process(current.holder):
             actions = self._drop_lost_lease()
             takeover_at = (
--- a/pumicedeck/limit_reports.py
+++ b/pumicedeck/limit_reports.py
@@ -8,6 +8,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory, SharedLimit
+from pumicedeck.json_documents import decode_document, read_integer, read_number
 from pumicedeck.partitioned_stores import Change, PartitionedStore, Put, RowKey, StoredRow
 from pumicedeck.request_limiters import permit_row
 from pumicedeck.tasks import sleep, spawn
@@ -131,8 +132,9 @@
 
 def _decode(value: bytes) -> SharedLimit | None:
     """Decode a row's value; return None if it is invalid."""
-    try:
-        document = json.loads(value)
-        return SharedLimit(int(document["incarnation"]), float(document["limit"]))
-    except (ValueError, KeyError, TypeError):
-        return None
+    return decode_document(
+        value,
+        lambda document: SharedLimit(
+            read_integer(document, "incarnation"), read_number(document, "limit")
+        ),
+    ).unwrap_or(None)
--- a/pumicedeck/peer_questions.py
+++ b/pumicedeck/peer_questions.py
@@ -10,6 +10,13 @@
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import HttpRequest
+from pumicedeck.json_documents import (
+    decode_document,
+    guard_decoding,
+    parse_address,
+    read_number,
+    read_text,
+)
 from pumicedeck.partitioned_stores import Change, PartitionedStore, Put
 from pumicedeck.peer_checks import PeerCheck, PeerReport
 from pumicedeck.scheduling.schedulers import Scheduler
@@ -117,9 +124,12 @@
     def _query(self, address: str) -> Promise[PeerReport | None]:
         """Query the peer at an address; the promise has None if it does not answer in time."""
         promise: Promise[PeerReport | None] = Promise()
-        host, _, port = address.rpartition(":")
-        target = Address(host, int(port))
-        request = HttpRequest("GET", target, PEER_PATH, idempotent=True)
+        target = guard_decoding(lambda: parse_address(address))
+        if isinstance(target, Err):
+            _log.warning("peer address invalid", reason=target.err_value)
+            promise.resolve(None)
+            return promise
+        request = HttpRequest("GET", target.ok_value, PEER_PATH, idempotent=True)
         seconds = self._peer_check.settings.answer_seconds
 
         def settle(outcome) -> None:
@@ -133,9 +143,12 @@
 
 def _read(body: bytes) -> PeerReport | None:
     """Decode the report of a peer, None if it is invalid."""
-    try:
-        document = json.loads(body)
-        return PeerReport(float(document["heard_ago"]), str(document["holder"]))
-    except (ValueError, KeyError, TypeError) as error:
-        _log.warning("peer report invalid", error=repr(error))
-        return None
+    decoded = decode_document(
+        body,
+        lambda document: PeerReport(
+            read_number(document, "heard_ago"), read_text(document, "holder")
+        ),
+    )
+    if isinstance(decoded, Err):
+        _log.warning("peer report invalid", reason=decoded.err_value)
+    return decoded.unwrap_or(None)
--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from urllib.parse import parse_qs
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from pumicedeck.dialects import (
     CallerDialect,
@@ -20,6 +20,13 @@
 )
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.incoming_calls import Headers, IncomingCall
+from pumicedeck.json_documents import (
+    MAX_INTEGER,
+    InvalidFieldError,
+    decode_document,
+    parse_whole_number,
+    read_text,
+)
 from pumicedeck.platform.headers import (
     AUTHORIZATION,
     DEADLINE,
@@ -49,8 +56,7 @@
 
     def decode_request(self, incoming: IncomingCall) -> ForwardedCall:
         """Decode a request."""
-        deadline_ms = incoming.header(DEADLINE.lower())
-        last_event_id = incoming.header(LAST_EVENT.lower())
+        deadline_ms = parse_whole_number(incoming.header(DEADLINE.lower()))
         return ForwardedCall(
             request_id=incoming.header(REQUEST_ID.lower()),
             method=incoming.method,
@@ -59,9 +65,9 @@
             headers=without_hop_by_hop_headers(incoming.headers),
             body=incoming.body,
             budget_seconds=(
-                float(deadline_ms) / _MILLISECONDS_PER_SECOND if deadline_ms.isdigit() else None
+                deadline_ms / _MILLISECONDS_PER_SECOND if deadline_ms is not None else None
             ),
-            resume_after=int(last_event_id) if last_event_id.isdigit() else None,
+            resume_after=parse_whole_number(incoming.header(LAST_EVENT.lower())),
             stream_id=incoming.header(RESUMES.lower()),
         )
 
@@ -109,11 +115,10 @@
             if incoming.method == "DELETE":
                 return EndSubmission(name)
             if incoming.method == "GET":
-                after = arguments.get("after", ["0"])[0]
-                wait = incoming.header(WAIT.lower())
-                wait_milliseconds = min(_MAX_WAIT_MILLISECONDS, int(wait) if wait.isdigit() else 0)
-                position = int(after) if after.isdigit() else 0
-                return ReadResults(name, position, wait_milliseconds / _MILLISECONDS_PER_SECOND)
+                position = parse_whole_number(arguments.get("after", ["0"])[0]) or 0
+                wait = parse_whole_number(incoming.header(WAIT.lower())) or 0
+                wait_seconds = min(_MAX_WAIT_MILLISECONDS, wait) / _MILLISECONDS_PER_SECOND
+                return ReadResults(name, position, wait_seconds)
         if path.startswith(_ITEMS_PREFIX) and incoming.method == "GET":
             item = arguments.get("id", [""])[0]
             return ReadItem(path.removeprefix(_ITEMS_PREFIX), item)
@@ -123,34 +128,38 @@
         self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool = False
     ) -> Result[Submission, Failure]:
         """Decode a new submission; fail with BAD_REQUEST if it is invalid."""
-        try:
-            document = json.loads(call.body)
+
+        def build(document) -> Submission:
             items = tuple(_decode_item(each, has_accounts) for each in document["items"])
             head = SubmissionHead(
                 submission_id=call.request_id,
                 route=route,
                 host=call.host,
                 model=str(document.get("model", "")),
-                step=int(document.get("step", 0)),
-                min_version=int(document.get("min-version", 0)),
+                step=_read_optional_integer(document, "step"),
+                min_version=_read_optional_integer(document, "min-version"),
                 # How many groups the trainer waits for before it ends the submission.
-                wanted_groups=int(document.get("group-target", 0)),
+                wanted_groups=_read_optional_integer(document, "group-target"),
                 total=len(items),
                 chunks=len(encode_items(items)),
                 digest=hashlib.sha256(call.body).hexdigest()[:16],
                 accepted=accepted,
                 account=call.account,
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            return Err(Failure(ResultCode.BAD_REQUEST, f"invalid submission: {error!r}"))
-        if not call.request_id or not items:
+            return Submission(head, items)
+
+        decoded = decode_document(call.body, build)
+        if isinstance(decoded, Err):
+            detail = f"invalid submission: {decoded.err_value}"
+            return Err(Failure(ResultCode.BAD_REQUEST, detail))
+        if not call.request_id or not decoded.ok_value.items:
             return Err(
                 Failure(
                     ResultCode.BAD_REQUEST,
                     "invalid submission: it needs a request id and at least one item",
                 )
             )
-        return Ok(Submission(head, items))
+        return decoded
 
     def results(self, total: int, after: int, results: list[dict]) -> bytes:
         """Encode a page of results; `after` is the position of the first one."""
@@ -172,19 +181,19 @@
     headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
     if not all(_is_header_field(name, value) for name, value in headers):
         # Neither is shown: a submitter may have put a key there.
-        raise ValueError("an item has a header field that HTTP does not allow")
+        raise InvalidFieldError("an item has a header field that HTTP does not allow")
     if has_accounts:
         headers = without_identity_headers(headers)
     lowered = {name.lower(): value for name, value in headers}
     hint = lowered.get(LENGTH_HINT.lower(), "")
     scorer = document.get("scorer")
     return Item(
-        item_id=document["id"],
-        path=document["path"],
+        item_id=read_text(document, "id"),
+        path=read_text(document, "path"),
         headers=headers,
         body=base64.b64decode(document["body"]),
         group=str(document.get("group", document["id"])),
-        expected_length=float(hint) if hint.replace(".", "", 1).isdigit() else 0.0,
+        expected_length=_decode_length(hint),
         reward=_decode_reward_call(scorer) if scorer else None,
     )
 
@@ -200,5 +209,24 @@
 
 def _decode_reward_call(document: dict) -> RewardCall:
     return RewardCall(
-        document["id"], document["host"], document["path"], base64.b64decode(document["body"])
+        read_text(document, "id"),
+        read_text(document, "host"),
+        read_text(document, "path"),
+        base64.b64decode(document["body"]),
     )
+
+
+def _decode_length(hint: str) -> float:
+    """Return an estimated length, 0 for unknown if the text is not a decimal number."""
+    whole, point, fraction = hint.partition(".")
+    if parse_whole_number(whole or "0") is None or parse_whole_number(fraction or "0") is None:
+        return 0.0
+    return float(hint) if whole or fraction else 0.0
+
+
+def _read_optional_integer(document: dict, name: str) -> int:
+    """Return an integer field, 0 without it; raises InvalidFieldError if it is out of range."""
+    number = int(document.get(name, 0))
+    if abs(number) > MAX_INTEGER:
+        raise InvalidFieldError(f"{name} is not an integer of at most {MAX_INTEGER}")
+    return number
--- a/pumicedeck/platform/endpoint_calls.py
+++ b/pumicedeck/platform/endpoint_calls.py
@@ -14,6 +14,7 @@
 )
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.json_documents import decode_document, parse_whole_number, read_integer
 from pumicedeck.platform.headers import (
     ACCOUNT,
     DEADLINE,
@@ -37,7 +38,7 @@
 _JSON_TYPE = ("Content-Type", "application/json")
 _EVENT_VERSION = f"{VERSIONS.lower()}:"
 _LOAD_FIGURES = 3
-# Longer texts are no counts of requests, and int() refuses very long ones with an exception.
+# Longer texts are no counts of requests.
 _MAX_LOAD_DIGITS = 9
 
 
@@ -85,7 +86,6 @@
     def decode_answer_head(self, response: HttpResponse) -> AnswerHead:
         """Decode the head of an answer."""
         running, waiting = _decode_load(response.header(LOAD.lower()))
-        version = response.header(VERSIONS.lower())
         misdirected = response.status == _MISDIRECTED_STATUS
         return AnswerHead(
             status=response.status,
@@ -93,7 +93,7 @@
             not_run=misdirected or bool(response.header(NOT_RUN.lower())),
             misdirected=misdirected,
             signature=response.header(SIGNATURE.lower()),
-            version=int(version) if version.isdigit() else None,
+            version=parse_whole_number(response.header(VERSIONS.lower())),
             running=running,
             waiting=waiting,
             leaving=response.header(LEAVING.lower()) == _IS_LEAVING,
@@ -107,11 +107,9 @@
             if line.startswith("data:"):
                 data.append(line[5:].removeprefix(" "))
             elif line.startswith("id:"):
-                text = line[3:].strip()
-                number = int(text) if text.isdigit() else None
+                number = parse_whole_number(line[3:].strip())
             elif line.lower().startswith(_EVENT_VERSION):
-                text = line[len(_EVENT_VERSION) :].strip()
-                version = int(text) if text.isdigit() else None
+                version = parse_whole_number(line[len(_EVENT_VERSION) :].strip())
         return None if number is None else StreamEvent(number, "\n".join(data), version)
 
     def order(self, endpoint: DirectEndpoint, order: VersionOrder) -> HttpRequest:
@@ -138,17 +136,17 @@
         """Decode a report; return None if it is invalid."""
         if response.status != 200:
             return None
-        try:
-            document = json.loads(response.body)
-            born = document.get("born")
-            return EngineReport(
-                decode_models(document["models"]),
-                bool(document["busy"]),
-                int(document["seq"]),
-                born if type(born) is int else None,
-            )
-        except (ValueError, KeyError, TypeError):
-            return None
+        return decode_document(response.body, _build_report).unwrap_or(None)
+
+
+def _build_report(document) -> EngineReport:
+    born = document.get("born")
+    return EngineReport(
+        decode_models(document["models"]),
+        bool(document["busy"]),
+        read_integer(document, "seq"),
+        born if type(born) is int else None,
+    )
 
 
 def _decode_limit(text: str) -> float | None:
@@ -168,11 +166,7 @@
     smoothed latency of the endpoint's own answers stands for it. Later ones are ignored.
     """
     parts = [part.strip() for part in text.split(",")]
-    if len(parts) < _LOAD_FIGURES or not all(_is_whole_number(part) for part in parts):
+    figures = [parse_whole_number(part, _MAX_LOAD_DIGITS) for part in parts]
+    if len(figures) < _LOAD_FIGURES or None in figures:
         return None, None
-    return int(parts[0]), int(parts[1])
-
-
-def _is_whole_number(text: str) -> bool:
-    """Return whether a text is a number of at most nine ASCII digits."""
-    return text.isascii() and text.isdigit() and len(text) <= _MAX_LOAD_DIGITS
+    return figures[0], figures[1]
--- a/pumicedeck/platform/stores.py
+++ b/pumicedeck/platform/stores.py
@@ -10,6 +10,7 @@
 
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import HttpRequest, HttpResponse
+from pumicedeck.json_documents import guard_decoding
 from pumicedeck.overdue_calls import OverdueCalls
 from pumicedeck.partitioned_stores import (
     Change,
@@ -157,16 +158,16 @@
                 ResultCode.STORE_UNAVAILABLE, f"the store answered with status {response.status}"
             )
         )
-    try:
-        return decode(response)
-    except (ValueError, KeyError, TypeError) as error:
-        _log.warning("store answer cannot be decoded", status=response.status, error=str(error))
-        return Err(
-            Failure(
-                code,
-                f"the store sent an answer that cannot be decoded, with status {response.status}",
-            )
+    decoded = guard_decoding(lambda: decode(response))
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    _log.warning("store answer cannot be decoded", status=response.status, error=decoded.err_value)
+    return Err(
+        Failure(
+            code,
+            f"the store sent an answer that cannot be decoded, with status {response.status}",
         )
+    )
 
 
 def _decode_commit(response: HttpResponse) -> Result[int, Failure]:
--- a/pumicedeck/request_permits.py
+++ b/pumicedeck/request_permits.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from zlib import crc32
 
+from pumicedeck.json_documents import decode_document, read_number
+
 # Requests that may follow at once after an endpoint got none for a while.
 BURST_REQUESTS = 2
 # An endpoint that accepts nothing still gets a request at times: its answer tells when that ends.
@@ -62,8 +64,5 @@
 
 def decode_next_permit(value: bytes) -> float:
     """Decode the value of the row of an endpoint; 0 if it is invalid."""
-    try:
-        next_at = float(json.loads(value)["next_at"])
-    except (ValueError, KeyError, TypeError):
-        return 0.0
-    return next_at if math.isfinite(next_at) else 0.0
+    decoded = decode_document(value, lambda document: read_number(document, "next_at"))
+    return decoded.unwrap_or(0.0)
--- a/pumicedeck/request_quarantines.py
+++ b/pumicedeck/request_quarantines.py
@@ -13,6 +13,8 @@
 from dataclasses import asdict, dataclass
 from math import inf
 
+from pumicedeck.json_documents import decode_document, read_integer, read_number, read_text
+
 # Endpoints that end within this time under overlapping runs may have ended for one reason; gateways
 # in another region hear of it 30 ms later.
 ONE_EVENT_SECONDS = 0.05
@@ -123,17 +125,17 @@
 
 def decode_crash(value: bytes) -> Crash | None:
     """Decode the value of a crash's row; return None if it is invalid."""
-    try:
-        document = json.loads(value)
-        return Crash(
-            str(document["fingerprint"]),
-            str(document["endpoint"]),
-            int(document["incarnation"]),
-            float(document["began_at"]),
-            float(document["ended_at"]),
-        )
-    except (ValueError, KeyError, TypeError):
-        return None
+    return decode_document(value, _build_crash).unwrap_or(None)
+
+
+def _build_crash(document) -> Crash:
+    return Crash(
+        read_text(document, "fingerprint"),
+        read_text(document, "endpoint"),
+        read_integer(document, "incarnation"),
+        read_number(document, "began_at"),
+        read_number(document, "ended_at"),
+    )
 
 
 def _separate_events(crashes: Iterable[Crash]) -> list[Crash]:
--- a/pumicedeck/scheduling/submission_rows.py
+++ b/pumicedeck/scheduling/submission_rows.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from pumicedeck.json_documents import guard_decoding
 from pumicedeck.partitioned_stores import (
     PartitionedStore,
     Put,
@@ -73,6 +74,19 @@
     return writes, last
 
 
+def _join_results(
+    submission_id: str, rows: Sequence[StoredRow], after: int
+) -> Result[tuple[list[list[ItemResult]], StoredRow | None], Failure]:
+    """Return what `join_results` does, INTERNAL_ERROR if a row cannot be decoded."""
+    joined = guard_decoding(lambda: join_results(rows, after))
+    return joined.map_err(lambda reason: _unreadable(submission_id, "results", reason))
+
+
+def _unreadable(submission_id: str, kind: str, reason: str) -> Failure:
+    _log.error("submission row unreadable", submission=submission_id, kind=kind, reason=reason)
+    return Failure(ResultCode.INTERNAL_ERROR, f"{kind} cannot be decoded: {reason}")
+
+
 async def read_results(
     store: PartitionedStore, submission_id: str
 ) -> Result[list[ItemResult], Failure]:
@@ -80,8 +94,8 @@
     rows = await read_partition(store, RESULTS_TABLE, submission_id)
     if isinstance(rows, Err):
         return rows
-    writes, _ = join_results(rows.ok_value, 0)
-    return Ok([result for write in writes for result in write])
+    joined = _join_results(submission_id, rows.ok_value, 0)
+    return joined.map(lambda found: [result for write in found[0] for result in write])
 
 
 @dataclass(slots=True)
@@ -116,7 +130,10 @@
         if isinstance(outcome, Err):
             return outcome
         page = outcome.ok_value
-        writes, last = join_results(page.rows, after + len(found.results))
+        joined = _join_results(submission_id, page.rows, after + len(found.results))
+        if isinstance(joined, Err):
+            return joined
+        writes, last = joined.ok_value
         for write in writes:
             if not found.add(write):
                 return Ok(found)
@@ -144,15 +161,28 @@
     chunks = [row.value for row in rows.ok_value if holds_items(row.row.key, head.account)]
     if len(chunks) < head.chunks:
         return Err(Failure(ResultCode.NOT_FOUND, "rows of items are missing"))
-    return Ok(decode_items(chunks[: head.chunks]))
+    items = guard_decoding(lambda: decode_items(chunks[: head.chunks]))
+    return items.map_err(lambda reason: _unreadable(head.submission_id, "items", reason))
 
 
 async def read_progress(store: PartitionedStore, submission_id: str) -> dict[str, Progress]:
-    """Read the partial outputs of a submission, by item id; empty if the store cannot be read."""
+    """Read the partial outputs of a submission, by item id; empty if the store cannot be read.
+
+    One that cannot be decoded is left out, so that its item begins anew.
+    """
     rows = await read_partition(store, PROGRESS_TABLE, submission_id)
     if isinstance(rows, Err):
         _log.warning(
             "partial outputs unreadable; items restart from the beginning", submission=submission_id
         )
         return {}
-    return {row.row.key: decode_progress(row.value) for row in rows.ok_value if row.value}
+    found = {}
+    for row in rows.ok_value:
+        if not row.value:
+            continue
+        progress = guard_decoding(lambda value=row.value: decode_progress(value))
+        if isinstance(progress, Ok):
+            found[row.row.key] = progress.ok_value
+        else:
+            _unreadable(submission_id, "partial output", progress.err_value)
+    return found
--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -12,6 +12,7 @@
 
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import EndpointDirectory
+from pumicedeck.json_documents import decode_document, read_number, read_text
 from pumicedeck.partitioned_stores import (
     Change,
     Expectation,
@@ -272,7 +273,12 @@
             return page
         for stored in page.ok_value.rows:
             if stored.row == row and stored.value:
-                return Ok((str(json.loads(stored.value)["version"]), stored.revision))
+                version = decode_document(stored.value, lambda each: read_text(each, "version"))
+                if isinstance(version, Err):
+                    detail = f"the record of the stream cannot be decoded: {version.err_value}"
+                    _log.error("stream record unreadable", key=row.key, reason=version.err_value)
+                    return Err(Failure(ResultCode.INTERNAL_ERROR, detail))
+                return Ok((version.ok_value, stored.revision))
         return Ok(None)
 
     def write(self, stream_id: str, version: str, revision: int) -> Promise[Result[int, Failure]]:
@@ -330,7 +336,7 @@
             if isinstance(found, Err):
                 return
             self._has_records = self._has_records or bool(found.ok_value)
-            old = [r for r in found.ok_value if r.value and json.loads(r.value)["at"] < oldest]
+            old = [row for row in found.ok_value if row.value and written_at(row.value) < oldest]
             for at in range(0, len(old), ROWS_PER_CHANGE):
                 puts = tuple(Put(each.row, None) for each in old[at : at + ROWS_PER_CHANGE])
                 if isinstance(await self._store.commit(Change((), puts)), Err):
@@ -344,6 +350,11 @@
     return RowKey(STREAMS_TABLE, _partition(number), digest[:32])
 
 
+def written_at(value: bytes) -> float:
+    """Return when a record was written, on the store's clock; never for an unreadable one."""
+    return decode_document(value, lambda document: read_number(document, "at")).unwrap_or(inf)
+
+
 def _partition(number: int) -> str:
     return f"{number:x}"
 
--- a/pumicedeck/stream_versions.py
+++ b/pumicedeck/stream_versions.py
@@ -12,6 +12,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
+from pumicedeck.json_documents import decode_document, read_number
+
 
 @dataclass(frozen=True, slots=True)
 class StreamVersionSettings:
@@ -66,15 +68,15 @@
 
 def decode_pool_versions(value: bytes) -> PoolVersions | None:
     """Decode the value of a pool's row; return None if it is invalid."""
-    try:
-        document = json.loads(value)
-        base = str(document["base"])
-        announced = frozenset(str(each) for each in document["announced"])
-        former = frozenset(str(each) for each in document.get("former", ()))
-        since = float(document.get("since", 0.0))
-        return PoolVersions(base, announced | ({base} - {""}), former, since)
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
+    return decode_document(value, _build_pool_versions).unwrap_or(None)
+
+
+def _build_pool_versions(document) -> PoolVersions:
+    base = str(document["base"])
+    announced = frozenset(str(each) for each in document["announced"])
+    former = frozenset(str(each) for each in document.get("former", ()))
+    since = read_number(document, "since") if "since" in document else 0.0
+    return PoolVersions(base, announced | ({base} - {""}), former, since)
 
 
 def announce_versions(known: PoolVersions | None, registered: Mapping[str, int]) -> PoolVersions:
--- a/pumicedeck/submission_intakes.py
+++ b/pumicedeck/submission_intakes.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.json_documents import guard_decoding
 from pumicedeck.page_caches import PageCache
 from pumicedeck.partitioned_stores import Change, Expectation, PartitionedStore, Put, read_partition
 from pumicedeck.results import Failure, ResultCode
@@ -268,7 +269,15 @@
         if isinstance(outcome, Err):
             return Err(_STORE_UNREADABLE)
         if any(row.row.key == HEAD_KEY for row in outcome.ok_value):
-            self._mirror.apply(tuple(outcome.ok_value))
+            applied = guard_decoding(lambda: self._mirror.apply(tuple(outcome.ok_value)))
+            if isinstance(applied, Err):
+                _log.error(
+                    "submission row unreadable",
+                    submission=submission_id,
+                    kind="work",
+                    reason=applied.err_value,
+                )
+                return Err(_STORE_UNREADABLE)
         return Ok(None)
 
     def _is_fresh(self) -> bool:
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -6,9 +6,15 @@
 from dataclasses import dataclass, field
 
 from pumicedeck.accounts.identities import account_field
+from pumicedeck.json_documents import MAX_INTEGER, read_integer, read_number, read_text
 
 CHUNK_BYTES = 44_000
 _COMPRESSION_LEVEL = 1
+_HEAD_FIELD_READERS = {
+    str: read_text,
+    int: lambda document, name: read_integer(document, name, -MAX_INTEGER),
+    float: read_number,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,8 +167,15 @@
 
 
 def decode_head(value: bytes) -> SubmissionHead:
-    """Decode the value of a head row."""
-    return SubmissionHead(**json.loads(value))
+    """Decode the value of a head row.
+
+    Raises InvalidFieldError if a field has another type: the scheduler computes with all heads.
+    """
+    document = json.loads(value)
+    for name, kind in SubmissionHead.__annotations__.items():
+        if name in document:
+            _HEAD_FIELD_READERS[kind](document, name)
+    return SubmissionHead(**document)
 
 
 def encode_results(results: tuple[ItemResult, ...]) -> tuple[bytes, ...]:
--- a/pumicedeck/tests/test_leases.py
+++ b/pumicedeck/tests/test_leases.py
@@ -58,7 +58,7 @@
     holder.on_timer(115.0)
     commit = holder.lease_read(115.0, Ok(_row("other")))[0]
     assert isinstance(commit, CommitLease)
-    assert decode_lease(commit.transaction.writes[0].value).fencing == 2
+    assert decode_lease(commit.transaction.writes[0].value, 1, 1.0).fencing == 2
     assert holder.lease_committed(115.1, Ok(Committed((2,)))) == [LeaseAcquired(2, "other")]
 
 
@@ -195,7 +195,7 @@
     holder.on_timer(105.0)
     (commit,) = holder.lease_read(105.0, Ok(_sent_row("other", sent=lag + 90.0)))
     assert isinstance(commit, CommitLease)
-    written = decode_lease(commit.transaction.writes[0].value)
+    written = decode_lease(commit.transaction.writes[0].value, 1, 1.0)
     assert (written.holder, written.fencing, written.sent) == ("me", 2, lag + 105.0)
 
 
--- a/pumicedeck/tests/test_order_announcements.py
+++ b/pumicedeck/tests/test_order_announcements.py
@@ -291,10 +291,10 @@
 def test_a_row_that_names_no_endpoints_stands_for_all():
     """Programs of the version before announce no endpoints; during an upgrade both are at work."""
     value = b'{"holder": "a", "fencing": 3, "duration": 1.1, "orders_until": 20.0}'
-    assert decode_lease(value).orders == AnnouncedOrders({ANY_ENDPOINT: 20.0})
+    assert decode_lease(value, 1, 1.0).orders == AnnouncedOrders({ANY_ENDPOINT: 20.0})
     assert earliest_order({ANY_ENDPOINT: 20.0}, "e1", 3.7) == 23.7
     row = LeaseRow("b", 4, 1.1, None, AnnouncedOrders({"e1": 20.0}, {"e2": 21.0}))
-    assert decode_lease(row.encode()) == row
+    assert decode_lease(row.encode(), 1, 1.0) == row
     assert json.loads(row.encode())["orders_until"] == 21.0
 
 
--- a/pumicedeck/tokens.py
+++ b/pumicedeck/tokens.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.json_documents import decode_document, read_text
 from pumicedeck.platform_interfaces import Row, StoreKey, TableStore, Write
 from pumicedeck.results import Failure, ResultCode
 
@@ -93,9 +94,13 @@
     def _on_row_read(self, key: str, rows: Result[tuple[Row, ...], Failure]) -> None:
         match rows:
             case Ok((row,)) if row.revision:
-                document = json.loads(row.value)
-                outcome = Ok(Principal(document["name"], document["firm"]))
-                self._cache_outcome(key, outcome, VALID_TOKEN_CACHE_SECONDS)
+                outcome = decode_document(row.value, _build_principal).map_err(
+                    lambda reason: Failure(
+                        ResultCode.UNAUTHENTICATED, f"the token's row cannot be decoded: {reason}"
+                    )
+                )
+                seconds = VALID_TOKEN_CACHE_SECONDS if outcome.is_ok() else TOKEN_RECHECK_SECONDS
+                self._cache_outcome(key, outcome, seconds)
             case Ok(_):
                 outcome = Err(Failure(ResultCode.UNAUTHENTICATED, "unknown token"))
                 self._cache_outcome(key, outcome, TOKEN_RECHECK_SECONDS)
@@ -115,3 +120,7 @@
         if len(self._cached_outcomes) >= MAX_CACHED_TOKENS:
             self._cached_outcomes.pop(next(iter(self._cached_outcomes)))
         self._cached_outcomes[key] = _CachedOutcome(outcome, self._timers.now() + seconds)
+
+
+def _build_principal(document) -> Principal:
+    return Principal(read_text(document, "name"), read_text(document, "firm"))
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from pumicedeck.json_documents import read_integer
 from pumicedeck.partitioned_stores import RowKey, StoredRow
 from pumicedeck.submissions import SubmissionHead, decode_head
 from pumicedeck.tasks import Signal
@@ -114,7 +115,10 @@
         return self.head is not None and not self.ended and self.listed < self.head.total
 
     def apply(self, row: StoredRow) -> None:
-        """Apply a row; a deleted row, or one that was already applied, has no effect."""
+        """Apply a row; a deleted row, or one that was already applied, has no effect.
+
+        Raises what its decoding raises; the feed then leaves the row out.
+        """
         if row.value is None:
             return
         key = row.row.key
@@ -122,8 +126,8 @@
             self.head = decode_head(row.value)
         elif key == OWNER_KEY:
             if row.revision > self.owner_revision:
+                self.fencing = read_integer(json.loads(row.value), "fencing")
                 self.owner_revision = row.revision
-                self.fencing = int(json.loads(row.value)["fencing"])
         elif key == END_KEY:
             self.ended = True
         elif key == LISTED_KEY:
