End or continue a stream only with an answer that is the rest of it

Cause: after the head was sent, a status under 500 counted as served and ended the stream, and the body of any 2xx was passed on before it was known whether it had a signature or event numbers.

Change: EndpointCaller rejects the head of a streamed answer without a signature, for streams and items alike. Once the head is sent, only a 2xx whose events follow the caller's last one is the rest of a stream; anything else is a failed attempt. On resumable routes, parts without a number or with lines that are no fields are not passed on, and a stream without numbers is not begun anew.

--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -85,7 +85,8 @@
 
         `seconds` is the time left, which the endpoint is given; soon after it the call is given up
         even if bytes still arrive. The body of a successful answer
-        goes to `on_chunk`, if given, after its head went to `on_head`. With `confirmation_seconds`
+        goes to `on_chunk`, if given, after its head went to `on_head`; an answer without a
+        signature fails before that. With `confirmation_seconds`
         both are held for up to that time until the endpoint has confirmed that it is the
         incarnation that registered; on another one the call fails and nothing is passed on.
         """
@@ -97,6 +98,9 @@
                 return False
             if on_head is None or not answer.succeeded:
                 return True
+            if not answer.signature or answer.not_run:
+                # Its body would be passed on before the end shows that it is no answer.
+                return False
             if confirmation_seconds is not None and self._must_ask(endpoint, opened_at):
                 held.hold(lambda: on_head(response, answer))
                 question = self._confirm(held, endpoint, confirmation_seconds)
--- a/pumicedeck/event_streams.py
+++ b/pumicedeck/event_streams.py
@@ -1,9 +1,12 @@
 """Splits the bytes of an event stream into complete events."""
 
+import re
+
 from pumicedeck.http_messages import KIB
 
 _SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 256 * KIB
+_FIELD = re.compile(rb"[A-Za-z0-9_-]*:")
 
 
 class EventSplitter:
@@ -37,3 +40,17 @@
             self._pending = b""
             self._has_overflowed = True
         return [block for block in blocks if block.strip()]
+
+
+def has_fields_only(event_bytes: bytes) -> bool:
+    """Return whether each line of an event is a field or a comment.
+
+    An endpoint that breaks off within a chunk and goes on with the head of another answer fills the
+    chunk with that head, whose first line is no field.
+    """
+    return all(_FIELD.match(line) for line in event_bytes.split(b"\n") if line)
+
+
+def is_comment(event_bytes: bytes) -> bool:
+    """Return whether a part of an event stream has only comments, which keep a connection open."""
+    return all(line.startswith(b":") for line in event_bytes.split(b"\n") if line)
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -17,7 +17,7 @@
 from pumicedeck.dialects import AnswerHead, ForwardedCall
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.endpoint_callers import CompleteAnswer
-from pumicedeck.event_streams import EventSplitter
+from pumicedeck.event_streams import EventSplitter, has_fields_only, is_comment
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.request_fingerprints import fingerprint_request
@@ -64,6 +64,8 @@
         self._last_event_number = call.resume_after
         self._event_splitter = EventSplitter()
         self._has_sequence_gap = False
+        # Whether the caller has events without a number, after which no other endpoint can go on.
+        self._has_unnumbered_events = False
         # The software version of what the caller has received, None while that is nothing.
         self._software: str | None = None
 
@@ -82,12 +84,14 @@
             outcome = self._call_attempts.record_attempt(
                 self._attempts, endpoint, self._call, result, began_at
             )
-            if self._incoming.is_head_sent and outcome is Outcome.SERVED and self._is_complete():
-                self._incoming.finish()
-                return
             if outcome is Outcome.SERVED and not self._incoming.is_head_sent:
                 self._call_attempts.relay(self._incoming, self._call, result.ok_value)
                 return
+            if outcome is Outcome.SERVED:
+                if self._is_end_of_stream(result.ok_value):
+                    self._incoming.finish()
+                    return
+                outcome = self._record_not_continued(endpoint, result.ok_value)
             if not await self._may_retry(outcome):
                 self._fail(timed_out=self._deadline <= self._timers.now())
                 return
@@ -193,11 +197,28 @@
     def _runs_software(self, version: str) -> Callable[[DirectEndpoint], bool]:
         return lambda endpoint: endpoint.software_version == version
 
-    def _is_complete(self) -> bool:
+    def _is_end_of_stream(self, complete_answer: CompleteAnswer) -> bool:
+        """Return whether an answer is a stream, or the rest of one, up to its end."""
         splitter = self._event_splitter
-        if splitter.has_overflowed or splitter.has_partial_event:
+        if splitter.has_overflowed or splitter.has_partial_event or self._has_sequence_gap:
             return False
-        return not self._has_sequence_gap
+        return complete_answer.answer.succeeded
+
+    def _record_not_continued(
+        self, endpoint: DirectEndpoint, complete_answer: CompleteAnswer
+    ) -> Outcome:
+        """Record an answer with which a stream that has begun does not go on."""
+        status = complete_answer.answer.status
+        detail = f"{endpoint.name} answered {status} without the rest of the stream"
+        self._attempts.last_failure = Failure(ResultCode.ENDPOINT_FAILED, detail)
+        _log.info(
+            "stream not continued",
+            **self._call.log_fields,
+            endpoint=endpoint.name,
+            status=status,
+            after_event=self._last_event_number,
+        )
+        return Outcome.ENDPOINT_ERROR
 
     async def _may_retry(self, outcome: Outcome) -> bool:
         """Return whether to make another attempt, after a pause if no slot is free."""
@@ -209,6 +230,8 @@
                 outcome, len(self._attempts.tried), self._route, self._attempts.may_have_run
             )
             return step.retry and not self._incoming.is_head_sent
+        if self._has_unnumbered_events:
+            return False
         if self._software is None:
             return len(self._attempts.tried) < self._route.max_attempts
         if outcome is not Outcome.NOT_RUN:
@@ -272,20 +295,31 @@
 
     def _on_bytes(self, data: bytes) -> None:
         for event_bytes in self._event_splitter.feed(data):
-            event = self._call_attempts.endpoint_caller.dialect.event(event_bytes)
             if self._has_sequence_gap:
                 return
-            if event is not None:
-                if self._last_event_number is not None and event.number <= self._last_event_number:
-                    continue
-                if (
-                    self._last_event_number is not None
-                    and event.number != self._last_event_number + 1
-                ):
-                    self._has_sequence_gap = True
-                    return
+            if self._may_relay(event_bytes):
+                self._incoming.write(event_bytes + _EVENT_SEPARATOR)
+
+    def _may_relay(self, event_bytes: bytes) -> bool:
+        """Return whether a part of a stream follows what the caller has; note a gap if not.
+
+        Events that the caller has already are left out. In a stream that other endpoints may go
+        on with, events have numbers, so that a part without one is no event of it.
+        """
+        event = self._call_attempts.endpoint_caller.dialect.event(event_bytes)
+        last_number = self._last_event_number
+        if self._route.resumable and not has_fields_only(event_bytes):
+            self._has_sequence_gap = True
+        elif event is not None:
+            if last_number is not None and event.number <= last_number:
+                return False
+            self._has_sequence_gap = last_number is not None and event.number != last_number + 1
+            if not self._has_sequence_gap:
                 self._last_event_number = event.number
-            self._incoming.write(event_bytes + _EVENT_SEPARATOR)
+        elif self._route.resumable and not is_comment(event_bytes):
+            self._has_sequence_gap = last_number is not None
+            self._has_unnumbered_events = last_number is None
+        return not self._has_sequence_gap
 
     def _fail(self, timed_out: bool) -> None:
         last_failure = self._attempts.last_failure
