Bound backoffs and end what waits for a task that raises

Cause: two to the power of the failures was computed before the minimum was taken and fits no float. The OverflowError ended the task that served the call or scored the item, and nothing followed.

Change: backoffs.doubled_seconds bounds the doublings in nine places. A pass of the scheduler that raises is followed by the next.

--- a/pumicedeck/call_attempts.py
+++ b/pumicedeck/call_attempts.py
@@ -26,6 +26,7 @@
 
 _log = logger.bind(module="call_attempts")
 
+_INTERNAL_ERROR = Failure(ResultCode.INTERNAL_ERROR, "a fault of the gateway; see its log")
 # They say what the caller can do; any other reason for a refusal is shown as NO_ENDPOINT.
 _CODES_SHOWN = (
     ResultCode.QUARANTINED,
@@ -115,6 +116,13 @@
         )
         incoming.answer(status, headers, body)
 
+    def fail(self, incoming: IncomingCall, call: ForwardedCall) -> None:
+        """End a call whose task raised an exception, with an answer if none has begun."""
+        if incoming.is_head_sent:
+            incoming.abort()
+        else:
+            self.refuse(incoming, call, _INTERNAL_ERROR, None)
+
     def refuse_unserved(
         self, incoming: IncomingCall, call: ForwardedCall, attempts: Attempts, timed_out: bool
     ) -> None:
--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -50,11 +50,17 @@
             coroutine = relay.run()
         else:
             coroutine = self._serve(incoming, call, route)
-        task = spawn(coroutine, f"call {call.request_id}")
+        task = spawn(
+            coroutine, f"call {call.request_id}", lambda: self._call_attempts.fail(incoming, call)
+        )
         incoming.on_caller_disconnected = task.cancel
         if incoming.is_ended:
             task.cancel()
 
+    def fail(self, incoming: IncomingCall, call: ForwardedCall) -> None:
+        """End a call whose task raised an exception."""
+        self._call_attempts.fail(incoming, call)
+
     def refuse(
         self,
         incoming: IncomingCall,
--- a/pumicedeck/catalogue_editors.py
+++ b/pumicedeck/catalogue_editors.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.catalogue_maintenance import CatalogueMaintenance
 from pumicedeck.catalogue_rows import LOG_TABLE, RowName, StoredCatalogue, change_outcome_key
 from pumicedeck.catalogue_stores import HEAD_STORE_KEY, CatalogueStore, ChangesRead, decode_head_row
@@ -146,7 +147,7 @@
         if self._attempts >= MAX_ATTEMPTS or self._timers.now() >= self._deadline:
             give_up()
             return
-        max_delay = min(MAX_BACKOFF_SECONDS, BACKOFF_BASE_SECONDS * 2.0**self._attempts)
+        max_delay = doubled_seconds(BACKOFF_BASE_SECONDS, self._attempts, MAX_BACKOFF_SECONDS)
         self._attempts += 1
         self._timers.call_later(self._rng.uniform(0.0, max_delay), attempt)
 
--- a/pumicedeck/clients.py
+++ b/pumicedeck/clients.py
@@ -16,6 +16,7 @@
 import httpx
 from result import Err, Ok, Result
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.operator_clients import decode_failure
 from pumicedeck.request_ids import make_request_id
 from pumicedeck.results import Execution, Failure, ResultCode
@@ -202,7 +203,9 @@
         return self._urls[self._url_index % len(self._urls)]
 
     def _retry_delay_seconds(self, attempt: int, failure: Failure | None) -> float:
-        max_delay_seconds = min(MAX_RETRY_DELAY_SECONDS, MIN_RETRY_DELAY_SECONDS * 2**attempt)
+        max_delay_seconds = doubled_seconds(
+            MIN_RETRY_DELAY_SECONDS, attempt, MAX_RETRY_DELAY_SECONDS
+        )
         requested_delay_seconds = failure.retry_after if failure is not None else None
         return max(
             requested_delay_seconds or 0.0,
--- a/pumicedeck/direct_endpoints.py
+++ b/pumicedeck/direct_endpoints.py
@@ -13,6 +13,7 @@
 from math import inf
 from random import Random
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.endpoint_pools import EndpointPool, call_cost
 from pumicedeck.endpoint_states import (
     LIMIT_RECHECK_SECONDS,
@@ -335,8 +336,8 @@
         """Avoid an endpoint; the backoff doubles with each failure in a row."""
         state = self._states.get(name)
         if state is not None and self.avoids_failed:
-            backoff_seconds = min(
-                MAX_FAILURE_BACKOFF_SECONDS, FIRST_FAILURE_BACKOFF_SECONDS * 2**state.failures
+            backoff_seconds = doubled_seconds(
+                FIRST_FAILURE_BACKOFF_SECONDS, state.failures, MAX_FAILURE_BACKOFF_SECONDS
             )
             state.failures += 1
             state.failed_at = now
--- a/pumicedeck/draws.py
+++ b/pumicedeck/draws.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 from pumicedeck.actions import CallerAnswer
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.draft_submissions import DraftSubmissions, DrawCounts
 from pumicedeck.drafts import (
     DeliverGroup,
@@ -354,9 +355,11 @@
         group.retry(in_flight_request.index, retry_at)
 
     def _compute_retry_delay(self, failed_requests: int, failure: Failure) -> float:
-        delay = self._settings.retry_seconds * 2.0 ** min(failed_requests - 1, 16)
-        bounded = min(delay, self._settings.longest_retry_seconds)
-        return max(bounded, failure.retry_after or 0.0)
+        settings = self._settings
+        delay = doubled_seconds(
+            settings.retry_seconds, failed_requests - 1, settings.longest_retry_seconds
+        )
+        return max(delay, failure.retry_after or 0.0)
 
     def _sort_by_position(self, keys: set[GroupKey]) -> list[DrawGroup]:
         groups = [self._groups[key] for key in keys]
--- a/pumicedeck/duties/usage_reports.py
+++ b/pumicedeck/duties/usage_reports.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.duties.usage_rows import WindowRows
 from pumicedeck.results import Failure, ResultCode
 
@@ -262,9 +263,7 @@
         longest = settings.max_repeat_seconds
         if is_in_time:
             longest = min(longest, settings.max_repeat_in_time_seconds)
-        # Doubled at most 10 times: a number of calls without bound would overflow.
-        doubled = settings.first_repeat_seconds * 2 ** min(10, open_window.calls - 1)
-        return min(longest, doubled)
+        return doubled_seconds(settings.first_repeat_seconds, open_window.calls - 1, longest)
 
     def _begin_duty(self, situation: Situation) -> None:
         """Start anew under another token, after the calls of the holder before have timed out.
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -274,6 +274,7 @@
             spawn(
                 self._submissions.accept(incoming, call, route, has_accounts),
                 f"submission {call.request_id}",
+                lambda: self._parts.forwarder.fail(incoming, call),
             )
         else:
             self._parts.forwarder.handle(incoming, call, route)
@@ -321,6 +322,7 @@
         spawn(
             self._submissions.serve(incoming, call, submission_request, reader, only_host),
             "submission call",
+            lambda: self._parts.forwarder.fail(incoming, call),
         )
 
     def _answer_repeated_submission(self, incoming: IncomingCall, call: ForwardedCall) -> bool:
--- a/pumicedeck/outliers.py
+++ b/pumicedeck/outliers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from statistics import median
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.results import ResultCode
 
 FAILURES_TO_EJECT = 3
@@ -103,8 +104,8 @@
         ejected = sum(now < each.ejected_until for each in self._agents.values())
         if ejected + 1 > MAX_EJECTED_FRACTION * len(self._agents):
             return
-        seconds = FIRST_EJECTION_SECONDS * 2**health.ejections
-        health.ejected_until = now + min(seconds, MAX_EJECTION_SECONDS)
+        seconds = doubled_seconds(FIRST_EJECTION_SECONDS, health.ejections, MAX_EJECTION_SECONDS)
+        health.ejected_until = now + seconds
         health.ejections += 1
         health.failures = 0
         health.ramping_up = True
--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -65,7 +65,16 @@
     def begin_scoring(self, work: SubmissionWork, item_work: ItemWork) -> None:
         """Start the reward call for a complete output; the item's result is added when it ends."""
         if self._is_worked_on(work):
-            work.score(item_work.item.item_id, self._score(work, item_work))
+            work.score(
+                item_work.item.item_id,
+                self._score(work, item_work),
+                lambda: self._end_failed_scoring(work, item_work),
+            )
+
+    def _end_failed_scoring(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        """Give up an item whose scoring raised an exception; its step must not wait for it."""
+        if self._is_worked_on(work):
+            self.give_up(work, item_work, "a fault of the scheduler; see its log")
 
     async def _score(self, work: SubmissionWork, item_work: ItemWork) -> None:
         """Score a complete output and add the result; give the item up if it gets no score."""
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -178,12 +178,19 @@
             await sleep(self._timers, self._settings.tick_seconds)
             self._fleet.begin_tick()
             self._plan_due = True
-            self._apply_mirror()
+            self._try_to_apply_mirror()
 
     async def _watch_mirror(self) -> None:
         while True:
             await self._parts.mirror.changed.wait()
+            self._try_to_apply_mirror()
+
+    def _try_to_apply_mirror(self) -> None:
+        """Apply the mirror; a fault must not end the task that does so for all submissions."""
+        try:
             self._apply_mirror()
+        except Exception:
+            _log.opt(exception=True).error("pass of the scheduler failed")
 
     def _apply_mirror(self) -> None:
         """Claim or drop submissions as the mirror shows them, then schedule."""
@@ -350,7 +357,11 @@
             attempt=item_work.attempts,
             after_event=item_work.progress.last_event,
         )
-        task = Task(self._run_item(work, item_work, run, key), f"item {item_work.item.item_id}")
+        task = Task(
+            self._run_item(work, item_work, run, key),
+            f"item {item_work.item.item_id}",
+            lambda: self._requeue_failed(work, run, key),
+        )
         if not task.is_done and item_work.item.item_id in work.running:
             self._runs[key] = (run, task)
             self._fleet.add_run(key, run)
@@ -377,6 +388,13 @@
             return
         self._endings.requeue(work, item_work, run.endpoint, end, detail)
 
+    def _requeue_failed(self, work: SubmissionWork, run: ItemRun, key: RunKey) -> None:
+        """Put an item back among the waiting ones whose run raised an exception."""
+        self._runs.pop(key, None)
+        self._fleet.remove_run(key, run)
+        detail = "a fault of the scheduler; see its log"
+        self._endings.requeue(work, run.item_work, run.endpoint, RunEnd.BROKEN, detail)
+
     def _has_other_software(self, run: ItemRun) -> bool:
         """Return whether a run's engine has registered anew with another software version."""
         state = self._parts.directory.state(run.endpoint.name)
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -212,9 +212,11 @@
         if self._writer_task is not None:
             self._writer_task.cancel()
 
-    def score(self, item_id: str, scoring: Coroutine[Any, Any, None]) -> None:
-        """Run the reward call of an item; `close` cancels it."""
-        task = spawn(scoring, f"score {item_id}")
+    def score(
+        self, item_id: str, scoring: Coroutine[Any, Any, None], on_failure: Callable[[], None]
+    ) -> None:
+        """Run the reward call of an item; `close` cancels it, `on_failure` follows an exception."""
+        task = spawn(scoring, f"score {item_id}", on_failure)
         if not task.is_done:
             self._scoring_tasks[item_id] = task
             task.ended.then(lambda _: self._scoring_tasks.pop(item_id, None))
--- a/pumicedeck/scheduling/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.direct_endpoints import DirectEndpoint, EndpointDirectory
 from pumicedeck.scheduling.engine_orders import EngineOrders
@@ -196,8 +197,8 @@
         else:
             self._unanswered_retries.pop(load.engine, None)
         if report is None or report.version_of(load.model) < load.version:
-            pause = LOAD_RETRY_SECONDS * 2 ** self._unanswered_retries.get(load.engine, 0)
-            pause = min(MAX_LOAD_RETRY_SECONDS, pause)
+            retries = self._unanswered_retries.get(load.engine, 0)
+            pause = doubled_seconds(LOAD_RETRY_SECONDS, retries, MAX_LOAD_RETRY_SECONDS)
             self._next_load_at[load.engine] = self._timers.now() + pause
         if report is not None:
             self._on_changed()
--- a/pumicedeck/scorers.py
+++ b/pumicedeck/scorers.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from pumicedeck.actions import CallerAnswer, CallerRequest
+from pumicedeck.backoffs import doubled_seconds
 from pumicedeck.catalogue_entries import CatalogueEntry
 from pumicedeck.drafts import Draft, DrawAction, GroupKey, Score, SubmitDraft
 from pumicedeck.draw_groups import DrawGroup
@@ -101,7 +102,7 @@
         if group is None or group.scorer is None:
             return None
         if call.tries < self._settings.max_tries and _may_be_retried(group.scorer, failure):
-            delay = self._settings.retry_seconds * 2.0 ** (call.tries - 1)
+            delay = doubled_seconds(self._settings.retry_seconds, call.tries - 1)
             retry_at = now + max(delay, failure.retry_after or 0.0)
             heapq.heappush(
                 self._waiting_calls,
--- a/pumicedeck/store_budgets.py
+++ b/pumicedeck/store_budgets.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from pumicedeck.backoffs import doubled_seconds
+
 
 class TokenBucket:
     """Admits `rate` calls per second on average and `burst` at once.
@@ -77,8 +79,9 @@
 
     def failed(self, now: float) -> None:
         """Count a failure and open the breaker."""
-        max_backoff_seconds = self._settings.min_backoff * 2.0 ** min(self._failures, 16)
-        max_backoff_seconds = min(self._settings.max_backoff, max_backoff_seconds)
+        max_backoff_seconds = doubled_seconds(
+            self._settings.min_backoff, self._failures, self._settings.max_backoff
+        )
         self._failures += 1
         self._retry_at = now + self._rng.uniform(max_backoff_seconds / 2.0, max_backoff_seconds)
 
--- a/pumicedeck/tasks.py
+++ b/pumicedeck/tasks.py
@@ -59,10 +59,20 @@
 class Task:
     """A running coroutine; `ended` resolves once it has returned, failed or been cancelled."""
 
-    def __init__(self, coroutine: Coroutine[Any, Any, Any], name: str) -> None:
-        """Start the coroutine and run it up to its first wait; `name` is for the log."""
+    def __init__(
+        self,
+        coroutine: Coroutine[Any, Any, Any],
+        name: str,
+        on_failure: Callable[[], None] | None = None,
+    ) -> None:
+        """Start the coroutine and run it up to its first wait; `name` is for the log.
+
+        `on_failure` is called if the coroutine raises an exception, so that what waits for it gets
+        an end all the same.
+        """
         self._coroutine = coroutine
         self._name = name
+        self._on_failure = on_failure
         self._running = False
         self._cancelled = False
         self._awaited_promise: Promise | None = None
@@ -97,6 +107,8 @@
         except Exception:
             _log.opt(exception=True).error("task ended by unhandled exception", task=self._name)
             self._finish()
+            if self._on_failure is not None:
+                self._on_failure()
         else:
             self._running = False
             self._await_promise(promise)
@@ -120,9 +132,13 @@
         self.ended.resolve(None)
 
 
-def spawn(coroutine: Coroutine[Any, Any, Any], name: str) -> Task:
-    """Start a coroutine as a task; an exception that it raises is logged."""
-    return Task(coroutine, name)
+def spawn(
+    coroutine: Coroutine[Any, Any, Any],
+    name: str,
+    on_failure: Callable[[], None] | None = None,
+) -> Task:
+    """Start a coroutine as a task; an exception that it raises is logged, see `Task`."""
+    return Task(coroutine, name, on_failure)
 
 
 def sleep(timers: TimerQueue, seconds: float) -> Promise[None]:
