Count only status 500 as an attempt at an item

Items were given up after as many failures of an engine or scorer as the route allows attempts, whatever the status: three answers of 504 or 404 made an item down long before its give-up time, although only answers of 500 may.

Change: any other failure leads to another attempt after half a second, until the give-up time.

--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -151,6 +151,9 @@
         if end is RunEnd.NOT_TAKEN:
             pause = self._settings.refusal_pause_seconds
             item_work.not_before = now + self._settings.refusal_pause_seconds
+        if end is RunEnd.UNEXPECTED_STATUS:
+            # Such an answer comes at once, and the next one may be the same.
+            item_work.not_before = now + self._settings.status_pause_seconds
         item_work.avoid_until_by_engine[endpoint.name] = now + pause
         work.waiting[item_work.item.item_id] = item_work
         self._on_requeued()
--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -22,6 +22,8 @@
 _log = logger.bind(module="item_runs")
 
 UNPROCESSABLE_STATUS = 422
+# Of the failures of an engine, only these count as attempts at an item.
+FAILED_STATUS = 500
 
 
 class ItemRun:
@@ -114,7 +116,9 @@
         if status == UNPROCESSABLE_STATUS:
             return RunEnd.IMPOSSIBLE, f"status {status}"
         if not outcome.ok_value.answer.succeeded:
-            return RunEnd.ENGINE_ERROR, f"status {status}"
+            is_error = status == FAILED_STATUS
+            end = RunEnd.ENGINE_ERROR if is_error else RunEnd.UNEXPECTED_STATUS
+            return end, f"status {status}"
         if (
             self.is_unreadable
             or self._splitter.has_partial_event
--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -13,6 +13,7 @@
 from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.results import Failure
 from pumicedeck.route_tables import RouteTable, choose_pool
+from pumicedeck.scheduling.item_runs import FAILED_STATUS
 from pumicedeck.submissions import RewardCall
 from pumicedeck.tasks import sleep
 
@@ -53,9 +54,9 @@
         """Return the signature of the scorer's answer, None if no call succeeded.
 
         The calls end without a score when `until` has passed, on the clock of `timers`, or after
-        `max_errors` answers with an error, or as many as the route's own `max_attempts` if that is
-        more. Calls without an answer are not counted. While no route matches, the call waits for
-        one: operators remove a route and add it again.
+        `max_errors` answers with status 500, or as many as the route's own `max_attempts` if that
+        is more. Calls without an answer, or with another status, are not counted. While no route
+        matches, the call waits for one: operators remove a route and add it again.
         """
         errors = 0
         has_route = True
@@ -90,21 +91,25 @@
             tried = (endpoint.name,) if endpoint.name in tried else (*tried, endpoint.name)
             if isinstance(result, Ok) and result.ok_value.answer.succeeded:
                 return result.ok_value.answer.signature
-            if isinstance(result, Ok):
+            status = result.ok_value.answer.status if isinstance(result, Ok) else None
+            if status == FAILED_STATUS:
                 errors += 1
                 if errors >= max(max_errors, route.max_attempts):
                     _log.info("reward call failed", request=reward.request_id, errors=errors)
                     return None
-            else:
-                _log.info(
-                    "attempt failed",
-                    request=reward.request_id,
-                    endpoint=endpoint.name,
-                    attempt=len(tried),
-                    outcome=Outcome.UNKNOWN.value,
-                    detail=result.err_value.detail,
-                )
-                await sleep(self._timers, _RETRY_PAUSE_SECONDS)
+                continue
+            detail = f"status {status}" if status is not None else result.err_value.detail
+            _log.info(
+                "attempt failed",
+                request=reward.request_id,
+                endpoint=endpoint.name,
+                attempt=len(tried),
+                outcome=Outcome.UNKNOWN.value,
+                detail=detail,
+            )
+            # An answer comes at once, and the next one may be the same.
+            pause = _RETRY_PAUSE_SECONDS if status is None else _MAX_RETRY_PAUSE_SECONDS
+            await sleep(self._timers, pause)
         return None
 
 
--- a/pumicedeck/scheduling/run_ends.py
+++ b/pumicedeck/scheduling/run_ends.py
@@ -13,15 +13,17 @@
     """How a run ended; the values are written to the log.
 
     NOT_TAKEN is a request that the engine provably did not run, BROKEN a stream that ended early or
-    out of sequence. IMPOSSIBLE is an item that the engine cannot process. WRONG_VERSION is a weight
-    version that may not be used for the item's output, OTHER_SOFTWARE an engine that has restarted
-    with another software version.
+    out of sequence. UNEXPECTED_STATUS is a failure that does not count as an attempt. IMPOSSIBLE is
+    an item that the engine cannot process. WRONG_VERSION is a weight version that may not be used
+    for the item's output, OTHER_SOFTWARE an engine that has restarted with another software
+    version.
     """
 
     WHOLE = "whole"
     BROKEN = "broken"
     NOT_TAKEN = "not taken"
     ENGINE_ERROR = "engine error"
+    UNEXPECTED_STATUS = "unexpected status"
     IMPOSSIBLE = "impossible"
     WRONG_VERSION = "wrong version"
     OTHER_SOFTWARE = "other software"
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -35,7 +35,8 @@
     A run without data for `silence_seconds` ends. All runs of an engine end if none of them has
     received data for `stall_seconds`. An item avoids an engine at which its run ended early for
     `avoid_seconds`; after a run that the engine did not take, the item waits
-    `refusal_pause_seconds`. `default_give_up_seconds` applies to routes without a give-up time.
+    `refusal_pause_seconds`, after an unexpected status `status_pause_seconds`.
+    `default_give_up_seconds` applies to routes without a give-up time.
 
     A group that the step can do without waits up to `optional_group_wait_seconds` for the newest
     weights. `overdue_tolerance_seconds` is added to the deadline of a submission.
@@ -49,6 +50,7 @@
     save_seconds: float = 0.35
     avoid_seconds: float = 2.0
     refusal_pause_seconds: float = 0.1
+    status_pause_seconds: float = 0.5
     default_give_up_seconds: float = 40.0
     optional_group_wait_seconds: float = 1.4
     overdue_tolerance_seconds: float = 0.7
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -123,6 +123,8 @@
             self.simulation.score_times.append((self.simulation.timers.now(), endpoint.name))
             self._record_limit(endpoint, self.simulation.scorer_limit)
             await sleep(self.simulation.timers, 0.2)
+            if self.simulation.score_statuses:
+                return self._answered(self.simulation.score_statuses.pop(0), "", None)
             if self.simulation.scores_fail:
                 return Err(Failure(ResultCode.ENDPOINT_FAILED, "broken"))
             return self._answered(200, f"mac-{call.request_id}", None)
@@ -150,6 +152,8 @@
         if engine.busy and self.simulation.refuse_while_loading:
             self.directory.record_refusal(engine.endpoint.name, self.simulation.timers.now())
             return Err(Failure(ResultCode.ENDPOINT_REFUSED, "loading", proven_not_run=True))
+        if self.simulation.run_statuses:
+            return self._answered(self.simulation.run_statuses.pop(0), "", None)
         length = int(call.body)
         # The path of an item names its model, as the routes of a deployment do.
         model = call.path.rpartition("/")[2]
@@ -357,6 +361,9 @@
         self.refuse_while_loading = True
         self.padding = ""
         self.scores_fail = False
+        # The statuses of the next answers of scorers and engines, instead of what they would be.
+        self.score_statuses = []
+        self.run_statuses = []
         self.score_calls = []
         self.score_accounts = []
         self.score_times = []
--- a/pumicedeck/tests/test_schedulers.py
+++ b/pumicedeck/tests/test_schedulers.py
@@ -414,3 +414,31 @@
     keep_routes(simulation, "scores")
     simulation.run(2.0)
     check_complete(simulation, simulation.processes[0], [[30, 30]])
+
+
+def test_only_status_500_counts_as_an_attempt_at_an_item_or_its_reward_call():
+    # Guards against items given up early: any other failure counted as well.
+    simulation = SchedulerSimulation()
+    simulation.run_statuses = [504, 404, 502, 400, 504]
+    simulation.score_statuses = [504, 400, 502, 404, 409]
+    simulation.submit(simulation.processes[0], [[20]])
+    simulation.run(8.0)
+    check_complete(simulation, simulation.processes[0], [[20]])
+    assert len(simulation.starts("0-0")) == 6 and len(simulation.score_calls) == 6
+
+
+def test_an_item_is_given_up_after_the_routes_attempts_with_status_500():
+    simulation = SchedulerSimulation()
+    simulation.run_statuses = [500] * 3
+    simulation.submit(simulation.processes[0], [[20]])
+    simulation.run(4.0)
+    (result,) = simulation.results(simulation.processes[0])
+    assert not result.completed and len(simulation.starts("0-0")) == 3
+
+
+def test_an_engine_that_always_answers_another_status_is_asked_twice_a_second_at_most():
+    simulation = SchedulerSimulation(engines=1)
+    simulation.run_statuses = [504] * 1000
+    simulation.submit(simulation.processes[0], [[20]])
+    simulation.run(10.0)
+    assert 5 <= len(simulation.starts("0-0")) <= 21
