Ignore SIGHUP before the imports of a gateway

A SIGHUP in the first half second of a process ended it, since the handler was installed after the imports and the settings.

Change: main ignores the signal first; the settings file is read after that.

--- a/pumicedeck/platform/__main__.py
+++ b/pumicedeck/platform/__main__.py
@@ -4,19 +4,23 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
-from result import Err
-
-from pumicedeck.gateway_compositions import run_gateway
-from pumicedeck.results import Failure, ResultCode
-
 SETTINGS_VARIABLE = "PUMICEDECK_BOOT"
 
 
 def main() -> int:
     """Run the gateway and return the exit status."""
+    # The default action ends the process, and the imports take a while. The settings file is read
+    # after them, so that nothing is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from result import Err
+
+    from pumicedeck.gateway_compositions import run_gateway
+    from pumicedeck.results import Failure, ResultCode
+
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
         outcome = Err(
