--- a/pumicedeck/catalogue_rows.py
+++ b/pumicedeck/catalogue_rows.py
@@ -1,7 +1,6 @@
 """Encodes and decodes catalogue rows, change log rows and compressed copies of the catalogue."""
 
 import gzip
-import json
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -20,6 +19,7 @@
     row_document,
 )
 from pumicedeck.catalogue_entries import Catalogue, CatalogueEntry, Pool
+from pumicedeck.json_documents import decode_document
 from pumicedeck.results import Failure, ResultCode
 
 CATALOGUE_TABLE = "catalogue"
@@ -211,14 +211,14 @@
     try:
         decompressor = zlib.decompressobj(wbits=zlib.MAX_WBITS | 16)
         json_bytes = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
-        if not decompressor.eof:
-            return _decode_error("compressed catalogue is truncated or too large")
-        document = json.loads(json_bytes)
-        revision = int(document["revision"])
-        text = render_json(document["catalogue"])
-    except Exception as error:
+    except zlib.error as error:
         return _decode_error(str(error))
-    return parse_catalogue(text, revision)
+    if not decompressor.eof:
+        return _decode_error("compressed catalogue is truncated or too large")
+    decoded = _decode(
+        json_bytes, lambda each: (render_json(each["catalogue"]), int(each["revision"]))
+    )
+    return decoded.and_then(lambda copy: parse_catalogue(*copy))
 
 
 def _parse_key(key: str) -> RowName:
@@ -253,10 +253,8 @@
 
 
 def _decode(data: bytes, build: Any) -> Result[Any, Failure]:
-    try:
-        return Ok(build(json.loads(data)))
-    except Exception as error:
-        return _decode_error(str(error))
+    decoded = decode_document(data, build)
+    return _decode_error(decoded.err_value) if isinstance(decoded, Err) else decoded
 
 
 def _decode_error(detail: str) -> Err[Failure]:
--- a/pumicedeck/endpoint_callers.py
+++ b/pumicedeck/endpoint_callers.py
@@ -84,11 +84,11 @@
         """Send a call; it is given up after `silence_seconds` without a byte from the endpoint.
 
         `seconds` is the time left, which the endpoint is given; soon after it the call is given up
-        even if bytes still arrive. The body of a successful answer
-        goes to `on_chunk`, if given, after its head went to `on_head`; an answer without a
-        signature fails before that. With `confirmation_seconds`
-        both are held for up to that time until the endpoint has confirmed that it is the
-        incarnation that registered; on another one the call fails and nothing is passed on.
+        even if bytes still arrive. The body of a successful answer goes to `on_chunk`, if given,
+        after its head went to `on_head`; an answer without a signature fails before that. With
+        `confirmation_seconds` both are held for up to that time until the endpoint has confirmed
+        that it is the incarnation that registered; on another one the call fails and nothing is
+        passed on.
         """
         started = self._timers.now()
         held = HeldAnswer(on_chunk)
--- a/pumicedeck/scheduling/item_runs.py
+++ b/pumicedeck/scheduling/item_runs.py
@@ -22,7 +22,7 @@
 _log = logger.bind(module="item_runs")
 
 UNPROCESSABLE_STATUS = 422
-# Of the failures of an engine, only these count as attempts at an item.
+# The only failure of an engine or scorer that counts as an attempt at an item.
 FAILED_STATUS = 500
 
 
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -389,9 +389,13 @@
         self._endings.requeue(work, item_work, run.endpoint, end, detail)
 
     def _requeue_failed(self, work: SubmissionWork, run: ItemRun, key: RunKey) -> None:
-        """Put an item back among the waiting ones whose run raised an exception."""
+        """Put an item back among the waiting ones whose run raised an exception.
+
+        It waits a little first, since the next run may raise the same at once.
+        """
         self._runs.pop(key, None)
         self._fleet.remove_run(key, run)
+        run.item_work.not_before = self._timers.now() + self._settings.status_pause_seconds
         detail = "a fault of the scheduler; see its log"
         self._endings.requeue(work, run.item_work, run.endpoint, RunEnd.BROKEN, detail)
 
--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -317,8 +317,10 @@
             if not self._has_sequence_gap:
                 self._last_event_number = event.number
         elif self._route.resumable and not is_comment(event_bytes):
-            self._has_sequence_gap = last_number is not None
-            self._has_unnumbered_events = last_number is None
+            if last_number is None:
+                self._has_unnumbered_events = True
+            else:
+                self._has_sequence_gap = True
         return not self._has_sequence_gap
 
     def _fail(self, timed_out: bool) -> None:
--- a/pumicedeck/tests/test_faults_in_tasks.py
+++ b/pumicedeck/tests/test_faults_in_tasks.py
@@ -111,6 +111,15 @@
     assert simulation.processes[0].scheduler.running_items == 0
 
 
+def test_an_item_whose_runs_all_raise_is_run_twice_a_second_at_most(monkeypatch):
+    simulation = SchedulerSimulation(engines=1)
+    runs = []
+    monkeypatch.setattr(ItemRun, "run", lambda *arguments: runs.append(1) or raise_fault())
+    simulation.submit(simulation.processes[0], [[20]])
+    simulation.run(10.0)
+    assert 3 <= len(runs) <= 21
+
+
 def test_a_pass_of_the_scheduler_that_raises_is_followed_by_others():
     simulation = SchedulerSimulation()
     scheduler = simulation.processes[0].scheduler
--- a/pumicedeck/tests/test_streams_after_errors.py
+++ b/pumicedeck/tests/test_streams_after_errors.py
@@ -197,6 +197,17 @@
     assert body == b"data: a\n\ndata: b\n\n" and not is_complete and fixture.count == 1
 
 
+def test_an_event_without_a_number_before_numbered_ones_is_not_forgotten(fixture):
+    def break_off(call):
+        call.start_stream(200, (id_header(call), SIGNATURE))
+        call.write(b"data: a\n\n" + events(1, 2) + b"data: b\n\n")
+        fixture.loop.timers.call_later(0.05, call.abort)
+
+    fixture.break_first = break_off
+    _, body, is_complete = fixture.stream()
+    assert body == b"data: a\n\n" + events(1, 2) and not is_complete and fixture.count == 1
+
+
 def test_comments_between_events_are_relayed_and_end_no_stream(fixture):
     def go_on(call):
         call.start_stream(200, (id_header(call), SIGNATURE))
