--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -69,12 +69,11 @@
     """The state of a simulated engine, and a record of the calls and orders that it received.
 
     `dead` makes it silent, `babbles` has it send bytes that are no events, and `refuses_orders` has
-    it refuse each weight order. The next `late_orders`
-    orders take effect only after `late_seconds` and get no answer. Its answers name `limit`, in
-    requests per second, unless it is None; `requests` has the time of each request that it got.
-    `starts` has the time, item and `resume_after` of each run, `accounts` the client account of
-    each run, `ends` counts its restarts. A run gets its first
-    event after `prompt_seconds` more.
+    it refuse each weight order. The next `late_orders` orders take effect only after `late_seconds`
+    and get no answer. Its answers name `limit`, in requests per second, unless it is None;
+    `requests` has the time of each of its requests. `starts` has the time, item and `resume_after`
+    of each run, `accounts` the client account of each run, `ends` counts its restarts. A run gets
+    its first event after `prompt_seconds` more.
     """
 
     endpoint: DirectEndpoint
@@ -361,9 +360,8 @@
         self.refuse_while_loading = True
         self.padding = ""
         self.scores_fail = False
-        # The statuses of the next answers of scorers and engines, instead of what they would be.
-        self.score_statuses = []
-        self.run_statuses = []
+        # The statuses of the next answers, instead of what they would be.
+        self.score_statuses, self.run_statuses = [], []
         self.score_calls = []
         self.score_accounts = []
         self.score_times = []
--- a/pumicedeck/tests/test_rows_of_other_writers.py
+++ b/pumicedeck/tests/test_rows_of_other_writers.py
@@ -21,21 +21,11 @@
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.tests.test_endpoint_pools import REGISTRATION
 from pumicedeck.topology import FailureDomain
 
 NESTED = "[" * 20_000
 LONG_NUMBER = "9" * 401
-REGISTRATION = {
-    "service": "s",
-    "address": "10.0.0.1:80",
-    "zone": "a",
-    "state": "ready",
-    "slots": 8,
-    "born": 1,
-    "seq": 1,
-    "version": "v1",
-    "models": [{"name": "m", "version": 1}],
-}
 
 
 def with_field(name, text):
