Replace review case 10: engines are dealt to models that they do not hold

The weight plan deals the engines of all services to all models by name and earlier share. Change: a script with two services of one model each, a sampler that crashes and comes back, and the other one of its service lost; stand-ins hold several models, and a case that is ended ends its processes.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,106 +1,218 @@
-"""Clients send bodies of the size that the manifest allows, two at a time to each machine."""
+"""Two services serve a model each; a sampler of one crashes and returns, and the other one is lost."""
 
 import asyncio
+import base64
+import json
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 import world  # noqa: E402
 
-MEMORY_MB = 180
-MAX_BODY_BYTES = 33_554_432
-USUAL_BODY_BYTES = 600
-AT_ONCE = 2
-ROUNDS = 3
-RESTART_SECONDS = 0.5
+STEP_SECONDS = 12.0
+EVERY_SECONDS = 4.0
+TRAIN_SECONDS = 1.0
+DOWN_SECONDS = 4.5
+IDLE_SECONDS = 5.0
+NAMED_SECONDS = 6.0
+BEGUN_SECONDS = 3.0
+STEPS = 5
+# Both models are in training already: this version was named before the gateway starts.
+VERSION = 5
+OTHER_STEPS = 3
+GROUPS, SIZE = 4, 4
+EVENTS = 60
 
 
-class Platform:
-    """Kills a process over the memory limit of its machine and starts it again, as DEPLOY.md says."""
+class Trainer:
+    """Asks for step k once version k is named, and allows k - 1 and newer."""
 
-    def __init__(self, record, gateway):
-        self.record, self.gateway = record, gateway
-        self.kills = 0
-        self.peak = 0
+    def __init__(self, record, gateway, store, model, number, prefix, events):
+        self.record, self.gateway, self.store = record, gateway, store
+        self.model, self.number, self.prefix, self.events = model, number, prefix, events
+        self.version = VERSION
+        self.named_at = 0.0
+        self.items = ()
 
-    async def watch(self):
-        while True:
-            megabytes = self._resident_megabytes()
-            self.peak = max(self.peak, megabytes)
-            if megabytes > MEMORY_MB:
-                self.kills += 1
-                node = self.gateway.node
-                self.record("over the memory limit; killed", node=node, megabytes=megabytes)
-                self.gateway.process.kill()
-                await self.gateway.process.wait()
-                await asyncio.sleep(RESTART_SECONDS)
-                await self.gateway.start()
-                self.record("started again", node=node)
-            await asyncio.sleep(0.005)
-
-    def _resident_megabytes(self):
+    async def call(self, method, path, headers=(), body=b"", timeout=2.5):
         try:
-            status = Path(f"/proc/{self.gateway.process.pid}/status").read_text()
-        except OSError:
-            return 0
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) // 1024
-        return 0
-
-
-async def send(record, gateway, request, body):
-    headers = [(world.ID, request), ("X-Pumicedeck-Deadline-Ms", "4000")]
-    record("sent", request=request, node=gateway.node, bytes=len(body))
-    try:
-        answer = await world.call(gateway.host, gateway.front, "POST", "/previa/x", headers, body)
-        record("answered", request=request, status=answer.status)
-    except (EOFError, OSError, asyncio.TimeoutError) as error:
-        record("no answer", request=request, error=type(error).__name__)
+            return await world.call(
+                self.gateway.host, self.gateway.front, method, path, headers, body, timeout
+            )
+        except (TimeoutError, EOFError, OSError):
+            return None
+
+    async def train(self, steps, watch=None):
+        """Run steps one after the other; return for how many `watch` says that the rule broke."""
+        started, broken = time.monotonic(), 0
+        for step in range(steps):
+            in_time = await self._run_step(step)
+            if watch is not None and not in_time:
+                broken += watch(self, step)
+            await self.call("DELETE", f"/lots/{self._lot(step)}")
+            await asyncio.sleep(TRAIN_SECONDS)
+            self.version += 1
+            self.named_at = time.monotonic()
+            row = {"model": self.model, "version": self.version}
+            self.store.put("op", "", f"version/{self.model}", row)
+            self.record("version named", model=self.model, version=self.version)
+            scheduled = started + (step + 1) * EVERY_SECONDS
+            await asyncio.sleep(max(0.0, scheduled - time.monotonic()))
+        return broken
+
+    def _lot(self, step):
+        return f"{self.number:04x}{step:012x}"
+
+    async def _run_step(self, step):
+        """Run a step; return whether it was over in time."""
+        lot, oldest = self._lot(step), max(1, self.version - 1)
+        self.items = tuple(f"{self.number:04x}{step:08x}{n:04x}" for n in range(GROUPS * SIZE))
+        items = [
+            {
+                "id": item, "path": f"{self.prefix}{step}/{n}", "tokens": 500,
+                "headers": {"X-Pumicedeck-Model": self.model},
+                "body": base64.b64encode(str(self.events).encode()).decode(),
+                "group": f"g{step}-{n // SIZE}",
+            }
+            for n, item in enumerate(self.items)
+        ]  # fmt: skip
+        document = {
+            "step": step, "model": self.model, "min-version": oldest, "group-target": GROUPS,
+            "items": items,
+        }  # fmt: skip
+        headers = [(world.ID, lot), ("Content-Type", "application/json")]
+        until = time.monotonic() + STEP_SECONDS
+        answer = None
+        while answer is None or answer.status != 202:
+            body = json.dumps(document).encode()
+            answer = await self.call("POST", f"{self.prefix}s", headers, body)
+            self.record("step", lot=lot, oldest=oldest, status=answer and answer.status)
+        listed = 0
+        while time.monotonic() < until and listed < len(items):
+            answer = await self.call("GET", f"/lots/{lot}?after={listed}")
+            if answer is not None and answer.status == 200:
+                listed += len(json.loads(answer.body)["results"])
+            await asyncio.sleep(0.05)
+        self.record("step over", lot=lot, listed=listed, of=len(items))
+        return listed == len(items)
+
+
+class Watch:
+    """Knows which items are at samplers, and since when nothing has been disturbed."""
+
+    def __init__(self, record, engines):
+        self.record, self.engines = record, engines
+        self.steady_from = time.monotonic()
+        self.last_at, self.begun_at = {}, {}
+
+    async def follow(self):
+        while True:
+            now = time.monotonic()
+            for engine in self.engines:
+                for item in engine.running:
+                    self.begun_at.setdefault(item, now)
+                    self.last_at[item] = now
+            await asyncio.sleep(0.02)
+
+    def __call__(self, trainer, step):
+        """Return whether the step that is out of time breaks LOST."""
+        now = time.monotonic()
+        finished = set().union(*(engine.finished for engine in self.engines))
+        left = [
+            item for item in trainer.items
+            if item not in finished
+            and now - max(self.last_at.get(item, 0.0), self.steady_from) >= IDLE_SECONDS
+        ]  # fmt: skip
+        begun = [item for item in trainer.items if item in self.begun_at]
+        alive = [engine for engine in self.engines if engine.is_alive]
+        running = sum(len(engine.running) for engine in alive)
+        slots = sum(engine.slots for engine in alive)
+        last_begun = max(self.begun_at.values(), default=0.0)
+        self.record(
+            "out of time",
+            step=step,
+            begun=len(begun),
+            left_for_5_s=len(left),
+            running=running,
+            slots=slots,
+            seconds_since_version=round(now - trainer.named_at, 1),
+            seconds_since_an_item_began=round(now - last_begun, 1),
+        )
+        return (
+            bool(begun and left)
+            and 2 * running < slots
+            and now - trainer.named_at > NAMED_SECONDS
+            and now - last_begun > BEGUN_SECONDS
+        )
 
 
 async def case(record, scratch):
     store = world.Store(record)
     port = world.StorePort(store)
     await port.start()
-    samplers = [world.Sampler(record, f"i-app{number}", "balcao") for number in range(3)]
-    for sampler in samplers:
-        await sampler.start()
-        store.put("servers", "", sampler.name, sampler.entry())
-    routes = [world.route("r-previa", "/previa/", "idempotent", "balcao")]
-    store.put("op", "", "config", world.manifest(1, routes, [("balcao", False)]))
-    relay = world.free_port("127.0.0.1")
-    gateways = [
-        world.Gateway(scratch, f"front-{number}", f"127.0.0.{number + 10}", port, relay)
-        for number in (1, 2)
+    fleet = world.Fleet(store)
+
+    def engine(name, service, model, version=VERSION):
+        return world.Engine(record, name, service, model, step=0.03, version=version)
+
+    first, second = (engine(name, "redator", "lomu") for name in ("i-1c40be57", "i-2d2207aa"))
+    others = [
+        engine(name, "recibo-gen", "daka") for name in ("i-9f767c45", "i-bde5c099", "i-e51b6f30")
+    ]
+    engines = [first, second, *others]
+    for each in engines:
+        await fleet.add(each)
+    rollout = {"due-ms": 7500, "max-wait-s": 40}
+    routes = [
+        world.route("r-linhas", "/linhas/", "rollout", "redator", **rollout),
+        world.route("r-recibo", "/recibo/", "rollout", "recibo-gen", **rollout),
     ]
-    platforms = [Platform(record, gateway) for gateway in gateways]
-    body = bytes(MAX_BODY_BYTES if world.TROUBLE else USUAL_BODY_BYTES)
-    watches = []
+    document = world.manifest(1, routes, [("redator", True)], ["lomu"])
+    document["services"] += world.manifest(1, [], [("recibo-gen", True)], ["daka"])["services"]
+    store.put("op", "", "config", document)
+    for model in ("lomu", "daka"):
+        store.put("op", "", f"version/{model}", {"model": model, "version": VERSION})
+    gateway = world.Gateway(scratch, "front-1", "127.0.0.1", port, world.free_port("127.0.0.1"))
+    tasks = []
     try:
-        for gateway in gateways:
-            await gateway.start()
-            await gateway.wait_until_ready()
-        watches = [asyncio.ensure_future(platform.watch()) for platform in platforms]
-        for number in range(ROUNDS):
-            for gateway in gateways:
-                await gateway.wait_until_ready()
-            await asyncio.sleep(1.0)
-            await asyncio.gather(*(
-                send(record, gateway, f"{number:04x}{at:04x}{each:08x}", body)
-                for at, gateway in enumerate(gateways)
-                for each in range(AT_ONCE)
-            ))
-            await asyncio.sleep(1.0)
+        await gateway.start()
+        await gateway.wait_until_ready()
+        await asyncio.sleep(1.0)
+        watch = Watch(record, engines)
+        tasks.append(asyncio.ensure_future(watch.follow()))
+        own = Trainer(record, gateway, store, "lomu", 1, "/linhas/", EVENTS)
+        other = Trainer(record, gateway, store, "daka", 2, "/recibo/", EVENTS // 3)
+        training = asyncio.ensure_future(own.train(STEPS, watch))
+        await asyncio.sleep(1.0)
+        tasks.append(asyncio.ensure_future(other.train(OTHER_STEPS)))
+        if world.TROUBLE:
+            await asyncio.sleep(3.0)
+            crash = asyncio.ensure_future(fleet.crash(first))
+            await asyncio.sleep(DOWN_SECONDS)
+            await crash
+            again = engine("i-0ab4d91e", "redator", "lomu", own.version)
+            engines.append(again)
+            await fleet.add(again)
+            record("sampler is back", sampler=again.name, versions=again.versions)
+            while own.version < again.versions["lomu"] + 3 and not training.done():
+                await asyncio.sleep(0.1)
+            while (
+                sum(n > 5 for n in second.running.values()) < second.slots and not training.done()
+            ):
+                await asyncio.sleep(0.02)
+            # Its entry goes after 3.6 s; from contact-ms on nothing is disturbed any more.
+            watch.steady_from = time.monotonic() + world.BOUNDS["contact-ms"] / 1000
+            await fleet.crash(second)
+        broken = await training
     finally:
-        for watch in watches:
-            watch.cancel()
-        for gateway in gateways:
-            await gateway.end()
-    for platform in platforms:
-        node = platform.gateway.node
-        record("machine", node=node, kills=platform.kills, peak_megabytes=platform.peak)
-    return sum(platform.kills >= ROUNDS for platform in platforms) < 2
+        for task in tasks:
+            task.cancel()
+        await gateway.end()
+    for each in engines:
+        record("sampler", sampler=each.name, alive=each.is_alive, versions=each.versions)
+    record("steps that ran out of time with an item left", count=broken)
+    return not broken
 
 
 if __name__ == "__main__":
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import base64
 import json
 import os
@@ -237,7 +238,7 @@
                     return 200, {**self._page(rows, False), "ver": ver}
                 try:
                     await asyncio.wait_for(changed.wait(), left)
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     pass
         return 404, {}
 
@@ -463,7 +464,7 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, folder, node, host, store, relay_port, zone="lisboa-a"):
+    def __init__(self, folder, node, host, store, relay_port, zone="lisboa-a", memory_mb=180):
         self.node, self.host = node, host
         self.front, self.ready = free_port(host), free_port(host)
         fields = {
@@ -476,7 +477,7 @@
                 "row-bytes": 65536,
             },
             "bounds": BOUNDS,
-            "limits": {"cpu-share": 0.717, "cores": 3, "memory-mb": 180, "max-fds": 8200},
+            "limits": {"cpu-share": 0.717, "cores": 3, "memory-mb": memory_mb, "max-fds": 8200},
         }  # fmt: skip
         template = (ROOT / "deploy/settings.yaml").read_text(encoding="utf-8")
         self._settings = Path(folder) / f"{node}.yaml"
@@ -493,11 +494,13 @@
             self.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        # Also if the case itself is ended.
+        atexit.register(_end_process, self.process.pid)
 
     async def is_ready(self):
         try:
             return (await call(self.host, self.ready, "GET", "/ready", timeout=1)).status == 200
-        except (OSError, EOFError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, EOFError):
             return False
 
     async def wait_until_ready(self, seconds=20):
@@ -520,6 +523,15 @@
             await self.process.wait()
 
 
+def _end_process(pid):
+    """Kill a process of this case unless it has ended."""
+    try:
+        if os.waitpid(pid, os.WNOHANG) == (0, 0):
+            os.kill(pid, signal.SIGKILL)
+    except ChildProcessError:
+        pass
+
+
 async def call(host, port, method, path, headers=(), body=b"", timeout=10.0):
     """Send a request on a new connection; raises EOFError for an answer that ends early."""
 
@@ -551,6 +563,7 @@
 
 
 def route(name, prefix, kind, service, **fields):
+    """Return a route of a manifest; `fields` are added or replace others."""
     return {
         "name": name, "host": HOST, "path-prefix": prefix, "route-type": kind,
         "timeout-ms": 4000, "target-latency-ms": 292, "priority": 2, "service": service,
@@ -559,13 +572,18 @@
 
 
 def manifest(version, routes, services, models=()):
-    engine = {"slots": 12, "kv-capacity-tokens": 78763, "kv-token-bytes": 131072}
-    listed = [
-        {"name": name, "health-path": "/healthz", "max-connections": 150, "protocol": "h1",
-         "tls": False}
-        | ({"engine": {**engine, "models": [{"name": each} for each in models]}} if is_model else {})
-        for name, is_model in services
-    ]  # fmt: skip
+    """Return a manifest; `services` are pairs of a name and whether its samplers hold `models`."""
+    engine = {
+        "slots": 12, "kv-capacity-tokens": 78763, "kv-token-bytes": 131072,
+        "models": [{"name": each} for each in models],
+    }  # fmt: skip
+    listed = []
+    for name, is_model in services:
+        service = {
+            "name": name, "health-path": "/healthz", "max-connections": 150, "protocol": "h1",
+            "tls": False,
+        }  # fmt: skip
+        listed.append({**service, "engine": engine} if is_model else service)
     limits = {
         "max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000,
         "idle-timeout-ms": 15000,
@@ -579,6 +597,7 @@
         print("target/deps is missing: run the build of the deploy file first")
         sys.exit(2)
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     with tempfile.TemporaryDirectory() as scratch:
         try:
             held = asyncio.run(case(record, scratch))
