--- a/review/9/case.py
+++ b/review/9/case.py
@@ -31,7 +31,7 @@
             return await world.call(
                 self.gateway.host, self.gateway.front, method, path, headers, body, 2.5
             )
-        except (EOFError, OSError, asyncio.TimeoutError):
+        except (TimeoutError, EOFError, OSError):
             return None
 
     async def run_step(self, step):
