Keep a scheduler running that has regained its lease

Cause: the check of peers decided by the store contact from before it waited for their answers, and stopped a scheduler that had been activated meanwhile. The lease stayed held and was renewed, which does not report it again, so nothing activated a scheduler.

Change: PeerCheck.evaluate gets the last contact at the time of the decision. Where the scheduler stops for lack of contact, its lease is abandoned and acquired anew under a new fencing number, which activates it. The second part also covers a peer whose report names the holder before this one; that was found by reading.

Why it works: a scheduler no longer stops while the store answers, and no stop leaves a lease that is renewed without a scheduler.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -330,6 +330,7 @@
         holder=lambda: lease_holder.observed_holder,
         random=random,
         scheduler=scheduler,
+        lease=lease,
     )
     usage = None
     if settings.cloud is not None and settings.cloud.asks_for_usage:
--- a/pumicedeck/lease_keepers.py
+++ b/pumicedeck/lease_keepers.py
@@ -58,6 +58,10 @@
         if self._holder.should_hold:
             self._carry_out(self._holder.release(self._timers.now()))
 
+    def abandon(self) -> None:
+        """Drop the lease without releasing it; `on_acquired` is called once it is held anew."""
+        self._carry_out(self._holder.abandon(self._timers.now()))
+
     def announce_orders(self, endpoint: str) -> None:
         """Have the lease row announce orders to an endpoint, unless it announces some for now."""
         self._carry_out(self._holder.announce_orders(self._timers.now(), endpoint))
--- a/pumicedeck/leases.py
+++ b/pumicedeck/leases.py
@@ -281,6 +281,21 @@
         self._phase = LeasePhase.RELEASING
         return [self._commit(now, LeaseRow("", self._fencing, 0.0, None, self._announced()))]
 
+    def abandon(self, now: float) -> list[LeaseAction]:
+        """Drop the lease without releasing it, and acquire it anew if no other process has it.
+
+        Used when this process stops the work that the lease covers: a renewal would not report the
+        lease again.
+        """
+        if not self._valid_until:
+            return []
+        self._invalidate()
+        self._predecessor = ""
+        if self._phase is LeasePhase.HELD:
+            self._phase = LeasePhase.READING
+            self._wakeup_at = now
+        return [LeaseLost()]
+
     def lease_read(self, now: float, outcome: Result[Row, Failure]) -> list[LeaseAction]:
         """Handle the outcome of a read of the lease row."""
         if self._phase not in (LeasePhase.READING, LeasePhase.OBSERVING):
@@ -464,11 +479,7 @@
         """Drop the lease if its duration has passed."""
         if not self._valid_until or now < self._valid_until:
             return []
-        self._invalidate()
-        if self._phase is LeasePhase.HELD:
-            self._phase = LeasePhase.READING
-            self._wakeup_at = now
-        return [LeaseLost()]
+        return self.abandon(now)
 
     def _drop_lost_lease(self) -> list[LeaseAction]:
         """Drop the lease if it still counts as valid, because another process holds it."""
--- a/pumicedeck/peer_checks.py
+++ b/pumicedeck/peer_checks.py
@@ -54,11 +54,19 @@
         """Discard earlier reports; called while the store answers or no scheduler is active."""
         self._isolated_since = None
 
-    def evaluate(self, now: float, reports: list[PeerReport | None]) -> str:
+    def is_disconnected(self, now: float, last_contact_at: float) -> bool:
+        """Return whether the store, which last answered at `last_contact_at`, no longer does."""
+        return now - last_contact_at > self._settings.disconnected_after_seconds
+
+    def evaluate(self, now: float, last_contact_at: float, reports: list[PeerReport | None]) -> str:
         """Return why the scheduler must stop, empty if it may go on.
 
+        `last_contact_at` is when the store last answered, also while the peers were queried.
         `reports` has None for each peer that did not answer.
         """
+        if not self.is_disconnected(now, last_contact_at):
+            self.reset()
+            return ""
         answers = [report for report in reports if report is not None]
         if not answers:
             if self._isolated_since is None:
--- a/pumicedeck/peer_questions.py
+++ b/pumicedeck/peer_questions.py
@@ -17,6 +17,7 @@
     read_number,
     read_text,
 )
+from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.partitioned_stores import Change, PartitionedStore, Put
 from pumicedeck.peer_checks import PeerCheck, PeerReport
 from pumicedeck.scheduling.schedulers import Scheduler
@@ -46,6 +47,7 @@
         holder: Callable[[], str],
         random: Random,
         scheduler: Scheduler,
+        lease: LeaseKeeper,
     ) -> None:
         """Create a service that does nothing until `start`.
 
@@ -53,7 +55,8 @@
         `mirror` has the registered addresses of the peers. `last_contact_at` returns when the store
         last answered, in seconds on the clock of `timers`. `holder` returns the holder of the
         scheduler's lease as last read, empty if there is none. `peer_check` decides from the
-        reports of peers whether `scheduler` must stop.
+        reports of peers whether `scheduler` must stop; it then starts again once `lease` has been
+        acquired anew.
         """
         self._timers = timers
         self._store = store
@@ -66,6 +69,7 @@
         self._get_lease_holder = holder
         self._random = random
         self._scheduler = scheduler
+        self._lease = lease
         self._check_task: Task | None = None
 
     def answer(self) -> bytes:
@@ -97,15 +101,17 @@
         settings = self._peer_check.settings
         while True:
             await sleep(self._timers, settings.query_interval_seconds)
-            disconnected = (
-                self._timers.now() - self._get_last_contact_at()
-                > settings.disconnected_after_seconds
+            disconnected = self._peer_check.is_disconnected(
+                self._timers.now(), self._get_last_contact_at()
             )
             if not disconnected or not self._scheduler.is_active:
                 self._peer_check.reset()
                 continue
             reports = await self._query_peers()
-            reason = self._peer_check.evaluate(self._timers.now(), reports)
+            # The store may have answered while the peers were queried.
+            reason = self._peer_check.evaluate(
+                self._timers.now(), self._get_last_contact_at(), reports
+            )
             _log.info(
                 "peers queried about store contact",
                 words=[str(report) for report in reports],
@@ -113,6 +119,8 @@
             )
             if reason and self._scheduler.is_active:
                 self._scheduler.stop(reason)
+                # A lease that is still valid would be renewed without a scheduler that runs.
+                self._lease.abandon()
 
     async def _query_peers(self) -> list[PeerReport | None]:
         """Query randomly chosen peers at the same time; None for each that does not answer."""
--- a/pumicedeck/tests/test_leases.py
+++ b/pumicedeck/tests/test_leases.py
@@ -48,6 +48,25 @@
     assert not holder.holds(18.0)
 
 
+def test_an_abandoned_lease_is_read_and_acquired_anew_with_a_new_fencing_number() -> None:
+    """A renewal of a lease whose work had been stopped did not report the lease again."""
+    holder = _held()
+    assert holder.abandon(1.0) == [LeaseLost()]
+    assert not holder.holds(1.0)
+    assert holder.on_timer(1.0) == [ReadLease(StoreKey(LEASE_TABLE, "e"))]
+    commit = holder.lease_read(1.0, Ok(_row("me")))[0]
+    assert isinstance(commit, CommitLease)
+    assert holder.lease_committed(1.1, Ok(Committed((2,)))) == [LeaseAcquired(2, "")]
+
+
+def test_a_renewal_under_way_when_its_lease_is_abandoned_reports_the_lease_again() -> None:
+    holder = _held()
+    assert isinstance(holder.on_timer(5.0)[0], CommitLease)
+    assert holder.abandon(5.1) == [LeaseLost()]
+    assert holder.lease_committed(5.2, Ok(Committed((2,)))) == [LeaseAcquired(1, "")]
+    assert holder.holds(5.2)
+
+
 def test_takeover_waits_for_the_full_duration_observed() -> None:
     holder = LeaseHolder("e", "me")
     holder.acquire(100.0)
