Break a response that is reset while its request is being sent

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection.

Cause: the system reports the error of a connection once. The write got it and dropped it; the read after it found an empty result, which ends a body without a length.

Evidence: with a failed write and an empty read the client reports a whole 200, with an error in the read it does not.

Change: the error of a failed write is kept. The end of a body without a length counts only if the request was sent in full and no write failed. A time-out in a write counts as silence, not as a lost connection.

Why it works: nothing that may have been cut off by a reset is taken for whole; answers with a length or in chunks tell by themselves whether they are.

--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from errno import EHOSTUNREACH, EINPROGRESS, ENETUNREACH, ETIMEDOUT
+from errno import EHOSTUNREACH, EINPROGRESS, ENETUNREACH, EPIPE, ETIMEDOUT
 
 import h11
 from circuits.core.pollers import BasePoller
@@ -88,10 +88,12 @@
         self._parser = self._new_parser()
         self._unsent = memoryview(b"")
         self._written_bytes = 0
+        self._write_error = 0
         self._request_count = 0
         self._opened_at = timers.now()
         self._deadline = MovingDeadline(timers, self._on_deadline)
         self._response: h11.Response | None = None
+        self._is_close_delimited = False
         # One buffer: a list of parts of a few bytes each would take ten times their size.
         self._body = bytearray()
         self._body_bytes = 0
@@ -172,7 +174,9 @@
         self._on_chunk = on_chunk
         self._on_head = on_head
         self._max_silence_seconds = max_silence_seconds
+        self._write_error = 0
         self._response = None
+        self._is_close_delimited = False
         self._body = bytearray()
         self._body_bytes = 0
         self._meter = AnswerMeter(self._settings)
@@ -272,7 +276,7 @@
             except BlockingIOError:
                 break
             except OSError as error:
-                self._abandon_write(os.strerror(error.errno or 0))
+                self._abandon_write(error.errno or EPIPE)
                 return
             self._written_bytes += count
             self._unsent = self._unsent[count:]
@@ -283,15 +287,15 @@
         elif not self._unsent and watches_writable:
             self._poller.removeWriter(self._socket)
 
-    def _abandon_write(self, detail: str) -> None:
+    def _abandon_write(self, error: int) -> None:
         """Stop writing after a send error; break the connection if no byte was written."""
         # The server may have sent a response before it stopped reading the request. Once a byte was
-        # written, the connection therefore stays open for reading.
+        # written, the connection therefore stays open for reading. The system reports an error
+        # once, so that the next read may show a regular end instead of it.
+        self._write_error = error
         self._unsent = memoryview(b"")
         if self._written_bytes == 0:
-            self._timers.call_later(
-                0.0, lambda: self._break_connection(BrokenReason.CLOSED, detail)
-            )
+            self._timers.call_later(0.0, lambda: self._break_with_error(error))
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -303,6 +307,9 @@
                 if not self._handle_event(event):
                     return
         except h11.RemoteProtocolError as error:
+            if not data and self._write_error:
+                self._break_with_error(self._write_error)
+                return
             reason = BrokenReason.BAD_FRAMING if data else BrokenReason.CLOSED
             self._break_connection(reason, str(error))
 
@@ -318,6 +325,11 @@
         if isinstance(event, h11.Data):
             return self._handle_data(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
+            if self._is_close_delimited and (self._write_error or self._unsent):
+                # A server that closes before it has read the request resets the connection, so
+                # that the end of the body cannot be told from a broken one.
+                self._break_unsent()
+                return False
             self._finish_response()
             return False
         if isinstance(event, h11.ConnectionClosed):
@@ -336,6 +348,7 @@
             )
             return False
         self._response = head
+        self._is_close_delimited = lacks_length
         if self._on_head is not None and not self._on_head(_build_response(head, b"")):
             self._break_connection(
                 BrokenReason.BAD_FRAMING, "response rejected by the head callback"
@@ -390,6 +403,13 @@
             BrokenReason.SILENT if is_silent else BrokenReason.CLOSED, os.strerror(error)
         )
 
+    def _break_unsent(self) -> None:
+        """Break the connection, whose response ended before the request was sent."""
+        if self._write_error:
+            self._break_with_error(self._write_error)
+        else:
+            self._break_connection(BrokenReason.CLOSED, "before the request was sent")
+
     def _break_connection(self, reason: BrokenReason, detail: str) -> None:
         if self._state is ConnectionState.CLOSED:
             return
