Check the heads of responses by the grammar of the RFCs

Cause: the parser joins such lines and lets control bytes in values, statuses from 600 on and other versions than HTTP/1.x pass, and the client used what it returned.

Evidence: of 34 kinds of invalid head 13 were passed on; status 000 and damaged names were refused before.

Why it works: all answers within the platform are read by this client, and a head that the grammar does not allow ends its connection as broken.

Result: 52 of 136 tests of invalid heads fail before, none after; 10 kinds of valid head, in pieces too, are taken as before.

--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -13,6 +13,7 @@
 
 from pumicedeck.answer_limits import AnswerMeter, BodyBudget
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_heads import HeadRecorder, find_framing_fault, find_head_fault
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
 from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.socket_options import set_acknowledgement_timeout
@@ -92,6 +93,7 @@
         self._request_count = 0
         self._opened_at = timers.now()
         self._deadline = MovingDeadline(timers, self._on_deadline)
+        self._head_recorder = HeadRecorder()
         self._response: h11.Response | None = None
         self._is_close_delimited = False
         # One buffer: a list of parts of a few bytes each would take ten times their size.
@@ -175,6 +177,7 @@
         self._on_head = on_head
         self._max_silence_seconds = max_silence_seconds
         self._write_error = 0
+        self._head_recorder = HeadRecorder()
         self._response = None
         self._is_close_delimited = False
         self._body = bytearray()
@@ -298,6 +301,7 @@
             self._timers.call_later(0.0, lambda: self._break_with_error(error))
 
     def _parse(self, data: bytes) -> None:
+        self._head_recorder.feed(data)
         try:
             self._parser.receive_data(data)
             while self._state is ConnectionState.BUSY:
@@ -319,9 +323,9 @@
             exceeded = self._meter.add_interim_head()
             if exceeded:
                 self._break_connection(BrokenReason.TOO_LARGE, exceeded)
-            return not exceeded
+            return not exceeded and self._check_head(is_interim=True)
         if isinstance(event, h11.Response):
-            return self._handle_head(event)
+            return self._check_head(is_interim=False) and self._handle_head(event)
         if isinstance(event, h11.Data):
             return self._handle_data(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
@@ -337,7 +341,18 @@
             return False
         return True
 
+    def _check_head(self, is_interim: bool) -> bool:
+        """Return whether the lines of the head that was parsed are valid; break if they are not."""
+        fault = find_head_fault(self._head_recorder.take_head(is_interim))
+        if fault:
+            self._break_connection(BrokenReason.BAD_FRAMING, fault)
+        return not fault
+
     def _handle_head(self, head: h11.Response) -> bool:
+        fault = find_framing_fault(head)
+        if fault:
+            self._break_connection(BrokenReason.BAD_FRAMING, fault)
+            return False
         header_names = {name for name, _ in head.headers}
         length_headers = {b"content-length", b"transfer-encoding"} & header_names
         lacks_length = not length_headers and head.status_code not in _STATUSES_WITHOUT_BODY
