Give bodies back when their exchange ends

Cause: bodies stayed in connections, exchanges, requests, tasks and cancelled timers that are in reference cycles, until the garbage collector came by; it counts objects, not bytes. The budget counted them as given back when their connection closed.

With the collector off each call leaves a body behind, while the budget holds none.

Change: connections release body, parser and request when they close, a request's bytes when they are written; exchanges, calls, tasks and timers release their callbacks when they end.

Why it works: no end of an exchange leaves a reference to its bytes, so they are freed at once and the budget counts what is held.

--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -158,6 +158,10 @@
             # A reset tells the caller that the response is incomplete, however it is framed.
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._sock.close()
+        # The connection is in reference cycles and may be collected much later.
+        self._unsent = bytearray()
+        self._head, self._body = None, []
+        self._parser = self._new_parser()
         call, self._call = self._call, None
         if call is not None:
             call.caller_disconnected()
--- a/pumicedeck/clocks.py
+++ b/pumicedeck/clocks.py
@@ -9,6 +9,10 @@
 COMPACT_SLACK_TIMERS = 64
 
 
+def _do_nothing() -> None:
+    pass
+
+
 @dataclass(eq=False, slots=True)
 class Timer:
     """A scheduled callback; `due` is its scheduled time in monotonic seconds.
@@ -23,8 +27,9 @@
     cancelled: bool = False
 
     def cancel(self) -> None:
-        """Prevent the callback from running."""
+        """Prevent the callback from running, and release what it refers to."""
         self.cancelled = True
+        self.callback = _do_nothing
 
 
 class TimerQueue:
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -65,6 +65,9 @@
         self.ended = True
         if self.time_limit is not None:
             self.time_limit.cancel()
+        # They refer to this exchange, which would keep the request's body until garbage is
+        # collected.
+        self.on_chunk = self.on_head = None
         return True
 
 
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -193,12 +193,22 @@
             return
         self._state = ConnectionState.CLOSED
         self._deadline.close()
-        self._budget.release(self)
-        self._on_chunk = None
+        self._release_memory()
         if self._socket is not None:
             self._poller.discard(self._socket)
             self._socket.close()
 
+    def _release_memory(self) -> None:
+        """Give the bytes of request and response back; the connection is in reference cycles."""
+        self._budget.release(self)
+        self._on_chunk = None
+        self._on_head = None
+        self._unsent = memoryview(b"")
+        self._body = bytearray()
+        self._response = None
+        self._head_recorder = HeadRecorder()
+        self._parser = self._new_parser()
+
     def on_writable(self) -> None:
         """Finish connecting, or write the unsent rest of the request."""
         if self._state is ConnectionState.CONNECTING:
@@ -284,6 +294,9 @@
             self._written_bytes += count
             self._unsent = self._unsent[count:]
             self._deadline.set(self._max_silence_seconds)
+        if not self._unsent:
+            # An empty view would still hold the whole request.
+            self._unsent = memoryview(b"")
         watches_writable = self._poller.isWriting(self._socket)
         if self._unsent and not watches_writable:
             self._poller.addWriter(self._event_target, self._socket)
--- a/pumicedeck/incoming_calls.py
+++ b/pumicedeck/incoming_calls.py
@@ -117,9 +117,14 @@
     def caller_disconnected(self) -> None:
         """End the call because the caller disconnected."""
         if not self._ended:
+            on_caller_disconnected = self.on_caller_disconnected
             self._report_end(CALLER_DISCONNECTED)
-            self.on_caller_disconnected()
+            on_caller_disconnected()
 
     def _report_end(self, outcome: str) -> None:
         self._ended = True
-        self.on_end(outcome)
+        on_end = self.on_end
+        # The callbacks refer to the call, which would keep its body until garbage is collected.
+        self.on_end = lambda outcome: None
+        self.on_caller_disconnected = lambda: None
+        on_end(outcome)
--- a/pumicedeck/tasks.py
+++ b/pumicedeck/tasks.py
@@ -106,9 +106,10 @@
             self._finish()
         except Exception:
             _log.opt(exception=True).error("task ended by unhandled exception", task=self._name)
+            on_failure = self._on_failure
             self._finish()
-            if self._on_failure is not None:
-                self._on_failure()
+            if on_failure is not None:
+                on_failure()
         else:
             self._running = False
             self._await_promise(promise)
@@ -129,6 +130,8 @@
 
     def _finish(self) -> None:
         self._running = False
+        # It may refer to what refers to this task.
+        self._on_failure = None
         self.ended.resolve(None)
 
 
