Refuse requests that may outlast a drain

Cause: the drain looked at open calls and time only, not at what a request may take.

Change: may_begin_call: after the balancer's notice a request is served only if the longest time that it may take ends before the drain; others are refused at once as not run. The time of the drain counts from the signal.

Why it works: what is begun late is answered, by its endpoint or by its own time-out, before the gateway ends; the rest has not run and goes to other gateways.

--- a/pumicedeck/call_forwarders.py
+++ b/pumicedeck/call_forwarders.py
@@ -61,6 +61,10 @@
         """End a call whose task raised an exception."""
         self._call_attempts.fail(incoming, call)
 
+    def deadline(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> float:
+        """Return until when a call may take, in seconds of the clock."""
+        return self._call_attempts.deadline(incoming, call, route)
+
     def refuse(
         self,
         incoming: IncomingCall,
--- a/pumicedeck/gateway_drains.py
+++ b/pumicedeck/gateway_drains.py
@@ -2,7 +2,9 @@
 
 The load is callers with kept connections and a balancer that sends new ones for some seconds after
 the gateway has become unready. A whole request that the gateway has read must be answered before
-the process exits, and one that arrives too late must not reach an endpoint.
+the process exits, and one that arrives too late must not reach an endpoint. Requests go on to come
+while a long one keeps the gateway from its end; one that might outlast the drain is refused while
+it has not run, since other gateways serve at once.
 """
 
 from dataclasses import dataclass
@@ -13,8 +15,9 @@
     """The phases of a drain.
 
     SERVING: requests are served, and each response closes its connection. CLOSING_IDLE: idle
-    connections are closed; open calls and new connections are served. REFUSING: no connection is
-    accepted, and a request that still arrives is refused as not run. ENDED: nothing is read.
+    connections are closed; open calls are served, and so are requests that end before the drain
+    does. REFUSING: no connection is accepted, and a request that still arrives is refused as not
+    run. ENDED: nothing is read.
     """
 
     SERVING = "serving"
@@ -63,3 +66,16 @@
     ):
         return DrainPhase.ENDED
     return phase
+
+
+def may_begin_call(
+    phase: DrainPhase, elapsed: float, longest_seconds: float, times: DrainTimes
+) -> bool:
+    """Return whether a request that may take up to `longest_seconds` is still served.
+
+    `elapsed` is the seconds since the signal to stop. Until the balancer has noticed it, a refused
+    caller may come back to this gateway, so all requests are served.
+    """
+    if phase is DrainPhase.SERVING:
+        return True
+    return phase is DrainPhase.CLOSING_IDLE and elapsed + longest_seconds <= times.max_seconds
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -22,7 +22,7 @@
     SubmissionDialect,
     SubmissionRequest,
 )
-from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
+from pumicedeck.gateway_drains import DrainPhase, DrainTimes, may_begin_call, next_drain_phase
 from pumicedeck.gateway_metrics import GatewayMetrics
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.incoming_calls import CALLER_DISCONNECTED, IncomingCall
@@ -136,6 +136,7 @@
         self._times = times
         self._routes: RouteTable | None = None
         self._drain_phase: DrainPhase | None = None
+        self._drain_started_at = 0.0
         self._open_calls: dict[IncomingCall, ForwardedCall] = {}
         self._was_ready = False
         self._calls = CallMetrics()
@@ -211,6 +212,7 @@
         if self._drain_phase is not None:
             return
         self._drain_phase = DrainPhase.SERVING
+        self._drain_started_at = self._timers.now()
         _log.info("stopping", open_calls=self._parts.callers.open_calls)
         self._parts.callers.drain()
         spawn(self._drain_and_stop(), "gateway leave")
@@ -243,9 +245,7 @@
         call = self._parts.caller_dialect.decode_request(incoming)
         self._record_on_end(incoming, call, _NO_ROUTE)
         if self._drain_phase in (DrainPhase.REFUSING, DrainPhase.ENDED):
-            self._parts.forwarder.refuse(
-                incoming, call, _ENDING, self._times.drain_retry_after_seconds
-            )
+            self._refuse_while_ending(incoming, call)
             return
         self._open_calls[incoming] = call
         if self._routes is None:
@@ -276,8 +276,22 @@
                 f"submission {call.request_id}",
                 lambda: self._parts.forwarder.fail(incoming, call),
             )
-        else:
+        elif self._may_begin(incoming, call, route):
             self._parts.forwarder.handle(incoming, call, route)
+        else:
+            self._refuse_while_ending(incoming, call)
+
+    def _may_begin(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> bool:
+        """Return whether a call ends before a drain does, if there is one."""
+        if self._drain_phase is None:
+            return True
+        now = self._timers.now()
+        seconds = self._parts.forwarder.deadline(incoming, call, route) - now
+        elapsed = now - self._drain_started_at
+        return may_begin_call(self._drain_phase, elapsed, seconds, self._times.drain)
+
+    def _refuse_while_ending(self, incoming: IncomingCall, call: ForwardedCall) -> None:
+        self._parts.forwarder.refuse(incoming, call, _ENDING, self._times.drain_retry_after_seconds)
 
     def _record_on_end(
         self, incoming: IncomingCall, call: ForwardedCall, series: CallSeries
@@ -378,7 +392,7 @@
             )
 
     async def _drain_and_stop(self) -> None:
-        started = self._timers.now()
+        started = self._drain_started_at
         if self._parts.scheduler.is_active:
             await self._parts.scheduler.hand_over()
             self._parts.scheduler.stop("the process ends")
--- a/pumicedeck/tests/test_gateway_drains.py
+++ b/pumicedeck/tests/test_gateway_drains.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from pumicedeck.gateway_drains import DrainPhase, DrainTimes, next_drain_phase
+from pumicedeck.gateway_drains import (
+    DrainPhase,
+    DrainTimes,
+    may_begin_call,
+    next_drain_phase,
+)
 from pumicedeck.processes import STOP_DELAY_SECONDS
 from pumicedeck.tests.test_gateways import (
     ID,
@@ -123,6 +128,90 @@
     assert read_until_closed(gateway_fixture, sock).startswith(b"HTTP/1.1 502")
 
 
+@pytest.mark.parametrize("path", ["/late/x", "/late-stream/x"])
+@pytest.mark.parametrize("seconds", [0.06, 2.2])
+@pytest.mark.parametrize("moment", [2.5, 5.0, 6.2, 7.0])
+def test_a_request_late_in_a_drain_is_answered_in_time_or_refused_as_not_run(
+    gateway_fixture, moment, seconds, path
+):
+    """A long call kept the gateway from ending, so that requests went on to be forwarded until
+    shortly before the end; those that took longer than what was left ran and ended with a 502."""
+    fields = {"timeout-ms": 4000}
+    gateway_fixture.configure(
+        2,
+        route("slow", "non_idempotent", **{"timeout-ms": 20000}),
+        route("late", "non_idempotent", **fields),
+        route("late-stream", "streaming", **fields),
+    )
+    loop = gateway_fixture.loop
+    loop.advance(0.5)
+    ran = []
+
+    def on_call(call):
+        if call.target.startswith("/slow/"):
+            return
+        ran.append(call)
+        headers = (id_header(call), SIGNATURE)
+        loop.timers.call_later(seconds, lambda: call.answer(200, headers, b"data: whole\n\n"))
+
+    for endpoint in gateway_fixture.endpoints:
+        endpoint.on_call = on_call
+    gateway_fixture.open("POST", "/slow/x", headers=ID[:1])
+    loop.advance(0.1)
+    drain_like_a_process(gateway_fixture)
+    loop.advance(moment)
+    sock = gateway_fixture.open("POST", path, headers=(("X-Pumicedeck-Request-Id", "r2"),))
+    started = loop.timers.now()
+    answer = read_until_closed(gateway_fixture, sock)
+    if ran:
+        assert answer.startswith(b"HTTP/1.1 200") and b"whole" in answer
+        # What may take as long as its route allows is served while that much time is left.
+        assert moment + 4.0 <= TIMES.max_seconds
+    else:
+        # A refusal with 503 says that the request has not run.
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 0.000" in answer
+        assert loop.timers.now() - started < 0.1
+
+
+def test_a_request_that_has_little_time_is_served_late_in_a_drain(gateway_fixture):
+    gateway_fixture.configure(
+        2,
+        route("slow", "non_idempotent", **{"timeout-ms": 20000}),
+        route("once", "non_idempotent", **{"timeout-ms": 4000}),
+    )
+    gateway_fixture.loop.advance(0.5)
+    succeed = gateway_fixture.endpoints[0].on_call
+
+    def on_call(call):
+        if not call.target.startswith("/slow/"):
+            succeed(call)
+
+    for endpoint in gateway_fixture.endpoints:
+        endpoint.on_call = on_call
+    gateway_fixture.open("POST", "/slow/x", headers=ID[:1])
+    gateway_fixture.loop.advance(0.1)
+    drain_like_a_process(gateway_fixture)
+    gateway_fixture.loop.advance(5.0)
+    sock = gateway_fixture.open("POST", "/once/x", headers=ID)
+    answer = read_until_closed(gateway_fixture, sock)
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"whole")
+
+
+@pytest.mark.parametrize(
+    "phase, elapsed, seconds, expected",
+    [
+        (DrainPhase.SERVING, 1.0, 30.0, True),
+        (DrainPhase.CLOSING_IDLE, 2.4, 5.0, True),
+        (DrainPhase.CLOSING_IDLE, 2.4, 5.1, False),
+        (DrainPhase.CLOSING_IDLE, 7.0, 0.3, True),
+        (DrainPhase.REFUSING, 2.4, 0.1, False),
+        (DrainPhase.ENDED, 7.4, 0.0, False),
+    ],
+)
+def test_a_drain_serves_what_ends_before_it(phase, elapsed, seconds, expected):
+    assert may_begin_call(phase, elapsed, seconds, TIMES) is expected
+
+
 def test_a_metrics_port_that_is_taken_does_not_keep_a_gateway_from_starting():
     """Another process on the VM may hold the port; metrics are also at the readiness address."""
     with socket.create_server((LOCAL, 0)) as taken:
