Tell contact with the store from knowledge of its state

Cause: after an outage the changes may come in several answers of the store's feed. The first one already counted as up to date, so the gateway knew of one version only and looked for no record of the streams.

Change: StoreFeed.complete_as_of is when the last call was sent whose answer left nothing out. Stream records, the list of endpoints and the mirror of submissions go by it.

Why it works: what decides by the absence of a row asks whether all rows were received.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -306,9 +306,9 @@
         random,
         decisions.stream_versions,
         pools=lambda: gateway.routes.resumable_pools if gateway.routes is not None else (),
-        last_contact_at=lambda: work_feed.last_contact_at,
+        complete_as_of=lambda: work_feed.complete_as_of,
         sweeps=lambda: scheduler.is_active,
-        endpoints_known_at=lambda: endpoint_feed.last_contact_at,
+        endpoints_known_at=lambda: endpoint_feed.complete_as_of,
     )
     recorded_contact_at = 0.0
 
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -361,7 +361,7 @@
         while True:
             await sleep(self._timers, self._times.watch_interval_seconds)
             self._parts.record_store_contact()
-            self._parts.mirror.current_as_of = self._parts.work_feed.last_contact_at
+            self._parts.mirror.current_as_of = self._parts.work_feed.complete_as_of
             if self.is_ready is not self._was_ready:
                 self._was_ready = self.is_ready
                 _log.info("readiness changed", ready=self._was_ready)
--- a/pumicedeck/standin_partitioned_stores.py
+++ b/pumicedeck/standin_partitioned_stores.py
@@ -108,12 +108,14 @@
     """Faults of one client of the store; counts are of the next commits, times are in seconds.
 
     `late_commits` are applied `late_commit_seconds` after the call, whose outcome is reported as
-    unknown. With `silent` no call is answered; with `feed_stalled` a feed receives no changes.
+    unknown. With `silent` no call is answered; with `feed_stalled` a feed receives no changes, and
+    at most `max_feed_rows` at a time.
     """
 
     down: bool = False
     silent: bool = False
     feed_stalled: bool = False
+    max_feed_rows: int | None = None
     lost_replies: int = 0
     late_commits: int = 0
     late_commit_seconds: float = 2.0
@@ -217,7 +219,10 @@
             self._resolve_later(promise, outcome)
             return
         revision = after if self.faults.feed_stalled else self.data.revision
-        self._resolve_later(promise, Ok(Page(outcome.ok_value, revision, self.timers.now())))
+        rows = outcome.ok_value[: self.faults.max_feed_rows]
+        is_truncated = len(rows) < len(outcome.ok_value)
+        page = Page(rows, revision, self.timers.now(), is_truncated)
+        self._resolve_later(promise, Ok(page))
 
     def _start_read(self, build_answer) -> Promise[Result]:
         self.calls.reads += 1
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -57,6 +57,7 @@
         self._revision: int | None = None
         self._loaded = False
         self._last_contact_at = -1e9
+        self._complete_as_of = -1e9
         self._confirmed_at = -1e9
         self._is_store_unreachable = False
         self._round_trip_seconds = 0.0
@@ -78,6 +79,15 @@
         """Return the monotonic time, in seconds, at which the last answered call was sent."""
         return self._last_contact_at
 
+    @property
+    def complete_as_of(self) -> float:
+        """Return the monotonic time, in seconds, of whose state all rows were received.
+
+        It is when the last call was sent whose answer left no change out. After an outage the
+        changes may come in several answers, the first of which show an older state.
+        """
+        return self._complete_as_of
+
     @property
     def confirmed_at(self) -> float:
         """Return the monotonic time, in seconds, up to which all changes were received.
@@ -132,6 +142,8 @@
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
         if page.rows:
             self._deliver(page.rows, False)
+        if not page.truncated:
+            self._complete_as_of = sent_at
         # A truncated page covers the changes up to its last row only.
         newest_revision = page.rows[-1].revision if page.truncated and page.rows else page.revision
         self._revision = max(self._revision, newest_revision)
@@ -161,6 +173,7 @@
         self._record_answer(self._clock.now(), sent_at)
         self._deliver(tuple(rows), True)
         self._loaded = True
+        self._complete_as_of = sent_at
         self._confirmed_at = max(self._confirmed_at, sent_at)
         self._revision = revision
 
--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -74,13 +74,13 @@
         random: Random,
         settings: StreamVersionSettings,
         pools: Callable[[], Iterable[str]],
-        last_contact_at: Callable[[], float],
+        complete_as_of: Callable[[], float],
         sweeps: Callable[[], bool],
         endpoints_known_at: Callable[[], float] = lambda: inf,
     ) -> None:
         """Announce the versions of `pools`, whose streams callers may resume.
 
-        `last_contact_at` returns when the rows given to `apply` were complete, on the process's
+        `complete_as_of` returns as of when the rows given to `apply` are complete, on the process's
         clock, `endpoints_known_at` the same for `directory`. Old rows are removed while `sweeps`
         is True.
         """
@@ -91,7 +91,7 @@
         self._random = random
         self._settings = settings
         self._get_pools = pools
-        self._last_contact_at = last_contact_at
+        self._complete_as_of = complete_as_of
         self._sweeps = sweeps
         self._endpoints_known_at = endpoints_known_at
         self._known: dict[str, PoolKnowledge] = {}
@@ -103,13 +103,13 @@
     @property
     def _is_fresh(self) -> bool:
         """Return whether this process knows of all versions at which streams may have begun."""
-        staleness = self._timers.now() - self._last_contact_at()
+        staleness = self._timers.now() - self._complete_as_of()
         return staleness <= self._settings.max_staleness_seconds
 
     @property
     def _knows_base(self) -> bool:
         """Return whether streams that begin at the known base end before another one holds."""
-        staleness = self._timers.now() - self._last_contact_at()
+        staleness = self._timers.now() - self._complete_as_of()
         return staleness <= self._settings.max_base_age_seconds
 
     def start(self) -> None:
--- a/pumicedeck/tests/test_store_feeds.py
+++ b/pumicedeck/tests/test_store_feeds.py
@@ -101,6 +101,26 @@
     assert simulation.feed.is_loaded and simulation.feed.confirmed_at == 0.0
 
 
+def test_a_part_of_the_changes_does_not_count_as_all_of_them():
+    """After an outage the changes came in several answers; the first one counted as the newest."""
+    simulation = FeedSimulation(initial_partitions=["a"])
+    simulation.run(1.0)
+    simulation.store.faults.down = True
+    simulation.run(3.0)
+    for number in range(20):
+        simulation.put(f"n{number}")
+    simulation.store.faults.max_feed_rows = 3
+    simulation.store.faults.down = False
+    steps = 0
+    while len(simulation.received) < 21:
+        assert simulation.feed.complete_as_of < 2.0
+        steps += simulation.feed.last_contact_at > 3.9
+        simulation.run(0.001)
+    assert steps > 10
+    simulation.run(0.1)
+    assert simulation.feed.complete_as_of > 3.9
+
+
 class FailingOnOneRow(FeedSimulation):
     def on_rows(self, rows, is_whole_table):
         super().on_rows(rows, is_whole_table)
--- a/pumicedeck/tests/test_stream_versions.py
+++ b/pumicedeck/tests/test_stream_versions.py
@@ -60,7 +60,7 @@
             Random(number),
             SETTINGS,
             pools=lambda: (POOL,),
-            last_contact_at=lambda: feed.last_contact_at,
+            complete_as_of=lambda: feed.last_contact_at,
             sweeps=lambda: number == 0,
         )
         feed = StoreFeed(
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from pumicedeck.partitioned_stores import Change, Put, RowKey
 from pumicedeck.standin_partitioned_stores import StandinPartitionedStore
 from pumicedeck.stream_records import STREAMS_TABLE
 from pumicedeck.stream_versions import StreamVersionSettings, decode_pool_versions
@@ -231,6 +232,40 @@
     assert all(caller.status == 503 and b'"code": 215' in caller.answer for caller in callers)
 
 
+@pytest.mark.parametrize("rows_at_a_time", [1, 4])
+def test_a_gateway_that_has_read_a_part_of_what_it_missed_does_not_let_streams_go_on(
+    make_streams, rows_at_a_time
+):
+    """A gateway was out of contact while a version joined. The first answers after that brought a
+    part of the changes only, and it counted as up to date while it knew of one version."""
+    fixture = make_streams(gateways=2, software=("v1", "v1"))
+    faults = fixture.store_of(1).faults
+    faults.silent = True
+    fixture.run(1.0)
+    for number in range(40):
+        fixture.put("servers", f"other-{number}", {})
+        fixture.data.commit(Change((), (Put(RowKey(WORK_TABLE, "members", f"m{number}"), b"h:1"),)))
+    fixture.add_endpoint("s-8", "v2")
+    fixture.add_endpoint("s-9", "v2")
+    fixture.run(4.5)
+    callers = fixture.begin(count=8)
+    fixture.run(0.35)
+    check_both_versions(callers)
+    for caller in callers:
+        caller.disconnect()
+    faults.max_feed_rows = rows_at_a_time
+    faults.silent = False
+    healed_at = fixture.loop.timers.now()
+    feed = fixture.running_gateways[1].gateway._parts.work_feed
+    # A stream that came earlier would have the versions of the pool read by themselves.
+    fixture.loop.until(lambda: feed.last_contact_at > healed_at)
+    for caller in callers:
+        caller.send(1)
+    fixture.run(2.0)
+    fixture.check()
+    assert fixture.completed(callers) >= 1
+
+
 def test_streams_of_a_pool_with_one_version_go_on_in_the_first_seconds_without_the_store(
     make_streams,
 ):
--- a/pumicedeck/work_mirrors.py
+++ b/pumicedeck/work_mirrors.py
@@ -137,9 +137,9 @@
 class WorkMirror:
     """All submissions by id, and the addresses of all processes by VM.
 
-    `current_as_of` is when the store last answered, in seconds on the process's clock; the owner of
-    the mirror sets it. `members` has the addresses as texts host:port. `changed` is notified after
-    rows were applied.
+    `current_as_of` is the time, in seconds on the process's clock, of which the mirror shows the
+    store's state; the owner of the mirror sets it. `members` has the addresses as texts host:port.
+    `changed` is notified after rows were applied.
     """
 
     def __init__(self) -> None:
