Call a software version gone only by a present list of endpoints

What callers saw: a gateway that had been out of contact answered resumed streams of a version that had joined meanwhile with 214, after which callers discard their text.

Cause: any list of endpoints that had ever been read counted as the present one.

Change: a missing version counts as gone only if the list is at most max_staleness_seconds old; else the stream is refused with 503.

Result: test_a_gateway_with_an_old_list_of_endpoints_does_not_call_a_version_gone fails before; all 8 streams go on after.

--- a/pumicedeck/stream_records.py
+++ b/pumicedeck/stream_records.py
@@ -155,8 +155,9 @@
 
     @property
     def knows_endpoints(self) -> bool:
-        """Return whether the list of endpoints was read, so that a missing version is gone."""
-        return self._endpoints_known_at() >= 0.0
+        """Return whether the list of endpoints is up to date, so that a missing version is gone."""
+        staleness = self._timers.now() - self._endpoints_known_at()
+        return staleness <= self._settings.max_staleness_seconds
 
     def may_omit_record(self, pool: str) -> bool:
         """Return whether a stream may begin although its record cannot be written."""
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -266,6 +266,37 @@
     assert fixture.completed(callers) >= 1
 
 
+def test_a_gateway_with_an_old_list_of_endpoints_does_not_call_a_version_gone(make_streams):
+    """A gateway was out of contact while a version joined. It answered streams of that version with
+    214, after which callers discard their text, as none of the endpoints that it knew had it."""
+    fixture = make_streams(gateways=2, software=("v1", "v1"))
+    fixture.store_of(1).faults.silent = True
+    fixture.run(1.0)
+    fixture.add_endpoint("s-8", "v2")
+    fixture.add_endpoint("s-9", "v2")
+    fixture.run(4.5)
+    callers = fixture.begin(count=8)
+    fixture.run(0.35)
+    check_both_versions(callers)
+    for caller in callers:
+        caller.disconnect()
+    fixture.store_of(1).faults.silent = False
+    fixture.store_of(1).faults.feed_stalled = True
+    for caller in callers:
+        caller.send(1)
+    fixture.run(0.3)
+    newer = [caller for caller in callers if caller.software == {"v2"}]
+    assert all(caller.status == 503 and caller.code != 214 for caller in newer)
+    fixture.store_of(1).faults.feed_stalled = False
+    fixture.run(2.0)
+    for caller in newer:
+        caller.disconnect()
+        caller.send(1)
+    fixture.run(2.0)
+    fixture.check()
+    assert fixture.completed(callers) == 8
+
+
 def test_streams_of_a_pool_with_one_version_go_on_in_the_first_seconds_without_the_store(
     make_streams,
 ):
