Load a model without an engine of its own where items wait for it

Cause: each engine is dealt to one model, and loads were planned for that model only.

Change: plan_shared_loads lets the least busy engine that can serve such a model load it too, once items wait that no engine can run.

Why it works: an engine keeps its other models when it loads one, so items of all models get an engine; with an engine for each model nothing changes.

--- a/pumicedeck/scheduling/weight_plans.py
+++ b/pumicedeck/scheduling/weight_plans.py
@@ -3,9 +3,11 @@
 The load is several trainers that announce a version every few seconds and share the engines. Each
 trainer's model gets engines of its own, so that a version costs each engine only one load. At a new
 version, engines that the next step could not use load at once, and the others when they are idle.
+With fewer engines than models, an engine also loads a model without one, once items wait for it.
 """
 
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass
 
 
@@ -162,6 +164,30 @@
     return chosen[: max(0, max_loads - loading)]
 
 
+def plan_shared_loads(
+    engines: list[EngineStatus],
+    assigned: dict[str, str],
+    demands: dict[str, ModelDemand],
+    loading: Collection[str],
+) -> list[LoadVersion]:
+    """Return loads of models without an engine of their own, of which no engine can run an item.
+
+    An engine keeps its other models when it loads one. `engines` are all engines, `loading` the
+    models of the loads under way.
+    """
+    served = {*assigned.values(), *loading}
+    loads = []
+    for model, demand in sorted(demands.items()):
+        if model in served or not demand.waiting:
+            continue
+        able = [each for each in engines if each.can_serve(model)]
+        if not able or any(each.versions.get(model, 0) >= demand.oldest_allowed for each in able):
+            continue
+        engine = min(able, key=lambda each: (each.unresponsive, each.running, each.name))
+        loads.append(LoadVersion(engine.name, model, demand.announced))
+    return loads
+
+
 def _engines_to_load_early(
     engines: list[EngineStatus], assigned: dict[str, str], demands: dict[str, ModelDemand]
 ) -> set[str]:
--- a/pumicedeck/scheduling/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -18,6 +18,7 @@
     ModelDemand,
     WeightPlanSettings,
     plan_loads,
+    plan_shared_loads,
 )
 from pumicedeck.tasks import Task
 
@@ -50,6 +51,7 @@
         self._on_changed = on_changed
         self._settings = settings
         self._loading: dict[str, Task] = {}
+        self._loading_models: dict[str, str] = {}
         self._next_load_at: dict[str, float] = {}
         self._unanswered_retries: dict[str, int] = {}
         self._assigned: dict[str, str] = {}
@@ -95,6 +97,7 @@
         for task in tuple(self._loading.values()):
             task.cancel()
         self._loading.clear()
+        self._loading_models.clear()
 
     def plan(
         self,
@@ -134,6 +137,10 @@
         ]
         for load in plan_loads(free, self._assigned, demands, len(self._loading), self._settings):
             self._start(load, fencing, retain)
+        loading = tuple(self._loading_models.values())
+        for load in plan_shared_loads(statuses, self._assigned, demands, loading):
+            if self._may_load(load.engine, now) and may_order(load.engine):
+                self._start(load, fencing, retain)
 
     def _status(
         self,
@@ -188,6 +195,7 @@
         task = Task(coroutine, f"load {load.engine}")
         if not task.is_done:
             self._loading[load.engine] = task
+            self._loading_models[load.engine] = load.model
 
     async def _load(
         self, load: LoadVersion, endpoint: DirectEndpoint, fencing: int, retain: bool
@@ -196,6 +204,7 @@
         started = self._timers.now()
         report = await self._orders.load(endpoint, load, fencing, retain)
         self._loading.pop(load.engine, None)
+        self._loading_models.pop(load.engine, None)
         _log.info(
             "weight load ended",
             engine=load.engine,
