Deal engines by the routes of a model's last submissions

Cause: the pools of a model were those of all routes that its submissions had ever come by. After a trainer went on by another route, the model could get engines of the former service only, on which its items may not run.

Change: the routes of the open submissions count, else those of the last ones.

Result: test_engines_of_a_service_that_a_model_has_left_are_not_dealt_to_it fails before.

--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -226,7 +226,6 @@
         if not self._active or work.fencing != self._fencing or view is None or not view.is_open:
             return False
         self._works[work.submission_id] = work
-        self._routes_by_model.setdefault(work.head.model, set()).add(work.head.route)
         self._schedule_soon()
         return True
 
@@ -476,7 +475,11 @@
         self._fleet.mark_planned()
 
     def _pools_by_model(self) -> dict[str, frozenset[str]]:
-        """Return the pools of the routes that submissions came by, of models with such routes."""
+        """Return the pools of the routes that the last submissions of each model came by."""
+        open_routes: dict[str, set[str]] = {}
+        for work in self._works.values():
+            open_routes.setdefault(work.head.model, set()).add(work.head.route)
+        self._routes_by_model |= open_routes
         pools: dict[str, frozenset[str]] = {}
         for model, names in self._routes_by_model.items():
             routes = [route for name in names if (route := self._parts.route(name)) is not None]
--- a/pumicedeck/tests/test_engines_of_several_services.py
+++ b/pumicedeck/tests/test_engines_of_several_services.py
@@ -154,3 +154,27 @@
     simulation.submit(process, STEP, name="s1", model="m1", min_version=3, route="notes")
     simulation.run(6.0)
     assert len(simulation.results(process, "s0")) == len(simulation.results(process, "s1")) == 4
+
+
+def test_engines_of_a_service_that_a_model_has_left_are_not_dealt_to_it():
+    """A trainer goes on by another route. As long as the engines of the former one counted too, the
+    model got these only, and none that its items may run on."""
+    simulation = SchedulerSimulation(engines=4, processes=1)
+    process = simulation.processes[0]
+    _two_services(simulation, {"a": ("m0", "m1"), "b": ("m0", "m1")})
+    _announce(simulation, m0=3)
+    simulation.submit(process, STEP, name="s0", model="m0", min_version=3)
+    simulation.run(4.0)
+    _announce(simulation, m1=3)
+    simulation.submit(process, STEP, name="s1", model="m1", min_version=3)
+    simulation.submit(process, STEP, name="s2", model="m0", min_version=3, route="notes")
+    simulation.run(6.0)
+    _announce(simulation, m0=4, m1=4)
+    simulation.submit(process, STEP, name="s3", model="m1", min_version=4)
+    simulation.submit(process, STEP, name="s4", model="m0", min_version=4, route="notes")
+    simulation.run(6.0)
+    names = ("s0", "s1", "s2", "s3", "s4")
+    assert [len(simulation.results(process, name)) for name in names] == [4] * 5
+    pools = {name: engine.endpoint.pool for name, engine in simulation.engines.items()}
+    assigned = process.scheduler._weights._assigned
+    assert {(pools[name], model) for name, model in assigned.items()} == {("a", "m1"), ("b", "m0")}
