Let items that wait for a full pool start in another one of a split route

What callers saw: nobody reported it.

Cause: an item ran in its own pool as long as that had an engine, whatever room the other pools of the route had.

Change: an item that has waited pool_wait_seconds, 2 s, may start in another pool that has room. On such routes up to 32 items of a line are looked at in a pass.

Why it works: the weights hold until items wait for long beside idle engines. A route with one pool is handled as before.

The reference of test_scheduler_passes, which compares each pass with one over everything, has the same rule; its cases hold.

--- a/pumicedeck/scheduling/item_starts.py
+++ b/pumicedeck/scheduling/item_starts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -22,6 +22,8 @@
 
 # The start of an item with its request to the engine takes about 0.2 ms.
 MAX_STARTS_PER_PASS = 32
+# Of a split route's waiting items, this many of a line are looked at in a pass.
+MAX_MISSES_PER_LINE = 32
 
 
 @dataclass(slots=True)
@@ -122,11 +124,15 @@
         if not cursor.is_closed:
             pools = self._fleet.serving_pools(route, work.head)
             item = build_queued_item(self._parts, self._settings, work, route, item_work, pools)
-            cursor.is_closed = not self._fleet.index.has_room(item)
-        if cursor.is_closed:
+            if not self._fleet.index.has_room(item):
+                item = self._find_room_elsewhere(item, pools)
+                # On a split route others of the line may have waited longer.
+                cursor.misses += item is None
+                cursor.is_closed = cursor.misses > (MAX_MISSES_PER_LINE if len(pools) > 1 else 0)
+        if cursor.is_closed or item is None:
             outcome.has_left = True
             # Short items that find no engine still have their turn.
-            return cursor.turns is not None
+            return cursor.turns is not None or not cursor.is_closed
         if outcome.started >= MAX_STARTS_PER_PASS:
             outcome.is_cut = outcome.has_left = True
             return True
@@ -141,6 +147,16 @@
             outcome.has_left = True
         return True
 
+    def _find_room_elsewhere(self, item: QueuedItem, pools: frozenset[str]) -> QueuedItem | None:
+        """Return an item that has waited long as one of another pool that has room, if any has.
+
+        So the weights of a split route hold, but no item waits for long while engines are idle.
+        """
+        if len(pools) < 2 or item.waited_seconds < self._settings.pool_wait_seconds:
+            return None
+        others = [replace(item, pool=pool) for pool in sorted(pools - {item.pool})]
+        return next((each for each in others if self._fleet.index.has_room(each)), None)
+
 
 def discard_unusable_output(
     work: SubmissionWork,
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -36,7 +36,9 @@
     received data for `stall_seconds`. An item avoids an engine at which its run ended early for
     `avoid_seconds`; after a run that the engine did not take, the item waits
     `refusal_pause_seconds`, after an unexpected status `status_pause_seconds`.
-    `default_give_up_seconds` applies to routes without a give-up time.
+    `default_give_up_seconds` applies to routes without a give-up time. On a route that is split
+    over several pools, an item that has waited `pool_wait_seconds` may start in another one of
+    them.
 
     A group that the step can do without waits up to `optional_group_wait_seconds` for the newest
     weights. `overdue_tolerance_seconds` is added to the deadline of a submission.
@@ -51,6 +53,7 @@
     avoid_seconds: float = 2.0
     refusal_pause_seconds: float = 0.1
     status_pause_seconds: float = 0.5
+    pool_wait_seconds: float = 2.0
     default_give_up_seconds: float = 40.0
     optional_group_wait_seconds: float = 1.4
     overdue_tolerance_seconds: float = 0.7
--- a/pumicedeck/scheduling/submission_queues.py
+++ b/pumicedeck/scheduling/submission_queues.py
@@ -129,9 +129,12 @@
 
 
 class LineCursor:
-    """A place in a line of a submission; `is_closed` once no engine fits the line's items."""
+    """A place in a line of a submission; `is_closed` once no engine fits the line's items.
 
-    __slots__ = ("_at", "_line", "_prefix", "is_closed", "queue", "turns")
+    `misses` counts the items for which no engine was free.
+    """
+
+    __slots__ = ("_at", "_line", "_prefix", "is_closed", "misses", "queue", "turns")
 
     def __init__(
         self,
@@ -144,6 +147,7 @@
         self.queue = queue
         self.turns = turns
         self.is_closed = False
+        self.misses = 0
         self._line = line
         self._prefix = prefix
         self._at = 0
--- a/pumicedeck/tests/reference_placements.py
+++ b/pumicedeck/tests/reference_placements.py
@@ -3,6 +3,9 @@
 `item_placements` must decide the same; see `test_item_placements`.
 """
 
+from collections.abc import Mapping
+from dataclasses import replace
+
 from pumicedeck.scheduling.item_queues import (
     BUSY_COST_WEIGHT,
     DEFAULT_QUEUE_SETTINGS,
@@ -20,10 +23,17 @@
     engines: list[EngineView],
     now: float,
     settings: QueueSettings = DEFAULT_QUEUE_SETTINGS,
+    other_pools: Mapping[str, list[str]] | None = None,
 ) -> list[Assignment]:
-    """Return the items that start now; takes their slots off the free slots of `engines`."""
+    """Return the items that start now; takes their slots off the free slots of `engines`.
+
+    `other_pools` has by item the pools to which it may go if its own has no room.
+    """
     assignments = []
     for item in order_items(items, now, settings):
+        names = [item.pool, *(other_pools or {}).get(item.item_id, ())]
+        choices = [replace(item, pool=name) for name in names]
+        item = next((each for each in choices if _has_room(each, engines)), item)
         can_continue = any(each.may_run(item, begins_anew=False) for each in engines)
         begins_anew = item.has_waited_enough or not can_continue
         engine = _best_engine(item, engines, settings, begins_anew)
@@ -35,6 +45,10 @@
     return assignments
 
 
+def _has_room(item: QueuedItem, engines: list[EngineView]) -> bool:
+    return any(each.free_slots > 0 and each.may_run(item, True) for each in engines)
+
+
 def _best_engine(
     item: QueuedItem, engines: list[EngineView], settings: QueueSettings, begins_anew: bool
 ) -> EngineView | None:
--- a/pumicedeck/tests/test_scheduler_passes.py
+++ b/pumicedeck/tests/test_scheduler_passes.py
@@ -197,7 +197,12 @@
         ]
         free = Counter({name: work.free_short_runs for name, work in self.works.items()})
         items = choose_paced_items(items, free, now, self.parts.queue)
-        assigned = assign_items(items, engines, now, self.parts.queue)
+        other_pools = {
+            each.item_id: sorted(serving_pools(self.works[each.submission_id]) - {each.pool})
+            for each in items
+            if each.waited_seconds >= SETTINGS.pool_wait_seconds
+        }
+        assigned = assign_items(items, engines, now, self.parts.queue, other_pools)
         return [(*each.item_id.split("/"), each.engine) for each in assigned], len(items)
 
     def route(self, work):
--- a/pumicedeck/tests/test_split_routes.py
+++ b/pumicedeck/tests/test_split_routes.py
@@ -52,10 +52,10 @@
 class SplitSimulation(SchedulerSimulation):
     """A scheduler whose route is split over the pools `a` and `b`; e0 alone is in `b`."""
 
-    def __init__(self, models=("m0",), **options):
+    def __init__(self, models=("m0",), weights=(0.7, 0.3), **options):
         super().__init__(processes=1, models=models, **options)
         drafts, scores = ROUTES.routes
-        pools = (PoolShare("a", 0.7), PoolShare("b", 0.3))
+        pools = tuple(PoolShare(*each) for each in zip("ab", weights, strict=True))
         self.routes = RouteTable(1, (replace(drafts, pools=pools), scores), {})
         for name in self.engines:
             self.register(name)
@@ -108,6 +108,18 @@
     assert (simulation.listed("s0"), simulation.listed("s1")) == (ITEMS, ITEMS)
 
 
+def test_items_do_not_wait_for_long_for_a_full_pool_while_the_other_one_is_idle():
+    """Half of a step was drawn for one engine of four. Its items waited for one another while the
+    others had ended long ago."""
+    simulation = SplitSimulation(engines=4, slots=3, weights=(0.5, 0.5))
+    simulation.submit(simulation.processes[0], [[100] * 12, [100] * 12])
+    simulation.run(1.9)
+    for process in simulation.processes:
+        assert process.scheduler.waiting_by_model() == {"m0": 12}
+    simulation.run(6.9)
+    assert simulation.listed() == 24
+
+
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "streaming"])
 def test_calls_go_to_the_pool_that_has_endpoints(kind):
     gateway_fixture = GatewayFixture()
