--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -232,6 +232,23 @@
     assert all(caller.status == 503 and b'"code": 215' in caller.answer for caller in callers)
 
 
+def begin_while_out_of_contact(fixture):
+    """Begin streams of v1 and of a version that joins while the second gateway hears nothing.
+
+    Their callers leave after a few events.
+    """
+    fixture.run(1.0)
+    fixture.add_endpoint("s-8", "v2")
+    fixture.add_endpoint("s-9", "v2")
+    fixture.run(4.5)
+    callers = fixture.begin(count=8)
+    fixture.run(0.35)
+    check_both_versions(callers)
+    for caller in callers:
+        caller.disconnect()
+    return callers
+
+
 @pytest.mark.parametrize("rows_at_a_time", [1, 4])
 def test_a_gateway_that_has_read_a_part_of_what_it_missed_does_not_let_streams_go_on(
     make_streams, rows_at_a_time
@@ -241,18 +258,10 @@
     fixture = make_streams(gateways=2, software=("v1", "v1"))
     faults = fixture.store_of(1).faults
     faults.silent = True
-    fixture.run(1.0)
     for number in range(40):
         fixture.put("servers", f"other-{number}", {})
         fixture.data.commit(Change((), (Put(RowKey(WORK_TABLE, "members", f"m{number}"), b"h:1"),)))
-    fixture.add_endpoint("s-8", "v2")
-    fixture.add_endpoint("s-9", "v2")
-    fixture.run(4.5)
-    callers = fixture.begin(count=8)
-    fixture.run(0.35)
-    check_both_versions(callers)
-    for caller in callers:
-        caller.disconnect()
+    callers = begin_while_out_of_contact(fixture)
     faults.max_feed_rows = rows_at_a_time
     faults.silent = False
     healed_at = fixture.loop.timers.now()
@@ -271,15 +280,7 @@
     214, after which callers discard their text, as none of the endpoints that it knew had it."""
     fixture = make_streams(gateways=2, software=("v1", "v1"))
     fixture.store_of(1).faults.silent = True
-    fixture.run(1.0)
-    fixture.add_endpoint("s-8", "v2")
-    fixture.add_endpoint("s-9", "v2")
-    fixture.run(4.5)
-    callers = fixture.begin(count=8)
-    fixture.run(0.35)
-    check_both_versions(callers)
-    for caller in callers:
-        caller.disconnect()
+    callers = begin_while_out_of_contact(fixture)
     fixture.store_of(1).faults.silent = False
     fixture.store_of(1).faults.feed_stalled = True
     for caller in callers:
