Follow the pools of models beside the dealing of engines

Cause: the scheduler had grown by a decision that belongs to the dealing of engines. Change: ModelPools in engine_groups; shorter lines in a simulation of the tests.

--- a/pumicedeck/scheduling/engine_groups.py
+++ b/pumicedeck/scheduling/engine_groups.py
@@ -5,10 +5,12 @@
 Shares are therefore dealt within each group; free of I/O.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from pumicedeck.route_tables import Route
 from pumicedeck.scheduling.weight_plans import EngineStatus
+from pumicedeck.submissions import SubmissionHead
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,14 +21,33 @@
     models: list[str]
 
 
+class ModelPools:
+    """Follows the pools of the routes that the last submissions of each model came by."""
+
+    def __init__(self, find_route: Callable[[str], Route | None]) -> None:
+        """Follow no model; `find_route` returns a route by its name, None if there is none."""
+        self._find_route = find_route
+        self._routes: dict[str, set[str]] = {}
+
+    def find(self, open_submissions: Iterable[SubmissionHead]) -> dict[str, frozenset[str]]:
+        """Return the pools by model, of the models whose last submissions have a route."""
+        open_routes: dict[str, set[str]] = {}
+        for head in open_submissions:
+            open_routes.setdefault(head.model, set()).add(head.route)
+        self._routes |= open_routes
+        pools: dict[str, frozenset[str]] = {}
+        for model, names in self._routes.items():
+            routes = [route for name in names if (route := self._find_route(name)) is not None]
+            if routes:
+                pools[model] = frozenset(share.pool for route in routes for share in route.pools)
+        return pools
+
+
 class ServableModels:
     """Finds the models that engines can serve; engines that are alike get the same set."""
 
     def __init__(self, pools_by_model: Mapping[str, frozenset[str]]) -> None:
-        """Let models of `pools_by_model` be served by these pools only, others by any pool.
-
-        These are the pools of the routes that submissions of a model came by.
-        """
+        """Let models of `pools_by_model` be served by these pools only, others by any pool."""
         self._pools_by_model = pools_by_model
         self._found: dict[tuple[str, ...], frozenset[str]] = {}
 
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -13,6 +13,7 @@
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.order_announcements import earliest_order
 from pumicedeck.scheduling.engine_fleets import EngineFleet, RunKey
+from pumicedeck.scheduling.engine_groups import ModelPools
 from pumicedeck.scheduling.engine_permits import EnginePermits
 from pumicedeck.scheduling.event_intervals import EngineEventIntervals
 from pumicedeck.scheduling.item_endings import ItemEndings
@@ -84,7 +85,7 @@
         self._has_started = False
         self._fencing = 0
         self._active = False
-        self._routes_by_model: dict[str, set[str]] = {}
+        self._model_pools = ModelPools(parts.route)
         self._earlier_orders_until: dict[str, float] = {}
         self._progress_saved_at = 0.0
         self._to_save: list[SubmissionWork] = []
@@ -470,23 +471,10 @@
             may_order=lambda engine: now >= self._earliest_order(engine),
             retain=all(route is None or not route.single_version for route in routes),
             steps=lambda: collect_steps(self._parts, works),
-            pools_by_model=self._pools_by_model(),
+            pools_by_model=self._model_pools.find(work.head for work in works),
         )
         self._fleet.mark_planned()
 
-    def _pools_by_model(self) -> dict[str, frozenset[str]]:
-        """Return the pools of the routes that the last submissions of each model came by."""
-        open_routes: dict[str, set[str]] = {}
-        for work in self._works.values():
-            open_routes.setdefault(work.head.model, set()).add(work.head.route)
-        self._routes_by_model |= open_routes
-        pools: dict[str, frozenset[str]] = {}
-        for model, names in self._routes_by_model.items():
-            routes = [route for name in names if (route := self._parts.route(name)) is not None]
-            if routes:
-                pools[model] = frozenset(share.pool for route in routes for share in route.pools)
-        return pools
-
     def _earliest_order(self, engine: str) -> float:
         """Return from when this scheduler may send orders to an engine."""
         return earliest_order(self._earlier_orders_until, engine, self._settings.takeover_seconds)
--- a/pumicedeck/scheduling/weight_schedules.py
+++ b/pumicedeck/scheduling/weight_schedules.py
@@ -114,8 +114,8 @@
 
         Nothing is ordered from engines for which `may_order` returns False. `running` counts the
         running items by engine name, `steps` returns the open steps of all models.
-        With `retain` runs continue under the new version. `pools_by_model` has the pools of the
-        routes that submissions of a model came by; other models may be served by any pool.
+        With `retain` runs continue under the new version. `pools_by_model` has the pools that a
+        model's items may run in; other models may be served by any pool.
         """
         now = self._timers.now()
         servable = ServableModels(pools_by_model or {})
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -364,9 +364,7 @@
         self.scores_fail = False
         # The statuses of the next answers, instead of what they would be.
         self.score_statuses, self.run_statuses = [], []
-        self.score_calls = []
-        self.score_accounts = []
-        self.score_times = []
+        self.score_calls, self.score_accounts, self.score_times = [], [], []
         self.scorer_limit = None
         self.engines = {}
         for number in range(engines):
@@ -415,10 +413,8 @@
         items = []
         for group, members in enumerate(lengths):
             for index, length in enumerate(members):
-                expected_length = expected_lengths[group][index] if expected_lengths else length
-                items.append(
-                    make_item(f"{group}-{index}", length, f"g{group}", expected_length, model)
-                )
+                expected = expected_lengths[group][index] if expected_lengths else length
+                items.append(make_item(f"{group}-{index}", length, f"g{group}", expected, model))
         head = SubmissionHead(
             name,
             route,
