--- a/pumicedeck/stream_relays.py
+++ b/pumicedeck/stream_relays.py
@@ -54,7 +54,7 @@
         self._is_resumed = bool(call.resume_after) and route.resumable
         stream_id = call.stream_id if self._is_resumed else call.request_id
         self._stream_id = stream_id
-        # Each gateway chooses the same pool for a stream that is resumed, even without endpoints.
+        # All gateways must choose the same pool for a resumable stream, whatever they know of it.
         is_available = (lambda pool: True) if route.resumable else call_attempts.has_endpoint
         self._pool = choose_pool(route, Random(stream_id or None), is_available)
         self._origin = StreamOrigin(records, self._timers, stream_id, self._pool)
--- a/pumicedeck/tests/test_streams_across_software_versions.py
+++ b/pumicedeck/tests/test_streams_across_software_versions.py
@@ -233,7 +233,7 @@
 
 
 def begin_while_out_of_contact(fixture):
-    """Begin streams of v1 and of a version that joins while the second gateway hears nothing.
+    """Begin streams of v1 and of a version that joins while the second gateway is out of contact.
 
     Their callers leave after a few events.
     """
