Never start items in a pool without weight

Cause: an item that had waited for its full pool went to any other pool of its route that has room, also to one without weight.

Change: pools without weight are not among those that serve a submission.

Result: test_items_never_start_in_a_pool_without_weight fails before, none after.

--- a/pumicedeck/http_heads.py
+++ b/pumicedeck/http_heads.py
@@ -1,8 +1,8 @@
 """Checks the heads of responses where the parser accepts more than RFC 9110 and 9112 allow.
 
 The load is servers in trouble whose heads are damaged. The parser joins a line that begins with a
-blank to the field before it, which may change the framing of the body, and lets control bytes in
-values and status codes without a meaning pass. A client passes none of that on; free of I/O.
+blank to the field before it, which may change the framing of the body. It also accepts control
+bytes in values and undefined status codes. A client passes none of that on; free of I/O.
 """
 
 import re
--- a/pumicedeck/scheduling/engine_fleets.py
+++ b/pumicedeck/scheduling/engine_fleets.py
@@ -176,9 +176,10 @@
     def serving_pools(self, route: Route, head: SubmissionHead) -> frozenset[str]:
         """Return the pools of a route whose engines can run items of a submission, or soon can.
 
-        A route with one pool has no other choice, so that pool is returned in any case.
+        A pool without weight gets no items. If a single one is left, there is no other choice, so
+        it is returned in any case.
         """
-        names = [share.pool for share in route.pools]
+        names = [share.pool for share in route.pools if share.weight > 0]
         if len(names) > 1:
             index = self._index
             names = [each for each in names if index.serves(each, head.model, head.min_version)]
--- a/pumicedeck/tests/test_split_routes.py
+++ b/pumicedeck/tests/test_split_routes.py
@@ -120,6 +120,15 @@
     assert simulation.listed() == 24
 
 
+def test_items_never_start_in_a_pool_without_weight():
+    """An item that waited for its full pool went to any other one of the route."""
+    simulation = SplitSimulation(engines=2, slots=2, weights=(1.0, 0.0))
+    simulation.submit(simulation.processes[0], [[100] * 4, [100] * 4])
+    simulation.run(20.0)
+    assert simulation.listed() == 8
+    assert not simulation.engines["e0"].starts
+
+
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "streaming"])
 def test_calls_go_to_the_pool_that_has_endpoints(kind):
     gateway_fixture = GatewayFixture()
