Add tests of clients that press a gateway out of memory

Cause: clients that keep to each single limit took a gateway over the memory of its machine: large bodies at once, whole or kept short of their end, requests sent ahead, long answers that nobody reads, one body of many small JSON values. No test started a process and measured it.

They run one at a time before the other parts, check memory, descriptors, that an ordinary request is served while the crowd is there and after it, and that what was refused has not run.

--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,7 @@
-"""Lets CI pass over the tests that KNOWN-RED.txt lists, and runs one part of all tests."""
+"""Lets CI pass over the tests that KNOWN-RED.txt lists, and runs one part of all tests.
+
+Tests of client crowds belong to no part, since they run apart from any other load.
+"""
 
 from pathlib import Path
 from zlib import crc32
@@ -16,7 +19,12 @@
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Add the option that chooses a part of the tests."""
-    parser.addoption("--part", default="1/1", help="run part K of N of the tests, as K/N")
+    parser.addoption("--part", help="run part K of N of the tests without crowds, as K/N")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Register the marker of the tests that run one at a time."""
+    config.addinivalue_line("markers", "crowd: starts processes and measures their memory")
 
 
 def _parse_part(text: str) -> tuple[int, int]:
@@ -31,6 +39,8 @@
 
     The tests of a file stay together, since some share a fixture and build on one another.
     """
+    if item.get_closest_marker("crowd") is not None:
+        return False
     file = item.nodeid.partition("::")[0]
     return crc32(file.encode()) % parts == part - 1
 
@@ -38,9 +48,9 @@
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Choose the part, and expect listed tests to fail; one that passes has to leave the list."""
-    part, parts = _parse_part(config.getoption("--part"))
-    left_out = [item for item in items if not _is_in_part(item, part, parts)]
-    if left_out:
+    if config.getoption("--part"):
+        part, parts = _parse_part(config.getoption("--part"))
+        left_out = [item for item in items if not _is_in_part(item, part, parts)]
         config.hook.pytest_deselected(items=left_out)
         items[:] = [item for item in items if _is_in_part(item, part, parts)]
     listed = set(_listed())
--- a/pumicedeck/soaks/gateway_processes.py
+++ b/pumicedeck/soaks/gateway_processes.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 from random import SystemRandom
+from typing import Any
 
 import yaml
 
@@ -31,8 +32,10 @@
 class GatewayProcess:
     """A gateway process; its settings file, log and ports stay the same over restarts."""
 
-    def __init__(self, name: str, folder: Path, store: Address) -> None:
-        """Choose the ports and write the settings file to `folder`."""
+    def __init__(
+        self, name: str, folder: Path, store: Address, settings: dict[str, Any] | None = None
+    ) -> None:
+        """Choose the ports and write the settings file to `folder`; `settings` are added to it."""
         self.name = name
         self.callers = Address(LOOPBACK_HOST, free_port())
         self.readiness = Address(LOOPBACK_HOST, free_port())
@@ -47,6 +50,7 @@
             "callers": f"{LOOPBACK_HOST}:{self.callers.port}",
             "readiness": f"{LOOPBACK_HOST}:{self.readiness.port}",
             "store": {"address": f"{store.host}:{store.port}"},
+            **(settings or {}),
         }
         self._settings.write_text(yaml.safe_dump(document), encoding="utf-8")
 
@@ -55,6 +59,11 @@
         """Return whether the process exists, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self) -> int:
+        """Return the id of the process, which must have been started."""
+        return self._process.pid
+
     def start(self) -> None:
         """Start the process unless it is running."""
         if self.is_running:
