Count all that a gateway holds for its clients in one budget

What callers saw: nothing any more, since the process was killed: 8 bodies of 30 MB at once took a gateway to 657 MiB, 6 kept short of their end to 217, 8 connections of requests sent ahead to 181 and 205, 24 streams that nobody reads to 134, all kinds together to 859, of 128.

Cause: each limit held for one connection and nothing added them up. A body was held as parts, joined, and once more on its way to the endpoint. A connection that owed an answer went on reading, and answers to requests sent ahead piled up without a limit. The kernel held megabytes for each caller that did not read.

Change: memory_budgets decides, free of I/O, who gets room and who gives up its own: requests being received (refused by their Content-Length before a byte is held), complete ones, requests sent ahead, endpoints' bodies, and what waits for callers. A quarter stays free for small requests; who stands still goes first; a request that has run is not given up for one that has not. A connection that owes an answer stops reading at 64 KiB. Bodies are passed on without copies (send_buffers). A refusal has a code and a Retry-After also amid a body, and what the caller still sends is discarded so that it can read it.

--- a/pumicedeck/call_figures.py
+++ b/pumicedeck/call_figures.py
@@ -11,6 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pumicedeck.accounts.account_figures import AccountFigures
+from pumicedeck.memory_budgets import MemoryBudget
 
 MICROSECONDS_PER_SECOND = 1_000_000
 MAX_CALL_MICROSECONDS = 120 * MICROSECONDS_PER_SECOND
@@ -87,6 +88,16 @@
     return _sample_line(name, {}, value)
 
 
+def budget_lines(budget: MemoryBudget) -> list[str]:
+    """Return the lines that show who holds memory for clients, and who got none or gave it up."""
+    return [
+        gauge_line("client_memory_limit_bytes", budget.limit_bytes),
+        *gauge_lines("client_memory_bytes", "kind", budget.held_by_kind),
+        *gauge_lines("client_memory_given_up_total", "kind", budget.given_up),
+        *gauge_lines("client_memory_refused_total", "kind", budget.refused),
+    ]
+
+
 def _labels(series: CallSeries) -> dict[str, str]:
     return {"route": series.route, "kind": series.kind}
 
--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -14,16 +14,43 @@
 from loguru import logger
 
 from pumicedeck.clocks import TimerQueue
+from pumicedeck.http_documents import JSON_TYPE, encode_failure
 from pumicedeck.http_messages import KIB, MIB
 from pumicedeck.incoming_calls import Headers, IncomingCall
+from pumicedeck.memory_budgets import HolderKind, MemoryBudget, MemoryHolder
 from pumicedeck.moving_deadlines import MovingDeadline
+from pumicedeck.results import Failure, ResultCode
+from pumicedeck.send_buffers import SendBuffer
+from pumicedeck.socket_options import UNSENT_KERNEL_BYTES, set_receive_buffer
 
 _READ_BYTES = 65536
+# A connection's objects without any request.
+_CONNECTION_BYTES = 8 * KIB
+# A connection that is not read gets a small receive buffer; one that is read again a larger one.
+_PAUSED_RECEIVE_BYTES = 64 * KIB
+_RESUMED_RECEIVE_BYTES = 512 * KIB
+# The others are served before more requests, or parts of bodies, of one connection are parsed.
+_REQUESTS_PER_TURN = 16
+_EVENTS_PER_TURN = 512
+_RETRY_AFTER_SECONDS = 1.0
+_COPIED_BYTES = 64 * KIB
 _HEADER_OVERHEAD_BYTES = 4  # ": " and the line end
 # Linger on, for 0 s: unsent bytes are discarded and the other side gets a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+_HEADER_TOO_LARGE = Failure(ResultCode.TOO_LARGE, "request header too large", proven_not_run=True)
+_BODY_TOO_LARGE = Failure(ResultCode.TOO_LARGE, "request body too large", proven_not_run=True)
+_REQUEST_TOO_SLOW = Failure(
+    ResultCode.REQUEST_TIMEOUT, "the body was not complete in time", proven_not_run=True
+)
+_NO_MEMORY = Failure(
+    ResultCode.OVERLOADED,
+    "no memory left for the request",
+    retry_after=_RETRY_AFTER_SECONDS,
+    proven_not_run=True,
+)
+
 _log = logger.bind(module="caller_connections")
 
 
@@ -31,46 +58,64 @@
 class ListenerSettings:
     """Limits of callers' connections; times are in seconds and sizes in bytes.
 
-    `header_seconds` is how long the head of a connection's first request and the body of each
-    request may take to arrive, `idle_seconds` how long after a response the next head may take,
-    `linger_seconds` how long a connection stays open after its writing side was shut down. Before
-    that, the rest of its last response is sent for up to `send_seconds`, while the caller reads
-    some of it every `stall_seconds`.
-    `acknowledgement_timeout_seconds` how long a caller's kernel may leave bytes or probes
+    `header_seconds` is how long the head of a connection's first request may take to arrive, and
+    how long a body may bring no byte; a body takes at most that long and a second for each
+    `body_bytes_per_second` of it. `idle_seconds` is how long after a response the next head may
+    take, `linger_seconds` how long a connection stays open after its writing side was shut down and
+    the caller's last byte. Before that, the rest of its last response is sent for up to
+    `send_seconds`, while the caller reads some of it every `stall_seconds`.
+    `acknowledgement_timeout_seconds` is how long a caller's kernel may leave bytes or probes
     unacknowledged. `max_unsent_bytes` limits what is buffered of a streamed response for a caller
-    that does not read; `connections` limits the open connections.
+    that does not read. While a request waits for its answer, up to `max_ahead_bytes` of the next
+    ones are read, and none is served while more than that of earlier answers is unsent.
+    `connections` limits the open connections.
     """
 
     header_bytes: int = 16 * KIB
     body_bytes: int = 32 * MIB
     header_seconds: float = 10.0
+    body_bytes_per_second: int = 64 * KIB
     idle_seconds: float = 20.0
     linger_seconds: float = 1.0
     stall_seconds: float = 4.0
     send_seconds: float = 30.0
     acknowledgement_timeout_seconds: float = 8.0
     max_unsent_bytes: int = 8 * MIB
+    max_ahead_bytes: int = 64 * KIB
     connections: int = 4096
 
 
 class ConnectionOwner(Protocol):
     """The listener that accepted a connection.
 
-    `handle` gets each complete request. While `is_draining` each response ends its connection.
+    `handle` gets each complete request, `refuse` one whose body is not complete and the reason.
+    While `is_draining` each response ends its connection. What connections hold is counted in
+    `budget`.
     """
 
     settings: ListenerSettings
     timers: TimerQueue
+    budget: MemoryBudget
     handle: Callable[[IncomingCall], None]
+    refuse: Callable[[IncomingCall, Failure], None]
     is_draining: bool
 
     def remove_connection(self, sock: socket.socket) -> None:
         """Remove a connection that has closed."""
 
+    def watch_readable(self, sock: socket.socket, enabled: bool) -> None:
+        """Set whether the connection learns when its socket is readable."""
+
     def watch_writable(self, sock: socket.socket, enabled: bool) -> None:
         """Set whether the connection learns when its socket is writable."""
 
 
+def refuse_generically(incoming: IncomingCall, failure: Failure) -> None:
+    """Answer a request that is not complete with the JSON document of a failure."""
+    headers = _failure_headers(failure)
+    incoming.answer(failure.code.info.http_status, headers, encode_failure(failure))
+
+
 class CallerConnection:
     """One caller's connection: a non-blocking socket with an HTTP/1.1 parser."""
 
@@ -82,21 +127,47 @@
         self._parser = self._new_parser()
         self._deadline = MovingDeadline(listener.timers, self._on_deadline)
         self._deadline.set(self._settings.header_seconds)
-        self._unsent = bytearray()
+        self._unsent = SendBuffer()
         self._watches_writable = False
+        self._is_reading = True
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer that is passed on without a copy; parts would be held twice when joined.
+        self._body = bytearray()
+        self._body_started_at = 0.0
+        self._declared_bytes = 0
+        self._partial_bytes = 0
+        self._ahead_bytes = 0
         self._call: IncomingCall | None = None
+        self._is_parsing = False
+        self._parse_scheduled = False
         self._closing = False
         self._send_until = 0.0
         self._open = True
+        self._budget = listener.budget
+        self._received = MemoryHolder(HolderKind.RECEIVING, self._give_up_request)
+        self._ahead = MemoryHolder(HolderKind.AHEAD, self._reset)
+        self._waiting = MemoryHolder(HolderKind.UNSENT, self._give_up_answer)
+        self._budget.record_movement(self._received)
 
     @property
     def is_idle(self) -> bool:
         """Return whether it is not closing and has no request, not even its complete head."""
         return self._call is None and self._head is None and not self._closing
 
+    @property
+    def has_call(self) -> bool:
+        """Return whether it has a complete request that is not answered."""
+        return self._call is not None
+
+    @property
+    def moved_at(self) -> float:
+        """Return when its caller last sent a byte, in seconds of the clock."""
+        return self._received.moved_at
+
+    def open(self) -> bool:
+        """Count the connection in the budget; return whether there is room for it."""
+        return self._budget.hold(self._received, _CONNECTION_BYTES)
+
     def on_readable(self) -> None:
         """Read and parse the bytes that arrived."""
         try:
@@ -110,12 +181,15 @@
             self.close()
             return
         if self._closing:
+            self._linger()
             return
-        try:
+        self._budget.record_movement(self._received)
+        if self._must_wait:
             self._parser.receive_data(data)
-            self._parse_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+            self._hold_ahead(len(data))
+            return
+        self._partial_bytes += len(data)
+        self._parse(data)
 
     def on_writable(self) -> None:
         """Send buffered bytes."""
@@ -140,7 +214,7 @@
         self._flush()
         if len(self._unsent) > self._settings.max_unsent_bytes:
             _log.warning("caller does not read its answer; connection closed")
-            self.close()
+            self._reset()
 
     def send_end(self) -> None:
         """Send the end of a body."""
@@ -156,11 +230,13 @@
         self._listener.remove_connection(self._sock)
         if self._closing and self._unsent:
             # A reset tells the caller that the response is incomplete, however it is framed.
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self._reset_on_close()
         self._sock.close()
+        for holder in (self._received, self._ahead, self._waiting):
+            self._budget.close(holder)
         # The connection is in reference cycles and may be collected much later.
-        self._unsent = bytearray()
-        self._head, self._body = None, []
+        self._unsent.clear()
+        self._head, self._body = None, bytearray()
         self._parser = self._new_parser()
         call, self._call = self._call, None
         if call is not None:
@@ -183,8 +259,15 @@
             except OSError:
                 self.close()
                 return
+            self._resume_reading()
         self._deadline.set(self._settings.linger_seconds)
 
+    def _linger(self) -> None:
+        """Discard what the caller still sends, since a reset would keep the response from it."""
+        if not self._unsent:
+            left = self._send_until - self._listener.timers.now()
+            self._deadline.set(max(0.0, min(self._settings.linger_seconds, left)))
+
     def _await_reading(self) -> None:
         """Give the caller time to read the next bytes of the last response."""
         left = self._send_until - self._listener.timers.now()
@@ -193,41 +276,133 @@
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._settings.header_bytes)
 
+    @property
+    def _must_wait(self) -> bool:
+        """Return whether further requests wait until earlier ones are answered and read."""
+        owes_answers = len(self._unsent) > self._settings.max_ahead_bytes
+        return self._call is not None or self._parse_scheduled or owes_answers
+
+    def _parse(self, data: bytes = b"") -> None:
+        """Parse received bytes; reject a request that violates the protocol."""
+        self._is_parsing = True
+        try:
+            if data:
+                self._parser.receive_data(data)
+            self._parse_events()
+        except h11.RemoteProtocolError as error:
+            self._reject_malformed(error)
+        finally:
+            self._is_parsing = False
+        if self._open and not self._closing and self._must_wait:
+            self._ahead_bytes = len(self._parser.trailing_data[0])
+            self._hold_ahead(0)
+
     def _parse_events(self) -> None:
-        """Handle parsed parts of a request until it is complete or more bytes are needed."""
-        while self._open and not self._closing and self._call is None:
+        """Handle parsed parts of requests until one is forwarded or more bytes are needed."""
+        requests = events = 0
+        while self._open and not self._closing and not self._must_wait:
+            if requests >= _REQUESTS_PER_TURN or events >= _EVENTS_PER_TURN:
+                self._schedule_parsing()
+                return
+            events += 1
             event = self._parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                if self._parser.they_are_waiting_for_100_continue:
-                    self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
-                    self._unsent += _CONTINUE_RESPONSE
-                    self._flush()
+                self._await_data()
                 return
             if isinstance(event, h11.Request):
-                if _header_bytes(event) > self._settings.header_bytes:
-                    self._reject(431, "request header too large")
+                self._partial_bytes = 0
+                if not self._start_body(event):
                     return
-                self._head = event
-                self._body = []
-                self._body_bytes = 0
-                self._deadline.set(self._settings.header_seconds)
             elif isinstance(event, h11.Data):
-                self._body.append(bytes(event.data))
-                self._body_bytes += len(event.data)
-                if self._body_bytes > self._settings.body_bytes:
-                    self._reject(413, "request body too large")
+                self._partial_bytes = 0
+                if not self._add_body_part(event.data):
                     return
             elif isinstance(event, h11.EndOfMessage):
+                requests += 1
                 self._start_call()
             else:
                 return
 
+    def _await_data(self) -> None:
+        """Wait for more bytes of a request, all received ones being parsed."""
+        self._ahead_bytes = 0
+        self._budget.release(self._ahead)
+        self._resume_reading()
+        if self._parser.they_are_waiting_for_100_continue:
+            self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+            self._unsent.append(_CONTINUE_RESPONSE)
+            self._flush()
+        if self._partial_bytes:
+            self._hold_request(max(len(self._body), self._declared_bytes) + self._partial_bytes)
+
+    def _start_body(self, head: h11.Request) -> bool:
+        """Admit a request by its head; return whether its body may follow."""
+        self._head = head
+        self._body = bytearray()
+        self._declared_bytes = 0
+        if _header_bytes(head) > self._settings.header_bytes:
+            self._reject(_HEADER_TOO_LARGE, 431)
+            return False
+        self._declared_bytes = _declared_length(head)
+        if self._declared_bytes > self._settings.body_bytes:
+            self._reject(_BODY_TOO_LARGE)
+            return False
+        self._body_started_at = self._listener.timers.now()
+        self._deadline.set(self._settings.header_seconds)
+        return not self._declared_bytes or self._hold_request(self._declared_bytes)
+
+    def _add_body_part(self, data: bytes) -> bool:
+        """Add received bytes to the body; return whether more may follow."""
+        if len(self._body) + len(data) > self._settings.body_bytes:
+            self._reject(_BODY_TOO_LARGE)
+            return False
+        self._body += data
+        settings = self._settings
+        elapsed_seconds = self._listener.timers.now() - self._body_started_at
+        rate_seconds = settings.header_seconds + len(self._body) / settings.body_bytes_per_second
+        self._deadline.set(min(settings.header_seconds, max(0.0, rate_seconds - elapsed_seconds)))
+        return len(self._body) <= self._declared_bytes or self._hold_request(len(self._body))
+
+    def _hold_request(self, count: int) -> bool:
+        """Count the bytes of the request that is received; refuse it if there is no room."""
+        if self._budget.hold(self._received, _CONNECTION_BYTES + count):
+            return True
+        if self._open and not self._closing:
+            self._give_up_request()
+        return False
+
+    def _hold_ahead(self, count: int) -> None:
+        """Count bytes of requests that wait behind another; stop reading if they are many."""
+        self._ahead_bytes += count
+        held_bytes = self._ahead_bytes
+        if self._ahead_bytes > self._settings.max_ahead_bytes:
+            held_bytes += _PAUSED_RECEIVE_BYTES
+            self._pause_reading()
+        if held_bytes and not self._budget.hold(self._ahead, held_bytes) and self._open:
+            _log.info("no memory left for requests sent ahead; connection closed", held=held_bytes)
+            self._reset()
+
+    def _pause_reading(self) -> None:
+        if self._is_reading:
+            self._is_reading = False
+            set_receive_buffer(self._sock, _PAUSED_RECEIVE_BYTES)
+            self._listener.watch_readable(self._sock, False)
+
+    def _resume_reading(self) -> None:
+        if not self._is_reading:
+            self._is_reading = True
+            set_receive_buffer(self._sock, _RESUMED_RECEIVE_BYTES)
+            self._listener.watch_readable(self._sock, True)
+
     def _start_call(self) -> None:
         self._deadline.clear()
-        call = IncomingCall(self, self._head, b"".join(self._body), self._listener.timers.now())
+        self._received.kind = HolderKind.RUNNING
+        # A copy of a large body would take as much again.
+        body = self._body if len(self._body) > _COPIED_BYTES else bytes(self._body)
+        call = IncomingCall(self, self._head, body, self._listener.timers.now())
         self._call = call
         self._head = None
-        self._body = []
+        self._body = bytearray()
         try:
             self._listener.handle(call)
         except Exception:
@@ -237,16 +412,19 @@
             call.answer(500, (), b"")
 
     def _build_response(self, status: int, headers: Headers) -> h11.Response:
-        draining_headers = (("Connection", "close"),) if self._listener.is_draining else ()
+        is_incomplete = self._parser.their_state in (h11.SEND_BODY, h11.ERROR)
+        closes = self._listener.is_draining or is_incomplete
+        closing_headers = (("Connection", "close"),) if closes else ()
         # Endpoints may send any byte above 127 in a field, which stands for itself in Latin-1.
-        fields = [(name, value.encode("latin-1")) for name, value in (*headers, *draining_headers)]
+        fields = [(name, value.encode("latin-1")) for name, value in (*headers, *closing_headers)]
         return h11.Response(status_code=status, headers=fields)
 
     def _buffer_event(self, event) -> None:
         if not self._open:
             return
         try:
-            self._unsent += self._parser.send(event) or b""
+            for piece in self._parser.send_with_data_passthrough(event) or ():
+                self._unsent.append(piece)
         except h11.LocalProtocolError as error:
             _log.error("response violates HTTP framing; connection closed", error=str(error))
             self.close()
@@ -256,51 +434,98 @@
         if not self._open:
             return
         self._call = None
+        self._received.kind = HolderKind.RECEIVING
+        self._budget.hold(self._received, _CONNECTION_BYTES)
         if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
             self._deadline.set(self._settings.idle_seconds)
             self._flush()
-            if self._open and self._parser.trailing_data[0]:
-                self._listener.timers.call_later(0.0, self._read_pipelined)
+            if self._open and not self._is_parsing and self._parser.trailing_data[0]:
+                self._schedule_parsing()
             return
         self._flush()
         if self._open:
             self.close_gracefully()
 
+    def _schedule_parsing(self) -> None:
+        """Parse the bytes that were received before earlier requests were answered, soon."""
+        if not self._parse_scheduled:
+            self._parse_scheduled = True
+            self._listener.timers.call_later(0.0, self._read_pipelined)
+
     def _read_pipelined(self) -> None:
-        """Parse the bytes that were received before the previous request was answered."""
-        if not self._open or self._call is not None:
-            return
-        try:
-            self._parse_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+        self._parse_scheduled = False
+        if self._open and not self._closing and not self._must_wait:
+            self._parse()
 
-    def _reject(self, status: int, detail: str) -> None:
-        """Answer a malformed or oversized request with an empty body and close the connection."""
-        _log.info("request rejected", status=status, detail=detail)
-        self._head = None
+    def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
+        status = error.error_status_hint
+        too_large = status in (413, 431)
+        code = ResultCode.TOO_LARGE if too_large else ResultCode.BAD_FRAMING
+        self._reject(Failure(code, str(error), proven_not_run=True), status)
+
+    def _reject(self, failure: Failure, status: int | None = None) -> None:
+        """Answer a request that is not complete and close the connection.
+
+        `status` is that of the answer, by default that of the failure's code.
+        """
+        status = status or failure.code.info.http_status
+        head, self._head = self._head, None
+        self._body = bytearray()
+        self._budget.release(self._received)
+        self._deadline.clear()
+        if head is not None and status == failure.code.info.http_status:
+            self._call = IncomingCall(self, head, b"", self._listener.timers.now())
+            self._listener.refuse(self._call, failure)
+            return
+        _log.info("request rejected", status=status, detail=failure.detail)
+        body = encode_failure(failure)
+        headers = (*_failure_headers(failure), ("Content-Length", str(len(body))))
         try:
-            self.send_complete_response(
-                status, (("Content-Length", "0"), ("Connection", "close")), b""
-            )
+            self.send_complete_response(status, headers, body)
         except h11.LocalProtocolError:
             self.close()
             return
         if self._open:
             self.close_gracefully()
 
+    def _give_up_request(self) -> None:
+        """Refuse the request that is received, or close a connection without one."""
+        if self._head is not None:
+            self._reject(_NO_MEMORY)
+        else:
+            _log.info("no memory left for a connection without a request; connection closed")
+            self.close()
+
+    def _give_up_answer(self) -> None:
+        _log.warning(
+            "no memory left for an answer that its caller does not read; connection closed",
+            unsent=len(self._unsent),
+        )
+        self._reset()
+
+    def _reset(self) -> None:
+        """Close the connection so that the kernel discards what is unsent, too."""
+        if self._open:
+            self._reset_on_close()
+            self.close()
+
+    def _reset_on_close(self) -> None:
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
     def _flush(self) -> None:
         unsent_before = len(self._unsent)
         while self._unsent and self._open:
             try:
-                count = self._sock.send(self._unsent)
+                self._unsent.send_to(self._sock)
             except BlockingIOError:
                 break
             except OSError:
                 self.close()
                 return
-            del self._unsent[:count]
+        if not self._open:
+            return
+        self._hold_unsent(len(self._unsent) < unsent_before)
         if not self._open:
             return
         if bool(self._unsent) is not self._watches_writable:
@@ -308,11 +533,35 @@
             self._listener.watch_writable(self._sock, self._watches_writable)
         if self._closing and not self._unsent:
             self.close_gracefully()
-        elif self._closing and len(self._unsent) < unsent_before:
+        elif len(self._unsent) < unsent_before:
+            self._on_bytes_sent()
+
+    def _hold_unsent(self, has_moved: bool) -> None:
+        """Count the bytes that wait for the caller, also those in the kernel's send buffer."""
+        if has_moved:
+            self._budget.record_movement(self._waiting)
+        held_bytes = self._unsent.held_bytes + UNSENT_KERNEL_BYTES if self._unsent else 0
+        if not self._budget.hold(self._waiting, held_bytes) and self._open:
+            self._give_up_answer()
+
+    def _on_bytes_sent(self) -> None:
+        """Go on with what waits until the caller reads."""
+        if self._closing:
             self._await_reading()
+            return
+        if self._call is None and self._unsent and self._head is None:
+            self._deadline.set(self._settings.idle_seconds)
+        if not self._is_parsing and self._ahead_bytes and not self._must_wait:
+            self._schedule_parsing()
 
     def _on_deadline(self) -> None:
-        if self._call is None:
+        if self._call is not None:
+            return
+        if self._head is not None and not self._closing:
+            self._reject(_REQUEST_TOO_SLOW)
+        elif self._unsent:
+            self._reset()
+        else:
             self.close()
 
 
@@ -320,3 +569,16 @@
     """Return the size of the header lines and the target, as limited by `header_bytes`."""
     headers = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
     return headers + len(head.target)
+
+
+def _declared_length(head: h11.Request) -> int:
+    """Return the length of the body that a head declares, 0 without one."""
+    # h11 accepts one Content-Length of at most 20 digits.
+    return int(next((value for name, value in head.headers if name == b"content-length"), b"0"))
+
+
+def _failure_headers(failure: Failure) -> Headers:
+    headers = (("Content-Type", JSON_TYPE),)
+    if failure.retry_after is None:
+        return headers
+    return (*headers, ("Retry-After", f"{failure.retry_after:.3f}"))
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -14,9 +14,8 @@
 
 from pumicedeck.accounts.call_identifiers import CallIdentifier
 from pumicedeck.accounts.identities import Identity
-from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.call_attempts import CallAttempts
-from pumicedeck.call_figures import gauge_line
+from pumicedeck.call_figures import budget_lines, gauge_line
 from pumicedeck.call_forwarders import CallForwarder
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.crash_reports import CrashReports
@@ -27,10 +26,10 @@
 from pumicedeck.endpoint_lists import EndpointList
 from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.gateway_drains import DrainTimes
+from pumicedeck.gateway_listeners import build_client_budget, build_listeners
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
 from pumicedeck.http_clients import HttpClient
-from pumicedeck.http_listeners import HttpListener
 from pumicedeck.http_messages import MIB, HttpClientSettings
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
@@ -115,8 +114,6 @@
     connections_per_address=2,
 )
 SETTINGS_POLL_SECONDS = 1.0
-# The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
-BODIES_SHARE_OF_MEMORY = 0.2
 
 _log = logger.bind(module="gateway_compositions")
 
@@ -146,8 +143,7 @@
     random = Random(f"{settings.vm}/{time.time_ns()}")
     home = FailureDomain(settings.failure_domain, settings.region)
     decisions = choose_decision_settings(settings.mechanisms)
-    memory_bytes = settings.machine.memory_megabytes * MIB
-    budget = BodyBudget(int(memory_bytes * BODIES_SHARE_OF_MEMORY))
+    budget = build_client_budget(settings.machine, timers)
     store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, budget).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS, budget).register(root)
     mirror = WorkMirror()
@@ -351,27 +347,22 @@
             PlatformUsageDialect(),
             HttpClient(timers, CLOUD_CLIENT_SETTINGS, budget).register(root),
         )
-    metrics = None
-    if settings.metrics_port:
-        metrics_address = Address(settings.readiness.host, settings.metrics_port)
-        metrics = HttpListener(metrics_address, timers, lambda call: None).register(root)
-    relay = None
-    if settings.relay_port:
-        relay_address = Address(settings.readiness.host, settings.relay_port)
-        passing_on = StoreRelay(store_client, settings.store.address, path)
-        relay = HttpListener(relay_address, timers, passing_on.handle).register(root)
+    listeners = build_listeners(settings, root, timers, budget)
+    if listeners.relay is not None:
+        listeners.relay.handle = StoreRelay(store_client, settings.store.address, path).handle
 
     def metric_lines() -> list[str]:
         ignored = gauge_line("registrations_ignored", endpoint_list.ignored)
-        return [ignored, *(usage.metric_lines() if usage is not None else ())]
+        usage_lines = usage.metric_lines() if usage is not None else ()
+        return [ignored, *budget_lines(budget), *usage_lines]
 
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
         GatewayParts(
             timers=timers,
-            callers=HttpListener(settings.callers, timers, lambda call: None).register(root),
-            readiness=HttpListener(settings.readiness, timers, lambda call: None).register(root),
+            callers=listeners.callers,
+            readiness=listeners.readiness,
             forwarder=CallForwarder(
                 timers,
                 CallAttempts(
@@ -409,8 +400,8 @@
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
             delays_few_cores=decisions.delays_weak_machines,
-            metrics=metrics,
-            relay=relay,
+            metrics=listeners.metrics,
+            relay=listeners.relay,
             metric_lines=metric_lines,
         ),
         GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
--- /dev/null
+++ b/pumicedeck/gateway_listeners.py
@@ -0,0 +1,69 @@
+"""The listeners of a gateway, and the share of the machine that their clients may take."""
+
+from dataclasses import dataclass
+
+from circuits import BaseComponent
+
+from pumicedeck.caller_connections import ListenerSettings
+from pumicedeck.clocks import TimerQueue
+from pumicedeck.gateway_settings import GatewaySettings, MachineSettings
+from pumicedeck.http_listeners import HttpListener
+from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.incoming_calls import IncomingCall
+from pumicedeck.memory_budgets import BudgetSettings, MemoryBudget
+from pumicedeck.topology import Address
+
+# The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
+CLIENTS_SHARE_OF_MEMORY = 0.42
+SMALL_REQUESTS_SHARE = 0.25
+# Requests of the balancer, peers and readers of metrics have no bodies.
+SERVICE_SETTINGS = ListenerSettings(body_bytes=64 * KIB, connections=256)
+# A transaction of the store has at most 1 MB.
+RELAY_SETTINGS = ListenerSettings(body_bytes=2 * MIB, connections=512)
+
+
+def build_client_budget(machine: MachineSettings, timers: TimerQueue) -> MemoryBudget:
+    """Return the budget for all that a gateway on a machine holds for its clients.
+
+    The largest body fits beside what is kept free for small requests, if the machine allows that.
+    """
+    limit_bytes = int(machine.memory_megabytes * MIB * CLIENTS_SHARE_OF_MEMORY)
+    largest_bytes = ListenerSettings().body_bytes + MIB
+    reserve_share = max(0.0, min(SMALL_REQUESTS_SHARE, 1.0 - largest_bytes / limit_bytes))
+    return MemoryBudget(limit_bytes, timers.now, BudgetSettings(reserve_share=reserve_share))
+
+
+def _ignore(incoming: IncomingCall) -> None:
+    """Stand for the handler that the gateway sets before a listener starts."""
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayListeners:
+    """The listeners for callers, for the balancer and peers, for metrics and for the relay.
+
+    Those without a port are None.
+    """
+
+    callers: HttpListener
+    readiness: HttpListener
+    metrics: HttpListener | None
+    relay: HttpListener | None
+
+
+def build_listeners(
+    settings: GatewaySettings, root: BaseComponent, timers: TimerQueue, budget: MemoryBudget
+) -> GatewayListeners:
+    """Create the listeners, without handlers; all of them count in `budget`."""
+
+    def build(address: Address, limits: ListenerSettings) -> HttpListener:
+        return HttpListener(address, timers, _ignore, limits, budget).register(root)
+
+    def build_optional(port: int, limits: ListenerSettings) -> HttpListener | None:
+        return build(Address(settings.readiness.host, port), limits) if port else None
+
+    return GatewayListeners(
+        build(settings.callers, ListenerSettings()),
+        build(settings.readiness, SERVICE_SETTINGS),
+        build_optional(settings.metrics_port, SERVICE_SETTINGS),
+        build_optional(settings.relay_port, RELAY_SETTINGS),
+    )
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -141,7 +141,11 @@
         self._was_ready = False
         self._calls = CallMetrics()
         self._submissions = SubmissionAnswers(
-            parts.timers, parts.clock, parts.intake, parts.submission_dialect, self._refuse
+            parts.timers,
+            parts.clock,
+            parts.intake,
+            parts.submission_dialect,
+            self._refuse,
         )
         self._metrics = GatewayMetrics(
             parts.timers,
@@ -191,6 +195,7 @@
         parts = self._parts
         parts.readiness.handle = self.answer_readiness
         parts.callers.handle = self.handle
+        parts.callers.refuse = self.refuse_incomplete
         parts.readiness.start()
         parts.callers.start()
         if parts.metrics is not None:
@@ -281,6 +286,12 @@
         else:
             self._refuse_while_ending(incoming, call)
 
+    def refuse_incomplete(self, incoming: IncomingCall, failure: Failure) -> None:
+        """Refuse a request of which only the head was received."""
+        call = self._parts.caller_dialect.decode_request(incoming)
+        self._record_on_end(incoming, call, _NO_ROUTE)
+        self._parts.forwarder.refuse(incoming, call, failure, failure.retry_after)
+
     def _may_begin(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> bool:
         """Return whether a call ends before a drain does, if there is one."""
         if self._drain_phase is None:
--- a/pumicedeck/http_clients.py
+++ b/pumicedeck/http_clients.py
@@ -11,7 +11,6 @@
 from circuits.core.utils import findcmp
 from result import Err, Ok, Result
 
-from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.clocks import Timer, TimerQueue
 from pumicedeck.http_connections import (
     BrokenReason,
@@ -25,6 +24,7 @@
     HttpRequest,
     HttpResponse,
 )
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.platform_interfaces import ResultCallback
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.topology import Address
@@ -92,7 +92,7 @@
         self,
         timers: TimerQueue,
         settings: HttpClientSettings | None = None,
-        budget: BodyBudget | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create a client without connections; its deadlines run on `timers`.
 
@@ -101,7 +101,7 @@
         super().__init__(channel=f"http_client_{next(_CHANNEL_NUMBERS)}")
         self._timers = timers
         self._settings = settings or HttpClientSettings()
-        self._budget = budget or BodyBudget(self._settings.body_bytes)
+        self._budget = budget or MemoryBudget(2 * self._settings.body_bytes)
         self._poller: BasePoller | None = None
         self._pools: dict[Address, _Pool] = {}
         self._connections_by_socket: dict[object, HttpConnection] = {}
--- a/pumicedeck/http_connections.py
+++ b/pumicedeck/http_connections.py
@@ -11,11 +11,13 @@
 import h11
 from circuits.core.pollers import BasePoller
 
-from pumicedeck.answer_limits import AnswerMeter, BodyBudget
+from pumicedeck.answer_limits import AnswerMeter
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.http_heads import HeadRecorder, find_framing_fault, find_head_fault
 from pumicedeck.http_messages import HttpClientSettings, HttpRequest, HttpResponse
+from pumicedeck.memory_budgets import HolderKind, MemoryBudget, MemoryHolder
 from pumicedeck.moving_deadlines import MovingDeadline
+from pumicedeck.send_buffers import SendBuffer
 from pumicedeck.socket_options import set_acknowledgement_timeout
 from pumicedeck.topology import Address
 
@@ -70,7 +72,7 @@
         timers: TimerQueue,
         settings: HttpClientSettings,
         callbacks: ConnectionCallbacks,
-        budget: BodyBudget,
+        budget: MemoryBudget,
     ) -> None:
         """Create an unopened connection; `poller` sends the socket's events to `event_target`.
 
@@ -83,11 +85,12 @@
         self._settings = settings
         self._callbacks = callbacks
         self._budget = budget
+        self._holder = MemoryHolder(HolderKind.ANSWER, self.give_up_body)
         self._meter = AnswerMeter(self._settings)
         self._state = ConnectionState.CONNECTING
         self._socket: socket.socket | None = None
         self._parser = self._new_parser()
-        self._unsent = memoryview(b"")
+        self._unsent = SendBuffer()
         self._written_bytes = 0
         self._write_error = 0
         self._request_count = 0
@@ -183,7 +186,9 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._meter = AnswerMeter(self._settings)
-        self._unsent = memoryview(self._encode(request))
+        self._unsent.clear()
+        for piece in self._encode(request):
+            self._unsent.append(piece)
         self._deadline.set(max_silence_seconds)
         self._write()
 
@@ -194,16 +199,16 @@
         self._state = ConnectionState.CLOSED
         self._deadline.close()
         self._release_memory()
+        self._budget.close(self._holder)
         if self._socket is not None:
             self._poller.discard(self._socket)
             self._socket.close()
 
     def _release_memory(self) -> None:
         """Give the bytes of request and response back; the connection is in reference cycles."""
-        self._budget.release(self)
         self._on_chunk = None
         self._on_head = None
-        self._unsent = memoryview(b"")
+        self._unsent.clear()
         self._body = bytearray()
         self._response = None
         self._head_recorder = HeadRecorder()
@@ -247,7 +252,8 @@
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=self._settings.header_bytes)
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> list[bytes]:
+        """Return the pieces of a request, of which the body is not copied."""
         headers = [
             ("host", request.host or f"{self._address.host}:{self._address.port}"),
             ("content-length", str(len(request.body))),
@@ -257,11 +263,10 @@
         # Header fields are read as Latin-1; h11 takes text only if it is ASCII.
         fields = [(name, value.encode("latin-1")) for name, value in headers]
         head = h11.Request(method=request.method, target=request.path, headers=fields)
-        parts = [parser.send(head)]
+        pieces = parser.send_with_data_passthrough(head)
         if request.body:
-            parts.append(parser.send(h11.Data(data=request.body)))
-        parts.append(parser.send(h11.EndOfMessage()))
-        return b"".join(parts)
+            pieces += parser.send_with_data_passthrough(h11.Data(data=request.body))
+        return [*pieces, *parser.send_with_data_passthrough(h11.EndOfMessage())]
 
     def _finish_connecting(self) -> None:
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -285,18 +290,14 @@
     def _write(self) -> None:
         while self._unsent:
             try:
-                count = self._socket.send(self._unsent)
+                count = self._unsent.send_to(self._socket)
             except BlockingIOError:
                 break
             except OSError as error:
                 self._abandon_write(error.errno or EPIPE)
                 return
             self._written_bytes += count
-            self._unsent = self._unsent[count:]
             self._deadline.set(self._max_silence_seconds)
-        if not self._unsent:
-            # An empty view would still hold the whole request.
-            self._unsent = memoryview(b"")
         watches_writable = self._poller.isWriting(self._socket)
         if self._unsent and not watches_writable:
             self._poller.addWriter(self._event_target, self._socket)
@@ -309,7 +310,7 @@
         # written, the connection therefore stays open for reading. The system reports an error
         # once, so that the next read may show a regular end instead of it.
         self._write_error = error
-        self._unsent = memoryview(b"")
+        self._unsent.clear()
         if self._written_bytes == 0:
             self._timers.call_later(0.0, lambda: self._break_with_error(error))
 
@@ -395,21 +396,20 @@
             self._on_chunk(data)
             return True
         self._body += data
-        largest = self._budget.add(self, len(data))
-        if largest is not None:
-            largest.give_up_body()
+        if not self._budget.hold(self._holder, len(self._body)):
+            self.give_up_body()
         return self._state is ConnectionState.BUSY
 
     def give_up_body(self) -> None:
-        """Break the connection, whose body is the largest one while memory for bodies is short."""
-        self._break_connection(BrokenReason.TOO_LARGE, "no memory left for bodies of responses")
+        """Break the connection, whose body is the largest one while memory is short."""
+        self._break_connection(BrokenReason.TOO_LARGE, "no memory left for the response's body")
 
     def _finish_response(self) -> None:
         response = _build_response(self._response, bytes(self._body))
         self._on_chunk = None
         self._on_head = None
         self._body = bytearray()
-        self._budget.release(self)
+        self._budget.release(self._holder)
         self._max_idle_seconds = _idle_limit_seconds(response, self._settings.max_idle_seconds)
         if self._can_reuse():
             self._parser.start_next_cycle()
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -2,6 +2,7 @@
 
 import itertools
 import socket
+import sys
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
@@ -9,10 +10,16 @@
 from circuits.core.utils import findcmp
 from loguru import logger
 
-from pumicedeck.caller_connections import CallerConnection, ListenerSettings
+from pumicedeck.caller_connections import (
+    CallerConnection,
+    ListenerSettings,
+    refuse_generically,
+)
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.incoming_calls import IncomingCall
-from pumicedeck.socket_options import set_acknowledgement_timeout
+from pumicedeck.memory_budgets import MemoryBudget
+from pumicedeck.results import Failure
+from pumicedeck.socket_options import limit_unsent_bytes, set_acknowledgement_timeout
 from pumicedeck.topology import Address
 
 _LISTEN_BACKLOG = 512
@@ -31,13 +38,19 @@
         timers: TimerQueue,
         handle: Callable[[IncomingCall], None],
         settings: ListenerSettings | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        """Create a listener that opens its socket in `start`."""
+        """Create a listener that opens its socket in `start`.
+
+        What its connections hold is counted in `budget`, by default one without a limit.
+        """
         super().__init__(channel=f"http_listener_{next(_CHANNEL_NUMBERS)}")
         self._listen_address = listen
         self.timers = timers
         self.handle = handle
+        self.refuse: Callable[[IncomingCall, Failure], None] = refuse_generically
         self.settings = settings or ListenerSettings()
+        self.budget = budget or MemoryBudget(sys.maxsize, timers.now)
         self.is_draining = False
         self._poller: BasePoller | None = None
         self._sock: socket.socket | None = None
@@ -70,6 +83,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
+        limit_unsent_bytes(sock)
         try:
             sock.bind((self._listen_address.host, self._listen_address.port))
             sock.listen(_LISTEN_BACKLOG)
@@ -112,6 +126,13 @@
         self._connections.pop(sock, None)
         self._poller.discard(sock)
 
+    def watch_readable(self, sock: socket.socket, enabled: bool) -> None:
+        """Set whether the poller reports when a socket is readable."""
+        if enabled:
+            self._poller.addReader(self, sock)
+        else:
+            self._poller.removeReader(sock)
+
     def watch_writable(self, sock: socket.socket, enabled: bool) -> None:
         """Set whether the poller reports when a socket is writable."""
         if enabled:
@@ -158,5 +179,8 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             set_acknowledgement_timeout(sock, self.settings.acknowledgement_timeout_seconds)
-            self._connections[sock] = CallerConnection(self, sock)
+            connection = self._connections[sock] = CallerConnection(self, sock)
             self._poller.addReader(self, sock)
+            if not connection.open():
+                _log.warning("no memory left for a new connection; connection closed")
+                connection.close()
--- a/pumicedeck/incoming_calls.py
+++ b/pumicedeck/incoming_calls.py
@@ -33,13 +33,18 @@
 class IncomingCall:
     """A complete request and the means to answer it.
 
+    `body` is not changed; a large one is a bytearray, others are bytes.
     `on_end` is called once with the outcome: the status sent as text, CALLER_DISCONNECTED or
     RESPONSE_ABORTED. `on_caller_disconnected` is called if the caller disconnects before the
     response is complete.
     """
 
     def __init__(
-        self, connection: ResponseWriter, head: h11.Request, body: bytes, arrived_at: float
+        self,
+        connection: ResponseWriter,
+        head: h11.Request,
+        body: bytes | bytearray,
+        arrived_at: float,
     ) -> None:
         """Create a call that arrived on `connection` at the time `arrived_at`, in seconds."""
         self._connection = connection
--- a/pumicedeck/socket_options.py
+++ b/pumicedeck/socket_options.py
@@ -1,7 +1,12 @@
-"""Socket options by which the kernel detects a connection that the network dropped silently."""
+"""Socket options: how the kernel detects lost connections, and how much it buffers for them."""
 
 import socket
+from contextlib import suppress
 
+from pumicedeck.http_messages import KIB
+
+# What the kernel holds for a peer that does not read, once it has acknowledged what it received.
+UNSENT_KERNEL_BYTES = 128 * KIB
 _MILLISECONDS_PER_SECOND = 1000
 _KEEPALIVE_PROBES = 3
 
@@ -20,3 +25,20 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(seconds * _MILLISECONDS_PER_SECOND)
     )
+
+
+def limit_unsent_bytes(sock: socket.socket) -> None:
+    """Let the kernel hold about UNSENT_KERNEL_BYTES that it has not sent yet.
+
+    Connections inherit this from their listening socket. Without it, the kernel buffers megabytes
+    for each peer that does not read.
+    """
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES)
+
+
+def set_receive_buffer(sock: socket.socket, count: int) -> None:
+    """Let the kernel hold about `count` received bytes that are not read yet."""
+    with suppress(OSError):
+        # Linux doubles the value, for its own bookkeeping.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, count // 2)
--- a/pumicedeck/tests/test_ended_exchanges_hold_no_memory.py
+++ b/pumicedeck/tests/test_ended_exchanges_hold_no_memory.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.http_messages import KIB, MIB, HttpClientSettings, HttpRequest
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.tests.loop_harnesses import LoopHarness
 from pumicedeck.tests.test_endless_answers import CHUNKED, ENDLESS, EndlessHarness
 from pumicedeck.tests.test_gateways import ID, LOCAL, SIGNATURE, GatewayFixture, id_header
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize("streamed", [False, True])
 def test_a_kept_connection_does_not_keep_the_request_that_it_sent(streamed):
     loop = LoopHarness()
-    client = HttpClient(loop.timers, SETTINGS, BodyBudget(MIB)).register(loop)
+    client = HttpClient(loop.timers, SETTINGS, MemoryBudget(MIB)).register(loop)
     # Unlike the other servers of these tests it keeps nothing of what it has read.
     server = HttpListener(
         Address(LOCAL, 0), loop.timers, lambda call: call.answer(200, (), b"hi")
--- a/pumicedeck/tests/test_endless_answers.py
+++ b/pumicedeck/tests/test_endless_answers.py
@@ -10,10 +10,11 @@
 import pytest
 from circuits import handler
 
-from pumicedeck.answer_limits import AnswerMeter, BodyBudget
+from pumicedeck.answer_limits import AnswerMeter
 from pumicedeck.event_streams import MAX_EVENT_BYTES, EventSplitter
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import KIB, MIB, HttpClientSettings, HttpRequest
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.results import Execution, ResultCode
 from pumicedeck.tests.loop_harnesses import LoopHarness, RawServer
 from pumicedeck.tests.scheduler_simulations import SchedulerSimulation
@@ -82,7 +83,7 @@
 
     def __init__(self, settings=SETTINGS, budget_bytes=256 * KIB):
         self.loop = LoopHarness()
-        self.budget = BodyBudget(budget_bytes)
+        self.budget = MemoryBudget(budget_bytes)
         self.client = HttpClient(self.loop.timers, settings, self.budget).register(self.loop)
 
     def serve(self, beginning, part, interval, repeats=1):
@@ -178,14 +179,6 @@
     harness.close()
 
 
-def test_the_budget_names_the_largest_body():
-    budget = BodyBudget(100)
-    assert budget.add("a", 60) is None and budget.add("b", 40) is None
-    assert budget.add("b", 5) == "a"
-    budget.release("a")
-    assert budget.held_bytes == 45 and budget.add("b", 50) is None
-
-
 def test_a_few_interim_heads_are_allowed():
     meter = AnswerMeter(HttpClientSettings(interim_heads=2))
     assert not meter.add_interim_head() and not meter.add_interim_head()
--- a/pumicedeck/tests/test_responses_reset_during_uploads.py
+++ b/pumicedeck/tests/test_responses_reset_during_uploads.py
@@ -12,11 +12,11 @@
 import pytest
 from circuits import handler
 
-from pumicedeck.answer_limits import BodyBudget
 from pumicedeck.clocks import VirtualTime
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_connections import ConnectionCallbacks, HttpConnection
 from pumicedeck.http_messages import MIB, HttpClientSettings, HttpRequest
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.results import Execution
 from pumicedeck.tests.loop_harnesses import LoopHarness, RawServer
 from pumicedeck.topology import Address
@@ -104,7 +104,7 @@
     )
     address = Address("127.0.0.1", 1)
     connection = HttpConnection(
-        address, None, FakePoller(), VirtualTime(), SETTINGS, callbacks, BodyBudget(MIB)
+        address, None, FakePoller(), VirtualTime(), SETTINGS, callbacks, MemoryBudget(MIB)
     )
     connection._socket = FakeSocket(sends, received)
     connection._become_idle()
