Keep descriptors free for the gateway itself

What callers saw: with 600 open connections a gateway held more descriptors than its machine has; there, no connection to the store or to an endpoint can be opened, so nobody is served.

Cause: the limit of 4,096 connections was a constant; at the limit, new callers were closed while connections without a request stayed.

Change: callers' connections get 0.6 of the descriptors of the machine less 200 for files, at most 4,096 as before. At the limit those whose callers have sent nothing for longest make room; a connection with a complete request stays.

--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -1,5 +1,6 @@
 """The listeners of a gateway, and the share of the machine that their clients may take."""
 
+import resource
 from dataclasses import dataclass
 
 from circuits import BaseComponent
@@ -16,6 +17,9 @@
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 CLIENTS_SHARE_OF_MEMORY = 0.42
 SMALL_REQUESTS_SHARE = 0.25
+# Files and the listening sockets; the rest is for callers and for the gateway's own connections.
+RESERVED_DESCRIPTORS = 200
+CALLERS_SHARE_OF_DESCRIPTORS = 0.6
 # Requests of the balancer, peers and readers of metrics have no bodies.
 SERVICE_SETTINGS = ListenerSettings(body_bytes=64 * KIB, connections=256)
 # A transaction of the store has at most 1 MB.
@@ -33,6 +37,15 @@
     return MemoryBudget(limit_bytes, timers.now, BudgetSettings(reserve_share=reserve_share))
 
 
+def caller_settings(machine: MachineSettings) -> ListenerSettings:
+    """Return the limits of callers' connections on a machine."""
+    defaults = ListenerSettings()
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    free = min(machine.descriptors, soft_limit) - RESERVED_DESCRIPTORS
+    connections = max(1, int(free * CALLERS_SHARE_OF_DESCRIPTORS))
+    return ListenerSettings(connections=min(defaults.connections, connections))
+
+
 def _ignore(incoming: IncomingCall) -> None:
     """Stand for the handler that the gateway sets before a listener starts."""
 
@@ -62,7 +75,7 @@
         return build(Address(settings.readiness.host, port), limits) if port else None
 
     return GatewayListeners(
-        build(settings.callers, ListenerSettings()),
+        build(settings.callers, caller_settings(settings.machine)),
         build(settings.readiness, SERVICE_SETTINGS),
         build_optional(settings.metrics_port, SERVICE_SETTINGS),
         build_optional(settings.relay_port, RELAY_SETTINGS),
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 listener for gateways: accepts connections and tells them what the poller reports."""
 
+import heapq
 import itertools
 import socket
 import sys
@@ -24,6 +25,8 @@
 
 _LISTEN_BACKLOG = 512
 _MAX_ACCEPTS_PER_EVENT = 64
+# Each search for connections to close looks at all of them.
+_EVICTED_PART = 64
 _CHANNEL_NUMBERS = itertools.count(1)
 
 _log = logger.bind(module="http_listeners")
@@ -170,6 +173,8 @@
             except OSError as error:
                 _log.warning("accepting a connection failed", error=str(error))
                 return
+            if len(self._connections) >= self.settings.connections:
+                self._close_longest_without_request()
             if len(self._connections) >= self.settings.connections:
                 _log.warning(
                     "connection limit reached; new connection closed", bound=len(self._connections)
@@ -184,3 +189,15 @@
             if not connection.open():
                 _log.warning("no memory left for a new connection; connection closed")
                 connection.close()
+
+    def _close_longest_without_request(self) -> None:
+        """Close connections whose callers have sent nothing for longest, to make room for others.
+
+        A connection with a complete request stays.
+        """
+        evictable = [each for each in self._connections.values() if not each.has_call]
+        count = max(1, len(self._connections) // _EVICTED_PART)
+        oldest = heapq.nsmallest(count, evictable, key=lambda each: each.moved_at)
+        _log.info("connection limit reached; connections without a request closed", n=len(oldest))
+        for connection in oldest:
+            connection.close()
