Decode a submission only if the memory for it is free

What callers saw: one body of 24 MB with values of a few bytes each took a gateway to 801 MiB of 128 before it was refused with 400; one wide character in a long text to 261.

Cause: fields are checked after all of the document is decoded, and the size of a body says little about what its values take as objects.

Change: json_costs estimates from the body what its decoding takes at most, and compares it with what the process may still take.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -26,11 +26,16 @@
 from pumicedeck.endpoint_lists import EndpointList
 from pumicedeck.endpoint_selections import EndpointSelector
 from pumicedeck.gateway_drains import DrainTimes
-from pumicedeck.gateway_listeners import build_client_budget, build_listeners
+from pumicedeck.gateway_listeners import (
+    build_client_budget,
+    build_listeners,
+    free_memory_bytes,
+)
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import MIB, HttpClientSettings
+from pumicedeck.json_costs import check_decoding
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
 from pumicedeck.limit_reports import LimitReports
@@ -53,6 +58,7 @@
     decode_routes,
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
+from pumicedeck.process_figures import read_process_figures
 from pumicedeck.processes import Process
 from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.request_quarantines import RequestQuarantine
@@ -397,6 +403,11 @@
                 Identity(settings.accounts.max_configuration_age_seconds),
             ),
             submission_dialect=PlatformSubmissionDialect(),
+            check_decoding=lambda body: check_decoding(
+                body,
+                free_memory_bytes(settings.machine, read_process_figures().resident_bytes),
+                budget.held_bytes - len(body),
+            ),
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
             delays_few_cores=decisions.delays_weak_machines,
--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -17,6 +17,7 @@
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 CLIENTS_SHARE_OF_MEMORY = 0.42
 SMALL_REQUESTS_SHARE = 0.25
+USABLE_SHARE_OF_MEMORY = 0.92
 # Files and the listening sockets; the rest is for callers and for the gateway's own connections.
 RESERVED_DESCRIPTORS = 200
 CALLERS_SHARE_OF_DESCRIPTORS = 0.6
@@ -37,6 +38,11 @@
     return MemoryBudget(limit_bytes, timers.now, BudgetSettings(reserve_share=reserve_share))
 
 
+def free_memory_bytes(machine: MachineSettings, resident_bytes: int) -> int:
+    """Return how many bytes a process on a machine may take beside the resident ones."""
+    return int(machine.memory_megabytes * MIB * USABLE_SHARE_OF_MEMORY) - resident_bytes
+
+
 def caller_settings(machine: MachineSettings) -> ListenerSettings:
     """Return the limits of callers' connections on a machine."""
     defaults = ListenerSettings()
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -101,6 +101,7 @@
     identifier: CallIdentifier
     submission_dialect: SubmissionDialect
     finish: Callable[[], None]
+    check_decoding: Callable[[bytes], Failure | None]
     cores: float = 1.0
     delays_few_cores: bool = True
     metrics: HttpListener | None = None
@@ -146,6 +147,7 @@
             parts.intake,
             parts.submission_dialect,
             self._refuse,
+            parts.check_decoding,
         )
         self._metrics = GatewayMetrics(
             parts.timers,
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from loguru import logger
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from pumicedeck.accounts.call_identifiers import SubmissionReader
 from pumicedeck.clocks import TimerQueue
@@ -23,6 +23,7 @@
 from pumicedeck.route_tables import Route
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.submission_intakes import NO_SUBMISSION, SubmissionIntake
+from pumicedeck.submissions import Submission
 
 _log = logger.bind(module="submission_answers")
 
@@ -44,13 +45,18 @@
         intake: SubmissionIntake,
         dialect: SubmissionDialect,
         refuse: Callable[[IncomingCall, ForwardedCall, Failure], None],
+        check_decoding: Callable[[bytes], Failure | None] = lambda body: None,
     ) -> None:
-        """Answer requests that `dialect` decodes; `refuse` answers with a failure."""
+        """Answer requests that `dialect` decodes; `refuse` answers with a failure.
+
+        `check_decoding` returns why the body of a submission is not decoded, if there is a reason.
+        """
         self._timers = timers
         self._clock = clock
         self._intake = intake
         self._dialect = dialect
         self._refuse = refuse
+        self._check_decoding = check_decoding
 
     async def accept(
         self, incoming: IncomingCall, call: ForwardedCall, route: Route, has_accounts: bool
@@ -63,7 +69,7 @@
             self._refuse(incoming, call, NOT_READY)
             return
         accepted = self._clock.now()
-        decoded = self._dialect.decode_submission(call, route.name, accepted, has_accounts)
+        decoded = self._decode(call, route.name, accepted, has_accounts)
         if isinstance(decoded, Err):
             self._refuse(incoming, call, decoded.err_value)
             return
@@ -82,6 +88,14 @@
         )
         incoming.answer(202, JSON_TYPE, b"{}")
 
+    def _decode(
+        self, call: ForwardedCall, route: str, accepted: float, has_accounts: bool
+    ) -> Result[Submission, Failure]:
+        failure = self._check_decoding(call.body)
+        if failure is not None:
+            return Err(failure)
+        return self._dialect.decode_submission(call, route, accepted, has_accounts)
+
     def knows(self, submission_id: str, host: str) -> bool:
         """Return whether a submission is known here that was submitted at a host."""
         head = self._intake.known_head(submission_id)
@@ -98,9 +112,7 @@
         if incoming.method != "POST" or not self.knows(call.request_id, incoming.host):
             return False
         head = self._intake.known_head(call.request_id)
-        decoded = self._dialect.decode_submission(
-            call, head.route, head.accepted, reader.account is not None
-        )
+        decoded = self._decode(call, head.route, head.accepted, reader.account is not None)
         if isinstance(decoded, Err) or decoded.ok_value.head.digest != head.digest:
             return False
         if not head.admits(reader.account):
