Encode and decode the items of a submission one by one

What callers saw: a valid submission of 30 MB took a gateway to 240 MiB on a machine of 180.

Cause: the documents of all items, their text and its bytes were held at once, when a submission was decoded and again when its rows were encoded.

Change: each item's document is released as it is decoded, and items are encoded one by one into the compressor; the rows are the same.

--- a/pumicedeck/platform/caller_calls.py
+++ b/pumicedeck/platform/caller_calls.py
@@ -130,7 +130,7 @@
         """Decode a new submission; fail with BAD_REQUEST if it is invalid."""
 
         def build(document) -> Submission:
-            items = tuple(_decode_item(each, has_accounts) for each in document["items"])
+            items = _decode_items(document["items"], has_accounts)
             head = SubmissionHead(
                 submission_id=call.request_id,
                 route=route,
@@ -177,6 +177,15 @@
         return json.dumps(document, ensure_ascii=False).encode()
 
 
+def _decode_items(documents: list, has_accounts: bool) -> tuple[Item, ...]:
+    """Decode items and remove their documents, so that bodies are held only once."""
+    documents.reverse()
+    items = []
+    while documents:
+        items.append(_decode_item(documents.pop(), has_accounts))
+    return tuple(items)
+
+
 def _decode_item(document: dict, has_accounts: bool) -> Item:
     headers = tuple((str(name), str(value)) for name, value in document["headers"].items())
     if not all(_is_header_field(name, value) for name, value in headers):
--- a/pumicedeck/submissions.py
+++ b/pumicedeck/submissions.py
@@ -226,26 +226,33 @@
 
 def encode_items(items: tuple[Item, ...]) -> tuple[bytes, ...]:
     """Encode items as compressed chunks of at most `CHUNK_BYTES`, each of which fits a row."""
-    documents = [
-        {
-            "id": item.item_id,
-            "path": item.path,
-            "headers": item.headers,
-            "body": base64.b64encode(item.body).decode(),
-            "group": item.group,
-            "length": item.expected_length,
-            "reward": item.reward
-            and {
-                "id": item.reward.request_id,
-                "host": item.reward.host,
-                "path": item.reward.path,
-                "body": base64.b64encode(item.reward.body).decode(),
-            },
-        }
-        for item in items
-    ]
-    data = zlib.compress(json.dumps(documents).encode(), _COMPRESSION_LEVEL)
-    return tuple(data[at : at + CHUNK_BYTES] for at in range(0, len(data), CHUNK_BYTES))
+    # Item by item: the text of all of them would be held several times over.
+    compressor = zlib.compressobj(_COMPRESSION_LEVEL)
+    data = bytearray()
+    for number, item in enumerate(items):
+        text = json.dumps(_item_document(item))
+        data += compressor.compress(f"{', ' if number else '['}{text}".encode())
+    data += compressor.compress(b"]" if items else b"[]")
+    data += compressor.flush()
+    return tuple(bytes(data[at : at + CHUNK_BYTES]) for at in range(0, len(data), CHUNK_BYTES))
+
+
+def _item_document(item: Item) -> dict:
+    return {
+        "id": item.item_id,
+        "path": item.path,
+        "headers": item.headers,
+        "body": base64.b64encode(item.body).decode(),
+        "group": item.group,
+        "length": item.expected_length,
+        "reward": item.reward
+        and {
+            "id": item.reward.request_id,
+            "host": item.reward.host,
+            "path": item.reward.path,
+            "body": base64.b64encode(item.reward.body).decode(),
+        },
+    }
 
 
 def decode_items(chunks: list[bytes]) -> tuple[Item, ...]:
