Tell a submission that must wait from one that never fits; test crowds at entries

Cause: what the scheduler holds of accepted submissions counted as if it were always held, so that a submission that would fit later was refused with 413, which callers do not repeat (trial: the ninth valid submission of 10 MB). Two bodies of 30 MB did not fit beside the reserve at 180 MB.

Change: what the process takes when idle decides between 503 and 413; the reserve for small requests is a fifth.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -151,6 +151,7 @@
     home = FailureDomain(settings.failure_domain, settings.region)
     decisions = choose_decision_settings(settings.mechanisms)
     budget = build_client_budget(settings.machine, timers)
+    idle_bytes = read_process_figures().resident_bytes
     store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, budget).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS, budget).register(root)
     mirror = WorkMirror()
@@ -407,7 +408,7 @@
             check_decoding=lambda body: check_decoding(
                 body,
                 free_memory_bytes(settings.machine, read_process_figures().resident_bytes),
-                budget.held_bytes - len(body),
+                free_memory_bytes(settings.machine, idle_bytes + len(body)),
             ),
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -16,7 +16,7 @@
 
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 CLIENTS_SHARE_OF_MEMORY = 0.42
-SMALL_REQUESTS_SHARE = 0.25
+SMALL_REQUESTS_SHARE = 0.2
 USABLE_SHARE_OF_MEMORY = 0.92
 # Files and the listening sockets; the rest is for callers and for the gateway's own connections.
 RESERVED_DESCRIPTORS = 200
--- a/pumicedeck/json_costs.py
+++ b/pumicedeck/json_costs.py
@@ -44,17 +44,17 @@
 
 
 def check_decoding(
-    document: bytes | bytearray, free_bytes: int, held_by_others: int
+    document: bytes | bytearray, free_bytes: int, free_when_idle_bytes: int
 ) -> Failure | None:
     """Return why a document is not decoded, None if it may be.
 
-    `free_bytes` is what the process may still take, `held_by_others` what is released once other
-    clients are served: without it the document would not fit either.
+    `free_bytes` is what the process may still take, `free_when_idle_bytes` what it could take if it
+    held nothing but the document.
     """
     needed_bytes = estimate_decoding_bytes(document)
     if needed_bytes <= max(free_bytes, _ALWAYS_ADMITTED_BYTES):
         return None
-    detail = f"decoding the body takes up to {needed_bytes} bytes, {free_bytes} are free"
-    if needed_bytes <= free_bytes + held_by_others:
+    detail = f"decoding the body takes up to {needed_bytes} bytes, {max(0, free_bytes)} are free"
+    if needed_bytes <= free_when_idle_bytes:
         return Failure(ResultCode.OVERLOADED, detail, _RETRY_AFTER_SECONDS, proven_not_run=True)
     return Failure(ResultCode.TOO_LARGE, detail, proven_not_run=True)
--- a/pumicedeck/tests/crowd_fixtures.py
+++ b/pumicedeck/tests/crowd_fixtures.py
@@ -294,3 +294,79 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < count:
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(count, hard), hard))
+
+
+class EntryUnderTest:
+    """An entry process with an agent and the stand-ins, each a process of its own."""
+
+    # Offsets of the ports that the files of a local deployment with one agent use.
+    PORT_OFFSETS = (1, 2, 3, 4, 20, 40, 100, 200, 300)
+
+    def __init__(self, folder: Path, memory_megabytes: int) -> None:
+        self.memory_bytes = memory_megabytes * MIB
+        base = self._free_base_port()
+        command = [sys.executable, "-m", "pumicedeck"]
+        subprocess.run(
+            [*command, "local-files", str(folder), "--base-port", str(base)]
+            + ["--agents", "booking-app=1"],
+            check=True,
+            capture_output=True,
+        )
+        self.callers = Address(LOOPBACK_HOST, base + 20)
+        self.operators = Address(LOOPBACK_HOST, base + 40)
+        self._log = (folder / "log").open("wb")
+        self._processes = [
+            subprocess.Popen(
+                [*command, role, str(folder / file)], stdout=self._log, stderr=self._log
+            )
+            for role, file in (
+                ("standins", "standins.yaml"),
+                ("agent", "agent-booking-app-0.yaml"),
+                ("entry", "entry-0.yaml"),
+            )
+        ]
+        ports = (self.callers.port, self.operators.port)
+        self.memory = ProcessMemory(self._processes[-1].pid, ports)
+        self._await_readiness()
+
+    @classmethod
+    def _free_base_port(cls) -> int:
+        while True:
+            base = free_port()
+            with socket.socket() as sock:
+                if all(sock.connect_ex((LOOPBACK_HOST, base + each)) for each in cls.PORT_OFFSETS):
+                    return base
+
+    def _ask(self) -> int:
+        request_id = f"ordinary-{time.monotonic_ns()}"
+        headers = {"Authorization": "Bearer desk-token", "X_Request_Id": request_id}
+        path = "/v1/entries/bookings/call/book"
+        return ask(self.callers, path, body=b'{"rig": 7}', **headers)[0]
+
+    def _await_readiness(self) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                if self._ask() == 200:
+                    return
+            except OSError:
+                pass
+            time.sleep(0.1)
+        raise AssertionError("the entry did not become ready")
+
+    def check(self) -> None:
+        """Check that the process lives within its memory and serves an ordinary request."""
+        assert self._ask() == 200
+        assert ask(self.operators, "/ready", "GET", b"")[0] == 200
+        self.memory.observe()
+        assert self._processes[-1].poll() is None
+        assert (
+            self.memory.peak_bytes <= self.memory_bytes
+        ), f"{self.memory.peak_bytes / MIB:.0f} of {self.memory_bytes / MIB:.0f} MiB held"
+
+    def close(self) -> None:
+        print(f"peak {self.memory.peak_bytes / MIB:.0f} of {self.memory_bytes / MIB:.0f} MiB")
+        for process in self._processes:
+            process.kill()
+            process.wait()
+        self._log.close()
