Count the bodies that an entry or an agent holds in one budget

What callers saw: 24 bodies of 8 MB at once took an entry to 544 MiB, the operators' address to 474, and kept short of their end to 254.

Cause: as at gateways: each body is limited, all of them together are not, and each is held several times over.

A body is kept once until it is passed on.

--- a/pumicedeck/composition.py
+++ b/pumicedeck/composition.py
@@ -38,6 +38,7 @@
 from pumicedeck.limiters import EntryLimiter
 from pumicedeck.membership_drivers import MembershipDriver, MembershipHooks
 from pumicedeck.memberships import MembershipSettings
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.newest_versions import NewestVersionPoll
 from pumicedeck.operator_api import AgentStatus, EntryStatus, OperatorApi
 from pumicedeck.platform_interfaces import (
@@ -150,13 +151,19 @@
     return tuple(secret.encode() for secret in settings.secrets)
 
 
-def _http_guard_factory(settings: ProcessSettings, loop: EventLoop) -> Callable[[str], HttpGuard]:
+def _http_guard_factory(
+    settings: ProcessSettings, loop: EventLoop, budget: MemoryBudget
+) -> Callable[[str], HttpGuard]:
     guard_settings = HttpGuardSettings(
         header_bytes=settings.bounds.header,
         body_bytes=settings.bounds.body,
         request_seconds=settings.bounds.request_time,
     )
-    return lambda channel: HttpGuard(channel, loop.timers, guard_settings)
+    return lambda channel: HttpGuard(channel, loop.timers, guard_settings, budget)
+
+
+def _build_client_budget(settings: ProcessSettings, loop: EventLoop) -> MemoryBudget:
+    return MemoryBudget(settings.bounds.client_memory, loop.timers.now)
 
 
 def _build_connections(
@@ -252,7 +259,12 @@
         watch = ServiceWatch(loop.timers, daemon.drain, endpoint)
     daemon.bind(executions, follower, watch, weights)
     operators = _build_operator_server(
-        settings, loop, AgentStatus(incarnation, daemon, connections), None, None
+        settings,
+        loop,
+        AgentStatus(incarnation, daemon, connections),
+        None,
+        None,
+        _build_client_budget(settings, loop),
     )
     return WiredDaemon(
         daemon.start, daemon.drain, daemon.close, None, operators, connections, daemon
@@ -288,13 +300,13 @@
     )
 
 
-def _build_operator_server(settings, loop, status, editor, token_checker) -> HttpServer:
+def _build_operator_server(settings, loop, status, editor, token_checker, budget) -> HttpServer:
     api = OperatorApi(status, editor, token_checker, loop.timers)
     return HttpServer(
         settings.operators,
         f"operators_{settings.vm}",
         api.handle,
-        _http_guard_factory(settings, loop),
+        _http_guard_factory(settings, loop, budget),
     ).register(loop.root)
 
 
@@ -358,12 +370,16 @@
     token_checker = TokenChecker(platform.table, loop.timers)
     request_numbers = iter(range(1, 2**62))
     api = CallerApi(daemon, token_checker, draws, lambda: f"{incarnation}-{next(request_numbers)}")
+    budget = _build_client_budget(settings, loop)
     callers = HttpServer(
-        settings.callers, f"callers_{settings.vm}", api.handle, _http_guard_factory(settings, loop)
+        settings.callers,
+        f"callers_{settings.vm}",
+        api.handle,
+        _http_guard_factory(settings, loop, budget),
     ).register(loop.root)
     editor = CatalogueEditor(platform.table, platform.objects, loop.timers, rng)
     status = EntryStatus(incarnation, daemon, histograms, draws, claims)
-    operators = _build_operator_server(settings, loop, status, editor, token_checker)
+    operators = _build_operator_server(settings, loop, status, editor, token_checker, budget)
 
     def start() -> None:
         daemon.start()
--- a/pumicedeck/daemon_commands.py
+++ b/pumicedeck/daemon_commands.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
+from pumicedeck.allocators import return_large_blocks_when_freed
 from pumicedeck.composition import (
     EventLoop,
     WiredDaemon,
@@ -108,6 +109,7 @@
 
 def _create_process(settings: ProcessSettings) -> tuple[Process, EventLoop]:
     set_up_logs(settings.vm, settings.log.level, settings.log.format)
+    return_large_blocks_when_freed()
     process = Process()
     return process, EventLoop(process, process.timers)
 
--- a/pumicedeck/http_framings.py
+++ b/pumicedeck/http_framings.py
@@ -51,8 +51,8 @@
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.header_bytes)
         self._head: h11.Request | None = None
         self._target = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._declared_bytes = 0
         self._has_received_bytes = False
 
     @property
@@ -60,6 +60,11 @@
         """Return whether any byte of the request was received."""
         return self._has_received_bytes
 
+    @property
+    def body_bytes(self) -> int:
+        """Return how many bytes the body has, or declares if that is more."""
+        return max(len(self._body), self._declared_bytes)
+
     @property
     def expects_continue(self) -> bool:
         """Return whether the caller waits for "100 Continue" before it sends the body."""
@@ -123,13 +128,13 @@
         )
         if declared_bytes > self._bounds.body_bytes:
             return _rejection(ResultCode.TOO_LARGE, "request body too large")
+        self._declared_bytes = declared_bytes
         return None
 
     def _add_body_part(self, data: bytes) -> Err[Failure] | None:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._bounds.body_bytes:
+        if len(self._body) + len(data) > self._bounds.body_bytes:
             return _rejection(ResultCode.TOO_LARGE, "request body too large")
-        self._body.append(bytes(data))
+        self._body += data
         return None
 
     def _encode_canonical(self) -> bytes:
@@ -141,9 +146,9 @@
                 # circuits.web decodes backslash escape sequences in header values.
                 lines.append(b"%s: %s" % (name, value.replace(b"\\", b"\\\\")))
         lines.append(b"Connection: %s" % (b"keep-alive" if self._keeps_alive() else b"close"))
-        if self._body_bytes > 0:
-            lines.append(b"Content-Length: %d" % self._body_bytes)
-        return b"\r\n".join([*lines, b"", b"".join(self._body)])
+        if self._body:
+            lines.append(b"Content-Length: %d" % len(self._body))
+        return b"\r\n".join([*lines, b"", self._body])
 
     def _keeps_alive(self) -> bool:
         # After "Connection: close" and for HTTP/1.0 the parser is in the state MUST_CLOSE.
--- a/pumicedeck/http_guards.py
+++ b/pumicedeck/http_guards.py
@@ -5,6 +5,7 @@
 
 import resource
 import socket
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -18,11 +19,14 @@
 from pumicedeck.http_documents import JSON_TYPE, encode_failure
 from pumicedeck.http_framings import CompleteRequest, RequestBounds, RequestReader
 from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.memory_budgets import HolderKind, MemoryBudget, MemoryHolder
 from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.socket_options import set_acknowledgement_timeout
 
 _DESCRIPTORS_PER_CONNECTION = 4
+# A body is held by the parser, as the message that is passed on, and by circuits.web.
+_COPIES_OF_BODY = 3
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _PIPELINED = Failure(
     ResultCode.BAD_FRAMING,
@@ -32,6 +36,12 @@
 _TOO_MANY_CONNECTIONS = Failure(
     ResultCode.OVERLOADED, "too many connections", retry_after=1.0, proven_not_run=True
 )
+_NO_MEMORY = Failure(
+    ResultCode.OVERLOADED,
+    "no memory left for the request",
+    retry_after=1.0,
+    proven_not_run=True,
+)
 _REQUEST_TOO_SLOW = Failure(
     ResultCode.REQUEST_TIMEOUT, "the request was not complete in time", proven_not_run=True
 )
@@ -81,6 +91,7 @@
 
     reader: RequestReader
     deadline: MovingDeadline
+    holder: MemoryHolder
     phase: _Phase = _Phase.RECEIVING
     pipelined: bool = False
     continue_sent: bool = field(default=False)
@@ -94,12 +105,20 @@
     """
 
     def __init__(
-        self, channel: str, timers: TimerQueue, settings: HttpGuardSettings | None = None
+        self,
+        channel: str,
+        timers: TimerQueue,
+        settings: HttpGuardSettings | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        """Create a guard of the server on `channel`; its deadlines run on `timers`."""
+        """Create a guard of the server on `channel`; its deadlines run on `timers`.
+
+        Bodies are counted in `budget`, by default one without a limit.
+        """
         super().__init__(channel=channel)
         self._timers = timers
         self._settings = settings or HttpGuardSettings()
+        self._budget = budget or MemoryBudget(sys.maxsize, timers.now)
         self._bounds = RequestBounds(self._settings.header_bytes, self._settings.body_bytes)
         self._connections: dict[socket.socket, _CallerConnection] = {}
         # Without a free descriptor accept() would fail and be repeated in every turn of the loop.
@@ -124,7 +143,8 @@
         set_acknowledgement_timeout(sock, self._settings.acknowledgement_timeout_seconds)
         deadline = MovingDeadline(self._timers, self._deadline_callback(sock))
         deadline.set(self._settings.request_seconds)
-        connection = _CallerConnection(RequestReader(self._bounds), deadline)
+        holder = MemoryHolder(HolderKind.RECEIVING, lambda: self._give_up_request(sock))
+        connection = _CallerConnection(RequestReader(self._bounds), deadline, holder)
         self._connections[sock] = connection
         if len(self._connections) > 2 * self._max_served_connections:
             self.fire(close(sock))
@@ -136,6 +156,7 @@
         connection = self._connections.pop(sock, None)
         if connection is not None:
             connection.deadline.close()
+            self._budget.close(connection.holder)
         self._discard_socket(sock)
 
     @handler("read", priority=10)
@@ -162,9 +183,10 @@
         if connection.pipelined and not reply.close:
             self._refuse(sock, connection, _PIPELINED)
             return
-        connection.reader = RequestReader(self._bounds)
         connection.continue_sent = False
         connection.phase = _Phase.RECEIVING
+        connection.holder.kind = HolderKind.RECEIVING
+        self._budget.release(connection.holder)
         connection.deadline.set(self._settings.idle_seconds)
 
     def _filter_read(self, sock: socket.socket, data: bytes) -> CompleteRequest | None:
@@ -182,10 +204,15 @@
     ) -> CompleteRequest | None:
         if not connection.reader.has_received_bytes:
             connection.deadline.set(self._settings.request_seconds)
+        self._budget.record_movement(connection.holder)
         read_result = connection.reader.feed(data)
         if read_result.is_err():
             self._refuse(sock, connection, read_result.unwrap_err())
             return None
+        held_bytes = _COPIES_OF_BODY * connection.reader.body_bytes
+        if not self._budget.hold(connection.holder, held_bytes):
+            self._give_up_request(sock)
+            return None
         complete_request = read_result.unwrap()
         if complete_request is not None:
             self._begin_response(connection, complete_request)
@@ -198,6 +225,8 @@
         self, connection: _CallerConnection, complete_request: CompleteRequest
     ) -> None:
         connection.phase = _Phase.ANSWERING
+        connection.holder.kind = HolderKind.RUNNING
+        connection.reader = RequestReader(self._bounds)
         connection.pipelined = bool(complete_request.trailing_bytes)
         connection.deadline.clear()
         self._stats.passed += 1
@@ -216,10 +245,18 @@
         """Answer with an error and schedule the closing of the connection."""
         self._stats.refused += 1
         connection.phase = _Phase.REFUSED
+        connection.reader = RequestReader(self._bounds)
+        self._budget.release(connection.holder)
         self.fire(write(sock, _build_error_response(failure)))
         # Closing immediately would reset the connection before the caller read the error.
         connection.deadline.set(self._settings.linger_seconds)
 
+    def _give_up_request(self, sock: socket.socket) -> None:
+        """Refuse the request that is received on a connection."""
+        connection = self._connections.get(sock)
+        if connection is not None and connection.phase is _Phase.RECEIVING:
+            self._refuse(sock, connection, _NO_MEMORY)
+
     def _deadline_callback(self, sock: socket.socket) -> Callable[[], None]:
         return lambda: self._on_deadline(sock)
 
--- a/pumicedeck/settings.py
+++ b/pumicedeck/settings.py
@@ -80,11 +80,16 @@
 
 
 class BoundSettings(Section):
-    """Limits on HTTP requests, and on the answers that an agent retains for retries."""
+    """Limits on HTTP requests, and on the answers that an agent retains for retries.
+
+    `client_memory` is what the bodies of all requests may take while they are received and served;
+    each counts three times, for its copies.
+    """
 
     header: Size = 16 * 1024
     body: Size = 8 * 1024**2
     request_time: Duration = 30.0
+    client_memory: Size = 64 * 1024**2
     kept_answers: Size = 64 * 1024**2
     kept_answer_time: Duration = 120.0
 
