Split what a listener shares with its connections into a module

Change: limits, the listener's interface and refusals are in listener_settings, the check of decoding is built in gateway_listeners. No behaviour changed. Result: the tests of listeners, gateways and submissions pass.

--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -6,18 +6,22 @@
 
 import socket
 import struct
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 import h11
 from loguru import logger
 
-from pumicedeck.clocks import TimerQueue
-from pumicedeck.http_documents import JSON_TYPE, encode_failure
-from pumicedeck.http_messages import KIB, MIB
+from pumicedeck.http_documents import encode_failure
+from pumicedeck.http_messages import KIB
 from pumicedeck.incoming_calls import Headers, IncomingCall
-from pumicedeck.memory_budgets import HolderKind, MemoryBudget, MemoryHolder
+from pumicedeck.listener_settings import (
+    BODY_TOO_LARGE,
+    HEADER_TOO_LARGE,
+    NO_MEMORY,
+    REQUEST_TOO_SLOW,
+    ConnectionOwner,
+    failure_headers,
+)
+from pumicedeck.memory_budgets import HolderKind, MemoryHolder
 from pumicedeck.moving_deadlines import MovingDeadline
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.send_buffers import SendBuffer
@@ -32,90 +36,15 @@
 # The others are served before more requests, or parts of bodies, of one connection are parsed.
 _REQUESTS_PER_TURN = 16
 _EVENTS_PER_TURN = 512
-_RETRY_AFTER_SECONDS = 1.0
 _COPIED_BYTES = 64 * KIB
 _HEADER_OVERHEAD_BYTES = 4  # ": " and the line end
 # Linger on, for 0 s: unsent bytes are discarded and the other side gets a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-_HEADER_TOO_LARGE = Failure(ResultCode.TOO_LARGE, "request header too large", proven_not_run=True)
-_BODY_TOO_LARGE = Failure(ResultCode.TOO_LARGE, "request body too large", proven_not_run=True)
-_REQUEST_TOO_SLOW = Failure(
-    ResultCode.REQUEST_TIMEOUT, "the body was not complete in time", proven_not_run=True
-)
-_NO_MEMORY = Failure(
-    ResultCode.OVERLOADED,
-    "no memory left for the request",
-    retry_after=_RETRY_AFTER_SECONDS,
-    proven_not_run=True,
-)
-
 _log = logger.bind(module="caller_connections")
 
 
-@dataclass(frozen=True, slots=True)
-class ListenerSettings:
-    """Limits of callers' connections; times are in seconds and sizes in bytes.
-
-    `header_seconds` is how long the head of a connection's first request may take to arrive, and
-    how long a body may bring no byte; a body takes at most that long and a second for each
-    `body_bytes_per_second` of it. `idle_seconds` is how long after a response the next head may
-    take, `linger_seconds` how long a connection stays open after its writing side was shut down and
-    the caller's last byte. Before that, the rest of its last response is sent for up to
-    `send_seconds`, while the caller reads some of it every `stall_seconds`.
-    `acknowledgement_timeout_seconds` is how long a caller's kernel may leave bytes or probes
-    unacknowledged. `max_unsent_bytes` limits what is buffered of a streamed response for a caller
-    that does not read. While a request waits for its answer, up to `max_ahead_bytes` of the next
-    ones are read, and none is served while more than that of earlier answers is unsent.
-    `connections` limits the open connections.
-    """
-
-    header_bytes: int = 16 * KIB
-    body_bytes: int = 32 * MIB
-    header_seconds: float = 10.0
-    body_bytes_per_second: int = 64 * KIB
-    idle_seconds: float = 20.0
-    linger_seconds: float = 1.0
-    stall_seconds: float = 4.0
-    send_seconds: float = 30.0
-    acknowledgement_timeout_seconds: float = 8.0
-    max_unsent_bytes: int = 8 * MIB
-    max_ahead_bytes: int = 64 * KIB
-    connections: int = 4096
-
-
-class ConnectionOwner(Protocol):
-    """The listener that accepted a connection.
-
-    `handle` gets each complete request, `refuse` one whose body is not complete and the reason.
-    While `is_draining` each response ends its connection. What connections hold is counted in
-    `budget`.
-    """
-
-    settings: ListenerSettings
-    timers: TimerQueue
-    budget: MemoryBudget
-    handle: Callable[[IncomingCall], None]
-    refuse: Callable[[IncomingCall, Failure], None]
-    is_draining: bool
-
-    def remove_connection(self, sock: socket.socket) -> None:
-        """Remove a connection that has closed."""
-
-    def watch_readable(self, sock: socket.socket, enabled: bool) -> None:
-        """Set whether the connection learns when its socket is readable."""
-
-    def watch_writable(self, sock: socket.socket, enabled: bool) -> None:
-        """Set whether the connection learns when its socket is writable."""
-
-
-def refuse_generically(incoming: IncomingCall, failure: Failure) -> None:
-    """Answer a request that is not complete with the JSON document of a failure."""
-    headers = _failure_headers(failure)
-    incoming.answer(failure.code.info.http_status, headers, encode_failure(failure))
-
-
 class CallerConnection:
     """One caller's connection: a non-blocking socket with an HTTP/1.1 parser."""
 
@@ -341,11 +270,11 @@
         self._body = bytearray()
         self._declared_bytes = 0
         if _header_bytes(head) > self._settings.header_bytes:
-            self._reject(_HEADER_TOO_LARGE, 431)
+            self._reject(HEADER_TOO_LARGE, 431)
             return False
         self._declared_bytes = _declared_length(head)
         if self._declared_bytes > self._settings.body_bytes:
-            self._reject(_BODY_TOO_LARGE)
+            self._reject(BODY_TOO_LARGE)
             return False
         self._body_started_at = self._listener.timers.now()
         self._deadline.set(self._settings.header_seconds)
@@ -354,7 +283,7 @@
     def _add_body_part(self, data: bytes) -> bool:
         """Add received bytes to the body; return whether more may follow."""
         if len(self._body) + len(data) > self._settings.body_bytes:
-            self._reject(_BODY_TOO_LARGE)
+            self._reject(BODY_TOO_LARGE)
             return False
         self._body += data
         settings = self._settings
@@ -480,7 +409,7 @@
             return
         _log.info("request rejected", status=status, detail=failure.detail)
         body = encode_failure(failure)
-        headers = (*_failure_headers(failure), ("Content-Length", str(len(body))))
+        headers = (*failure_headers(failure), ("Content-Length", str(len(body))))
         try:
             self.send_complete_response(status, headers, body)
         except h11.LocalProtocolError:
@@ -492,7 +421,7 @@
     def _give_up_request(self) -> None:
         """Refuse the request that is received, or close a connection without one."""
         if self._head is not None:
-            self._reject(_NO_MEMORY)
+            self._reject(NO_MEMORY)
         else:
             _log.info("no memory left for a connection without a request; connection closed")
             self.close()
@@ -558,7 +487,7 @@
         if self._call is not None:
             return
         if self._head is not None and not self._closing:
-            self._reject(_REQUEST_TOO_SLOW)
+            self._reject(REQUEST_TOO_SLOW)
         elif self._unsent:
             self._reset()
         else:
@@ -575,10 +504,3 @@
     """Return the length of the body that a head declares, 0 without one."""
     # h11 accepts one Content-Length of at most 20 digits.
     return int(next((value for name, value in head.headers if name == b"content-length"), b"0"))
-
-
-def _failure_headers(failure: Failure) -> Headers:
-    headers = (("Content-Type", JSON_TYPE),)
-    if failure.retry_after is None:
-        return headers
-    return (*headers, ("Retry-After", f"{failure.retry_after:.3f}"))
--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -29,14 +29,13 @@
 from pumicedeck.gateway_drains import DrainTimes
 from pumicedeck.gateway_listeners import (
     build_client_budget,
+    build_decoding_check,
     build_listeners,
-    free_memory_bytes,
 )
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
 from pumicedeck.http_clients import HttpClient
 from pumicedeck.http_messages import MIB, HttpClientSettings
-from pumicedeck.json_costs import check_decoding
 from pumicedeck.lease_keepers import LeaseKeeper
 from pumicedeck.leases import LeaseAcquired, LeaseHolder, LeaseSettings
 from pumicedeck.limit_reports import LimitReports
@@ -59,7 +58,6 @@
     decode_routes,
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
-from pumicedeck.process_figures import read_process_figures
 from pumicedeck.processes import Process
 from pumicedeck.request_limiters import RequestLimiter
 from pumicedeck.request_quarantines import RequestQuarantine
@@ -151,7 +149,6 @@
     home = FailureDomain(settings.failure_domain, settings.region)
     decisions = choose_decision_settings(settings.mechanisms)
     budget = build_client_budget(settings.machine, timers)
-    idle_bytes = read_process_figures().resident_bytes
     store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, budget).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS, budget).register(root)
     mirror = WorkMirror()
@@ -405,11 +402,7 @@
                 Identity(settings.accounts.max_configuration_age_seconds),
             ),
             submission_dialect=PlatformSubmissionDialect(),
-            check_decoding=lambda body: check_decoding(
-                body,
-                free_memory_bytes(settings.machine, read_process_figures().resident_bytes),
-                free_memory_bytes(settings.machine, idle_bytes + len(body)),
-            ),
+            check_decoding=build_decoding_check(settings.machine),
             finish=finish if usage is None else lambda: usage.finish(finish),
             cores=settings.machine.cores * settings.machine.cpu_share,
             delays_few_cores=decisions.delays_weak_machines,
--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -1,17 +1,21 @@
 """The listeners of a gateway, and the share of the machine that their clients may take."""
 
 import resource
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from circuits import BaseComponent
 
-from pumicedeck.caller_connections import ListenerSettings
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.gateway_settings import GatewaySettings, MachineSettings
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.http_messages import KIB, MIB
 from pumicedeck.incoming_calls import IncomingCall
+from pumicedeck.json_costs import check_decoding
+from pumicedeck.listener_settings import ListenerSettings
 from pumicedeck.memory_budgets import BudgetSettings, MemoryBudget
+from pumicedeck.process_figures import read_process_figures
+from pumicedeck.results import Failure
 from pumicedeck.topology import Address
 
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
@@ -38,9 +42,19 @@
     return MemoryBudget(limit_bytes, timers.now, BudgetSettings(reserve_share=reserve_share))
 
 
-def free_memory_bytes(machine: MachineSettings, resident_bytes: int) -> int:
-    """Return how many bytes a process on a machine may take beside the resident ones."""
-    return int(machine.memory_megabytes * MIB * USABLE_SHARE_OF_MEMORY) - resident_bytes
+def build_decoding_check(machine: MachineSettings) -> Callable[[bytes], Failure | None]:
+    """Return the check of bodies before they are decoded, see `check_decoding`.
+
+    Call it while the process is idle: what it takes then is what it takes without clients.
+    """
+    usable_bytes = int(machine.memory_megabytes * MIB * USABLE_SHARE_OF_MEMORY)
+    free_when_idle_bytes = usable_bytes - read_process_figures().resident_bytes
+
+    def check(body: bytes) -> Failure | None:
+        free_bytes = usable_bytes - read_process_figures().resident_bytes
+        return check_decoding(body, free_bytes, free_when_idle_bytes - len(body))
+
+    return check
 
 
 def caller_settings(machine: MachineSettings) -> ListenerSettings:
--- a/pumicedeck/http_listeners.py
+++ b/pumicedeck/http_listeners.py
@@ -11,13 +11,10 @@
 from circuits.core.utils import findcmp
 from loguru import logger
 
-from pumicedeck.caller_connections import (
-    CallerConnection,
-    ListenerSettings,
-    refuse_generically,
-)
+from pumicedeck.caller_connections import CallerConnection
 from pumicedeck.clocks import TimerQueue
 from pumicedeck.incoming_calls import IncomingCall
+from pumicedeck.listener_settings import ListenerSettings, refuse_generically
 from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.results import Failure
 from pumicedeck.socket_options import limit_unsent_bytes, set_acknowledgement_timeout
--- a/pumicedeck/tests/test_http_listeners.py
+++ b/pumicedeck/tests/test_http_listeners.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from pumicedeck.caller_connections import ListenerSettings
 from pumicedeck.http_listeners import HttpListener
+from pumicedeck.listener_settings import ListenerSettings
 from pumicedeck.tests.loop_harnesses import LoopHarness
 from pumicedeck.topology import Address
 
