Keep memory for answers, and for a gateway's own calls, whatever clients hold

Cause: requests that run are never given up, so that two large uploads at a slow endpoint left no room for answers of more than 64 KiB, neither those of other callers nor pages of the store. Found by reading the change.

Change: large requests leave 0.15 of the budget to answers; answers of the store, peers and the platform's API have a budget of their own, a tenth of the memory. The log says at the start how many connections and how much memory callers may have.

Result: test_large_requests_leave_room_for_the_answers_of_others; it failed without the share.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -31,6 +31,7 @@
     build_client_budget,
     build_decoding_check,
     build_listeners,
+    build_own_budget,
 )
 from pumicedeck.gateway_settings import GatewaySettings
 from pumicedeck.gateways import Gateway, GatewayParts, GatewayTimes
@@ -149,11 +150,12 @@
     home = FailureDomain(settings.failure_domain, settings.region)
     decisions = choose_decision_settings(settings.mechanisms)
     budget = build_client_budget(settings.machine, timers)
-    store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, budget).register(root)
+    own_budget = build_own_budget(settings.machine, timers)
+    store_client = HttpClient(timers, STORE_CLIENT_SETTINGS, own_budget).register(root)
     endpoint_client = HttpClient(timers, ENDPOINT_CLIENT_SETTINGS, budget).register(root)
     mirror = WorkMirror()
     path = StorePath()
-    relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS, budget).register(root)
+    relay_client = HttpClient(timers, RELAY_CLIENT_SETTINGS, own_budget).register(root)
     store = HttpPartitionedStore(
         RelayedStoreClient(
             store_client, relay_client, path, lambda: _relay_addresses(mirror, settings)
@@ -322,7 +324,7 @@
     peers = PeerQuestions(
         timers,
         store,
-        HttpClient(timers, PEER_CLIENT_SETTINGS, budget).register(root),
+        HttpClient(timers, PEER_CLIENT_SETTINGS, own_budget).register(root),
         mirror,
         PeerCheck(incarnation_prefix, decisions.peer_check),
         settings.vm,
@@ -350,7 +352,7 @@
             ),
             settings,
             PlatformUsageDialect(),
-            HttpClient(timers, CLOUD_CLIENT_SETTINGS, budget).register(root),
+            HttpClient(timers, CLOUD_CLIENT_SETTINGS, own_budget).register(root),
         )
     listeners = build_listeners(settings, root, timers, budget)
     if listeners.relay is not None:
--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -21,6 +21,9 @@
 # The rest is for the process itself, which takes up to 95 MB on machines of 180 MB.
 CLIENTS_SHARE_OF_MEMORY = 0.42
 SMALL_REQUESTS_SHARE = 0.2
+ANSWERS_SHARE = 0.15
+# Answers of the store, peers and the platform's API; no client may take their room.
+OWN_CALLS_SHARE_OF_MEMORY = 0.1
 USABLE_SHARE_OF_MEMORY = 0.92
 # Files and the listening sockets; the rest is for callers and for the gateway's own connections.
 RESERVED_DESCRIPTORS = 200
@@ -34,12 +37,22 @@
 def build_client_budget(machine: MachineSettings, timers: TimerQueue) -> MemoryBudget:
     """Return the budget for all that a gateway on a machine holds for its clients.
 
-    The largest body fits beside what is kept free for small requests, if the machine allows that.
+    The largest body fits beside what is kept free, if the machine allows that.
     """
     limit_bytes = int(machine.memory_megabytes * MIB * CLIENTS_SHARE_OF_MEMORY)
     largest_bytes = ListenerSettings().body_bytes + MIB
-    reserve_share = max(0.0, min(SMALL_REQUESTS_SHARE, 1.0 - largest_bytes / limit_bytes))
-    return MemoryBudget(limit_bytes, timers.now, BudgetSettings(reserve_share=reserve_share))
+    free_share = max(0.0, 1.0 - largest_bytes / limit_bytes)
+    settings = BudgetSettings(
+        reserve_share=min(SMALL_REQUESTS_SHARE, free_share / 2),
+        answer_share=min(ANSWERS_SHARE, free_share / 2),
+    )
+    return MemoryBudget(limit_bytes, timers.now, settings)
+
+
+def build_own_budget(machine: MachineSettings, timers: TimerQueue) -> MemoryBudget:
+    """Return the budget for the answers to a gateway's own calls."""
+    limit_bytes = int(machine.memory_megabytes * MIB * OWN_CALLS_SHARE_OF_MEMORY)
+    return MemoryBudget(limit_bytes, timers.now)
 
 
 def build_decoding_check(machine: MachineSettings) -> Callable[[bytes], Failure | None]:
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -212,7 +212,12 @@
         parts.stream_records.start()
         spawn(self._watch_readiness(), "gateway watch")
         spawn(self._log_resource_usage(), "gateway figures")
-        _log.info("started", callers=str(parts.callers.address))
+        _log.info(
+            "started",
+            callers=str(parts.callers.address),
+            max_connections=parts.callers.settings.connections,
+            client_memory=parts.callers.budget.limit_bytes,
+        )
 
     def drain(self) -> None:
         """Become unready; call `finish` once open calls have ended or time has run out."""
--- a/pumicedeck/memory_budgets.py
+++ b/pumicedeck/memory_budgets.py
@@ -31,6 +31,9 @@
     UNSENT = "unsent"
 
 
+_REQUEST_KINDS = (HolderKind.RECEIVING, HolderKind.RUNNING, HolderKind.AHEAD)
+
+
 @dataclass(slots=True, eq=False)
 class MemoryHolder:
     """Bytes that are held for one client; `give_up` releases them and ends what they belong to.
@@ -50,12 +53,14 @@
     """Sizes in bytes, times in seconds.
 
     Holders of up to `small_bytes` may use the whole budget, all larger ones together leave
-    `reserve_share` of it free. A client that has moved no byte for `stall_seconds` is given up for
+    `reserve_share` of it free, and larger requests leave `answer_share` free as well, so that what
+    has run can be answered. A client that has moved no byte for `stall_seconds` is given up for
     any other; one that moves only for a request of less than 1 / `size_factor` of its size.
     """
 
     small_bytes: int = 64 * KIB
     reserve_share: float = 0.25
+    answer_share: float = 0.0
     stall_seconds: float = 2.0
     size_factor: float = 2.0
 
@@ -76,6 +81,7 @@
         self._holders: dict[MemoryHolder, None] = {}
         self._held_bytes = 0
         self._large_bytes = 0
+        self._large_request_bytes = 0
         self._given_up: Counter[str] = Counter()
         self._refused: Counter[str] = Counter()
 
@@ -149,14 +155,21 @@
         if not self._is_large(holder, held_bytes):
             return True
         counted = holder.held_bytes if self._is_large(holder, holder.held_bytes) else 0
-        large_limit_bytes = self._limit_bytes * (1.0 - self._settings.reserve_share)
-        return self._large_bytes - counted + held_bytes <= large_limit_bytes
+        growth = held_bytes - counted
+        share = 1.0 - self._settings.reserve_share
+        if self._large_bytes + growth > self._limit_bytes * share:
+            return False
+        if holder.kind not in _REQUEST_KINDS:
+            return True
+        share -= self._settings.answer_share
+        return self._large_request_bytes + growth <= self._limit_bytes * share
 
     def _count(self, holder: MemoryHolder, held_bytes: int) -> None:
-        if self._is_large(holder, holder.held_bytes):
-            self._large_bytes -= holder.held_bytes
-        if self._is_large(holder, held_bytes):
-            self._large_bytes += held_bytes
+        counted = holder.held_bytes if self._is_large(holder, holder.held_bytes) else 0
+        growth = (held_bytes if self._is_large(holder, held_bytes) else 0) - counted
+        self._large_bytes += growth
+        if holder.kind in _REQUEST_KINDS:
+            self._large_request_bytes += growth
         self._held_bytes += held_bytes - holder.held_bytes
         holder.held_bytes = held_bytes
         if held_bytes:
--- a/pumicedeck/tests/test_memory_budgets.py
+++ b/pumicedeck/tests/test_memory_budgets.py
@@ -7,17 +7,17 @@
 import pytest
 
 from pumicedeck.http_messages import KIB, MIB
-from pumicedeck.memory_budgets import HolderKind, MemoryBudget, MemoryHolder
+from pumicedeck.memory_budgets import BudgetSettings, HolderKind, MemoryBudget, MemoryHolder
 
 LIMIT_BYTES = 40 * MIB
 STALL_SECONDS = 2.0
 
 
 class BudgetFixture:
-    def __init__(self, limit_bytes=LIMIT_BYTES):
+    def __init__(self, limit_bytes=LIMIT_BYTES, settings=None):
         self.now = 100.0
         self.given_up = []
-        self.budget = MemoryBudget(limit_bytes, lambda: self.now)
+        self.budget = MemoryBudget(limit_bytes, lambda: self.now, settings)
 
     def holder(self, name, kind=HolderKind.RECEIVING):
         created = MemoryHolder(kind, lambda: self.given_up.append(name))
@@ -85,6 +85,14 @@
     assert fixture.given_up == []
 
 
+def test_large_requests_leave_room_for_the_answers_of_others():
+    fixture = BudgetFixture(settings=BudgetSettings(reserve_share=0.2, answer_share=0.15))
+    running = [fixture.hold(number, 5 * MIB, HolderKind.RUNNING) for number in range(8)]
+    assert sum(each is not None for each in running) == 5
+    assert fixture.hold("answer", 6 * MIB, HolderKind.ANSWER) is not None
+    assert fixture.given_up == []
+
+
 def test_an_answer_takes_the_room_of_requests_that_have_not_run(fixture):
     fixture.hold("upload", 30 * MIB)
     assert fixture.hold("answer", 20 * MIB, HolderKind.UNSENT) is not None
