Read on once requests sent ahead were served

What callers saw: a connection on which reading had stopped, behind a request that then used up all that was read, was not read again, until it was closed as idle. Found by reading the change.

Cause: reading went on only when the parser asked for more bytes, which it does not at the end of a request; bytes sent ahead stayed counted likewise.

Change: what waits behind a request is counted anew whenever one was parsed; without any, reading goes on. A caller that has not read yet counts as moving from its answer's beginning.

Result: test_reading_goes_on_once_requests_sent_ahead_were_served fails before and passes; five more tests of the listener (408, 503 by the head, slow bodies, unread answers, full listeners).

--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -12,7 +12,7 @@
 
 from pumicedeck.http_documents import encode_failure
 from pumicedeck.http_messages import KIB
-from pumicedeck.incoming_calls import Headers, IncomingCall
+from pumicedeck.incoming_calls import Headers, IncomingCall, declared_length, header_bytes
 from pumicedeck.listener_settings import (
     BODY_TOO_LARGE,
     HEADER_TOO_LARGE,
@@ -37,7 +37,6 @@
 _REQUESTS_PER_TURN = 16
 _EVENTS_PER_TURN = 512
 _COPIED_BYTES = 64 * KIB
-_HEADER_OVERHEAD_BYTES = 4  # ": " and the line end
 # Linger on, for 0 s: unsent bytes are discarded and the other side gets a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -115,7 +114,7 @@
         self._budget.record_movement(self._received)
         if self._must_wait:
             self._parser.receive_data(data)
-            self._hold_ahead(len(data))
+            self._hold_ahead(self._ahead_bytes + len(data))
             return
         self._partial_bytes += len(data)
         self._parse(data)
@@ -223,8 +222,7 @@
         finally:
             self._is_parsing = False
         if self._open and not self._closing and self._must_wait:
-            self._ahead_bytes = len(self._parser.trailing_data[0])
-            self._hold_ahead(0)
+            self._hold_ahead(len(self._parser.trailing_data[0]))
 
     def _parse_events(self) -> None:
         """Handle parsed parts of requests until one is forwarded or more bytes are needed."""
@@ -254,9 +252,7 @@
 
     def _await_data(self) -> None:
         """Wait for more bytes of a request, all received ones being parsed."""
-        self._ahead_bytes = 0
-        self._budget.release(self._ahead)
-        self._resume_reading()
+        self._hold_ahead(0)
         if self._parser.they_are_waiting_for_100_continue:
             self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             self._unsent.append(_CONTINUE_RESPONSE)
@@ -269,10 +265,10 @@
         self._head = head
         self._body = bytearray()
         self._declared_bytes = 0
-        if _header_bytes(head) > self._settings.header_bytes:
+        if header_bytes(head) > self._settings.header_bytes:
             self._reject(HEADER_TOO_LARGE, 431)
             return False
-        self._declared_bytes = _declared_length(head)
+        self._declared_bytes = declared_length(head)
         if self._declared_bytes > self._settings.body_bytes:
             self._reject(BODY_TOO_LARGE)
             return False
@@ -301,13 +297,14 @@
         return False
 
     def _hold_ahead(self, count: int) -> None:
-        """Count bytes of requests that wait behind another; stop reading if they are many."""
-        self._ahead_bytes += count
-        held_bytes = self._ahead_bytes
-        if self._ahead_bytes > self._settings.max_ahead_bytes:
+        """Count the bytes that wait behind a request; read on only if they are few."""
+        self._ahead_bytes = held_bytes = count
+        if count > self._settings.max_ahead_bytes:
             held_bytes += _PAUSED_RECEIVE_BYTES
             self._pause_reading()
-        if held_bytes and not self._budget.hold(self._ahead, held_bytes) and self._open:
+        elif not count:
+            self._resume_reading()
+        if not self._budget.hold(self._ahead, held_bytes) and self._open:
             _log.info("no memory left for requests sent ahead; connection closed", held=held_bytes)
             self._reset()
 
@@ -467,7 +464,7 @@
 
     def _hold_unsent(self, has_moved: bool) -> None:
         """Count the bytes that wait for the caller, also those in the kernel's send buffer."""
-        if has_moved:
+        if has_moved or not self._waiting.held_bytes:
             self._budget.record_movement(self._waiting)
         held_bytes = self._unsent.held_bytes + UNSENT_KERNEL_BYTES if self._unsent else 0
         if not self._budget.hold(self._waiting, held_bytes) and self._open:
@@ -492,15 +489,3 @@
             self._reset()
         else:
             self.close()
-
-
-def _header_bytes(head: h11.Request) -> int:
-    """Return the size of the header lines and the target, as limited by `header_bytes`."""
-    headers = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
-    return headers + len(head.target)
-
-
-def _declared_length(head: h11.Request) -> int:
-    """Return the length of the body that a head declares, 0 without one."""
-    # h11 accepts one Content-Length of at most 20 digits.
-    return int(next((value for name, value in head.headers if name == b"content-length"), b"0"))
--- a/pumicedeck/incoming_calls.py
+++ b/pumicedeck/incoming_calls.py
@@ -7,6 +7,7 @@
 
 CALLER_DISCONNECTED = "caller left"
 RESPONSE_ABORTED = "broken off"
+_HEADER_OVERHEAD_BYTES = 4  # ": " and the line end
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -133,3 +134,15 @@
         self.on_end = lambda outcome: None
         self.on_caller_disconnected = lambda: None
         on_end(outcome)
+
+
+def header_bytes(head: h11.Request) -> int:
+    """Return the size of the header lines and the target, as limited by `header_bytes`."""
+    headers = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in head.headers)
+    return headers + len(head.target)
+
+
+def declared_length(head: h11.Request) -> int:
+    """Return the length of the body that a head declares, 0 without one."""
+    # h11 accepts one Content-Length of at most 20 digits.
+    return int(next((value for name, value in head.headers if name == b"content-length"), b"0"))
--- a/pumicedeck/tests/test_http_listeners.py
+++ b/pumicedeck/tests/test_http_listeners.py
@@ -6,6 +6,7 @@
 
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.listener_settings import ListenerSettings
+from pumicedeck.memory_budgets import MemoryBudget
 from pumicedeck.tests.loop_harnesses import LoopHarness
 from pumicedeck.topology import Address
 
@@ -15,11 +16,11 @@
 class ListenerHarness:
     """A listener that records its calls, and sockets that connect to it."""
 
-    def __init__(self):
+    def __init__(self, settings=SETTINGS):
         self.loop = LoopHarness()
         self.calls = []
         self.listener = HttpListener(
-            Address("127.0.0.1", 0), self.loop.timers, self.calls.append, SETTINGS
+            Address("127.0.0.1", 0), self.loop.timers, self.calls.append, settings
         ).register(self.loop)
         self.listener.start()
         self.socks = []
@@ -236,3 +237,89 @@
         harness.loop.advance(2.0)
         read_some(harness, sock, 100_000)
     assert harness.listener.connections == 0
+
+
+def test_reading_goes_on_once_requests_sent_ahead_were_served():
+    # Reading had stopped behind a request that then used up all that was read.
+    harness = ListenerHarness(ListenerSettings())
+    sock = harness.connect()
+    size = 2 * harness.listener.settings.max_ahead_bytes - 1000
+    harness.send(sock, b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+    head = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    harness.send(sock, head + b"x" * size)
+    assert harness.listener.budget.held_by_kind["ahead"] > harness.listener.settings.max_ahead_bytes
+    for number in range(2):
+        harness.calls[number].answer(200, (), b"")
+        harness.loop.advance(0.1)
+    harness.send(sock, b"GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert [call.target for call in harness.calls] == ["/1", "/2", "/3"]
+    assert harness.listener.budget.held_by_kind["ahead"] == 0
+    harness.close()
+
+
+def test_requests_sent_ahead_wait_until_their_caller_reads_the_answers():
+    # Each request is answered at once; the answers piled up while nobody read them.
+    harness = ListenerHarness(ListenerSettings())
+    harness.listener.handle = lambda call: call.answer(200, (), b"x" * 20_000)
+    sock = harness.connect()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    harness.send(sock, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 200)
+    harness.loop.advance(1.0)
+    held = harness.listener.budget.held_by_kind
+    assert 0 < held["unsent"] < 400_000
+    received = bytearray()
+
+    def has_all_answers():
+        received.extend(read_some(harness, sock, 100_000)[0])
+        return received.count(b"HTTP/1.1 200") == 200
+
+    harness.loop.until(has_all_answers)
+    harness.close()
+
+
+def test_a_body_that_stalls_is_refused_as_not_run_and_the_refusal_can_be_read(harness):
+    sock = harness.connect()
+    harness.send(sock, b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + b"x" * 999)
+    harness.loop.advance(SETTINGS.header_seconds + 0.1)
+    answer = harness.received(sock)
+    assert answer.startswith(b"HTTP/1.1 408") and b'"code": 405' in answer
+    assert b"onnection: close" in answer and harness.calls == []
+
+
+def test_a_body_without_room_is_refused_by_its_head_and_discarded(harness):
+    harness.listener.budget = MemoryBudget(9000, harness.loop.timers.now)
+    sock = harness.connect()
+    harness.send(sock, b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1500\r\n\r\n")
+    for _ in range(15):
+        harness.loop.advance(0.9 * SETTINGS.linger_seconds)
+        harness.send(sock, b"x" * 100)
+    answer = harness.received(sock)
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 1.000" in answer
+    assert b'"code": 200' in answer and harness.calls == []
+
+
+def test_a_slow_body_that_brings_bytes_is_complete_in_the_end():
+    harness = ListenerHarness(ListenerSettings(header_seconds=2.0, body_bytes_per_second=100))
+    slow, too_slow = harness.connect(), harness.connect()
+    for sock in (slow, too_slow):
+        harness.send(sock, b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")
+    for _ in range(10):
+        harness.loop.advance(1.0)
+        harness.send(slow, b"x" * 100)
+        if not harness.received(too_slow):
+            harness.send(too_slow, b"x")
+    assert [len(call.body) for call in harness.calls] == [1000]
+    harness.close()
+
+
+def test_connections_that_sent_nothing_for_longest_make_room_for_new_ones():
+    harness = ListenerHarness(ListenerSettings(connections=3))
+    busy, oldest, idle = (harness.connect() for _ in range(3))
+    harness.send(busy, b"GET /busy HTTP/1.1\r\nHost: h\r\n\r\n")
+    harness.loop.advance(0.5)
+    harness.send(idle, b"G")
+    new = harness.connect()
+    harness.send(new, b"GET /new HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert [call.target for call in harness.calls] == ["/busy", "/new"]
+    assert harness.received(oldest) == b"<closed>" and harness.received(idle) == b""
+    harness.close()
