Count the heads of requests in the budget

Cause: a head of up to 16 KiB is held by the parser, the call and the request to an endpoint, on each connection, and was not counted. Change: four times the size of the head counts until its request is answered.

--- a/pumicedeck/caller_connections.py
+++ b/pumicedeck/caller_connections.py
@@ -30,6 +30,8 @@
 _READ_BYTES = 65536
 # A connection's objects without any request.
 _CONNECTION_BYTES = 8 * KIB
+# Of the parser, the call, and the request to an endpoint.
+_COPIES_OF_HEAD = 4
 # A connection that is not read gets a small receive buffer; one that is read again a larger one.
 _PAUSED_RECEIVE_BYTES = 64 * KIB
 _RESUMED_RECEIVE_BYTES = 512 * KIB
@@ -62,6 +64,7 @@
         # One buffer that is passed on without a copy; parts would be held twice when joined.
         self._body = bytearray()
         self._body_started_at = 0.0
+        self._base_bytes = _CONNECTION_BYTES
         self._declared_bytes = 0
         self._partial_bytes = 0
         self._ahead_bytes = 0
@@ -94,7 +97,7 @@
 
     def open(self) -> bool:
         """Count the connection in the budget; return whether there is room for it."""
-        return self._budget.hold(self._received, _CONNECTION_BYTES)
+        return self._budget.hold(self._received, self._base_bytes)
 
     def on_readable(self) -> None:
         """Read and parse the bytes that arrived."""
@@ -265,16 +268,18 @@
         self._head = head
         self._body = bytearray()
         self._declared_bytes = 0
-        if header_bytes(head) > self._settings.header_bytes:
+        head_bytes = header_bytes(head)
+        if head_bytes > self._settings.header_bytes:
             self._reject(HEADER_TOO_LARGE, 431)
             return False
+        self._base_bytes = _CONNECTION_BYTES + _COPIES_OF_HEAD * head_bytes
         self._declared_bytes = declared_length(head)
         if self._declared_bytes > self._settings.body_bytes:
             self._reject(BODY_TOO_LARGE)
             return False
         self._body_started_at = self._listener.timers.now()
         self._deadline.set(self._settings.header_seconds)
-        return not self._declared_bytes or self._hold_request(self._declared_bytes)
+        return self._hold_request(self._declared_bytes)
 
     def _add_body_part(self, data: bytes) -> bool:
         """Add received bytes to the body; return whether more may follow."""
@@ -290,7 +295,7 @@
 
     def _hold_request(self, count: int) -> bool:
         """Count the bytes of the request that is received; refuse it if there is no room."""
-        if self._budget.hold(self._received, _CONNECTION_BYTES + count):
+        if self._budget.hold(self._received, self._base_bytes + count):
             return True
         if self._open and not self._closing:
             self._give_up_request()
@@ -361,7 +366,8 @@
             return
         self._call = None
         self._received.kind = HolderKind.RECEIVING
-        self._budget.hold(self._received, _CONNECTION_BYTES)
+        self._base_bytes = _CONNECTION_BYTES
+        self._budget.hold(self._received, self._base_bytes)
         if self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE:
             self._parser.start_next_cycle()
             self._deadline.set(self._settings.idle_seconds)
