--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pumicedeck.gateway_compositions import build_gateway
-from pumicedeck.gateway_settings import GatewaySettings, StoreSettings
+from pumicedeck.gateway_settings import GatewaySettings, MachineSettings, StoreSettings
 from pumicedeck.gateways import lease_extra_acquisition_delay_seconds
 from pumicedeck.http_listeners import HttpListener
 from pumicedeck.partitioned_stores import Change, Put, RowKey
@@ -109,6 +109,8 @@
             callers=Address(LOCAL, 0),
             readiness=Address(LOCAL, 0),
             store=StoreSettings(address=self.store.address),
+            # The memory that is free is read off this process, which runs all tests of a part.
+            machine=MachineSettings(memory_megabytes=8192),
             metrics_port=metrics_port,
         )
 
