Run the tests in nine parts

Cause: the tests of client crowds take 131 s before the parts, and the two longest files of the others (100 and 143 s beside load) were in one part.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-PARTS := 1 2 3 4 5 6 7 8
+PARTS := 1 2 3 4 5 6 7 8 9
 
 .PHONY: setup format lint check test test-crowds demo
 
