Use the field's terms for misbehaving clients; allow an unlimited number of descriptors

A process without a limit on descriptors reads it as -1, and would have accepted one connection. Found by reading the change.

--- a/pumicedeck/gateway_listeners.py
+++ b/pumicedeck/gateway_listeners.py
@@ -73,8 +73,11 @@
 def caller_settings(machine: MachineSettings) -> ListenerSettings:
     """Return the limits of callers' connections on a machine."""
     defaults = ListenerSettings()
+    descriptors = machine.descriptors
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    free = min(machine.descriptors, soft_limit) - RESERVED_DESCRIPTORS
+    if soft_limit != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, soft_limit)
+    free = descriptors - RESERVED_DESCRIPTORS
     connections = max(1, int(free * CALLERS_SHARE_OF_DESCRIPTORS))
     return ListenerSettings(connections=min(defaults.connections, connections))
 
--- a/pumicedeck/memory_budgets.py
+++ b/pumicedeck/memory_budgets.py
@@ -1,7 +1,7 @@
 """Limits the memory that a process holds for its clients; free of I/O.
 
-The load is clients that take a process out of memory together, each within the limits of a single
-one: many large bodies at once, whole or kept short of their end, requests sent ahead, and long
+The load is clients that exhaust the memory of a process together, each within the limits of one:
+many large bodies at once, whole or kept short of their end, requests sent ahead, and long
 answers that nobody reads. All that is held for them is counted in one budget. When it is short,
 the holder that has most and moves least is given up, a part of the budget stays free for small
 requests, and a request that has run is never given up for one that has not.
--- a/pumicedeck/tests/crowd_fixtures.py
+++ b/pumicedeck/tests/crowd_fixtures.py
@@ -1,4 +1,4 @@
-"""Processes under test and the clients that press on them, for the tests of client crowds."""
+"""Processes under test and many misbehaving clients, for the tests of client crowds."""
 
 import json
 import os
@@ -124,7 +124,7 @@
         for client in self.clients:
             client.connect(address)
 
-    def press(self, observe=lambda: None) -> None:
+    def run(self, observe=lambda: None) -> None:
         """Serve all clients until no byte has moved for some time; call `observe` meanwhile."""
         started = moved_at = time.monotonic()
         with selectors.DefaultSelector() as selector:
@@ -275,11 +275,11 @@
         self._standins.stdout.close()
 
 
-def press(under_test, address: Address, clients: Iterable[CrowdClient]) -> Crowd:
-    """Let clients press on a listener; check the process while they are there and afterwards."""
+def run_crowd(under_test, address: Address, clients: Iterable[CrowdClient]) -> Crowd:
+    """Connect clients to a listener; check the process while they are there and afterwards."""
     crowd = Crowd(address, clients)
     try:
-        crowd.press(under_test.memory.observe)
+        crowd.run(under_test.memory.observe)
         under_test.check()
     finally:
         crowd.close()
--- a/pumicedeck/tests/test_client_crowds.py
+++ b/pumicedeck/tests/test_client_crowds.py
@@ -1,4 +1,4 @@
-"""Clients that don't behave end no gateway: it stays within its machine and goes on serving.
+"""Misbehaving clients end no gateway: it stays within its machine and goes on serving.
 
 A gateway ran out of memory under many large bodies at once, whole or kept short of their end, under
 requests sent ahead whose answers nobody read, under long answers that many clients read slowly, and
@@ -19,9 +19,9 @@
     GatewayUnderTest,
     ask,
     pieces,
-    press,
     raise_descriptor_limit,
     request_head,
+    run_crowd,
 )
 
 pytestmark = pytest.mark.crowd
@@ -78,7 +78,7 @@
 
 
 def test_many_large_bodies_at_once(gateway):
-    crowd = press(
+    crowd = run_crowd(
         gateway,
         gateway.callers,
         (body_client(n, LARGE_BODY_BYTES, LARGE_BODY_BYTES, MIB) for n in range(8)),
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize("piece_bytes", [LARGE_BODY_BYTES, PIECE_BYTES])
 def test_large_bodies_kept_short_of_their_end(gateway, piece_bytes):
-    crowd = press(
+    crowd = run_crowd(
         gateway,
         gateway.callers,
         (body_client(n, LARGE_BODY_BYTES, LARGE_BODY_BYTES - 1, piece_bytes) for n in range(6)),
@@ -99,12 +99,14 @@
 
 
 def test_large_bodies_in_chunks_kept_short_of_their_end(gateway):
-    crowd = press(gateway, gateway.callers, (chunked_client(n, LARGE_BODY_BYTES) for n in range(6)))
+    crowd = run_crowd(
+        gateway, gateway.callers, (chunked_client(n, LARGE_BODY_BYTES) for n in range(6))
+    )
     check_refusals(gateway, crowd)
 
 
 def test_many_medium_bodies_kept_short_of_their_end(gateway):
-    crowd = press(
+    crowd = run_crowd(
         gateway,
         gateway.callers,
         (body_client(n, 500_000, 499_999, PIECE_BYTES) for n in range(200)),
@@ -116,7 +118,7 @@
     # The first one takes seconds, so that all others wait behind it.
     first = request_head("/once/slow", "crowd", 0)
     bare = b"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (CrowdClient(repeated(first, bare, 17 * MIB // len(bare)), reads=False) for _ in range(8)),
@@ -129,7 +131,7 @@
         request_head("/none/x", "crowd", 0),
         b"GET /lots/x HTTP/1.1\r\nHost: h\r\n\r\n",
     )
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (
@@ -142,7 +144,7 @@
 def test_large_requests_sent_ahead(gateway):
     whole = request_head("/safe/x", "crowd", MIB) + bytes(MIB)
     first = request_head("/safe/slow", "crowd", 0)
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (
@@ -158,7 +160,7 @@
 
 @pytest.mark.parametrize("reads", [False, True])
 def test_long_streams_read_slowly(gateway, reads):
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (slow_reader(n, f"/stream/{12 * MIB}", reads) for n in range(24)),
@@ -167,7 +169,7 @@
 
 @pytest.mark.parametrize("reads", [False, True])
 def test_large_answers_read_slowly(gateway, reads):
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (slow_reader(n, "/safe/8000000", reads) for n in range(40)),
@@ -188,14 +190,14 @@
     first, repeat, last = SMALL_VALUES[kind]
     body = first + repeat * (24 * MIB // len(repeat)) + last
     head = request_head("/drafts/x", "crowd-0", len(body))
-    crowd = press(gateway, gateway.callers, [CrowdClient([head, body])])
+    crowd = run_crowd(gateway, gateway.callers, [CrowdClient([head, body])])
     assert crowd.clients[0].status in (400, *REFUSALS)
 
 
 @pytest.mark.parametrize("sent", [b"", b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 15000])
 def test_more_connections_than_descriptors(gateway, sent):
     raise_descriptor_limit(1000)
-    press(gateway, gateway.callers, (CrowdClient([sent]) for _ in range(600)))
+    run_crowd(gateway, gateway.callers, (CrowdClient([sent]) for _ in range(600)))
 
 
 LISTENERS = ("readiness", "metrics", "relay")
@@ -203,7 +205,7 @@
 
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_large_bodies_at_the_other_listeners(gateway, listener):
-    press(
+    run_crowd(
         gateway,
         getattr(gateway, listener),
         (body_client(n, LARGE_BODY_BYTES, LARGE_BODY_BYTES - 1, MIB) for n in range(6)),
@@ -213,7 +215,7 @@
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_requests_sent_ahead_at_the_other_listeners(gateway, listener):
     request = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
-    press(
+    run_crowd(
         gateway,
         getattr(gateway, listener),
         (CrowdClient(repeated(b"", request, 100_000), reads=False) for _ in range(8)),
@@ -232,7 +234,7 @@
         lambda n: slow_reader(n, "/safe/8000000", True),
         lambda n: CrowdClient([b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 15000]),
     )
-    press(
+    run_crowd(
         gateway,
         gateway.callers,
         (kind(n) for n, kind in enumerate(kind for kind in kinds for _ in range(5))),
@@ -246,7 +248,7 @@
         client = body_client(0, LARGEST_BODY_BYTES, LARGEST_BODY_BYTES, MIB, path)
     else:
         client = chunked_client(0, LARGEST_BODY_BYTES, b"0\r\n\r\n", path)
-    crowd = press(deployed_gateway, deployed_gateway.callers, [client])
+    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [client])
     assert crowd.clients[0].status == 200
 
 
@@ -269,5 +271,5 @@
     ]
     body = json.dumps({"step": 1, "model": "m", "items": items}).encode()
     head = request_head("/drafts/", "crowd-0", len(body))
-    crowd = press(deployed_gateway, deployed_gateway.callers, [CrowdClient([head, body])])
+    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [CrowdClient([head, body])])
     assert crowd.clients[0].status == 202
--- a/pumicedeck/tests/test_client_crowds_at_entries.py
+++ b/pumicedeck/tests/test_client_crowds_at_entries.py
@@ -1,4 +1,4 @@
-"""Clients that don't behave end no entry: it stays within its machine and goes on serving.
+"""Misbehaving clients end no entry: it stays within its machine and goes on serving.
 
 An entry holds the bodies that callers and operators send, and limits each one but not all of them.
 Each test starts processes, so that these tests run one at a time, apart from the others.
@@ -7,7 +7,7 @@
 import pytest
 
 from pumicedeck.http_messages import KIB, MIB
-from pumicedeck.tests.crowd_fixtures import CrowdClient, EntryUnderTest, press
+from pumicedeck.tests.crowd_fixtures import CrowdClient, EntryUnderTest, run_crowd
 from pumicedeck.tests.test_client_crowds import body_client, repeated
 
 pytestmark = pytest.mark.crowd
@@ -28,7 +28,7 @@
 @pytest.mark.parametrize("listener", LISTENERS)
 @pytest.mark.parametrize("missing_bytes", [0, 1])
 def test_many_large_bodies_at_once(entry, listener, missing_bytes):
-    press(
+    run_crowd(
         entry,
         getattr(entry, listener),
         (
@@ -41,7 +41,7 @@
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_requests_sent_ahead(entry, listener):
     bare = b"POST /v1/entries HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-    press(
+    run_crowd(
         entry,
         getattr(entry, listener),
         (CrowdClient(repeated(b"", bare, 8 * MIB // len(bare)), reads=False) for _ in range(12)),
--- a/pumicedeck/tests/test_memory_budgets.py
+++ b/pumicedeck/tests/test_memory_budgets.py
@@ -1,7 +1,7 @@
 """A budget for all that clients hold: who gets room, and who gives up its own when it is short.
 
-Guards against clients that took a process out of memory together while each was within the limits
-of one: nothing added up what all of them held.
+Guards against clients that exhausted the memory of a process together while each was within the
+limits of one: nothing added up what all of them held.
 """
 
 import pytest
