Log the routes that decided that an item is given up

Cause: 'item given up' named a missing route, but not by which version of the routes it was missing, nor how old that version was. A route that an operator has removed and one that the scheduler has not heard of yet looked the same.

Change: 'item given up' has routes_version and routes_age (the seconds since the store was last asked for newer routes), 'submission accepted' the routes_version that it was accepted under.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -227,6 +227,7 @@
             ),
             limiter=limiter,
             routes=lambda: gateway.routes,
+            routes_complete_as_of=lambda: operator_feed.complete_as_of,
             announced_versions=announced_versions,
             holder=settings.vm,
             home=home,
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -282,9 +282,8 @@
         call, route = identified.ok_value
         self._open_calls[incoming] = call
         if route.kind is RouteKind.SUBMISSION:
-            has_accounts = self._routes.accounts is not None
             spawn(
-                self._submissions.accept(incoming, call, route, has_accounts),
+                self._submissions.accept(incoming, call, route, self._routes),
                 f"submission {call.request_id}",
                 lambda: self._parts.forwarder.fail(incoming, call),
             )
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -20,7 +20,7 @@
 )
 from pumicedeck.incoming_calls import IncomingCall
 from pumicedeck.results import Failure, ResultCode
-from pumicedeck.route_tables import Route
+from pumicedeck.route_tables import Route, RouteTable
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.submission_intakes import NO_SUBMISSION, SubmissionIntake
 from pumicedeck.submissions import Submission
@@ -59,15 +59,13 @@
         self._check_decoding = check_decoding
 
     async def accept(
-        self, incoming: IncomingCall, call: ForwardedCall, route: Route, has_accounts: bool
+        self, incoming: IncomingCall, call: ForwardedCall, route: Route, routes: RouteTable
     ) -> None:
-        """Store a new submission and answer once it is kept.
-
-        `has_accounts` says whether client accounts are configured.
-        """
+        """Store a new submission that came by a route of `routes`, and answer once it is kept."""
         if not self._clock.is_set:
             self._refuse(incoming, call, NOT_READY)
             return
+        has_accounts = routes.accounts is not None
         accepted = self._clock.now()
         decoded = self._decode(call, route.name, accepted, has_accounts)
         if isinstance(decoded, Err):
@@ -84,6 +82,7 @@
             **head.log_fields,
             step=head.step,
             items=head.total,
+            routes_version=routes.version,
             seconds=round(self._timers.now() - incoming.arrived_at, 3),
         )
         incoming.answer(202, JSON_TYPE, b"{}")
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -274,6 +274,7 @@
                     name,
                 ),
                 routes=lambda: simulation.routes,
+                routes_complete_as_of=timers.now,
                 announced_versions=self.announced,
                 holder=name,
                 home=HOME,
--- a/pumicedeck/tests/test_scheduler_passes.py
+++ b/pumicedeck/tests/test_scheduler_passes.py
@@ -90,6 +90,7 @@
             clock=StoreClock(self.timers),
             directory=self.directory,
             routes=lambda: table,
+            routes_complete_as_of=self.timers.now,
             announced_versions={"m0": 3},
             holder="x",
             home=HOME,
