Give items up only by routes that are as new as their submission

Callers saw a submission that was answered 202 listed as given up at once, all 24 of 24 items, though none had reached an engine and its route was in force. A listed result is final, so the step was lost.

Cause: the scheduler receives submissions and routes by separate feeds. A route that was missing from its routes counted as removed, also when its feed of the routes was late and the route had been added since. One silent connection to the store delays that feed by 0.8 to 1.8 s.

Change: RouteFreshness compares when the scheduler first knew of a submission with when the newest read of the routes was sent. The store's answers are linearizable, so a read that is sent later includes the configuration under which the submission was accepted. Until then the submission is neither claimed nor given up, and the feed reads the newest changes at once by another connection (StoreFeed.read_soon). No row and no clock of another machine is involved, so that a step of a clock, an older process, a takeover and a restart do not matter.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -66,6 +66,7 @@
 from pumicedeck.scheduling.engine_orders import EngineOrders
 from pumicedeck.scheduling.length_estimates import LengthEstimates
 from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.route_freshness import RouteFreshness
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts
 from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.scheduling.submission_sweeps import SubmissionSweep, SweepSettings
@@ -227,7 +228,12 @@
             ),
             limiter=limiter,
             routes=lambda: gateway.routes,
-            routes_complete_as_of=lambda: operator_feed.complete_as_of,
+            freshness=RouteFreshness(
+                timers.now,
+                lambda: gateway.routes,
+                lambda: operator_feed.complete_as_of,
+                lambda: operator_feed.read_soon(),
+            ),
             announced_versions=announced_versions,
             holder=settings.vm,
             home=home,
@@ -272,6 +278,8 @@
                     _log.error("routes not installed", detail=decoded.err_value.detail)
                 else:
                     gateway.install_routes(decoded.ok_value)
+                    # Wakes the scheduler, which may have submissions that wait for their route.
+                    mirror.changed.notify()
             elif stored_row.row.key.startswith(VERSION_PREFIX):
                 model_and_version = decode_announced_version(stored_row.value)
                 if model_and_version is not None and model_and_version[1] > announced_versions.get(
--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -59,7 +59,7 @@
             reason=reason,
             attempts=item_work.attempts,
             errors=item_work.errors,
-            **self._parts.route_log_fields,
+            **self._parts.freshness.log_fields,
         )
         work.add_result(ItemResult(item_work.item.item_id, completed=False))
 
--- a/pumicedeck/scheduling/item_starts.py
+++ b/pumicedeck/scheduling/item_starts.py
@@ -92,10 +92,10 @@
         work = queue.work
         route = self._parts.route(work.head.route)
         if route is None:
-            self._endings.give_up_all(work, "the submission's route no longer exists")
+            self._give_up_if_current(work, "the submission's route no longer exists")
             return
         if now >= self._endings.give_up_at(work, route):
-            self._endings.give_up_all(work, "the submission's give-up time has passed")
+            self._give_up_if_current(work, "the submission's give-up time has passed")
             return
         complete = queue.apply_changes(route, self._fleet.serving_pools(route, work.head))
         is_in_order = queue.is_in_order
@@ -110,6 +110,11 @@
         deadline = item_deadline(self._parts, self._settings, work, route)
         sequence.add(queue, now, deadline, step_age < work.pace.max_wait_seconds)
 
+    def _give_up_if_current(self, work: SubmissionWork, reason: str) -> None:
+        """Give up a submission's items, unless newer routes may allow them to go on."""
+        if work.waiting and self._parts.freshness.covers(work.submission_id):
+            self._endings.give_up_all(work, reason)
+
     def _handle(self, cursor: LineCursor, item_id: str, outcome: StartOutcome, now: float) -> bool:
         """Start an item if an engine is free; return whether others of its line may follow."""
         work = cursor.queue.work
--- a/pumicedeck/scheduling/scheduler_parts.py
+++ b/pumicedeck/scheduling/scheduler_parts.py
@@ -15,6 +15,7 @@
 from pumicedeck.scheduling.item_queues import MoveSettings, QueueSettings
 from pumicedeck.scheduling.length_estimates import LengthEstimates
 from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.route_freshness import RouteFreshness
 from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
 from pumicedeck.scheduling.submission_sweeps import SubmissionSweep
 from pumicedeck.scheduling.weight_plans import WeightPlanSettings
@@ -63,11 +64,10 @@
 class SchedulerParts:
     """The collaborators of the scheduler.
 
-    `routes` returns None until routes were read; they contain every change that the store had
-    accepted by `routes_complete_as_of`, in seconds on the process's clock. `announced_versions`
-    has the newest announced weight version by model. `holder` is the name that goes into orders and
-    owner rows. `home` is the failure domain of this process. `may_claim` returns whether the lease
-    is held now.
+    `routes` returns None until routes were read; `freshness` says whether they are as new as a
+    submission. `announced_versions` has the newest announced weight version by model. `holder` is
+    the name that goes into orders and owner rows. `home` is the failure domain of this process.
+    `may_claim` returns whether the lease is held now.
     """
 
     timers: TimerQueue
@@ -80,7 +80,7 @@
     orders: EngineOrders
     limiter: RequestLimiter
     routes: Callable[[], RouteTable | None]
-    routes_complete_as_of: Callable[[], float]
+    freshness: RouteFreshness
     announced_versions: dict[str, int]
     holder: str
     home: FailureDomain
@@ -98,13 +98,3 @@
         """Return a route by its name, None if there is none."""
         routes = self.routes()
         return routes.find_named(name) if routes is not None else None
-
-    @property
-    def route_log_fields(self) -> dict[str, int | float | None]:
-        """Return the version and the age in seconds of the routes that a decision is based on."""
-        routes = self.routes()
-        age = self.timers.now() - self.routes_complete_as_of()
-        return {
-            "routes_version": routes.version if routes is not None else None,
-            "routes_age": round(age, 3),
-        }
--- a/pumicedeck/scheduling/schedulers.py
+++ b/pumicedeck/scheduling/schedulers.py
@@ -167,6 +167,7 @@
         for work in tuple(self._works.values()):
             work.close()
         self._works.clear()
+        self._parts.freshness.clear()
 
     async def hand_over(self) -> None:
         """Cancel all runs and store their outputs, from which the next scheduler continues."""
@@ -205,12 +206,18 @@
     def _apply_view(self, view: SubmissionView) -> None:
         """Drop a submission that ended or has another owner, or claim one without work here."""
         work = self._works.get(view.submission_id)
+        if view.is_open:
+            self._parts.freshness.record_submission(view.submission_id)
+        else:
+            self._parts.freshness.forget(view.submission_id)
         if work is not None and (view.ended or not view.is_open):
             self._drop(work, "ended" if view.ended else "all listed")
         elif work is not None and view.fencing > self._fencing:
             self._drop(work, "owned by a newer scheduler")
         elif work is None and self._may_adopt(view):
             route = self._parts.route(view.head.route)
+            if route is None and not self._parts.freshness.covers(view.submission_id):
+                return
             single_version = route is not None and route.single_version
             adoption = self._adoptions.adopt(view, self._fencing, single_version, self._accept)
             spawn(adoption, f"adopt {view.submission_id}")
--- a/pumicedeck/store_feeds.py
+++ b/pumicedeck/store_feeds.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from pumicedeck.clocks import TimerQueue
-from pumicedeck.partitioned_stores import PartitionedStore, StoredRow, read_partition
+from pumicedeck.partitioned_stores import Page, PartitionedStore, StoredRow, read_partition
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.tasks import Promise, Task, sleep, spawn
@@ -63,6 +63,7 @@
         self._round_trip_seconds = 0.0
         self._skipped = 0
         self._task: Task | None = None
+        self._extra_read: Task | None = None
 
     @property
     def table(self) -> str:
@@ -116,8 +117,38 @@
 
     def close(self) -> None:
         """Stop following the table."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._extra_read):
+            if task is not None:
+                task.cancel()
+
+    def read_soon(self) -> None:
+        """Read the newest changes at once, beside the call that waits for them.
+
+        The connection of the waiting call may have failed without a sign.
+        """
+        if self._extra_read is None and self._revision is not None:
+            task = spawn(self._read_extra(), f"read of {self._table}")
+            if not task.is_done:
+                self._extra_read = task
+
+    async def _read_extra(self) -> None:
+        try:
+            sent_at = self._timers.now()
+            outcome = await self._store.read_changes(self._table, self._revision, 0.0)
+            if isinstance(outcome, Ok):
+                # Without a revision the whole table is being read.
+                if self._revision is not None:
+                    self._apply_page(outcome.ok_value, sent_at, 0.0)
+                return
+            _log.debug(
+                "extra read of changes failed",
+                table=self._table,
+                code=outcome.err_value.code.name,
+                detail=outcome.err_value.detail,
+            )
+            await sleep(self._timers, self._settings.retry_seconds)
+        finally:
+            self._extra_read = None
 
     async def _follow(self) -> None:
         while True:
@@ -135,20 +166,26 @@
             await self._handle_failure(outcome.err_value)
             return
         page = outcome.ok_value
+        self._apply_page(page, sent_at, self._settings.wait_seconds)
+        if page.rows and not page.truncated:
+            await sleep(self._timers, self._settings.pause_seconds)
+
+    def _apply_page(self, page: Page, sent_at: float, wait_seconds: float) -> None:
+        """Pass on the changes of an answer to a call that waited up to `wait_seconds`."""
         self._record_answer(page.store_seconds, sent_at)
         if not page.truncated:
             answered_at = self._clock.to_local_seconds(page.store_seconds)
-            confirmed_at = min(answered_at, sent_at + self._settings.wait_seconds)
+            confirmed_at = min(answered_at, sent_at + wait_seconds)
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
-        if page.rows:
-            self._deliver(page.rows, False)
+        # Two calls may be under way; what the later one brought must not be replaced by older rows.
+        rows = tuple(row for row in page.rows if row.revision > self._revision)
+        if rows:
+            self._deliver(rows, False)
         if not page.truncated:
-            self._complete_as_of = sent_at
+            self._complete_as_of = max(self._complete_as_of, sent_at)
         # A truncated page covers the changes up to its last row only.
         newest_revision = page.rows[-1].revision if page.truncated and page.rows else page.revision
         self._revision = max(self._revision, newest_revision)
-        if page.rows and not page.truncated:
-            await sleep(self._timers, self._settings.pause_seconds)
 
     async def _read_all(self) -> None:
         """Read all rows of the table; the feed continues after the revision at the start."""
@@ -261,7 +298,7 @@
 
     def _record_answer(self, store_time_seconds: float, sent_at: float) -> None:
         self._clock.record_store_time(store_time_seconds)
-        self._last_contact_at = sent_at
+        self._last_contact_at = max(self._last_contact_at, sent_at)
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             _log.info("store regained", table=self._table, revision=self._revision)
--- a/pumicedeck/tests/scheduler_simulations.py
+++ b/pumicedeck/tests/scheduler_simulations.py
@@ -26,6 +26,7 @@
 from pumicedeck.scheduling.engine_shares import ShareSettings
 from pumicedeck.scheduling.event_intervals import IntervalSettings
 from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.route_freshness import RouteFreshness
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts
 from pumicedeck.scheduling.schedulers import Scheduler
 from pumicedeck.scheduling.submission_adoptions import AdoptionSettings
@@ -273,8 +274,13 @@
                     lambda engine: self.keeper.announce_orders(engine),
                     name,
                 ),
-                routes=lambda: simulation.routes,
-                routes_complete_as_of=timers.now,
+                routes=lambda: self.routes(),
+                freshness=RouteFreshness(
+                    timers.now,
+                    lambda: self.routes(),
+                    lambda: self.routes_complete_as_of(),
+                    lambda: self.read_routes(),
+                ),
                 announced_versions=self.announced,
                 holder=name,
                 home=HOME,
@@ -309,6 +315,15 @@
         self.limits.apply(rows, is_whole_table)
         self.mirror.apply(rows)
 
+    def routes(self):
+        return self.simulation.routes
+
+    def routes_complete_as_of(self):
+        return self.simulation.timers.now()
+
+    def read_routes(self):
+        pass
+
     def acquire(self):
         self.keeper.acquire()
 
--- a/pumicedeck/tests/test_scheduler_passes.py
+++ b/pumicedeck/tests/test_scheduler_passes.py
@@ -25,6 +25,7 @@
 from pumicedeck.scheduling.item_queues import QueueSettings
 from pumicedeck.scheduling.item_starts import ItemStarts
 from pumicedeck.scheduling.queued_items import build_queued_item
+from pumicedeck.scheduling.route_freshness import RouteFreshness
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 from pumicedeck.store_clocks import StoreClock
@@ -90,7 +91,7 @@
             clock=StoreClock(self.timers),
             directory=self.directory,
             routes=lambda: table,
-            routes_complete_as_of=self.timers.now,
+            freshness=RouteFreshness(self.timers.now, lambda: table, self.timers.now, lambda: None),
             announced_versions={"m0": 3},
             holder="x",
             home=HOME,
--- a/pumicedeck/tests/test_store_feeds.py
+++ b/pumicedeck/tests/test_store_feeds.py
@@ -7,6 +7,7 @@
 from pumicedeck.standin_partitioned_stores import PartitionedData, StandinPartitionedStore
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
+from pumicedeck.tasks import Promise
 
 
 class FeedSimulation:
@@ -138,3 +139,63 @@
     simulation.put("c")
     simulation.run(1.0)
     assert simulation.received["c"] == b"1" and simulation.feed.skipped == 2
+
+
+class HeldStore(StandinPartitionedStore):
+    """Holds the answers of feed calls that wait for a change until `release`."""
+
+    held = ()
+
+    def read_changes(self, table, after, wait):
+        promise = super().read_changes(table, after, wait)
+        if not wait:
+            return promise
+        held = Promise()
+        promise.then(lambda outcome: self._hold(held, outcome))
+        return held
+
+    def _hold(self, held, outcome):
+        self.held = (*self.held, lambda: held.resolve(outcome))
+
+    def release(self):
+        held, self.held = self.held, ()
+        for answer in held:
+            answer()
+
+
+class HeldSimulation(FeedSimulation):
+    """A feed that has read its table and gets no further answer to its waiting calls."""
+
+    def __init__(self):
+        super().__init__(initial_partitions=["a"])
+        self.feed.close()
+        self.store = HeldStore(self.timers, self.data)
+        self.feed = StoreFeed(self.timers, self.store, StoreClock(self.timers), "t", self.on_rows)
+        self.feed.start()
+        self.run(1.0)
+
+
+def test_changes_are_read_beside_a_waiting_call_that_gets_no_answer():
+    simulation = HeldSimulation()
+    simulation.put("b")
+    simulation.run(1.0)
+    assert set(simulation.received) == {"a"}
+    for _ in range(3):
+        simulation.feed.read_soon()
+    simulation.run(0.1)
+    assert set(simulation.received) == {"a", "b"}
+    assert simulation.feed.complete_as_of == simulation.timers.now() - 0.1
+    assert simulation.store.calls.feeds == 2
+
+
+def test_an_answer_that_arrives_after_a_later_read_does_not_bring_older_rows_back():
+    simulation = HeldSimulation()
+    simulation.put("b", b"1")
+    simulation.run(0.5)
+    simulation.put("b", b"2")
+    simulation.feed.read_soon()
+    simulation.run(0.1)
+    read_at = simulation.feed.complete_as_of
+    simulation.store.release()
+    assert simulation.received["b"] == b"2"
+    assert simulation.feed.complete_as_of == simulation.feed.last_contact_at == read_at
