Give items up by the limits of current routes only

Callers could see an item listed as given up after fewer answers of 500 than its route allows, or before its give-up time, if an operator had raised that limit shortly before the submission was accepted elsewhere.

The limits of attempts at items and at reward calls and the give-up time came from routes that could be older than those under which the submission was accepted.

Five tests in test_routes_behind_submissions, in virtual time, fail without the change: an item given up after 1 of 3 attempts, outputs given up after 1 of 4 reward calls or at a give-up time of 0.5 instead of 20 s.

Change: an item that has reached a limit starts no further run or call and is given up once the routes cover its submission; if they allow more by then, it goes on. Routes cover a submission about 2 s after it became known without any further call, so that other items are given up as before.

--- a/pumicedeck/scheduling/item_endings.py
+++ b/pumicedeck/scheduling/item_endings.py
@@ -6,10 +6,12 @@
 
 from pumicedeck.direct_endpoints import DirectEndpoint
 from pumicedeck.route_tables import Route
+from pumicedeck.scheduling.reward_calls import ScoreLimits
 from pumicedeck.scheduling.run_ends import RunEnd
 from pumicedeck.scheduling.scheduler_parts import SchedulerParts, SchedulerSettings
 from pumicedeck.scheduling.submission_works import ItemWork, SubmissionWork
 from pumicedeck.submissions import ItemResult
+from pumicedeck.tasks import sleep
 
 _log = logger.bind(module="item_endings")
 
@@ -66,14 +68,14 @@
     def begin_scoring(self, work: SubmissionWork, item_work: ItemWork) -> None:
         """Start the reward call for a complete output; the item's result is added when it ends."""
         if self._is_worked_on(work):
-            work.score(
+            work.start_task(
                 item_work.item.item_id,
                 self._score(work, item_work),
-                lambda: self._end_failed_scoring(work, item_work),
+                lambda: self._end_failed_task(work, item_work),
             )
 
-    def _end_failed_scoring(self, work: SubmissionWork, item_work: ItemWork) -> None:
-        """Give up an item whose scoring raised an exception; its step must not wait for it."""
+    def _end_failed_task(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        """Give up an item whose task raised an exception; its step must not wait for it."""
         if self._is_worked_on(work):
             self.give_up(work, item_work, "a fault of the scheduler; see its log")
 
@@ -84,11 +86,8 @@
         )
         score: str | None = ""
         if item_work.item.reward is not None:
-            route = self._parts.route(work.head.route)
-            until = self.give_up_at(work, route)
-            max_errors = route.max_attempts if route is not None else 1
             score = await self._parts.rewards.score(
-                item_work.item.reward, self._parts.routes, max_errors, until
+                item_work.item.reward, self._parts.routes, lambda: self._score_limits(work)
             )
         if not self._is_worked_on(work):
             return
@@ -112,6 +111,15 @@
             )
         )
 
+    def _score_limits(self, work: SubmissionWork) -> ScoreLimits:
+        """Return how long the reward calls of a submission's outputs may go on."""
+        route = self._parts.route(work.head.route)
+        return ScoreLimits(
+            route.max_attempts if route is not None else 1,
+            self.give_up_at(work, route),
+            lambda: self._parts.freshness.covers(work.submission_id),
+        )
+
     def requeue(
         self,
         work: SubmissionWork,
@@ -142,12 +150,11 @@
         if end is RunEnd.ENGINE_ERROR:
             item_work.errors += 1
             if route is not None and item_work.errors >= route.max_attempts:
-                self.give_up(work, item_work, "engine errors reached the route's limit of attempts")
+                self._give_up_when_current(work, item_work)
                 return
         if end is RunEnd.IMPOSSIBLE:
             self.give_up(work, item_work, "the engine cannot process the item")
             return
-        item_work.begin_waiting(now)
         pause = self._settings.avoid_seconds
         if end is RunEnd.NOT_TAKEN:
             pause = self._settings.refusal_pause_seconds
@@ -156,5 +163,37 @@
             # Such an answer comes at once, and the next one may be the same.
             item_work.not_before = now + self._settings.status_pause_seconds
         item_work.avoid_until_by_engine[endpoint.name] = now + pause
+        self._put_back(work, item_work)
+
+    def _put_back(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        item_work.begin_waiting(self._timers.now())
         work.waiting[item_work.item.item_id] = item_work
         self._on_requeued()
+
+    def _give_up_when_current(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        """Give up an item without attempts left once the routes are as new as its submission."""
+        if self._parts.freshness.covers(work.submission_id):
+            self._give_up_without_attempts(work, item_work)
+            return
+        work.running[item_work.item.item_id] = item_work
+        work.start_task(
+            item_work.item.item_id,
+            self._await_current_routes(work, item_work),
+            lambda: self._end_failed_task(work, item_work),
+        )
+
+    async def _await_current_routes(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        """Give up an item by current routes, or put it back if they allow further attempts."""
+        while not self._parts.freshness.covers(work.submission_id):
+            await sleep(self._timers, self._settings.tick_seconds)
+        if not self._is_worked_on(work):
+            return
+        route = self._parts.route(work.head.route)
+        if route is not None and item_work.errors >= route.max_attempts:
+            self._give_up_without_attempts(work, item_work)
+            return
+        work.running.pop(item_work.item.item_id, None)
+        self._put_back(work, item_work)
+
+    def _give_up_without_attempts(self, work: SubmissionWork, item_work: ItemWork) -> None:
+        self.give_up(work, item_work, "engine errors reached the route's limit of attempts")
--- a/pumicedeck/scheduling/reward_calls.py
+++ b/pumicedeck/scheduling/reward_calls.py
@@ -1,6 +1,7 @@
 """Scores a complete output with the reward call that its submission specifies for the item."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from loguru import logger
@@ -26,6 +27,20 @@
 _ROUTE_CHECK_SECONDS = 0.25
 
 
+@dataclass(frozen=True, slots=True)
+class ScoreLimits:
+    """How long an output's reward calls may go on.
+
+    They end without a score when `until` has passed, in seconds on the process's clock, or after
+    `max_errors` answers with status 500, or as many as the route's own `max_attempts` if that is
+    more. `are_final` returns False while a newer configuration may raise the limits.
+    """
+
+    max_errors: int
+    until: float
+    are_final: Callable[[], bool] = lambda: True
+
+
 class RewardCaller:
     """Sends reward calls; a failed call is repeated at other endpoints of the route's pool."""
 
@@ -48,20 +63,24 @@
         self,
         reward: RewardCall,
         routes: Callable[[], RouteTable | None],
-        max_errors: int,
-        until: float,
+        find_limits: Callable[[], ScoreLimits],
     ) -> str | None:
         """Return the signature of the scorer's answer, None if no call succeeded.
 
-        The calls end without a score when `until` has passed, on the clock of `timers`, or after
-        `max_errors` answers with status 500, or as many as the route's own `max_attempts` if that
-        is more. Calls without an answer, or with another status, are not counted. While no route
-        matches, the call waits for one: operators remove a route and add it again.
+        `find_limits` returns the limits of the newest known configuration. Calls without an answer,
+        or with another status than 500, are not counted. While no route matches, the call waits for
+        one: operators remove a route and add it again.
         """
         errors = 0
         has_route = True
         tried: tuple[str, ...] = ()
-        while self._timers.now() < until:
+        while True:
+            limits = find_limits()
+            if self._timers.now() >= limits.until:
+                if limits.are_final():
+                    return None
+                await sleep(self._timers, _ROUTE_CHECK_SECONDS)
+                continue
             table = routes()
             route = table and table.find(reward.host.lower(), reward.path.partition("?")[0])
             if route is None:
@@ -73,6 +92,12 @@
             if not has_route:
                 has_route = True
                 _log.info("a route matches reward call again", request=reward.request_id)
+            if errors and errors >= max(limits.max_errors, route.max_attempts):
+                if limits.are_final():
+                    _log.info("reward call failed", request=reward.request_id, errors=errors)
+                    return None
+                await sleep(self._timers, _ROUTE_CHECK_SECONDS)
+                continue
             pool = choose_pool(route, self._random, self._selector.has_endpoint)
             # Callers may reserve later permits, so at limited endpoints they go before this.
             selected = await self._selector.select(pool, tried, longest_wait=0.0)
@@ -94,9 +119,6 @@
             status = result.ok_value.answer.status if isinstance(result, Ok) else None
             if status == FAILED_STATUS:
                 errors += 1
-                if errors >= max(max_errors, route.max_attempts):
-                    _log.info("reward call failed", request=reward.request_id, errors=errors)
-                    return None
                 continue
             detail = f"status {status}" if status is not None else result.err_value.detail
             _log.info(
@@ -110,7 +132,6 @@
             # An answer comes at once, and the next one may be the same.
             pause = _RETRY_PAUSE_SECONDS if status is None else _MAX_RETRY_PAUSE_SECONDS
             await sleep(self._timers, pause)
-        return None
 
 
 def _retry_pause_seconds(failure: Failure) -> float:
--- a/pumicedeck/scheduling/submission_works.py
+++ b/pumicedeck/scheduling/submission_works.py
@@ -118,9 +118,10 @@
     nothing is written after another scheduler has claimed the submission. A result is listed once
     it is committed at a position, which it then keeps.
 
-    `waiting` has the items that wait for an engine, `running` those that an engine runs or a scorer
-    scores, both by item id. `results` are the listed results by position. `optional_groups` are the
-    groups that the step can do without, `pace` says how many of its short items run at once.
+    `waiting` has the items that wait for an engine, `running` those that an engine runs, that a
+    scorer scores or that wait for newer routes to be given up, both by item id. `results` are the
+    listed results by position. `optional_groups` are the groups that the step can do without,
+    `pace` says how many of its short items run at once.
     """
 
     def __init__(
@@ -150,7 +151,7 @@
         self.pace = NO_PACE
         self._owner_revision = 0
         self._pending_results: list[ItemResult] = []
-        self._scoring_tasks: dict[str, Task] = {}
+        self._ending_tasks: dict[str, Task] = {}
         self._writer_task: Task | None = None
         self._saving = False
         self._closed = False
@@ -204,22 +205,25 @@
         return self.pace.max_short_runs - running
 
     def close(self) -> None:
-        """Stop writing and cancel the reward calls."""
+        """Stop writing and cancel the tasks of items, such as reward calls."""
         self._closed = True
-        for task in tuple(self._scoring_tasks.values()):
+        for task in tuple(self._ending_tasks.values()):
             task.cancel()
-        self._scoring_tasks.clear()
+        self._ending_tasks.clear()
         if self._writer_task is not None:
             self._writer_task.cancel()
 
-    def score(
-        self, item_id: str, scoring: Coroutine[Any, Any, None], on_failure: Callable[[], None]
+    def start_task(
+        self, item_id: str, ending: Coroutine[Any, Any, None], on_failure: Callable[[], None]
     ) -> None:
-        """Run the reward call of an item; `close` cancels it, `on_failure` follows an exception."""
-        task = spawn(scoring, f"score {item_id}", on_failure)
+        """Run what ends the work on an item, such as its reward call.
+
+        `close` cancels it, `on_failure` follows an exception.
+        """
+        task = spawn(ending, f"end of item {item_id}", on_failure)
         if not task.is_done:
-            self._scoring_tasks[item_id] = task
-            task.ended.then(lambda _: self._scoring_tasks.pop(item_id, None))
+            self._ending_tasks[item_id] = task
+            task.ended.then(lambda _: self._ending_tasks.pop(item_id, None))
 
     def add_result(self, result: ItemResult) -> None:
         """Queue a result to be written; it is listed once its write is committed."""
--- a/pumicedeck/tests/test_cut_answers.py
+++ b/pumicedeck/tests/test_cut_answers.py
@@ -21,7 +21,7 @@
 from pumicedeck.platform.endpoint_calls import PlatformEndpointDialect
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
 from pumicedeck.scheduling.item_runs import ItemRun
-from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.reward_calls import RewardCaller, ScoreLimits
 from pumicedeck.scheduling.run_ends import RunEnd
 from pumicedeck.scheduling.submission_works import ItemWork
 from pumicedeck.submissions import Item, RewardCall, SubmissionHead
@@ -108,7 +108,7 @@
         table = RouteTable(1, (route,), {})
         until = self.loop.timers.now() + 0.05
         reward = RewardCall("r1", "h", "/s/x", b"")
-        return self.outcome(rewards.score(reward, lambda: table, 1, until))
+        return self.outcome(rewards.score(reward, lambda: table, lambda: ScoreLimits(1, until)))
 
     async def select(self, pool, tried, longest_wait):
         return Ok(self.endpoint)
--- a/pumicedeck/tests/test_reward_calls.py
+++ b/pumicedeck/tests/test_reward_calls.py
@@ -9,7 +9,7 @@
 
 from pumicedeck.results import Failure, ResultCode
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable
-from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.reward_calls import RewardCaller, ScoreLimits
 from pumicedeck.submissions import RewardCall
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.test_request_permits import PermitSimulation
@@ -35,7 +35,7 @@
     caller = BrokenCaller()
     rewards = RewardCaller(simulation.timers, caller, simulation.selectors[0], Random(1))
     reward = RewardCall("r", "h", "/s/x", b"score")
-    spawn(rewards.score(reward, lambda: ROUTES, 3, until=5.0), "score")
+    spawn(rewards.score(reward, lambda: ROUTES, lambda: ScoreLimits(3, until=5.0)), "score")
     simulation.run(6.0)
     assert len(caller.endpoints) >= 40
     for begin in range(0, 39, 3):
--- a/pumicedeck/tests/test_routes_behind_submissions.py
+++ b/pumicedeck/tests/test_routes_behind_submissions.py
@@ -144,6 +144,70 @@
     check_complete(simulation, simulation.front, STEP)
 
 
+def test_an_item_is_not_given_up_by_a_limit_of_attempts_that_was_raised_before_it_was_accepted():
+    # The older routes allow one attempt; the item was given up after a single answer of 500.
+    simulation = RoutesSimulation(replace(DRAFTS, max_attempts=1), SCORES)
+    simulation.let_feed_go_silent()
+    simulation.configure(9, DRAFTS, SCORES)
+    simulation.run_statuses = [500, 500]
+    simulation.submit(simulation.front, [[20]])
+    simulation.run(4.0)
+    check_complete(simulation, simulation.front, [[20]])
+    assert len(simulation.starts("0-0")) == 3
+
+
+def test_an_item_that_used_up_its_attempts_starts_no_more_and_is_given_up_by_current_routes():
+    simulation = RoutesSimulation(replace(DRAFTS, max_attempts=2), SCORES)
+    simulation.scheduler.operator_store.faults.silent = True
+    simulation.run(1.1)
+    simulation.run_statuses = [500] * 9
+    simulation.submit(simulation.front, [[20]])
+    simulation.run(10.0)
+    assert simulation.results(simulation.front) == [] and len(simulation.starts("0-0")) == 2
+    simulation.scheduler.operator_store.faults.silent = False
+    simulation.run(2.5)
+    (result,) = simulation.results(simulation.front)
+    assert not result.completed and len(simulation.starts("0-0")) == 2
+
+
+def test_items_are_not_given_up_by_a_give_up_time_that_was_raised_before_they_were_accepted():
+    simulation = RoutesSimulation(replace(DRAFTS, give_up_seconds=0.5), SCORES)
+    simulation.scheduler.operator_store.faults.silent = True
+    simulation.run(1.1)
+    simulation.configure(9, DRAFTS, SCORES)
+    simulation.submit(simulation.front, STEP)
+    simulation.run(3.0)
+    assert all(each.completed for each in simulation.results(simulation.front))
+    simulation.scheduler.operator_store.faults.silent = False
+    simulation.run(6.0)
+    check_complete(simulation, simulation.front, STEP)
+
+
+def test_an_output_is_not_given_up_by_a_limit_of_reward_calls_that_was_raised_before():
+    simulation = RoutesSimulation(replace(DRAFTS, max_attempts=1), replace(SCORES, max_attempts=1))
+    simulation.let_feed_go_silent()
+    simulation.configure(9, DRAFTS, SCORES)
+    simulation.score_statuses = [500, 500]
+    simulation.submit(simulation.front, [[2]])
+    simulation.run(3.0)
+    check_complete(simulation, simulation.front, [[2]])
+    assert len(simulation.score_calls) == 3
+
+
+def test_an_output_without_a_score_is_given_up_by_current_routes_after_no_further_call():
+    simulation = RoutesSimulation(replace(DRAFTS, max_attempts=1), replace(SCORES, max_attempts=1))
+    simulation.scheduler.operator_store.faults.silent = True
+    simulation.run(1.1)
+    simulation.score_statuses = [500] * 9
+    simulation.submit(simulation.front, [[2]])
+    simulation.run(10.0)
+    assert simulation.results(simulation.front) == [] and len(simulation.score_calls) == 1
+    simulation.scheduler.operator_store.faults.silent = False
+    simulation.run(2.5)
+    (result,) = simulation.results(simulation.front)
+    assert not result.completed and len(simulation.score_calls) == 1
+
+
 class Times:
     """The times that a decision compares, and the reads of newer routes that it asks for."""
 
--- a/pumicedeck/tests/test_split_routes.py
+++ b/pumicedeck/tests/test_split_routes.py
@@ -16,7 +16,7 @@
 from pumicedeck.http_messages import HttpResponse
 from pumicedeck.platform_interfaces import LoadedModel
 from pumicedeck.route_tables import PoolShare, Route, RouteKind, RouteTable, choose_pool
-from pumicedeck.scheduling.reward_calls import RewardCaller
+from pumicedeck.scheduling.reward_calls import RewardCaller, ScoreLimits
 from pumicedeck.submissions import RewardCall
 from pumicedeck.tasks import spawn
 from pumicedeck.tests.scheduler_simulations import ROUTES, SchedulerSimulation
@@ -183,7 +183,11 @@
     scores = []
 
     async def score():
-        scores.append(await rewards.score(RewardCall("r", "h", "/s/x", b""), lambda: table, 3, 5.0))
+        scores.append(
+            await rewards.score(
+                RewardCall("r", "h", "/s/x", b""), lambda: table, lambda: ScoreLimits(3, 5.0)
+            )
+        )
 
     spawn(score(), "score")
     simulation.run(0.05)
