Refuse a request for good only if the routes are known to be current

Callers of a gateway that has lost touch with the store get 404 for a route that was added since. Clients do not repeat a request after 404, though other gateways serve the route.

A route that was missing from the routes counted as one that does not exist, however old the routes were. Unknown keys were told apart by the age of the configuration already.

Change: without a route, a configuration that the store has not confirmed within accounts.max_configuration_age_seconds (1.5 s, as for keys) leads to 503 with Retry-After. Within that time a 404 is possible as before, also for a route that was added in it.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -372,6 +372,9 @@
         usage_lines = usage.metric_lines() if usage is not None else ()
         return [ignored, *budget_lines(budget), *usage_lines]
 
+    def configuration_age_seconds() -> float:
+        return timers.now() - operator_feed.confirmed_at
+
     dialect = PlatformCallerDialect()
     grace = settings.promises.grace_seconds
     gateway = Gateway(
@@ -409,9 +412,10 @@
             caller_dialect=dialect,
             identifier=CallIdentifier(
                 dialect,
-                lambda: timers.now() - operator_feed.confirmed_at,
+                configuration_age_seconds,
                 Identity(settings.accounts.max_configuration_age_seconds),
             ),
+            configuration_age_seconds=configuration_age_seconds,
             submission_dialect=PlatformSubmissionDialect(),
             check_decoding=build_decoding_check(settings.machine),
             finish=finish if usage is None else lambda: usage.finish(finish),
@@ -421,7 +425,10 @@
             relay=listeners.relay,
             metric_lines=metric_lines,
         ),
-        GatewayTimes(drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4))),
+        GatewayTimes(
+            drain=DrainTimes(max_seconds=grace - min(0.6, grace / 4)),
+            max_configuration_age_seconds=settings.accounts.max_configuration_age_seconds,
+        ),
     )
 
     def start() -> None:
--- a/pumicedeck/gateway_settings.py
+++ b/pumicedeck/gateway_settings.py
@@ -44,10 +44,11 @@
 
 
 class AccountSettings(Section):
-    """Client accounts, in effect only if the operators' configuration has some.
+    """When requests that the known configuration does not allow are refused for good.
 
-    A key that is unknown is refused for good only if the store has confirmed the configuration
-    within `max_configuration_age_seconds`; the store answers the configuration's feed each second.
+    An unknown key or a request without a route is refused for good only if the store has confirmed
+    the configuration within `max_configuration_age_seconds`; the store answers the configuration's
+    feed each second.
     """
 
     max_configuration_age_seconds: float = Field(1.5, gt=0)
--- a/pumicedeck/gateways.py
+++ b/pumicedeck/gateways.py
@@ -37,7 +37,13 @@
 from pumicedeck.store_clocks import StoreClock
 from pumicedeck.store_feeds import StoreFeed
 from pumicedeck.stream_records import StreamRecords
-from pumicedeck.submission_answers import JSON_TYPE, NO_ROUTE, NOT_READY, SubmissionAnswers
+from pumicedeck.submission_answers import (
+    JSON_TYPE,
+    NO_ROUTE,
+    NOT_READY,
+    ROUTES_OUTDATED,
+    SubmissionAnswers,
+)
 from pumicedeck.submission_intakes import SubmissionIntake
 from pumicedeck.tasks import sleep, spawn
 from pumicedeck.work_mirrors import WorkMirror
@@ -61,7 +67,8 @@
     """Times in seconds.
 
     `retry_after_seconds` is sent with answers of status 429 and 503, `drain_retry_after_seconds`
-    while the process ends, since other gateways serve at once.
+    while the process ends, since other gateways serve at once. The store confirms the configuration
+    once a second; one older than `max_configuration_age_seconds` may lack routes.
     """
 
     drain: DrainTimes = DrainTimes()
@@ -70,6 +77,7 @@
     watch_interval_seconds: float = 0.05
     retry_after_seconds: float = 0.5
     resource_log_interval_seconds: float = 10.0
+    max_configuration_age_seconds: float = 1.5
 
 
 @dataclass(slots=True)
@@ -77,7 +85,8 @@
     """The parts that a gateway is composed of.
 
     `cores` is how many CPU cores it may use. With `delays_few_cores` a gateway with few of them
-    takes over a lost lease later than others.
+    takes over a lost lease later than others. `configuration_age_seconds` returns the time since
+    the store confirmed the routes.
     """
 
     timers: TimerQueue
@@ -99,6 +108,7 @@
     record_store_contact: Callable[[], None]
     caller_dialect: CallerDialect
     identifier: CallIdentifier
+    configuration_age_seconds: Callable[[], float]
     submission_dialect: SubmissionDialect
     finish: Callable[[], None]
     check_decoding: Callable[[bytes], Failure | None]
@@ -272,7 +282,7 @@
             return
         if route is None:
             if not self._answer_repeated_submission(incoming, call):
-                self._refuse(incoming, call, NO_ROUTE)
+                self._refuse(incoming, call, self._missing_route_failure())
             return
         self._record_on_end(incoming, call, CallSeries(route.name, route.kind.value))
         identified = self._parts.identifier.identify(call, self._routes.accounts, route)
@@ -298,6 +308,14 @@
         self._record_on_end(incoming, call, _NO_ROUTE)
         self._parts.forwarder.refuse(incoming, call, failure, failure.retry_after)
 
+    def _missing_route_failure(self) -> Failure:
+        """Return why a request without a route is refused.
+
+        Callers do not repeat a request after NO_ROUTE, and other gateways may know a newer route.
+        """
+        age = self._parts.configuration_age_seconds()
+        return NO_ROUTE if age <= self._times.max_configuration_age_seconds else ROUTES_OUTDATED
+
     def _may_begin(self, incoming: IncomingCall, call: ForwardedCall, route: Route) -> bool:
         """Return whether a call ends before a drain does, if there is one."""
         if self._drain_phase is None:
--- a/pumicedeck/submission_answers.py
+++ b/pumicedeck/submission_answers.py
@@ -33,6 +33,11 @@
     ResultCode.NOT_READY, "no configuration or no store time received yet", proven_not_run=True
 )
 NO_ROUTE = Failure(ResultCode.NO_ROUTE, "no route matches host and path", proven_not_run=True)
+ROUTES_OUTDATED = Failure(
+    ResultCode.NOT_READY,
+    "no route matches host and path, and newer routes cannot be read",
+    proven_not_run=True,
+)
 
 
 class SubmissionAnswers:
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -217,6 +217,20 @@
     assert gateway_fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 404")
 
 
+def test_an_unknown_route_may_have_been_added_while_the_gateway_was_out_of_touch(gateway_fixture):
+    # Callers do not repeat a request that was answered 404, though other gateways know its route.
+    gateway_fixture.standin.faults.silent = True
+    gateway_fixture.loop.advance(3.0)
+    gateway_fixture.configure(2, route("safe", "idempotent"), route("new", "idempotent"))
+    answer = gateway_fixture.ask("GET", "/new/x", headers=ID)
+    assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After" in answer
+    assert gateway_fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
+    gateway_fixture.standin.faults.silent = False
+    gateway_fixture.loop.advance(2.0)
+    assert gateway_fixture.ask("GET", "/new/x", headers=ID).startswith(b"HTTP/1.1 200")
+    assert gateway_fixture.ask("GET", "/never/x", headers=ID).startswith(b"HTTP/1.1 404")
+
+
 def test_a_call_that_may_repeat_is_served_elsewhere_when_an_endpoint_breaks(gateway_fixture):
     broken = []
 
