Keep endpoints that expired during an outage of the store until they can register again

Callers got 503 (NO_ENDPOINT) after each outage of the store in which registrations expired, though the endpoints were alive, until they had registered again.

Cause: the endpoint list postpones removals for 2 s after an outage, but heard of the outage only from a loop that runs each 0.05 s. The feed passes on the rows of the first answer before that, so that its removals took effect at once.

Evidence: test_endpoints_that_expired_during_an_outage_of_the_store_are_used_until_they_can_register, over sockets, fails without the change with 503 on the first call after the outage.

Change: the store's contact is recorded before the rows of its answer are applied.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -299,8 +299,21 @@
     operator_feed = StoreFeed(
         timers, store, clock, OPERATOR_TABLE, apply_operator_rows, long_poll_settings, ("",)
     )
+    recorded_contact_at = 0.0
+
+    def record_store_contact() -> None:
+        nonlocal recorded_contact_at
+        if endpoint_feed.last_contact_at > recorded_contact_at:
+            recorded_contact_at = endpoint_feed.last_contact_at
+            endpoint_list.record_store_contact()
+
+    def apply_endpoint_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
+        # The first answer after an outage may remove endpoints that are about to register again.
+        record_store_contact()
+        endpoint_list.apply(rows, is_snapshot)
+
     endpoint_feed = StoreFeed(
-        timers, store, clock, ENDPOINT_TABLE, endpoint_list.apply, long_poll_settings, ("",)
+        timers, store, clock, ENDPOINT_TABLE, apply_endpoint_rows, long_poll_settings, ("",)
     )
 
     def apply_work_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
@@ -322,14 +335,6 @@
         sweeps=lambda: scheduler.is_active,
         endpoints_known_at=lambda: endpoint_feed.complete_as_of,
     )
-    recorded_contact_at = 0.0
-
-    def record_store_contact() -> None:
-        nonlocal recorded_contact_at
-        if endpoint_feed.last_contact_at > recorded_contact_at:
-            recorded_contact_at = endpoint_feed.last_contact_at
-            endpoint_list.record_store_contact()
-
     peers = PeerQuestions(
         timers,
         store,
--- a/pumicedeck/tests/test_gateways.py
+++ b/pumicedeck/tests/test_gateways.py
@@ -451,3 +451,19 @@
     assert lease_extra_acquisition_delay_seconds(
         0.065, cores=1.0
     ) < lease_extra_acquisition_delay_seconds(0.065, cores=0.4)
+
+
+def test_endpoints_that_expired_during_an_outage_of_the_store_are_used_until_they_can_register(
+    gateway_fixture,
+):
+    # All of them were removed by the first answer after the outage, and calls were refused.
+    gateway_fixture.standin.faults.silent = True
+    gateway_fixture.loop.advance(4.0)
+    for endpoint in gateway_fixture.endpoints:
+        gateway_fixture.put("servers", endpoint.name, None)
+    gateway_fixture.standin.faults.silent = False
+    for _ in range(12):
+        gateway_fixture.loop.advance(0.1)
+        assert gateway_fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 200")
+    gateway_fixture.loop.advance(2.5)
+    assert gateway_fixture.ask("GET", "/safe/x", headers=ID).startswith(b"HTTP/1.1 503")
