Move the rows of the operators' table out of the composition root

Change: OperatorConfiguration applies the rows and keeps the announced versions, decode_operator_row tells the rows of the table apart; what is known is passed on and logged as before. Two tests of late announcements and registrations show that items wait for both.

--- a/pumicedeck/gateway_compositions.py
+++ b/pumicedeck/gateway_compositions.py
@@ -42,6 +42,7 @@
 from pumicedeck.limit_reports import LimitReports
 from pumicedeck.log_writers import LogWriter
 from pumicedeck.logs import set_up_event_logs
+from pumicedeck.operator_configurations import OperatorConfiguration
 from pumicedeck.partitioned_stores import StoredRow
 from pumicedeck.partitioned_tables import PartitionedTableStore
 from pumicedeck.peer_checks import PeerCheck
@@ -52,11 +53,8 @@
 from pumicedeck.platform.registrations import (
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
-    ROUTES_KEY,
-    VERSION_PREFIX,
     EndpointDecoder,
-    decode_announced_version,
-    decode_routes,
+    decode_operator_row,
 )
 from pumicedeck.platform.stores import HttpPartitionedStore
 from pumicedeck.processes import Process
@@ -198,7 +196,13 @@
     )
     limiter = RequestLimiter(timers, store, clock, directory, settings.vm, lambda: mirror.members)
     selector = EndpointSelector(timers, directory, limiter)
-    announced_versions: dict[str, int] = {}
+    configuration = OperatorConfiguration(
+        decode_operator_row,
+        install_routes=lambda routes: gateway.install_routes(routes),
+        # Wakes the scheduler, which has submissions wait for routes and orders loads of versions.
+        on_change=mirror.changed.notify,
+        is_scheduling=lambda: scheduler.is_active,
+    )
     incarnation_prefix = f"{settings.vm}/"
     incarnation = f"{incarnation_prefix}{random.getrandbits(48):012x}"
     lease_holder = LeaseHolder(
@@ -234,7 +238,7 @@
                 lambda: operator_feed.complete_as_of,
                 lambda: operator_feed.read_soon(),
             ),
-            announced_versions=announced_versions,
+            announced_versions=configuration.announced_versions,
             holder=settings.vm,
             home=home,
             may_claim=lambda: lease_holder.holds(timers.now()),
@@ -268,36 +272,9 @@
         on_other_holder=lambda other: scheduler.stop(f"{other} holds the lease"),
     )
 
-    def apply_operator_rows(rows: tuple[StoredRow, ...], is_snapshot: bool) -> None:
-        for stored_row in rows:
-            if stored_row.value is None:
-                continue
-            if stored_row.row.key == ROUTES_KEY:
-                decoded = decode_routes(stored_row.value)
-                if isinstance(decoded, Err):
-                    _log.error("routes not installed", detail=decoded.err_value.detail)
-                else:
-                    gateway.install_routes(decoded.ok_value)
-                    # Wakes the scheduler, which may have submissions that wait for their route.
-                    mirror.changed.notify()
-            elif stored_row.row.key.startswith(VERSION_PREFIX):
-                model_and_version = decode_announced_version(stored_row.value)
-                if model_and_version is not None and model_and_version[1] > announced_versions.get(
-                    model_and_version[0], 0
-                ):
-                    announced_versions[model_and_version[0]] = model_and_version[1]
-                    if scheduler.is_active:
-                        _log.info(
-                            "model version announced",
-                            model=model_and_version[0],
-                            version=model_and_version[1],
-                        )
-                    # Wakes the scheduler, which orders engines to load the version.
-                    mirror.changed.notify()
-
     long_poll_settings = FeedSettings(wait_seconds=1.0)
     operator_feed = StoreFeed(
-        timers, store, clock, OPERATOR_TABLE, apply_operator_rows, long_poll_settings, ("",)
+        timers, store, clock, OPERATOR_TABLE, configuration.apply, long_poll_settings, ("",)
     )
     recorded_contact_at = 0.0
 
--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -3,7 +3,7 @@
 import re
 
 from loguru import logger
-from result import Err, Result
+from result import Err, Ok, Result
 
 from pumicedeck.accounts.identities import Account, AccountTable
 from pumicedeck.direct_endpoints import DirectEndpoint
@@ -43,6 +43,15 @@
 _log = logger.bind(module="platform.registrations")
 
 
+def decode_operator_row(
+    key: str, value: bytes
+) -> Result[RouteTable | tuple[str, int] | None, Failure]:
+    """Decode routes, or a model and its announced version; None for other and invalid versions."""
+    if key == ROUTES_KEY:
+        return decode_routes(value)
+    return Ok(decode_announced_version(value) if key.startswith(VERSION_PREFIX) else None)
+
+
 def decode_routes(value: bytes) -> Result[RouteTable, Failure]:
     """Decode the operators' configuration; fail with BAD_CATALOGUE if it is invalid."""
     return decode_document(value, _build_routes).map_err(
--- a/pumicedeck/tests/test_routes_behind_submissions.py
+++ b/pumicedeck/tests/test_routes_behind_submissions.py
@@ -208,6 +208,32 @@
     assert not result.completed and len(simulation.score_calls) == 1
 
 
+def test_items_wait_for_weights_whose_announcement_is_late():
+    # The announcement is a row of the operators' table too, and its feed may be behind as well.
+    simulation = SchedulerSimulation()
+    simulation.submit(simulation.processes[1], STEP, min_version=2)
+    simulation.run(5.0)
+    assert simulation.results(simulation.processes[1]) == []
+    simulation.announced["m0"] = 2
+    simulation.run(8.0)
+    for result in check_complete(simulation, simulation.processes[1], STEP):
+        assert result.versions == (2,)
+
+
+def test_items_wait_for_engines_whose_registrations_are_late():
+    simulation = SchedulerSimulation(processes=1)
+    (process,) = simulation.processes
+    for name in simulation.engines:
+        process.directory.remove(name)
+    simulation.submit(process, STEP)
+    simulation.run(5.0)
+    assert simulation.results(process) == []
+    for engine in simulation.engines.values():
+        process.directory.update(engine.endpoint)
+    simulation.run(60 * 0.04 + 1.0)
+    check_complete(simulation, process, STEP)
+
+
 class Times:
     """The times that a decision compares, and the reads of newer routes that it asks for."""
 
