Let virtual time wait for bytes that the kernel has not delivered

Cause: LoopHarness took its sockets for idle after three turns of 1 ms without an event and moved virtual time to the next timer. Bytes that the kernel delivered later than that missed time-outs of the listener.

Change: after an idle turn the harness waits until what a watched sender has sent is acknowledged, at most 0.5 s if its receiver has no room. The tests of listeners watch their clients.

--- a/pumicedeck/tests/loop_harnesses.py
+++ b/pumicedeck/tests/loop_harnesses.py
@@ -1,5 +1,10 @@
 """A circuits event loop under virtual time, which a test advances."""
 
+import struct
+import termios
+import time
+from fcntl import ioctl
+
 from circuits import BaseComponent, handler
 from circuits.core.events import started
 from circuits.net.events import close, write
@@ -12,6 +17,8 @@
 
 _POLL_SECONDS = 0.001
 _IDLE_TURNS = 3
+# Longer than the kernel holds bytes back; after it the receiver has no room for them.
+_DELIVERY_SECONDS = 0.5
 
 
 class CountingPoller(ManySocketsPoller):
@@ -35,6 +42,7 @@
         self.poller = CountingPoller().register(self)
         self.timers = VirtualTime()
         LoopTimers(self.timers).register(self)
+        self._senders = {}
         self._running = True
         self.fire(started(self))
         self.settle()
@@ -43,11 +51,15 @@
     def _on_exception(self, kind, value, traceback, **_):
         self.errors.append("".join(traceback) + repr(value))
 
+    def watch(self, sock):
+        """Count the sockets as idle only once the kernel has delivered what `sock` has sent."""
+        self._senders[sock] = 0
+
     def settle(self, turns=200):
         """Tick until the sockets are idle."""
         idle = 0
         for _ in range(turns):
-            idle = 0 if self._run_turn() else idle + 1
+            idle = self._count_idle(idle)
             if idle >= _IDLE_TURNS:
                 return
         raise AssertionError("the loop did not become idle within the bounded number of turns")
@@ -58,7 +70,7 @@
         for _ in range(turns):
             if condition():
                 return
-            idle = 0 if self._run_turn() else idle + 1
+            idle = self._count_idle(idle)
             next_timer_at = self.timers.next_due()
             if idle >= _IDLE_TURNS and next_timer_at is not None:
                 self.timers.run_until(next_timer_at)
@@ -88,6 +100,37 @@
         self.timers.run_until(end_at)
         self.settle()
 
+    def _count_idle(self, idle):
+        """Run a turn after `idle` turns without an event; return how many there are now.
+
+        A turn counts only if all bytes were delivered before it.
+        """
+        if idle:
+            self._await_delivery()
+        return 0 if self._run_turn() else idle + 1
+
+    def _await_delivery(self):
+        """Wait until the bytes of all senders are delivered, or their receivers have no room.
+
+        `_senders` has the number of bytes without room by socket.
+        """
+        give_up_at = time.monotonic() + _DELIVERY_SECONDS
+        while under_way := self._bytes_under_way():
+            if time.monotonic() >= give_up_at:
+                self._senders |= under_way
+                return
+            time.sleep(_POLL_SECONDS)
+
+    def _bytes_under_way(self):
+        found = {}
+        for sock, without_room in self._senders.items():
+            if sock.fileno() < 0:
+                continue
+            (count,) = struct.unpack("i", ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+            if count and count != without_room:
+                found[sock] = count
+        return found
+
     def _run_turn(self):
         before = self.poller.count
         self.tick(_POLL_SECONDS)
--- a/pumicedeck/tests/test_http_listeners.py
+++ b/pumicedeck/tests/test_http_listeners.py
@@ -29,6 +29,7 @@
         address = self.listener.address
         sock = socket.create_connection((address.host, address.port))
         sock.setblocking(False)
+        self.loop.watch(sock)
         self.socks.append(sock)
         return sock
 
