Let the tests of single large requests wait for their answers

Cause: a crowd ends once no byte has moved for 1 s.

The status, the memory and what is held afterwards are checked as before.

--- a/pumicedeck/tests/crowd_fixtures.py
+++ b/pumicedeck/tests/crowd_fixtures.py
@@ -124,11 +124,17 @@
         for client in self.clients:
             client.connect(address)
 
-    def run(self, observe=lambda: None) -> None:
-        """Serve all clients until no byte has moved for some time; call `observe` meanwhile."""
+    def run(self, observe=lambda: None, until_answered=False) -> None:
+        """Serve all clients until no byte has moved for some time; call `observe` meanwhile.
+
+        With `until_answered` also until each client has the head of its answer: a process that
+        works on a large request moves no byte, for longer than that beside other load.
+        """
         started = moved_at = time.monotonic()
         with selectors.DefaultSelector() as selector:
-            while time.monotonic() - moved_at < QUIET_SECONDS:
+            while time.monotonic() - moved_at < QUIET_SECONDS or (
+                until_answered and not all(client.status for client in self.clients)
+            ):
                 now = time.monotonic()
                 assert now - started < HANG_SECONDS, "the crowd was still moving bytes"
                 self._register(selector, now)
@@ -275,11 +281,16 @@
         self._standins.stdout.close()
 
 
-def run_crowd(under_test, address: Address, clients: Iterable[CrowdClient]) -> Crowd:
-    """Connect clients to a listener; check the process while they are there and afterwards."""
+def run_crowd(
+    under_test, address: Address, clients: Iterable[CrowdClient], until_answered=False
+) -> Crowd:
+    """Connect clients to a listener; check the process while they are there and afterwards.
+
+    `until_answered` is that of `Crowd.run`.
+    """
     crowd = Crowd(address, clients)
     try:
-        crowd.run(under_test.memory.observe)
+        crowd.run(under_test.memory.observe, until_answered)
         under_test.check()
     finally:
         crowd.close()
--- a/pumicedeck/tests/test_client_crowds.py
+++ b/pumicedeck/tests/test_client_crowds.py
@@ -248,7 +248,7 @@
         client = body_client(0, LARGEST_BODY_BYTES, LARGEST_BODY_BYTES, MIB, path)
     else:
         client = chunked_client(0, LARGEST_BODY_BYTES, b"0\r\n\r\n", path)
-    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [client])
+    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [client], until_answered=True)
     assert crowd.clients[0].status == 200
 
 
@@ -271,5 +271,6 @@
     ]
     body = json.dumps({"step": 1, "model": "m", "items": items}).encode()
     head = request_head("/drafts/", "crowd-0", len(body))
-    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [CrowdClient([head, body])])
+    client = CrowdClient([head, body])
+    crowd = run_crowd(deployed_gateway, deployed_gateway.callers, [client], until_answered=True)
     assert crowd.clients[0].status == 202
