--- a/pumicedeck/platform/registrations.py
+++ b/pumicedeck/platform/registrations.py
@@ -46,7 +46,7 @@
 def decode_operator_row(
     key: str, value: bytes
 ) -> Result[RouteTable | tuple[str, int] | None, Failure]:
-    """Decode routes, or a model and its announced version; None for other and invalid versions."""
+    """Decode routes, or a model and its announced version; None for other rows or if invalid."""
     if key == ROUTES_KEY:
         return decode_routes(value)
     return Ok(decode_announced_version(value) if key.startswith(VERSION_PREFIX) else None)
